--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,10 +1,18 @@
 #!/usr/bin/env bash
-# Checks format and lints the project's own files. Needs a configured build/.
+# Checks format and lints the project's own files, or only those below the
+# folders given as arguments. Needs a configured build/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cc' '*.h')
+folders=("$@")
+if [ ${#folders[@]} -eq 0 ]; then
+  folders=(libs apps standins bench tests)
+fi
+mapfile -t files < <(git ls-files --cached --others --exclude-standard \
+  -- "${folders[@]}" | grep -E '\.(cc|h)$')
 clang-format --dry-run -Werror "${files[@]}"
 cmake -S . -B build -G Ninja >/dev/null
-run-clang-tidy -quiet -p build "$(pwd)/(libs|apps|standins|bench|tests)/.*" \
-  2>/dev/null >build/lint.txt || { grep -E 'error|warning' build/lint.txt; exit 1; }
+pattern=$(IFS='|'; echo "${folders[*]}")
+run-clang-tidy -quiet -j "${SEQUOIASTAGE_LINT_JOBS:-$(nproc)}" -p build \
+  "$(pwd)/(${pattern})/.*" 2>/dev/null >build/lint.txt ||
+  { grep -E 'error|warning' build/lint.txt | sort -u; exit 1; }
 echo "lint: clean (${#files[@]} files)"
