--- /dev/null
+++ b/libs/wire/include/sequoiastage/wire/bytes.h
@@ -0,0 +1,60 @@
+#ifndef SEQUOIASTAGE_WIRE_BYTES_H_
+#define SEQUOIASTAGE_WIRE_BYTES_H_
+
+#include <algorithm>
+#include <cereal/cereal.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sequoiastage {
+
+/// Loads a length-prefixed byte string. Grows the string only as far as input
+/// is there, so that a false length can't cause a large allocation.
+/// Throws cereal::Exception when the input ends early.
+template <class Archive>
+void LoadBytes(Archive& archive, std::string& text) {
+  constexpr uint32_t kChunkBytes = 16 * 1024;
+  uint32_t left = 0;
+  archive(left);
+  text.clear();
+  while (left > 0) {
+    const uint32_t chunk = std::min(left, kChunkBytes);
+    const size_t offset = text.size();
+    text.resize(offset + chunk);
+    archive(cereal::binary_data(text.data() + offset, chunk));
+    left -= chunk;
+  }
+}
+
+/// Saves `text` in the form that LoadBytes() reads.
+template <class Archive>
+void SaveBytes(Archive& archive, const std::string& text) {
+  archive(static_cast<uint32_t>(text.size()));
+  archive(cereal::binary_data(text.data(), text.size()));
+}
+
+/// Loads a counted list item by item; like LoadBytes() it only grows as far
+/// as input is there.
+template <class Archive, class Item>
+void LoadList(Archive& archive, std::vector<Item>& items) {
+  uint32_t count = 0;
+  archive(count);
+  items.clear();
+  for (uint32_t i = 0; i < count; ++i) {
+    archive(items.emplace_back());
+  }
+}
+
+/// Saves `items` in the form that LoadList() reads.
+template <class Archive, class Item>
+void SaveList(Archive& archive, const std::vector<Item>& items) {
+  archive(static_cast<uint32_t>(items.size()));
+  for (const Item& item : items) {
+    archive(item);
+  }
+}
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_WIRE_BYTES_H_
--- /dev/null
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -0,0 +1,206 @@
+#ifndef SEQUOIASTAGE_WIRE_MESSAGES_H_
+#define SEQUOIASTAGE_WIRE_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "sequoiastage/base/ids.h"
+#include "sequoiastage/base/time.h"
+
+/// Typed messages that nodes exchange over TCP. Every request carries an
+/// AttemptId that its reply repeats; replies come in any order.
+namespace sequoiastage {
+
+struct HttpField {
+  std::string m_name;
+  std::string m_value;
+
+  friend bool operator==(const HttpField&, const HttpField&) = default;
+};
+
+struct HttpRequest {
+  std::string m_method;
+  /// Host without port, lower case.
+  std::string m_host;
+  /// Path and query as the caller sent them.
+  std::string m_target;
+  std::vector<HttpField> m_fields;
+  std::string m_body;
+
+  friend bool operator==(const HttpRequest&, const HttpRequest&) = default;
+};
+
+struct HttpAnswer {
+  uint16_t m_status = 0;
+  std::vector<HttpField> m_fields;
+  std::string m_body;
+
+  friend bool operator==(const HttpAnswer&, const HttpAnswer&) = default;
+};
+
+/// Value of the first field called `name` (ASCII case ignored), or nullptr.
+const std::string* FindField(const std::vector<HttpField>& fields,
+                             std::string_view name);
+
+/// First message of each side on a connection.
+struct HelloMessage {
+  NodeId m_node;
+  Incarnation m_incarnation;
+
+  friend bool operator==(const HelloMessage&, const HelloMessage&) = default;
+};
+
+/// Asks an egress to run a request on one of its instances.
+struct DispatchMessage {
+  AttemptId m_attempt;
+  /// Incarnation of the egress that is meant; any other refuses.
+  Incarnation m_egress_incarnation;
+  ServiceId m_service;
+  InstanceId m_instance;
+  AccountId m_account;
+  bool m_is_repeatable = false;
+  /// Milliseconds since the epoch; the egress starts nothing later.
+  int64_t m_deadline_ms = 0;
+  HttpRequest m_request;
+
+  friend bool operator==(const DispatchMessage&,
+                         const DispatchMessage&) = default;
+};
+
+/// What became of an attempt at the egress.
+enum class AttemptResult : uint8_t {
+  /// The backend server answered; the answer is whole.
+  kAnswered = 0,
+  /// Refused or cancelled before it started; it never will start.
+  kNotStarted = 1,
+  /// Started, and ended without a whole answer.
+  kFailed = 2,
+  /// Started and still running (only as reply to a query).
+  kRunning = 3,
+};
+
+/// Why an attempt was not started or failed.
+enum class AttemptReason : uint8_t {
+  kNone = 0,
+  kBusy = 1,
+  kDraining = 2,
+  kUnknownInstance = 3,
+  kWrongIncarnation = 4,
+  kPastDeadline = 5,
+  kDuplicate = 6,
+  kCancelled = 7,
+  kConnectFailed = 8,
+  kTimeout = 9,
+  kIncompleteAnswer = 10,
+  kBackendError = 11,
+  kShed = 12,
+  kSuspect = 13,
+};
+
+/// Short text of a reason, as in logs ("busy").
+std::string_view ToString(AttemptReason reason);
+
+/// Load of one instance as its egress knows it.
+struct InstanceLoad {
+  InstanceId m_instance;
+  uint16_t m_slots = 0;
+  uint16_t m_in_use = 0;
+  uint16_t m_queued = 0;
+  bool m_is_suspect = false;
+
+  friend bool operator==(const InstanceLoad&, const InstanceLoad&) = default;
+};
+
+/// Reply to DispatchMessage, QueryMessage and CancelMessage.
+struct ResultMessage {
+  AttemptId m_attempt;
+  AttemptResult m_result = AttemptResult::kNotStarted;
+  AttemptReason m_reason = AttemptReason::kNone;
+  /// Set when m_result is kAnswered.
+  HttpAnswer m_answer;
+  /// Instances of the service at this egress.
+  std::vector<InstanceLoad> m_loads;
+
+  friend bool operator==(const ResultMessage&, const ResultMessage&) = default;
+};
+
+/// Asks what became of an attempt; cancels it when it has not started. With
+/// `m_cancel_running` a running attempt is aborted too.
+struct QueryMessage {
+  AttemptId m_attempt;
+  bool m_cancel_running = false;
+
+  friend bool operator==(const QueryMessage&, const QueryMessage&) = default;
+};
+
+/// Outcome as the caller is told it.
+enum class Outcome : uint8_t {
+  /// The backend server's whole answer.
+  kAnswered = 0,
+  /// The request was not run and never will be.
+  kNotRun = 1,
+  /// The request may have run.
+  kUnknown = 2,
+};
+
+/// "answered", "not-run" or "unknown".
+std::string_view ToString(Outcome outcome);
+
+/// Passes a request with an idempotency key to the node that owns the key.
+struct KeyedRequestMessage {
+  AttemptId m_attempt;
+  std::string m_key;
+  std::string m_account;
+  int64_t m_deadline_ms = 0;
+  /// True: only tell the outcome, run nothing.
+  bool m_is_query = false;
+  HttpRequest m_request;
+
+  friend bool operator==(const KeyedRequestMessage&,
+                         const KeyedRequestMessage&) = default;
+};
+
+/// The key owner's final answer.
+struct KeyedReplyMessage {
+  AttemptId m_attempt;
+  Outcome m_outcome = Outcome::kUnknown;
+  HttpAnswer m_answer;
+
+  friend bool operator==(const KeyedReplyMessage&,
+                         const KeyedReplyMessage&) = default;
+};
+
+/// Asks a peer for what it holds of the log beyond `m_have`.
+struct ConfigRequestMessage {
+  AttemptId m_attempt;
+  LogOffset m_have;
+
+  friend bool operator==(const ConfigRequestMessage&,
+                         const ConfigRequestMessage&) = default;
+};
+
+/// A node's state of the log as an opaque snapshot; empty when it holds
+/// nothing newer than was asked for.
+struct ConfigReplyMessage {
+  AttemptId m_attempt;
+  LogOffset m_version;
+  std::string m_snapshot;
+
+  friend bool operator==(const ConfigReplyMessage&,
+                         const ConfigReplyMessage&) = default;
+};
+
+using Message = std::variant<HelloMessage,
+                             DispatchMessage,
+                             ResultMessage,
+                             QueryMessage,
+                             KeyedRequestMessage,
+                             KeyedReplyMessage,
+                             ConfigRequestMessage,
+                             ConfigReplyMessage>;
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_WIRE_MESSAGES_H_
--- /dev/null
+++ b/libs/wire/src/serialize_p.h
@@ -0,0 +1,105 @@
+#ifndef SEQUOIASTAGE_WIRE_SERIALIZE_P_H_
+#define SEQUOIASTAGE_WIRE_SERIALIZE_P_H_
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/cereal.hpp>
+
+#include "sequoiastage/wire/bytes.h"
+#include "sequoiastage/wire/messages.h"
+
+namespace sequoiastage {
+
+// Saves or loads a string or list member with the bounded forms of bytes.h.
+template <class Archive, class Member>
+void Bounded(Archive& archive, Member& member) {
+  constexpr bool kIsText = std::is_same_v<Member, std::string>;
+  if constexpr (Archive::is_saving::value && kIsText) {
+    SaveBytes(archive, member);
+  } else if constexpr (Archive::is_saving::value) {
+    SaveList(archive, member);
+  } else if constexpr (kIsText) {
+    LoadBytes(archive, member);
+  } else {
+    LoadList(archive, member);
+  }
+}
+
+template <class Archive>
+void serialize(Archive& archive, HttpField& field) {
+  Bounded(archive, field.m_name);
+  Bounded(archive, field.m_value);
+}
+
+template <class Archive>
+void serialize(Archive& archive, HttpRequest& request) {
+  Bounded(archive, request.m_method);
+  Bounded(archive, request.m_host);
+  Bounded(archive, request.m_target);
+  Bounded(archive, request.m_fields);
+  Bounded(archive, request.m_body);
+}
+
+template <class Archive>
+void serialize(Archive& archive, HttpAnswer& answer) {
+  archive(answer.m_status);
+  Bounded(archive, answer.m_fields);
+  Bounded(archive, answer.m_body);
+}
+
+template <class Archive>
+void serialize(Archive& archive, InstanceLoad& load) {
+  archive(load.m_instance, load.m_slots, load.m_in_use, load.m_queued,
+          load.m_is_suspect);
+}
+
+template <class Archive>
+void serialize(Archive& archive, HelloMessage& message) {
+  archive(message.m_node, message.m_incarnation);
+}
+
+template <class Archive>
+void serialize(Archive& archive, DispatchMessage& message) {
+  archive(message.m_attempt, message.m_egress_incarnation, message.m_service,
+          message.m_instance, message.m_account, message.m_is_repeatable,
+          message.m_deadline_ms, message.m_request);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ResultMessage& message) {
+  archive(message.m_attempt, message.m_result, message.m_reason,
+          message.m_answer);
+  Bounded(archive, message.m_loads);
+}
+
+template <class Archive>
+void serialize(Archive& archive, QueryMessage& message) {
+  archive(message.m_attempt, message.m_cancel_running);
+}
+
+template <class Archive>
+void serialize(Archive& archive, KeyedRequestMessage& message) {
+  archive(message.m_attempt);
+  Bounded(archive, message.m_key);
+  Bounded(archive, message.m_account);
+  archive(message.m_deadline_ms, message.m_is_query, message.m_request);
+}
+
+template <class Archive>
+void serialize(Archive& archive, KeyedReplyMessage& message) {
+  archive(message.m_attempt, message.m_outcome, message.m_answer);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ConfigRequestMessage& message) {
+  archive(message.m_attempt, message.m_have);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ConfigReplyMessage& message) {
+  archive(message.m_attempt, message.m_version);
+  Bounded(archive, message.m_snapshot);
+}
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_WIRE_SERIALIZE_P_H_
