--- a/libs/wire/include/sequoiastage/wire/frame.h
+++ b/libs/wire/include/sequoiastage/wire/frame.h
@@ -18,7 +18,7 @@
 inline constexpr size_t kFrameHeaderBytes = 24;
 inline constexpr uint8_t kFrameVersion = 1;
 /// Largest payload a node sends or takes.
-inline constexpr size_t kMaxPayloadBytes = 16 * 1024 * 1024;
+inline constexpr size_t kMaxPayloadBytes = size_t{16} << 20;
 
 /// `message` as one whole frame. Empty when it is above kMaxPayloadBytes.
 std::optional<std::string> EncodeFrame(const Message& message);
--- a/libs/wire/src/frame.cc
+++ b/libs/wire/src/frame.cc
@@ -21,7 +21,7 @@
 constexpr size_t kLengthAt = 8;
 constexpr size_t kChecksumAt = 16;
 // The decoder drops handled bytes from its buffer above this many.
-constexpr size_t kCompactBytes = 64 * 1024;
+constexpr size_t kCompactBytes = size_t{64} << 10;
 
 // Read-only stream buffer over bytes owned by somebody else.
 class ViewBuffer : public std::streambuf {
