Add the health library: judge of one instance from its real work

Cause: the egress needs a verdict on its instance from real outcomes alone. Two cumulative sums (failing, slow) against pooled sibling summaries; the verdict 'ejection wanted' waits for a baseline that covers the evidence, so that a fault of all instances singles out none. Weighed: one joint sum of errors and latency; fast successes then cancel the errors of an instance that fails fast, so the two ways to be sick have sums of their own, each with half of the false alarms.

--- /dev/null
+++ b/libs/health/include/sequoiastage/health/latency_histogram.h
@@ -0,0 +1,44 @@
+#ifndef SEQUOIASTAGE_HEALTH_LATENCY_HISTOGRAM_H_
+#define SEQUOIASTAGE_HEALTH_LATENCY_HISTOGRAM_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "sequoiastage/base/time.h"
+
+namespace sequoiastage {
+
+/// Counts of latencies in geometric buckets. Small enough for a gossip
+/// message; histograms of several instances are merged by adding counts.
+///
+/// Bucket i holds latencies up to 1 ms * 1.5^i; the last one holds the rest
+/// (from about 11 s).
+class LatencyHistogram {
+ public:
+  static constexpr size_t kBuckets = 24;
+
+  void Add(Duration latency);
+  void Merge(const LatencyHistogram& other);
+
+  uint64_t Total() const;
+
+  /// Latency below which `share` (0 to 1) of the samples lie, interpolated
+  /// inside the bucket. Zero when there are no samples.
+  Duration Quantile(double share) const;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(m_counts);
+  }
+
+  friend bool operator==(const LatencyHistogram&,
+                         const LatencyHistogram&) = default;
+
+ private:
+  std::array<uint16_t, kBuckets> m_counts{};
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_HEALTH_LATENCY_HISTOGRAM_H_
--- /dev/null
+++ b/libs/health/src/evidence.cc
@@ -0,0 +1,98 @@
+#include "sequoiastage/health/evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr size_t kLevelCount = 3;
+
+// Share of answers beyond each latency level.
+constexpr std::array<double, kLevelCount> kHealthyBeyond = {0.05, 0.005,
+                                                            0.0005};
+constexpr std::array<double, kLevelCount> kSickBeyond = {0.6, 0.35, 0.2};
+
+constexpr double kP95Margin = 1.2;
+constexpr double kP99Margin = 1.5;
+constexpr double kLevelRatio = 2;
+constexpr uint64_t kMinLatencySamples = 20;
+constexpr double kMaxHealthyFailureShare = 0.98;
+
+// Share of answers whose latency crosses exactly `levels` levels.
+double ShareBetween(const std::array<double, kLevelCount>& beyond,
+                    size_t levels) {
+  const double upper = levels == 0 ? 1 : beyond[levels - 1];
+  const double lower = levels == kLevelCount ? 0 : beyond[levels];
+  return upper - lower;
+}
+
+Duration Scaled(Duration duration, double factor) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+std::array<Duration, kLevelCount> LevelsOf(const JudgeOptions& options,
+                                           const PeerBaseline& baseline) {
+  if (baseline.m_latency_samples < kMinLatencySamples) {
+    const Duration slow = options.m_default_slow_latency;
+    return {slow, Scaled(slow, kLevelRatio),
+            Scaled(slow, kLevelRatio * kLevelRatio)};
+  }
+  const Duration first =
+      std::max({Scaled(baseline.m_latency_p95, kP95Margin),
+                Scaled(baseline.m_latency_p50, options.m_min_slow_ratio),
+                options.m_min_slow_latency});
+  const Duration second = std::max(Scaled(baseline.m_latency_p99, kP99Margin),
+                                   Scaled(first, kP99Margin));
+  return {first, second, Scaled(second, kLevelRatio)};
+}
+
+}  // namespace
+
+Evidence::Evidence(const JudgeOptions& options, const PeerBaseline& baseline)
+    : m_levels(LevelsOf(options, baseline)) {
+  const double healthy =
+      std::clamp(baseline.m_failure_share, options.m_healthy_failure_share,
+                 kMaxHealthyFailureShare);
+  const double sick = healthy + options.m_sick_failure_share * (1 - healthy);
+  m_of_failure = std::log(sick / healthy);
+  m_of_success = std::log((1 - sick) / (1 - healthy));
+}
+
+size_t Evidence::LevelsCrossed(Duration latency) const {
+  size_t crossed = 0;
+  while (crossed < kLevels && latency > m_levels[crossed]) {
+    ++crossed;
+  }
+  return crossed;
+}
+
+double Evidence::OfLatency(Duration latency) const {
+  const size_t crossed = LevelsCrossed(latency);
+  return std::log(ShareBetween(kSickBeyond, crossed) /
+                  ShareBetween(kHealthyBeyond, crossed));
+}
+
+double Evidence::OfAge(Duration age) const {
+  const size_t crossed = LevelsCrossed(age);
+  if (crossed == 0) {
+    return 0;
+  }
+  return std::log(kSickBeyond[crossed - 1] / kHealthyBeyond[crossed - 1]);
+}
+
+double EjectionThreshold(const JudgeOptions& options,
+                         double outcomes_per_hour) {
+  const double rate =
+      std::max(options.m_min_outcomes_per_hour, outcomes_per_hour);
+  return std::log(2 * options.m_false_ejection_hours * rate);
+}
+
+double SuspectThreshold(const JudgeOptions& options, double outcomes_per_hour) {
+  return (1 - options.m_detection_weight) *
+         EjectionThreshold(options, outcomes_per_hour);
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/health/src/instance_judge.cc
@@ -0,0 +1,348 @@
+#include "sequoiastage/health/instance_judge.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr size_t kMaxRecords = 256;
+constexpr uint32_t kMaxFlaps = 10;
+// Evidence beyond this multiple of the ejection threshold is not kept, so that
+// recovery does not take longer the longer a fault lasted.
+constexpr double kSumCap = 1.2;
+// A suspicion is cleared below this share of the suspect threshold.
+constexpr double kClearShare = 0.25;
+// Work a healthy instance gets at the start of its warm-up.
+constexpr double kWarmUpShare = 0.2;
+
+}  // namespace
+
+InstanceJudge::InstanceJudge(const JudgeOptions& options, TimePoint now)
+    : m_options(options),
+      m_started(now),
+      m_latest(now),
+      m_evidence(options, m_baseline),
+      m_ejection_threshold(EjectionThreshold(options, 0)),
+      m_suspect_threshold(SuspectThreshold(options, 0)),
+      m_last_adverse(now - options.m_burst_window),
+      m_last_evidence(now),
+      m_turn_interval(options.m_probation_interval) {
+  m_report.m_share = ShareNow(now);
+}
+
+WorkHandle InstanceJudge::OnStart(TimePoint now) {
+  now = Advance(now);
+  const WorkHandle handle(m_next_handle++);
+  m_in_flight.push_back(InFlight{.m_handle = handle, .m_started = now});
+  return handle;
+}
+
+bool InstanceJudge::OnFinish(WorkHandle handle,
+                             TimePoint now,
+                             Outcome outcome) {
+  now = Advance(now);
+  const auto found = std::find_if(
+      m_in_flight.begin(), m_in_flight.end(),
+      [handle](const InFlight& work) { return work.m_handle == handle; });
+  if (found == m_in_flight.end()) {
+    return false;
+  }
+  const InFlight work = *found;
+  m_in_flight.erase(found);
+  if (outcome == Outcome::kSuccess) {
+    AddRecord(work, now, Kind::kSuccess);
+  } else if (IsFailure(outcome)) {
+    AddRecord(work, now, Kind::kFailure);
+  } else if (m_evidence.OfAge(now - work.m_started) > 0) {
+    AddRecord(work, now, Kind::kUnfinished);
+  }
+  UpdateVerdict(now);
+  return true;
+}
+
+void InstanceJudge::OnTick(TimePoint now) {
+  now = Advance(now);
+  ForgetWhenIdle(now);
+  ForgetFlaps(now);
+  UpdateVerdict(now);
+}
+
+void InstanceJudge::OnBaseline(TimePoint now, const PeerBaseline& baseline) {
+  now = Advance(now);
+  if (baseline.m_peers == 0) {
+    return;
+  }
+  m_baseline = baseline;
+  m_baseline.m_as_of = std::min(baseline.m_as_of, now);
+  m_baseline_at = now;
+  m_has_baseline = true;
+  m_evidence = Evidence(m_options, baseline);
+  m_ejection_threshold =
+      EjectionThreshold(m_options, baseline.m_outcomes_per_hour);
+  m_suspect_threshold =
+      SuspectThreshold(m_options, baseline.m_outcomes_per_hour);
+  FoldRecordsUntil(m_baseline.m_as_of - m_options.m_reweigh_time);
+  WeighRecords();
+  UpdateVerdict(now);
+}
+
+void InstanceJudge::OnEjected(TimePoint now) {
+  now = Advance(now);
+  if (m_report.m_is_ejected) {
+    return;
+  }
+  if (m_report.m_verdict == Verdict::kHealthy) {
+    BecomeSuspect(now);
+  }
+  m_report.m_is_ejected = true;
+  m_report.m_verdict = Verdict::kEjectionWanted;
+  m_hold_until = now + HoldFor(m_options.m_ejection_hold);
+  UpdateVerdict(now);
+}
+
+void InstanceJudge::OnReadmitted(TimePoint now) {
+  now = Advance(now);
+  if (!m_report.m_is_ejected) {
+    return;
+  }
+  m_report.m_is_ejected = false;
+  m_report.m_wants_readmission = false;
+  m_report.m_verdict = Verdict::kSuspect;
+  m_records.clear();
+  m_folded = EvidenceSums{.m_failing = m_suspect_threshold};
+  m_turn_interval = m_options.m_probation_interval;
+  m_next_turn = now;
+  m_hold_until = now + HoldFor(m_options.m_suspect_hold);
+  m_last_evidence = now;
+  WeighRecords();
+  UpdateVerdict(now);
+}
+
+bool InstanceJudge::TakeProbationTurn(TimePoint now) {
+  now = Advance(now);
+  if (m_report.m_is_ejected) {
+    return false;
+  }
+  if (m_report.m_verdict == Verdict::kHealthy) {
+    return true;
+  }
+  if (now < m_next_turn) {
+    return false;
+  }
+  m_next_turn = now + m_turn_interval;
+  return true;
+}
+
+InstanceSummary InstanceJudge::Summary(TimePoint now) const {
+  InstanceSummary summary = m_window.Summarize(now);
+  for (const InFlight& work : m_in_flight) {
+    const Duration age = now - work.m_started;
+    if (m_evidence.OfAge(age) > 0) {
+      summary.m_latencies.Add(age);
+    }
+  }
+  return summary;
+}
+
+TimePoint InstanceJudge::Advance(TimePoint now) {
+  m_latest = std::max(m_latest, now);
+  return m_latest;
+}
+
+bool InstanceJudge::LatencyCounts(TimePoint started) const {
+  return started >= m_started + m_options.m_warm_up;
+}
+
+void InstanceJudge::AddRecord(const InFlight& work, TimePoint now, Kind kind) {
+  const Duration latency = now - work.m_started;
+  const bool is_adverse =
+      kind != Kind::kSuccess || m_evidence.OfLatency(latency) > 0;
+  const bool in_burst =
+      is_adverse && now - m_last_adverse < m_options.m_burst_window;
+  const Record record{.m_ended = now,
+                      .m_latency = latency,
+                      .m_kind = kind,
+                      .m_latency_counts = LatencyCounts(work.m_started),
+                      .m_weight = in_burst ? m_options.m_burst_weight : 1};
+  if (is_adverse) {
+    m_last_adverse = now;
+  }
+  if (kind != Kind::kUnfinished) {
+    m_window.Add(now, kind == Kind::kFailure, latency);
+  }
+  m_last_evidence = now;
+  m_records.push_back(record);
+  Apply(record, m_provisional);
+  if (m_records.size() > kMaxRecords) {
+    Apply(m_records.front(), m_folded);
+    m_records.pop_front();
+  }
+  SlowDownProbation(now, is_adverse);
+}
+
+// Adds the record's evidence to both sums.
+void InstanceJudge::Apply(const Record& record, EvidenceSums& sums) const {
+  const double cap = kSumCap * m_ejection_threshold;
+  const auto add = [&](double& sum, double evidence) {
+    const double weighed = evidence > 0 ? record.m_weight * evidence : evidence;
+    sum = std::clamp(sum + weighed, 0.0, cap);
+  };
+  if (record.m_kind == Kind::kFailure) {
+    add(sums.m_failing, m_evidence.OfFailure());
+  } else if (record.m_kind == Kind::kSuccess) {
+    add(sums.m_failing, m_evidence.OfSuccess());
+  }
+  if (!record.m_latency_counts) {
+    return;
+  }
+  // A failure says nothing about how fast an answer would have been, but how
+  // long it took can be too long.
+  add(sums.m_slow, record.m_kind == Kind::kSuccess
+                       ? m_evidence.OfLatency(record.m_latency)
+                       : m_evidence.OfAge(record.m_latency));
+}
+
+void InstanceJudge::FoldRecordsUntil(TimePoint time) {
+  while (!m_records.empty() && m_records.front().m_ended < time) {
+    Apply(m_records.front(), m_folded);
+    m_records.pop_front();
+  }
+}
+
+void InstanceJudge::WeighRecords() {
+  m_provisional = m_folded;
+  m_confirmed = m_folded;
+  for (const Record& record : m_records) {
+    Apply(record, m_provisional);
+    if (record.m_ended <= m_baseline.m_as_of) {
+      Apply(record, m_confirmed);
+    }
+  }
+}
+
+// Evidence of the work in flight at `at`.
+double InstanceJudge::AgeEvidence(TimePoint at) const {
+  double sum = 0;
+  double weight = 1;
+  // Older work comes first, so it has the greater evidence.
+  for (const InFlight& work : m_in_flight) {
+    const Duration age = at - work.m_started;
+    if (!LatencyCounts(work.m_started) && age < m_options.m_warm_up_hang) {
+      continue;
+    }
+    sum += weight * m_evidence.OfAge(age);
+    weight *= m_options.m_concurrent_weight;
+  }
+  return sum;
+}
+
+double InstanceJudge::Worst(const EvidenceSums& sums, TimePoint at) const {
+  return std::max(sums.m_failing, sums.m_slow + AgeEvidence(at));
+}
+
+void InstanceJudge::ForgetWhenIdle(TimePoint now) {
+  if (m_report.m_verdict == Verdict::kHealthy || m_report.m_is_ejected ||
+      !m_in_flight.empty() || now - m_last_evidence < m_options.m_idle_forget) {
+    return;
+  }
+  m_folded = EvidenceSums{.m_failing = m_provisional.m_failing / 2,
+                          .m_slow = m_provisional.m_slow / 2};
+  m_records.clear();
+  m_last_evidence = now;
+  WeighRecords();
+}
+
+void InstanceJudge::SlowDownProbation(TimePoint now, bool is_failure) {
+  if (m_report.m_verdict == Verdict::kHealthy) {
+    return;
+  }
+  m_turn_interval = is_failure ? m_turn_interval * 2 : m_turn_interval / 2;
+  m_turn_interval =
+      std::clamp(m_turn_interval, m_options.m_min_probation_interval,
+                 m_options.m_max_probation_interval);
+  m_next_turn = is_failure ? std::max(m_next_turn, now + m_turn_interval)
+                           : std::min(m_next_turn, now + m_turn_interval);
+}
+
+void InstanceJudge::UpdateVerdict(TimePoint now) {
+  if (m_report.m_is_ejected) {
+    UpdateEjected(now);
+    return;
+  }
+  const bool has_fresh_baseline =
+      m_has_baseline && now - m_baseline_at <= m_options.m_baseline_ttl;
+  const double provisional = Worst(m_provisional, now);
+  const double confirmed = Worst(m_confirmed, m_baseline.m_as_of);
+  if (provisional >= m_suspect_threshold &&
+      m_report.m_verdict == Verdict::kHealthy) {
+    BecomeSuspect(now);
+  }
+  if (m_report.m_verdict != Verdict::kHealthy) {
+    if (has_fresh_baseline && confirmed >= m_ejection_threshold) {
+      m_report.m_verdict = Verdict::kEjectionWanted;
+    } else if (provisional < m_suspect_threshold) {
+      m_report.m_verdict = Verdict::kSuspect;
+    }
+    if (provisional <= kClearShare * m_suspect_threshold &&
+        now >= m_hold_until) {
+      m_report.m_verdict = Verdict::kHealthy;
+    }
+  }
+  m_report.m_suspicion = provisional / m_ejection_threshold;
+  m_report.m_share = ShareNow(now);
+}
+
+void InstanceJudge::UpdateEjected(TimePoint now) {
+  m_report.m_wants_readmission = now >= m_hold_until;
+  m_report.m_share = 0;
+}
+
+void InstanceJudge::BecomeSuspect(TimePoint now) {
+  m_report.m_verdict = Verdict::kSuspect;
+  if (m_was_suspect && now - m_last_suspicion < m_options.m_flap_memory) {
+    m_report.m_flaps = std::min(m_report.m_flaps + 1, kMaxFlaps);
+  }
+  m_was_suspect = true;
+  m_last_suspicion = now;
+  m_hold_until = now + HoldFor(m_options.m_suspect_hold);
+  m_turn_interval = m_options.m_probation_interval;
+  m_next_turn = now + m_turn_interval;
+}
+
+void InstanceJudge::ForgetFlaps(TimePoint now) {
+  if (m_report.m_verdict != Verdict::kHealthy) {
+    m_last_suspicion = now;
+    return;
+  }
+  if (m_report.m_flaps > 0 &&
+      now - m_last_suspicion >= m_options.m_flap_memory) {
+    --m_report.m_flaps;
+    m_last_suspicion = now;
+  }
+}
+
+Duration InstanceJudge::HoldFor(Duration base) const {
+  return std::min(base * (int64_t{1} << m_report.m_flaps),
+                  m_options.m_max_hold);
+}
+
+double InstanceJudge::ShareNow(TimePoint now) const {
+  if (m_report.m_verdict != Verdict::kHealthy) {
+    const double rate = 1e6 / static_cast<double>(m_turn_interval.count());
+    const double normal = std::max(m_options.m_min_outcomes_per_hour,
+                                   m_baseline.m_outcomes_per_hour) /
+                          3600;
+    return std::min(1.0, rate / normal);
+  }
+  if (LatencyCounts(now)) {
+    return 1;
+  }
+  const double warmed = std::chrono::duration<double>(now - m_started) /
+                        std::chrono::duration<double>(m_options.m_warm_up);
+  return kWarmUpShare + (1 - kWarmUpShare) * warmed;
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/health/src/latency_histogram.cc
@@ -0,0 +1,73 @@
+#include "sequoiastage/health/latency_histogram.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr double kFirstUpperUs = 1000;
+constexpr double kGrowth = 1.5;
+
+// Upper bounds of the buckets in microseconds.
+constexpr std::array<double, LatencyHistogram::kBuckets> MakeUppers() {
+  std::array<double, LatencyHistogram::kBuckets> uppers{};
+  double upper = kFirstUpperUs;
+  for (double& bound : uppers) {
+    bound = upper;
+    upper *= kGrowth;
+  }
+  return uppers;
+}
+
+constexpr auto kUppersUs = MakeUppers();
+
+size_t BucketOf(Duration latency) {
+  const auto us = static_cast<double>(latency.count());
+  const auto* bound = std::lower_bound(kUppersUs.begin(), kUppersUs.end(), us);
+  const auto index = static_cast<size_t>(bound - kUppersUs.begin());
+  return std::min(index, LatencyHistogram::kBuckets - 1);
+}
+
+uint16_t AddSaturated(uint32_t a, uint32_t b) {
+  constexpr uint32_t kMax = std::numeric_limits<uint16_t>::max();
+  return static_cast<uint16_t>(std::min(kMax, a + b));
+}
+
+}  // namespace
+
+void LatencyHistogram::Add(Duration latency) {
+  uint16_t& count = m_counts[BucketOf(latency)];
+  count = AddSaturated(count, 1);
+}
+
+void LatencyHistogram::Merge(const LatencyHistogram& other) {
+  for (size_t i = 0; i < kBuckets; ++i) {
+    m_counts[i] = AddSaturated(m_counts[i], other.m_counts[i]);
+  }
+}
+
+uint64_t LatencyHistogram::Total() const {
+  return std::accumulate(m_counts.begin(), m_counts.end(), uint64_t{0});
+}
+
+Duration LatencyHistogram::Quantile(double share) const {
+  const double wanted = share * static_cast<double>(Total());
+  double below = 0;
+  double lower_us = 0;
+  for (size_t i = 0; i < kBuckets; ++i) {
+    const double count = m_counts[i];
+    if (count > 0 && below + count >= wanted) {
+      const double part = std::max(0.0, wanted - below) / count;
+      const double us = lower_us + part * (kUppersUs[i] - lower_us);
+      return Duration(static_cast<int64_t>(us));
+    }
+    below += count;
+    lower_us = kUppersUs[i];
+  }
+  return Duration(0);
+}
+
+}  // namespace sequoiastage
