Add a checked JSON reader

Only nlohmann's forward declarations stand in the public headers, so that including files stay cheap to compile.

--- /dev/null
+++ b/libs/checkedjson/include/sequoiastage/checkedjson/json_document.h
@@ -0,0 +1,53 @@
+#ifndef SEQUOIASTAGE_CHECKEDJSON_JSON_DOCUMENT_H_
+#define SEQUOIASTAGE_CHECKEDJSON_JSON_DOCUMENT_H_
+
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "sequoiastage/base/findings.h"
+
+namespace sequoiastage {
+
+/// A parsed, immutable JSON text that knows which source each value came from.
+/// Copies share the parsed values.
+class JsonDocument {
+ public:
+  /// Parses `text`, which came from `source` (a file name, for instance).
+  /// Syntax errors, duplicate keys, a nesting deeper than 64 levels and a text
+  /// larger than 8 MiB are added to `findings`; the result is then empty.
+  static std::optional<JsonDocument> Parse(std::string source,
+                                           std::string_view text,
+                                           Findings& findings);
+
+  /// This document with `patch` applied (JSON Merge Patch, RFC 7396). Values
+  /// that the patch sets are reported under the patch's source.
+  JsonDocument MergedWith(const JsonDocument& patch) const;
+
+  /// Source of the value at JSON pointer `pointer`.
+  const std::string& SourceOf(std::string_view pointer) const;
+
+  /// The document as compact text with sorted keys.
+  std::string ToText() const;
+
+  /// For code that includes nlohmann/json itself.
+  const nlohmann::json& Value() const { return *m_value; }
+
+ private:
+  JsonDocument(std::string source, std::shared_ptr<const nlohmann::json> value);
+
+  std::string m_source;
+  // Source by JSON pointer, for values that a patch set.
+  std::map<std::string, std::string, std::less<>> m_patched;
+  std::shared_ptr<const nlohmann::json> m_value;
+};
+
+/// `key` as one reference token of a JSON pointer ("~" and "/" escaped).
+std::string EscapePointerToken(std::string_view key);
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_CHECKEDJSON_JSON_DOCUMENT_H_
