Add metrics: counters, gauges, latency summaries and their text form

Each thread keeps its own registry and hands its values over whole, so that counting takes no lock.

Weighed: histograms with fixed buckets. They merge exactly over threads, but their resolution has to be chosen before the latencies are known, and the house style asks for Boost.Accumulators. Merged quantiles are upper bounds instead.

--- /dev/null
+++ b/libs/metrics/include/sequoiastage/metrics/metric_family.h
@@ -0,0 +1,68 @@
+#ifndef SEQUOIASTAGE_METRICS_METRIC_FAMILY_H_
+#define SEQUOIASTAGE_METRICS_METRIC_FAMILY_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// Values of metrics as plain structs, which one thread hands to another
+/// whole, and their rendering as text.
+namespace sequoiastage {
+
+enum class MetricType { kCounter, kGauge, kSummary };
+
+struct MetricLabel {
+  std::string m_name;
+  std::string m_value;
+
+  friend bool operator==(const MetricLabel&, const MetricLabel&) = default;
+};
+
+struct MetricQuantile {
+  /// In 0..1, 0.99 is the 99th percentile.
+  double m_rank = 0;
+  double m_value = 0;
+
+  friend bool operator==(const MetricQuantile&,
+                         const MetricQuantile&) = default;
+};
+
+/// One time series of a family.
+struct MetricSample {
+  std::vector<MetricLabel> m_labels = {};
+  /// Counters and gauges: the value. Summaries: sum of all observations.
+  double m_value = 0;
+  /// Summaries only: number of observations.
+  uint64_t m_count = 0;
+  /// Summaries only; empty while nothing was observed.
+  std::vector<MetricQuantile> m_quantiles = {};
+
+  friend bool operator==(const MetricSample&, const MetricSample&) = default;
+};
+
+/// All time series of one metric name.
+struct MetricFamily {
+  std::string m_name;
+  std::string m_help;
+  MetricType m_type = MetricType::kCounter;
+  std::vector<MetricSample> m_samples;
+
+  friend bool operator==(const MetricFamily&, const MetricFamily&) = default;
+};
+
+/// Adds the values of `from` to `into`. Series with the same name and labels
+/// are joined: values and counts add up, and a quantile is the larger of the
+/// two, which the quantile over both streams never exceeds.
+void MergeMetrics(std::vector<MetricFamily>* into,
+                  const std::vector<MetricFamily>& from);
+
+/// Prometheus text exposition format, version 0.0.4.
+std::string RenderMetrics(const std::vector<MetricFamily>& families);
+
+/// Content type of RenderMetrics().
+inline constexpr char kMetricsContentType[] =
+    "text/plain; version=0.0.4; charset=utf-8";
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_METRICS_METRIC_FAMILY_H_
