--- /dev/null
+++ b/libs/node/src/peer_links_p.h
@@ -0,0 +1,68 @@
+#ifndef SEQUOIASTAGE_NODE_PEER_LINKS_P_H_
+#define SEQUOIASTAGE_NODE_PEER_LINKS_P_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "peer_connection_p.h"
+#include "sequoiastage/base/ids.h"
+#include "sequoiastage/base/time.h"
+
+namespace sequoiastage {
+
+// Outgoing connections of one thread to other nodes, opened on first use.
+class PeerLinks {
+ public:
+  struct Handlers {
+    std::function<void(NodeId, Message)> m_on_message;
+    // No connection could be opened: none of the messages queued for the node
+    // since the last call was sent.
+    std::function<void(NodeId, const std::string&)> m_on_connect_failed;
+    // A connection ended: messages sent on it may or may not have arrived.
+    std::function<void(NodeId, const std::string&)> m_on_lost;
+  };
+
+  struct Options {
+    NodeId m_own;
+    Incarnation m_incarnation;
+    Duration m_connect_timeout = std::chrono::milliseconds(500);
+  };
+
+  PeerLinks(asio::io_context& io, Options options, Handlers handlers);
+
+  // Sends `message`, after opening a connection where there is none. False
+  // when it can't be queued.
+  bool Send(NodeId node, Message message);
+
+  // Ends the connection to `node`, if any; reported as lost.
+  void Drop(NodeId node, const std::string& reason);
+
+  void CloseAll();
+  size_t Count() const { return m_links.size(); }
+
+ private:
+  struct Link {
+    std::shared_ptr<PeerConnection> m_connection;
+    // Messages that wait for the connection to open.
+    std::vector<Message> m_waiting;
+  };
+
+  void Connect(NodeId node);
+  void OnConnected(NodeId node, asio::ip::tcp::socket socket);
+  void OnConnectFailed(NodeId node, const std::string& reason);
+
+  asio::io_context& m_io;
+  Options m_options;
+  Handlers m_handlers;
+  std::unordered_map<NodeId, Link> m_links;
+  std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_NODE_PEER_LINKS_P_H_
--- /dev/null
+++ b/libs/node/src/peer_server_p.h
@@ -0,0 +1,47 @@
+#ifndef SEQUOIASTAGE_NODE_PEER_SERVER_P_H_
+#define SEQUOIASTAGE_NODE_PEER_SERVER_P_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include "peer_connection_p.h"
+#include "sequoiastage/base/ids.h"
+
+namespace sequoiastage {
+
+// Takes connections from other nodes and hands their messages on.
+class PeerServer {
+ public:
+  using Connection = std::shared_ptr<PeerConnection>;
+  using Handler = std::function<void(const Connection&, Message)>;
+
+  PeerServer(asio::io_context& io,
+             NodeId own,
+             Incarnation incarnation,
+             Handler handler);
+
+  // Binds and listens. False with LastReason() when the address can't be had.
+  bool Start();
+  void Stop();
+  const std::string& LastReason() const { return m_last_reason; }
+
+ private:
+  void Accept();
+  void OnAccepted(asio::ip::tcp::socket socket);
+
+  asio::ip::tcp::acceptor m_acceptor;
+  NodeId m_own;
+  Incarnation m_incarnation;
+  Handler m_handler;
+  std::unordered_set<Connection> m_connections;
+  std::string m_last_reason;
+  std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_NODE_PEER_SERVER_P_H_
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -105,8 +105,8 @@
   friend bool operator==(const QueryMessage&, const QueryMessage&) = default;
 };
 
-/// Outcome as the caller is told it.
-enum class Outcome : uint8_t {
+/// RequestOutcome as the caller is told it.
+enum class RequestOutcome : uint8_t {
   /// The backend server's whole answer.
   kAnswered = 0,
   /// The request was not run and never will be.
@@ -116,7 +116,7 @@
 };
 
 /// "answered", "not-run" or "unknown".
-std::string_view ToString(Outcome outcome);
+std::string_view ToString(RequestOutcome outcome);
 
 /// Passes a request with an idempotency key to the node that owns the key.
 struct KeyedRequestMessage {
@@ -135,7 +135,7 @@
 /// The key owner's final answer.
 struct KeyedReplyMessage {
   AttemptId m_attempt;
-  Outcome m_outcome = Outcome::kUnknown;
+  RequestOutcome m_outcome = RequestOutcome::kUnknown;
   HttpAnswer m_answer;
 
   friend bool operator==(const KeyedReplyMessage&,
--- a/libs/wire/src/messages.cc
+++ b/libs/wire/src/messages.cc
@@ -36,13 +36,13 @@
   return "invalid";
 }
 
-std::string_view ToString(Outcome outcome) {
+std::string_view ToString(RequestOutcome outcome) {
   switch (outcome) {
-    case Outcome::kAnswered:
+    case RequestOutcome::kAnswered:
       return "answered";
-    case Outcome::kNotRun:
+    case RequestOutcome::kNotRun:
       return "not-run";
-    case Outcome::kUnknown:
+    case RequestOutcome::kUnknown:
       break;
   }
   return "unknown";
