--- /dev/null
+++ b/libs/node/src/egress.cc
@@ -0,0 +1,436 @@
+#include "egress_p.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sequoiastage/logging/log_event.h"
+#include "sequoiastage/wire/frame.h"
+
+namespace sequoiastage {
+
+namespace {
+
+// Work that must not run twice may still answer this long after the caller's
+// deadline, for a caller that asks again.
+constexpr std::chrono::seconds kLateAnswerTime{5};
+
+constexpr const char* kDeadlineField = "Sequoiastage-Deadline-Ms";
+
+WallTime DeadlineOf(int64_t deadline_ms) {
+  return WallTime(std::chrono::milliseconds(deadline_ms));
+}
+
+AttemptTicket TicketOf(const DispatchMessage& message) {
+  return {.m_id = message.m_attempt,
+          .m_egress = message.m_egress_incarnation,
+          .m_deadline = DeadlineOf(message.m_deadline_ms)};
+}
+
+AttemptReason ToReason(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kWrongIncarnation:
+      return AttemptReason::kWrongIncarnation;
+    case RefusalReason::kPastDeadline:
+      return AttemptReason::kPastDeadline;
+    case RefusalReason::kTooOldToTell:
+      return AttemptReason::kDuplicate;
+    default:
+      return AttemptReason::kBusy;
+  }
+}
+
+StoredAnswer Store(const ResultMessage& result) {
+  auto frame = EncodeFrame(result);
+  if (!frame) {
+    return nullptr;
+  }
+  return std::make_shared<const std::string>(std::move(*frame));
+}
+
+std::optional<ResultMessage> LoadStored(const StoredAnswer& answer) {
+  if (answer == nullptr) {
+    return std::nullopt;
+  }
+  FrameDecoder decoder;
+  decoder.Feed(*answer);
+  auto message = decoder.Next();
+  if (!message || !std::holds_alternative<ResultMessage>(*message)) {
+    return std::nullopt;
+  }
+  return std::get<ResultMessage>(std::move(*message));
+}
+
+bool IsShed(const HttpAnswer& answer) {
+  return answer.m_status == 503 &&
+         FindField(answer.m_fields, "Retry-After") != nullptr;
+}
+
+struct Judged {
+  AttemptResult m_result;
+  AttemptReason m_reason;
+  Outcome m_outcome;
+};
+
+// How a call that ended counts for the caller and for the judge.
+Judged Judge(const HttpCallResult& call, const std::string& completeness) {
+  switch (call.m_error) {
+    case HttpCallError::kConnectFailed:
+      return {AttemptResult::kNotStarted, AttemptReason::kConnectFailed,
+              Outcome::kError};
+    case HttpCallError::kTimeout:
+      return {AttemptResult::kFailed, AttemptReason::kTimeout,
+              Outcome::kTimeout};
+    case HttpCallError::kIncomplete:
+      return {AttemptResult::kFailed, AttemptReason::kIncompleteAnswer,
+              Outcome::kIncomplete};
+    case HttpCallError::kFailed:
+      return {AttemptResult::kFailed, AttemptReason::kBackendError,
+              Outcome::kError};
+    case HttpCallError::kNone:
+      break;
+  }
+  if (IsShed(call.m_answer)) {
+    return {AttemptResult::kAnswered, AttemptReason::kShed, Outcome::kShed};
+  }
+  if (call.m_answer.m_status >= 500) {
+    return {AttemptResult::kAnswered, AttemptReason::kBackendError,
+            Outcome::kError};
+  }
+  if (!completeness.empty() && call.m_answer.m_status < 300 &&
+      FindField(call.m_answer.m_fields, completeness) == nullptr) {
+    return {AttemptResult::kFailed, AttemptReason::kIncompleteAnswer,
+            Outcome::kIncomplete};
+  }
+  return {AttemptResult::kAnswered, AttemptReason::kNone, Outcome::kSuccess};
+}
+
+}  // namespace
+
+Egress::Egress(asio::io_context& io, Incarnation incarnation)
+    : m_client(io), m_incarnation(incarnation), m_ledger(incarnation) {}
+
+void Egress::Dispatch(DispatchMessage message, Reply reply) {
+  const Admission admission = m_ledger.Admit(TicketOf(message), WallNow());
+  if (admission.m_verdict == Admission::Verdict::kDuplicate) {
+    ReplyToDuplicate(message, admission, std::move(reply));
+    return;
+  }
+  if (admission.m_verdict == Admission::Verdict::kRefused) {
+    const auto result = admission.m_reason == RefusalReason::kTooOldToTell
+                            ? AttemptResult::kForgotten
+                            : AttemptResult::kNotStarted;
+    ++m_stats.m_refused;
+    reply(MakeResult(message.m_attempt, result, ToReason(admission.m_reason)));
+    return;
+  }
+  const AttemptReason refusal = RefusalOf(message);
+  if (refusal != AttemptReason::kNone) {
+    Refuse(message, refusal, reply);
+    return;
+  }
+  const AttemptId id = message.m_attempt;
+  Instance& instance = *Find(message.m_instance);
+  Attempt& attempt = m_attempts[id];
+  attempt.m_message = std::move(message);
+  attempt.m_replies.push_back(std::move(reply));
+  instance.m_queue.push_back(id);
+  StartNext(instance);
+}
+
+void Egress::Query(const QueryMessage& message, Reply reply) {
+  const AttemptTicket ticket{.m_id = message.m_attempt,
+                             .m_egress = message.m_egress_incarnation,
+                             .m_deadline = DeadlineOf(message.m_deadline_ms)};
+  const AttemptReport report = m_ledger.CancelIfNotStarted(ticket);
+  const AttemptId id = message.m_attempt;
+  if (report.m_knowledge == AttemptReport::Knowledge::kCannotTell) {
+    reply(MakeResult(id, AttemptResult::kForgotten, AttemptReason::kNone));
+    return;
+  }
+  if (IsNeverStarted(report.m_state)) {
+    CancelQueued(id);
+    reply(
+        MakeResult(id, AttemptResult::kNotStarted, AttemptReason::kCancelled));
+    return;
+  }
+  if (report.m_state == AttemptState::kRunning) {
+    if (message.m_cancel_running) {
+      CancelRunning(id);
+      reply(MakeResult(id, AttemptResult::kFailed, AttemptReason::kCancelled));
+      return;
+    }
+    reply(MakeResult(id, AttemptResult::kRunning, AttemptReason::kNone));
+    m_attempts[id].m_replies.push_back(std::move(reply));
+    return;
+  }
+  const auto stored = LoadStored(report.m_answer);
+  reply(stored ? *stored
+               : MakeResult(id, AttemptResult::kFailed, AttemptReason::kNone));
+}
+
+void Egress::ReplyToDuplicate(const DispatchMessage& message,
+                              const Admission& admission,
+                              Reply reply) {
+  const auto it = m_attempts.find(message.m_attempt);
+  if (it != m_attempts.end()) {
+    it->second.m_replies.push_back(std::move(reply));
+    return;
+  }
+  if (const auto stored = LoadStored(admission.m_answer)) {
+    reply(*stored);
+    return;
+  }
+  const auto result = IsNeverStarted(admission.m_state)
+                          ? AttemptResult::kNotStarted
+                          : AttemptResult::kFailed;
+  reply(MakeResult(message.m_attempt, result, AttemptReason::kDuplicate));
+}
+
+AttemptReason Egress::RefusalOf(const DispatchMessage& message) {
+  Instance* instance = Find(message.m_instance);
+  if (instance == nullptr || instance->m_local.m_service != message.m_service) {
+    return AttemptReason::kUnknownInstance;
+  }
+  if (m_is_draining || instance->m_local.m_is_draining ||
+      instance->m_local.m_is_ejected) {
+    return AttemptReason::kDraining;
+  }
+  const bool has_slot = instance->m_in_use < instance->m_local.m_slots;
+  const bool has_room =
+      instance->m_queue.size() < instance->m_local.m_queue_length;
+  if (!has_slot && !has_room) {
+    return AttemptReason::kBusy;
+  }
+  if (!MayTakeSuspectWork(*instance, message)) {
+    return AttemptReason::kSuspect;
+  }
+  return AttemptReason::kNone;
+}
+
+bool Egress::MayTakeSuspectWork(Instance& instance,
+                                const DispatchMessage& message) {
+  if (instance.m_judge.Report().m_verdict == Verdict::kHealthy ||
+      message.m_accept_suspect) {
+    return true;
+  }
+  return message.m_is_repeatable && instance.m_judge.TakeProbationTurn(Now());
+}
+
+void Egress::Refuse(const DispatchMessage& message,
+                    AttemptReason reason,
+                    const Reply& reply) {
+  m_ledger.MarkRefused(message.m_attempt);
+  ++m_stats.m_refused;
+  ResultMessage result =
+      MakeResult(message.m_attempt, AttemptResult::kNotStarted, reason);
+  result.m_loads = LoadsOf(message.m_service);
+  reply(std::move(result));
+}
+
+void Egress::StartNext(Instance& instance) {
+  while (instance.m_in_use < instance.m_local.m_slots &&
+         !instance.m_queue.empty()) {
+    const AttemptId id = instance.m_queue.front();
+    instance.m_queue.pop_front();
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end()) {
+      continue;
+    }
+    if (m_ledger.MarkRunning(id, WallNow())) {
+      StartCall(instance, id);
+      continue;
+    }
+    ++m_stats.m_refused;
+    const Attempt attempt = std::move(it->second);
+    m_attempts.erase(it);
+    SendReplies(attempt.m_replies, MakeResult(id, AttemptResult::kNotStarted,
+                                              AttemptReason::kPastDeadline));
+  }
+}
+
+void Egress::StartCall(Instance& instance, const AttemptId& id) {
+  Attempt& attempt = m_attempts[id];
+  const auto left = DeadlineOf(attempt.m_message.m_deadline_ms) - WallNow();
+  HttpCallOptions options{.m_server = instance.m_local.m_id.Get(),
+                          .m_timeout = left,
+                          .m_is_repeatable = attempt.m_message.m_is_repeatable};
+  if (!attempt.m_message.m_is_repeatable) {
+    options.m_timeout += kLateAnswerTime;
+  }
+  HttpRequest request = std::move(attempt.m_message.m_request);
+  request.m_fields.push_back({kDeadlineField, std::to_string(left.count())});
+  attempt.m_is_running = true;
+  attempt.m_instance_incarnation = instance.m_local.m_incarnation;
+  attempt.m_work = instance.m_judge.OnStart(Now());
+  ++instance.m_in_use;
+  ++m_stats.m_started;
+  attempt.m_call = m_client.Start(
+      options, std::move(request),
+      [this, id](HttpCallResult result) { OnCallEnd(id, std::move(result)); });
+}
+
+void Egress::OnCallEnd(const AttemptId& id, HttpCallResult result) {
+  const Attempt& attempt = m_attempts[id];
+  const Judged judged = Judge(result, attempt.m_message.m_completeness_field);
+  ResultMessage message = MakeResult(id, judged.m_result, judged.m_reason);
+  message.m_answer = std::move(result.m_answer);
+  if (judged.m_outcome != Outcome::kSuccess) {
+    LogEvent(LogLevel::kDebug, "backend_call_failed")
+        .Add("instance", ToString(attempt.m_message.m_instance))
+        .Add("reason", ToString(judged.m_reason))
+        .Add("detail", result.m_reason);
+  }
+  Finish(id, std::move(message), judged.m_outcome);
+}
+
+void Egress::Finish(const AttemptId& id,
+                    ResultMessage result,
+                    Outcome outcome) {
+  const auto it = m_attempts.find(id);
+  const Attempt attempt = std::move(it->second);
+  m_attempts.erase(it);
+  if (result.m_result == AttemptResult::kAnswered) {
+    ++m_stats.m_answered;
+    m_ledger.MarkAnswered(
+        id, attempt.m_message.m_is_repeatable ? nullptr : Store(result));
+  } else {
+    ++m_stats.m_failed;
+    m_ledger.MarkFailed(id);
+  }
+  Instance* instance = Find(attempt.m_message.m_instance);
+  if (instance != nullptr) {
+    if (instance->m_local.m_incarnation == attempt.m_instance_incarnation &&
+        instance->m_judge.OnFinish(attempt.m_work, Now(), outcome)) {
+      --instance->m_in_use;
+    }
+    result.m_loads = LoadsOf(attempt.m_message.m_service);
+  }
+  SendReplies(attempt.m_replies, result);
+  if (instance != nullptr) {
+    StartNext(*instance);
+  }
+}
+
+void Egress::CancelRunning(const AttemptId& id) {
+  const auto it = m_attempts.find(id);
+  if (it == m_attempts.end()) {
+    return;
+  }
+  m_client.Cancel(it->second.m_call);
+  ++m_stats.m_cancelled;
+  Finish(id, MakeResult(id, AttemptResult::kFailed, AttemptReason::kCancelled),
+         Outcome::kCancelled);
+}
+
+void Egress::CancelQueued(const AttemptId& id) {
+  const auto it = m_attempts.find(id);
+  if (it == m_attempts.end()) {
+    return;
+  }
+  ++m_stats.m_cancelled;
+  const Attempt attempt = std::move(it->second);
+  m_attempts.erase(it);
+  if (Instance* instance = Find(attempt.m_message.m_instance)) {
+    std::erase(instance->m_queue, id);
+  }
+  SendReplies(attempt.m_replies, MakeResult(id, AttemptResult::kNotStarted,
+                                            AttemptReason::kCancelled));
+}
+
+void Egress::SendReplies(const std::vector<Reply>& replies,
+                         const ResultMessage& result) {
+  for (const Reply& reply : replies) {
+    reply(result);
+  }
+}
+
+void Egress::SetInstances(const std::vector<LocalInstance>& instances) {
+  std::unordered_map<InstanceId, Instance> old = std::exchange(m_instances, {});
+  for (const LocalInstance& local : instances) {
+    const auto it = old.find(local.m_id);
+    if (it != old.end() &&
+        it->second.m_local.m_incarnation == local.m_incarnation) {
+      Instance& known = it->second;
+      if (local.m_is_ejected && !known.m_local.m_is_ejected) {
+        known.m_judge.OnEjected(Now());
+      } else if (!local.m_is_ejected && known.m_local.m_is_ejected) {
+        known.m_judge.OnReadmitted(Now());
+      }
+      known.m_local = local;
+      m_instances.emplace(local.m_id, std::move(known));
+      old.erase(it);
+      continue;
+    }
+    m_instances.emplace(
+        local.m_id,
+        Instance{.m_local = local,
+                 .m_judge = InstanceJudge(
+                     MakeJudgeOptions(local.m_ejection_policy), Now())});
+  }
+  for (const auto& [id, gone] : old) {
+    for (const AttemptId& queued : gone.m_queue) {
+      m_ledger.MarkRefused(queued);
+      CancelQueued(queued);
+    }
+  }
+}
+
+void Egress::SetBaseline(InstanceId instance, const PeerBaseline& baseline) {
+  if (Instance* known = Find(instance)) {
+    known->m_judge.OnBaseline(Now(), baseline);
+  }
+}
+
+void Egress::Tick() {
+  const TimePoint now = Now();
+  for (auto& [id, instance] : m_instances) {
+    instance.m_judge.OnTick(now);
+    StartNext(instance);
+  }
+}
+
+std::vector<InstanceReport> Egress::Reports() const {
+  const TimePoint now = Now();
+  std::vector<InstanceReport> reports;
+  reports.reserve(m_instances.size());
+  for (const auto& [id, instance] : m_instances) {
+    reports.push_back(
+        {.m_id = id,
+         .m_service = instance.m_local.m_service,
+         .m_incarnation = instance.m_local.m_incarnation,
+         .m_judge = instance.m_judge.Report(),
+         .m_summary = instance.m_judge.Summary(now),
+         .m_in_use = instance.m_in_use,
+         .m_queued = static_cast<uint16_t>(instance.m_queue.size())});
+  }
+  return reports;
+}
+
+ResultMessage Egress::MakeResult(const AttemptId& id,
+                                 AttemptResult result,
+                                 AttemptReason reason) const {
+  return {.m_attempt = id, .m_result = result, .m_reason = reason};
+}
+
+std::vector<InstanceLoad> Egress::LoadsOf(ServiceId service) const {
+  std::vector<InstanceLoad> loads;
+  for (const auto& [id, instance] : m_instances) {
+    if (instance.m_local.m_service != service) {
+      continue;
+    }
+    loads.push_back({.m_instance = id,
+                     .m_slots = instance.m_local.m_slots,
+                     .m_in_use = instance.m_in_use,
+                     .m_queued = static_cast<uint16_t>(instance.m_queue.size()),
+                     .m_is_suspect = instance.m_judge.Report().m_verdict !=
+                                     Verdict::kHealthy});
+  }
+  return loads;
+}
+
+Egress::Instance* Egress::Find(InstanceId id) {
+  const auto it = m_instances.find(id);
+  return it == m_instances.end() ? nullptr : &it->second;
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/node/src/egress_p.h
@@ -0,0 +1,135 @@
+#ifndef SEQUOIASTAGE_NODE_EGRESS_P_H_
+#define SEQUOIASTAGE_NODE_EGRESS_P_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "sequoiastage/execution/attempt_ledger.h"
+#include "sequoiastage/health/instance_judge.h"
+#include "sequoiastage/http/http_client.h"
+#include "sequoiastage/wire/messages.h"
+
+namespace sequoiastage {
+
+// An instance on this host, as it announced itself, with what the
+// configuration says of its service.
+struct LocalInstance {
+  InstanceId m_id;
+  ServiceId m_service;
+  Incarnation m_incarnation;
+  uint16_t m_slots = 1;
+  uint16_t m_queue_length = 0;
+  bool m_is_draining = false;
+  bool m_is_ejected = false;
+  EjectionPolicy m_ejection_policy;
+};
+
+// What the egress tells the control thread of one instance.
+struct InstanceReport {
+  InstanceId m_id;
+  ServiceId m_service;
+  Incarnation m_incarnation;
+  JudgeReport m_judge;
+  InstanceSummary m_summary;
+  uint16_t m_in_use = 0;
+  uint16_t m_queued = 0;
+};
+
+struct EgressStats {
+  uint64_t m_started = 0;
+  uint64_t m_answered = 0;
+  uint64_t m_failed = 0;
+  uint64_t m_refused = 0;
+  uint64_t m_cancelled = 0;
+};
+
+// The only gate to the instances on this host. Owned by the egress thread.
+class Egress {
+ public:
+  using Reply = std::function<void(ResultMessage)>;
+
+  Egress(asio::io_context& io, Incarnation incarnation);
+
+  // Runs a request on its instance, or refuses. `reply` gets the result.
+  void Dispatch(DispatchMessage message, Reply reply);
+
+  // Tells what became of an attempt and cancels it when it has not started.
+  // When it is running, `reply` is called again at its end.
+  void Query(const QueryMessage& message, Reply reply);
+
+  // Replaces the instances. Those with a new incarnation start afresh.
+  void SetInstances(const std::vector<LocalInstance>& instances);
+
+  // With `is_draining` everything new is refused.
+  void SetDraining(bool is_draining) { m_is_draining = is_draining; }
+
+  // Siblings' summaries of the instance's service.
+  void SetBaseline(InstanceId instance, const PeerBaseline& baseline);
+
+  // To be called every 100 ms.
+  void Tick();
+
+  std::vector<InstanceReport> Reports() const;
+  const EgressStats& Stats() const { return m_stats; }
+  size_t InFlight() const { return m_attempts.size(); }
+
+ private:
+  struct Instance {
+    LocalInstance m_local;
+    InstanceJudge m_judge;
+    uint16_t m_in_use = 0;
+    std::deque<AttemptId> m_queue;
+  };
+
+  // An attempt that is queued or running.
+  struct Attempt {
+    DispatchMessage m_message;
+    std::vector<Reply> m_replies;
+    bool m_is_running = false;
+    // Of the instance that runs it.
+    Incarnation m_instance_incarnation;
+    WorkHandle m_work;
+    HttpClient::CallId m_call = 0;
+  };
+
+  // Why the instance can't take the message, or kNone.
+  AttemptReason RefusalOf(const DispatchMessage& message);
+  bool MayTakeSuspectWork(Instance& instance, const DispatchMessage& message);
+  void ReplyToDuplicate(const DispatchMessage& message,
+                        const Admission& admission,
+                        Reply reply);
+  void Refuse(const DispatchMessage& message,
+              AttemptReason reason,
+              const Reply& reply);
+  void StartNext(Instance& instance);
+  void StartCall(Instance& instance, const AttemptId& id);
+  void OnCallEnd(const AttemptId& id, HttpCallResult result);
+  void Finish(const AttemptId& id, ResultMessage result, Outcome outcome);
+  void CancelRunning(const AttemptId& id);
+  void CancelQueued(const AttemptId& id);
+  void SendReplies(const std::vector<Reply>& replies,
+                   const ResultMessage& result);
+  ResultMessage MakeResult(const AttemptId& id,
+                           AttemptResult result,
+                           AttemptReason reason) const;
+  std::vector<InstanceLoad> LoadsOf(ServiceId service) const;
+  Instance* Find(InstanceId id);
+
+  HttpClient m_client;
+  Incarnation m_incarnation;
+  AttemptLedger m_ledger;
+  std::unordered_map<InstanceId, Instance> m_instances;
+  std::unordered_map<AttemptId, Attempt> m_attempts;
+  EgressStats m_stats;
+  bool m_is_draining = false;
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_NODE_EGRESS_P_H_
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -31,6 +31,10 @@
   InstanceId m_instance;
   AccountId m_account;
   bool m_is_repeatable = false;
+  /// True: run it though the instance is suspect, nothing better has room.
+  bool m_accept_suspect = false;
+  /// Field that a whole answer must carry; empty when none is asked for.
+  std::string m_completeness_field;
   /// Milliseconds since the epoch; the egress starts nothing later.
   int64_t m_deadline_ms = 0;
   HttpRequest m_request;
@@ -47,8 +51,11 @@
   kNotStarted = 1,
   /// Started, and ended without a whole answer.
   kFailed = 2,
-  /// Started and still running (only as reply to a query).
+  /// Started and still running; a further reply follows at its end. Only as
+  /// reply to a query.
   kRunning = 3,
+  /// The egress no longer knows whether it was started.
+  kForgotten = 4,
 };
 
 /// Why an attempt was not started or failed.
@@ -100,6 +107,9 @@
 /// `m_cancel_running` a running attempt is aborted too.
 struct QueryMessage {
   AttemptId m_attempt;
+  /// As in the attempt's DispatchMessage.
+  Incarnation m_egress_incarnation;
+  int64_t m_deadline_ms = 0;
   bool m_cancel_running = false;
 
   friend bool operator==(const QueryMessage&, const QueryMessage&) = default;
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -61,7 +61,9 @@
 void serialize(Archive& archive, DispatchMessage& message) {
   archive(message.m_attempt, message.m_egress_incarnation, message.m_service,
           message.m_instance, message.m_account, message.m_is_repeatable,
-          message.m_deadline_ms, message.m_request);
+          message.m_accept_suspect);
+  Bounded(archive, message.m_completeness_field);
+  archive(message.m_deadline_ms, message.m_request);
 }
 
 template <class Archive>
@@ -73,7 +75,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, QueryMessage& message) {
-  archive(message.m_attempt, message.m_cancel_running);
+  archive(message.m_attempt, message.m_egress_incarnation,
+          message.m_deadline_ms, message.m_cancel_running);
 }
 
 template <class Archive>
