Add the configuration model with site overlays and the route table

One base and a merge patch for each site give plain structs for every site. Base and overlays are checked as a whole (unknown services, identical routes, floors above the instances, handle collisions, unknown sites), and each finding names the file that set the value.

Overlays as JSON Merge Patch (RFC 7396) were chosen over JSON Patch (positions break when the base changes) and over a merge of our own. A fault of the base is reported once, not once a site.

--- /dev/null
+++ b/libs/config/src/config_parse.cc
@@ -0,0 +1,124 @@
+#include "sequoiastage/config/config_parse.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "config_reader_p.h"
+#include "sequoiastage/checkedjson/json_reader.h"
+
+namespace sequoiastage {
+
+namespace {
+
+// Adds those of `fresh` that `findings` lacks: a fault of the base shows up
+// again at every site.
+void AddNew(const Findings& fresh, Findings& findings) {
+  for (const Finding& item : fresh.Items()) {
+    const auto& known = findings.Items();
+    if (std::find(known.begin(), known.end(), item) == known.end()) {
+      findings.Add(item.m_source, item.m_pointer, item.m_message);
+    }
+  }
+}
+
+std::set<std::string> ReadSites(const JsonDocument& base, Findings& findings) {
+  JsonObject root = JsonObject::Root(base, findings);
+  std::set<std::string> sites;
+  for (const JsonValue& element :
+       root.ReadArray("sites", Presence::kRequired)) {
+    const auto site = element.AsString();
+    if (!site) {
+      continue;
+    }
+    if (!IsConfigName(*site)) {
+      element.Report(std::string(kConfigNameFault));
+    } else if (!sites.insert(*site).second) {
+      element.Report("is a duplicate site");
+    }
+  }
+  if (root.Has("sites") && sites.empty()) {
+    root.ReportAt("sites", "names no site");
+  }
+  return sites;
+}
+
+void CheckOverlays(const std::map<std::string, JsonDocument>& overlays,
+                   const std::set<std::string>& sites,
+                   Findings& findings) {
+  for (const auto& [site, overlay] : overlays) {
+    if (!sites.contains(site)) {
+      findings.Add(overlay.SourceOf(""), "",
+                   "is an overlay for the unknown site \"" + site + "\"");
+    }
+    JsonObject root = JsonObject::Root(overlay, findings);
+    if (root.Has("sites")) {
+      root.ReportAt("sites", "may stand only in the base");
+    }
+  }
+}
+
+}  // namespace
+
+const Config* FleetConfig::FindSite(std::string_view site) const {
+  const auto found = m_sites.find(site);
+  return found == m_sites.end() ? nullptr : &found->second;
+}
+
+std::optional<FleetConfig> CheckFleetConfig(
+    const JsonDocument& base,
+    const std::map<std::string, JsonDocument>& overlays,
+    Findings& findings) {
+  Findings own;
+  const std::set<std::string> sites = ReadSites(base, own);
+  CheckOverlays(overlays, sites, own);
+  const Config base_config = ReadConfig("", base, own);
+  FleetConfig fleet;
+  for (const std::string& site : sites) {
+    const auto overlay = overlays.find(site);
+    if (overlay == overlays.end()) {
+      Config config = base_config;
+      config.m_site = site;
+      fleet.m_sites.emplace(site, std::move(config));
+      continue;
+    }
+    Findings site_findings;
+    const JsonDocument merged = base.MergedWith(overlay->second);
+    fleet.m_sites.emplace(site, ReadConfig(site, merged, site_findings));
+    AddNew(site_findings, own);
+  }
+  AddNew(own, findings);
+  if (!own.IsEmpty()) {
+    return std::nullopt;
+  }
+  return fleet;
+}
+
+std::optional<FleetConfig> ParseFleetConfig(
+    const ConfigText& base,
+    const std::vector<SiteOverlay>& overlays,
+    Findings& findings) {
+  const auto base_document =
+      JsonDocument::Parse(base.m_source, base.m_text, findings);
+  bool is_complete = base_document.has_value();
+  std::map<std::string, JsonDocument> overlay_documents;
+  for (const SiteOverlay& overlay : overlays) {
+    const ConfigText& content = overlay.m_content;
+    auto document =
+        JsonDocument::Parse(content.m_source, content.m_text, findings);
+    if (!document) {
+      is_complete = false;
+    } else if (!overlay_documents.emplace(overlay.m_site, *document).second) {
+      findings.Add(content.m_source, "",
+                   "is a second overlay for site \"" + overlay.m_site + "\"");
+      is_complete = false;
+    }
+  }
+  if (!base_document) {
+    return std::nullopt;
+  }
+  auto fleet = CheckFleetConfig(*base_document, overlay_documents, findings);
+  return is_complete ? fleet : std::nullopt;
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/config/src/config_reader.cc
@@ -0,0 +1,296 @@
+#include <algorithm>
+#include <array>
+#include <map>
+#include <utility>
+
+#include "config_reader_p.h"
+#include "sequoiastage/checkedjson/json_reader.h"
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr size_t kMaxNameBytes = 64;
+constexpr uint32_t kMaxInstances = 100'000;
+constexpr uint32_t kMaxSlots = 1'024;
+constexpr uint32_t kMaxQueueLength = 10'000;
+constexpr uint32_t kMaxAttempts = 10;
+constexpr double kMaxShare = 1'000;
+constexpr Duration kMinTimeout = std::chrono::milliseconds(1);
+constexpr Duration kMaxTimeout = std::chrono::minutes(10);
+constexpr Duration kMinFalseEjectionBound = std::chrono::hours(1);
+constexpr Duration kMaxFalseEjectionBound = std::chrono::hours(1'000'000);
+constexpr std::array<std::string_view, 7> kMethods = {
+    "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
+
+// Reads one site's document. One object serves one document.
+class ConfigReader {
+ public:
+  ConfigReader(const JsonDocument& document, Findings& findings)
+      : m_root(JsonObject::Root(document, findings)) {}
+
+  Config Read(std::string site) {
+    m_config.m_site = std::move(site);
+    m_root.ReadArray("sites");
+    ReadServices();
+    ReadRoutes();
+    ReadAccounts();
+    m_root.RefuseUnknownKeys();
+    return std::move(m_config);
+  }
+
+ private:
+  // Reports a bad name and a handle that another name has already.
+  template <class Id>
+  static bool CheckName(const std::string& name,
+                        Id id,
+                        std::map<Id, std::string>& names,
+                        const JsonValue& value) {
+    if (!IsConfigName(name)) {
+      value.Report(std::string(kConfigNameFault));
+      return false;
+    }
+    const auto [other, is_new] = names.emplace(id, name);
+    if (!is_new) {
+      value.Report("has the same handle as \"" + other->second +
+                   "\"; choose another name");
+    }
+    return is_new;
+  }
+
+  template <class T>
+  static void SortById(std::vector<T>& items) {
+    std::sort(items.begin(), items.end(),
+              [](const T& a, const T& b) { return a.m_id < b.m_id; });
+  }
+
+  void ReadServices() {
+    auto services = m_root.ReadObject("services", Presence::kRequired);
+    if (!services) {
+      return;
+    }
+    for (auto& [name, value] : services->Members()) {
+      Service service{.m_name = name, .m_id = ServiceIdOf(name)};
+      auto object = value.AsObject();
+      if (!CheckName(name, service.m_id, m_service_names, value) || !object) {
+        continue;
+      }
+      ReadService(*object, service);
+      m_config.m_services.push_back(std::move(service));
+    }
+    SortById(m_config.m_services);
+  }
+
+  static void ReadService(JsonObject& object, Service& service) {
+    const bool has_instances = object.ReadInteger<uint32_t>(
+        "instances", service.m_instances, {.m_min = 1, .m_max = kMaxInstances},
+        Presence::kRequired);
+    const bool has_floor = object.ReadInteger<uint32_t>(
+        "floor", service.m_floor, {.m_min = 1, .m_max = kMaxInstances},
+        Presence::kRequired);
+    if (has_instances && has_floor && service.m_floor > service.m_instances) {
+      object.ReportAt("floor", "is " + std::to_string(service.m_floor) +
+                                   ", above the " +
+                                   std::to_string(service.m_instances) +
+                                   " instances of the service");
+    }
+    ReadEjection(object, service.m_ejection);
+    ReadLimits(object, service.m_limits);
+    ReadRetries(object, service.m_retries);
+    std::string header;
+    if (object.ReadString("completeness_header", header)) {
+      service.m_completeness_header = std::move(header);
+    }
+    object.RefuseUnknownKeys();
+  }
+
+  static void ReadEjection(JsonObject& service, EjectionBounds& ejection) {
+    auto object = service.ReadObject("ejection");
+    if (!object) {
+      return;
+    }
+    Duration bound{};
+    if (object->ReadDuration("false_ejection_bound", bound,
+                             {.m_min = kMinFalseEjectionBound,
+                              .m_max = kMaxFalseEjectionBound})) {
+      using Hours = std::chrono::duration<double, std::ratio<3600>>;
+      ejection.m_false_ejection_bound = InstanceHours(Hours(bound).count());
+    }
+    object->RefuseUnknownKeys();
+  }
+
+  static void ReadLimits(JsonObject& service, ServiceLimits& limits) {
+    auto object = service.ReadObject("limits");
+    if (!object) {
+      return;
+    }
+    object->ReadInteger<uint32_t>("slots", limits.m_slots,
+                                  {.m_min = 1, .m_max = kMaxSlots});
+    object->ReadInteger<uint32_t>("queue_length", limits.m_queue_length,
+                                  {.m_min = 0, .m_max = kMaxQueueLength});
+    object->ReadDuration("timeout", limits.m_timeout,
+                         {.m_min = kMinTimeout, .m_max = kMaxTimeout});
+    object->RefuseUnknownKeys();
+  }
+
+  static void ReadRetries(JsonObject& service, RetryLimits& retries) {
+    auto object = service.ReadObject("retries");
+    if (!object) {
+      return;
+    }
+    object->ReadNumber("budget_share", retries.m_budget_share,
+                       {.m_min = 0, .m_max = 1});
+    object->ReadInteger<uint32_t>("max_attempts", retries.m_max_attempts,
+                                  {.m_min = 1, .m_max = kMaxAttempts});
+    object->RefuseUnknownKeys();
+  }
+
+  void ReadRoutes() {
+    auto routes = m_root.ReadObject("routes", Presence::kRequired);
+    if (!routes) {
+      return;
+    }
+    for (auto& [name, value] : routes->Members()) {
+      if (!IsConfigName(name)) {
+        value.Report(std::string(kConfigNameFault));
+      }
+      auto object = value.AsObject();
+      if (!object) {
+        continue;
+      }
+      Route route{.m_name = name};
+      ReadRoute(*object, route);
+      m_config.m_routes.push_back(std::move(route));
+    }
+  }
+
+  void ReadRoute(JsonObject& object, Route& route) {
+    const bool has_host = ReadHost(object, route.m_host);
+    const bool has_path = ReadPath(object, route.m_path);
+    if (has_host && has_path) {
+      CheckOverlap(object, route);
+    }
+    std::string service;
+    if (object.ReadString("service", service, Presence::kRequired)) {
+      route.m_service = ServiceIdOf(service);
+      const auto known = m_service_names.find(route.m_service);
+      if (known == m_service_names.end() || known->second != service) {
+        object.ReportAt("service",
+                        "is the unknown service \"" + service + "\"");
+      }
+    }
+    ReadMethods(object, "methods", route.m_methods);
+    ReadMethods(object, "repeatable", route.m_repeatable);
+    object.ReadNumber("criticality", route.m_criticality,
+                      {.m_min = 0, .m_max = 1});
+    object.RefuseUnknownKeys();
+  }
+
+  static bool ReadHost(JsonObject& object, std::string& host) {
+    if (!object.ReadString("host", host, Presence::kRequired)) {
+      return false;
+    }
+    const bool is_valid =
+        host == "*" || std::all_of(host.begin(), host.end(), [](char c) {
+          return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '.' ||
+                 c == '-';
+        });
+    if (!is_valid) {
+      object.ReportAt("host",
+                      "is no lower-case host name without port and no \"*\"");
+    }
+    return is_valid;
+  }
+
+  static bool ReadPath(JsonObject& object, std::string& path) {
+    if (!object.ReadString("path", path, Presence::kRequired)) {
+      return false;
+    }
+    const bool is_valid = path.front() == '/' &&
+                          path.find("//") == std::string::npos &&
+                          path.find_first_of("?# ") == std::string::npos;
+    if (!is_valid) {
+      object.ReportAt("path",
+                      "is no path that starts with \"/\", without query, "
+                      "spaces and empty segments");
+    }
+    return is_valid;
+  }
+
+  void CheckOverlap(const JsonObject& object, const Route& route) {
+    std::string prefix = route.m_path;
+    if (prefix.back() == '/') {
+      prefix.pop_back();
+    }
+    const auto [other, is_new] = m_route_names.emplace(
+        std::pair(route.m_host, std::move(prefix)), route.m_name);
+    if (!is_new) {
+      object.Report("has the same host and path as route \"" + other->second +
+                    "\"");
+    }
+  }
+
+  static void ReadMethods(JsonObject& object,
+                          std::string_view key,
+                          std::vector<std::string>& methods) {
+    if (!object.Has(key)) {
+      return;
+    }
+    methods.clear();
+    for (const JsonValue& element : object.ReadArray(key)) {
+      const auto method = element.AsString();
+      if (!method) {
+        continue;
+      }
+      if (std::find(kMethods.begin(), kMethods.end(), *method) ==
+          kMethods.end()) {
+        element.Report("is no HTTP method in upper case");
+        continue;
+      }
+      methods.push_back(*method);
+    }
+  }
+
+  void ReadAccounts() {
+    auto accounts = m_root.ReadObject("accounts");
+    if (!accounts) {
+      return;
+    }
+    for (auto& [name, value] : accounts->Members()) {
+      Account account{.m_name = name, .m_id = AccountIdOf(name)};
+      auto object = value.AsObject();
+      if (!CheckName(name, account.m_id, m_account_names, value) || !object) {
+        continue;
+      }
+      object->ReadNumber("share", account.m_share,
+                         {.m_min = 1 / kMaxShare, .m_max = kMaxShare});
+      object->RefuseUnknownKeys();
+      m_config.m_accounts.push_back(std::move(account));
+    }
+    SortById(m_config.m_accounts);
+  }
+
+  JsonObject m_root;
+  Config m_config;
+  std::map<ServiceId, std::string> m_service_names;
+  std::map<AccountId, std::string> m_account_names;
+  // Route name by host and path.
+  std::map<std::pair<std::string, std::string>, std::string> m_route_names;
+};
+
+}  // namespace
+
+bool IsConfigName(std::string_view name) {
+  return !name.empty() && name.size() <= kMaxNameBytes &&
+         std::all_of(name.begin(), name.end(), [](char c) {
+           return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+         });
+}
+
+Config ReadConfig(std::string site,
+                  const JsonDocument& document,
+                  Findings& findings) {
+  return ConfigReader(document, findings).Read(std::move(site));
+}
+
+}  // namespace sequoiastage
