Let a query name the egress incarnation and deadline it asks about

Cause: a query to an egress that restarted in between found an empty ledger and would have been answered as cancelled before start, though the attempt may have run under the earlier incarnation: a false not-run. The ledger needs the whole ticket (id, egress incarnation, deadline); the deadline lets it forget a cancelled attempt that it never saw. kCannotTell is the reply for another run of the egress and for forgotten attempts. Weighed: relying on the Hello of the connection alone; it holds too, but only while every caller checks it.

--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -79,6 +79,8 @@
   kFailed = 2,
   /// Started and still running (only as reply to a query).
   kRunning = 3,
+  /// The egress can't tell: forgotten, or meant for another run of it.
+  kCannotTell = 4,
 };
 
 /// Why an attempt was not started or failed.
@@ -130,6 +132,10 @@
 /// `m_cancel_running` a running attempt is aborted too.
 struct QueryMessage {
   AttemptId m_attempt;
+  /// As in the DispatchMessage: another run of the egress can't tell.
+  Incarnation m_egress_incarnation;
+  /// As in the DispatchMessage.
+  int64_t m_deadline_ms = 0;
   bool m_cancel_running = false;
 
   friend bool operator==(const QueryMessage&, const QueryMessage&) = default;
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -73,7 +73,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, QueryMessage& message) {
-  archive(message.m_attempt, message.m_cancel_running);
+  archive(message.m_attempt, message.m_egress_incarnation,
+          message.m_deadline_ms, message.m_cancel_running);
 }
 
 template <class Archive>
