--- a/libs/execution/include/sequoiastage/execution/attempt_ledger.h
+++ b/libs/execution/include/sequoiastage/execution/attempt_ledger.h
@@ -103,7 +103,7 @@
   /// Ingress nodes for which a floor is kept.
   size_t m_max_floors = 8192;
   /// Bytes of stored answers kept; above it the oldest answers are dropped.
-  size_t m_max_answer_bytes = 4 * 1024 * 1024;
+  size_t m_max_answer_bytes = size_t{4} * 1024 * 1024;
 };
 
 /// Counts since the ledger was made, and its present size.
--- a/libs/execution/tests/attempt_ledger_test.cc
+++ b/libs/execution/tests/attempt_ledger_test.cc
@@ -104,8 +104,9 @@
   for (uint32_t ingress = 1; ingress <= 4; ++ingress) {
     for (uint64_t incarnation = 1; incarnation <= 2; ++incarnation) {
       for (uint64_t counter = 1; counter <= 6; ++counter) {
-        const auto deadline = static_cast<int64_t>(
-            50 + 37 * ((ingress * 31 + incarnation * 17 + counter * 7) % 29));
+        const uint64_t spread =
+            uint64_t{ingress} * 31 + incarnation * 17 + counter * 7;
+        const auto deadline = static_cast<int64_t>(50 + 37 * (spread % 29));
         tickets.push_back(Ticket(counter, deadline, ingress, incarnation));
         if (counter == 6) {
           tickets.back().m_egress = Incarnation(kOwn.Get() - 1);
@@ -244,7 +245,7 @@
 TEST(AttemptLedgerTest, DroppedFloorRefusesOnlyDeadlinesUpToItsOwn) {
   AttemptLedger ledger(kOwn, {.m_max_attempts = 1, .m_max_floors = 1});
   for (uint32_t ingress = 1; ingress <= 3; ++ingress) {
-    const AttemptTicket ticket = Ticket(1, 100 * ingress, ingress);
+    const AttemptTicket ticket = Ticket(1, int64_t{100} * ingress, ingress);
     ASSERT_EQ(ledger.Admit(ticket, At(0)).m_verdict, Admission::Verdict::kNew);
     ASSERT_TRUE(ledger.MarkRefused(ticket.m_id));
   }
