--- a/libs/node/src/egress.cc
+++ b/libs/node/src/egress.cc
@@ -117,7 +117,7 @@
   }
   if (admission.m_verdict == Admission::Verdict::kRefused) {
     const auto result = admission.m_reason == RefusalReason::kTooOldToTell
-                            ? AttemptResult::kForgotten
+                            ? AttemptResult::kCannotTell
                             : AttemptResult::kNotStarted;
     ++m_stats.m_refused;
     reply(MakeResult(message.m_attempt, result, ToReason(admission.m_reason)));
@@ -144,7 +144,7 @@
   const AttemptReport report = m_ledger.CancelIfNotStarted(ticket);
   const AttemptId id = message.m_attempt;
   if (report.m_knowledge == AttemptReport::Knowledge::kCannotTell) {
-    reply(MakeResult(id, AttemptResult::kForgotten, AttemptReason::kNone));
+    reply(MakeResult(id, AttemptResult::kCannotTell, AttemptReason::kNone));
     return;
   }
   if (IsNeverStarted(report.m_state)) {
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -54,8 +54,8 @@
   /// Started and still running; a further reply follows at its end. Only as
   /// reply to a query.
   kRunning = 3,
-  /// The egress no longer knows whether it was started.
-  kForgotten = 4,
+  /// The egress can't tell: forgotten, or meant for another run of it.
+  kCannotTell = 4,
 };
 
 /// Why an attempt was not started or failed.
@@ -107,8 +107,9 @@
 /// `m_cancel_running` a running attempt is aborted too.
 struct QueryMessage {
   AttemptId m_attempt;
-  /// As in the attempt's DispatchMessage.
+  /// As in the DispatchMessage: another run of the egress can't tell.
   Incarnation m_egress_incarnation;
+  /// As in the DispatchMessage.
   int64_t m_deadline_ms = 0;
   bool m_cancel_running = false;
 
