--- a/libs/settings/include/sequoiastage/settings/node_settings.h
+++ b/libs/settings/include/sequoiastage/settings/node_settings.h
@@ -17,7 +17,8 @@
 /// from the log.
 ///
 /// The file is one JSON object; the key of each setting is the member's name
-/// without "m_". Endpoints are objects:
+/// without "m_" (and without its unit). Endpoints are objects, sizes and times
+/// are texts with a unit:
 ///
 ///   {"listen": {"ip": "127.0.1.1", "port": 8080},
 ///    "peer": {"ip": "127.0.1.1", "port": 8081},
@@ -25,7 +26,8 @@
 ///    "announce": {"ip": "127.0.1.1", "port": 8083},
 ///    "region": "south", "failure_domain": "south-a", "site": "znojmo",
 ///    "log": {"ip": "127.0.0.2", "port": 9000},
-///    "seeds": [{"ip": "127.0.2.1", "port": 8081}]}
+///    "seeds": [{"ip": "127.0.2.1", "port": 8081}],
+///    "max_body": "4MiB", "drain_timeout": "30s"}
 struct NodeSettings {
   /// Where callers send HTTP requests. Required.
   Endpoint m_listen;
@@ -53,16 +55,15 @@
   /// own address or on loopback.
   std::vector<Endpoint> m_allowed_instances;
 
-  /// Largest header section of a caller's request.
+  /// Largest header section of a caller's request. Key "max_header".
   uint32_t m_max_header_bytes = 32 * 1024;
-  /// Largest body of a request or an answer.
+  /// Largest body of a request or an answer. Key "max_body".
   uint32_t m_max_body_bytes = 4 * 1024 * 1024;
   /// Requests that may be in flight from callers at once.
   uint32_t m_max_in_flight = 4096;
-  /// Deadline of a request that names none. Key "default_deadline_ms".
+  /// Deadline of a request that names none.
   std::chrono::milliseconds m_default_deadline{10'000};
-  /// How long a shutdown waits for requests in flight. Key
-  /// "drain_timeout_ms".
+  /// How long a shutdown waits for requests in flight.
   std::chrono::milliseconds m_drain_timeout{30'000};
 };
 
