--- a/libs/execution/include/sequoiastage/execution/key_ledger.h
+++ b/libs/execution/include/sequoiastage/execution/key_ledger.h
@@ -100,7 +100,7 @@
   /// null otherwise. Returns who waited, in order of arrival; all of them are
   /// told this outcome and answer.
   std::vector<KeyWaiter> Resolve(const IdempotencyKey& key,
-                                 Outcome outcome,
+                                 RequestOutcome outcome,
                                  StoredAnswer answer);
 
   /// Drops a waiter whose caller has left.
--- a/libs/execution/include/sequoiastage/execution/outcome_tracker.h
+++ b/libs/execution/include/sequoiastage/execution/outcome_tracker.h
@@ -28,7 +28,7 @@
   /// With kQuery: pause first, the last query brought nothing final.
   bool m_after_pause = false;
   /// With kFinish.
-  Outcome m_outcome = Outcome::kUnknown;
+  RequestOutcome m_outcome = RequestOutcome::kUnknown;
 };
 
 struct OutcomeOptions {
@@ -106,7 +106,7 @@
   bool HasState(State state) const;
   bool CanSendAgain() const;
   OutcomeStep Close(const AttemptId& id, State state);
-  OutcomeStep Finish(Outcome outcome);
+  OutcomeStep Finish(RequestOutcome outcome);
   OutcomeStep FinishUnanswered();
 
   OutcomeOptions m_options;
--- a/libs/execution/src/key_ledger.cc
+++ b/libs/execution/src/key_ledger.cc
@@ -85,7 +85,7 @@
 }
 
 std::vector<KeyWaiter> KeyLedger::Resolve(const IdempotencyKey& key,
-                                          Outcome outcome,
+                                          RequestOutcome outcome,
                                           StoredAnswer answer) {
   const auto found = m_entries.find(key.m_counter);
   if (found == m_entries.end() || found->second.m_state != State::kRunning) {
@@ -93,14 +93,14 @@
   }
   Entry& entry = found->second;
   switch (outcome) {
-    case Outcome::kAnswered:
+    case RequestOutcome::kAnswered:
       entry.m_state = State::kAnswered;
       StoreAnswer(key.m_counter, entry, std::move(answer));
       break;
-    case Outcome::kNotRun:
+    case RequestOutcome::kNotRun:
       entry.m_state = State::kNotRun;
       break;
-    case Outcome::kUnknown:
+    case RequestOutcome::kUnknown:
       entry.m_state = State::kUnknown;
       break;
   }
--- a/libs/execution/src/outcome_tracker.cc
+++ b/libs/execution/src/outcome_tracker.cc
@@ -24,7 +24,7 @@
   if (m_is_finished || Find(attempt) == nullptr) {
     return {};
   }
-  return Finish(Outcome::kAnswered);
+  return Finish(RequestOutcome::kAnswered);
 }
 
 OutcomeStep OutcomeTracker::OnMayHaveRun(const AttemptId& attempt) {
@@ -119,7 +119,7 @@
   return FinishUnanswered();
 }
 
-OutcomeStep OutcomeTracker::Finish(Outcome outcome) {
+OutcomeStep OutcomeTracker::Finish(RequestOutcome outcome) {
   m_is_finished = true;
   return {.m_next = NextStep::kFinish, .m_attempt = {}, .m_outcome = outcome};
 }
@@ -127,7 +127,8 @@
 OutcomeStep OutcomeTracker::FinishUnanswered() {
   const bool may_have_run =
       HasState(State::kOpen) || HasState(State::kMayHaveRun);
-  return Finish(may_have_run ? Outcome::kUnknown : Outcome::kNotRun);
+  return Finish(may_have_run ? RequestOutcome::kUnknown
+                             : RequestOutcome::kNotRun);
 }
 
 }  // namespace sequoiastage
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -116,7 +116,7 @@
   friend bool operator==(const QueryMessage&, const QueryMessage&) = default;
 };
 
-/// RequestOutcome as the caller is told it.
+/// Outcome as the caller is told it.
 enum class RequestOutcome : uint8_t {
   /// The backend server's whole answer.
   kAnswered = 0,
