--- /dev/null
+++ b/libs/node/src/caller_request.cc
@@ -0,0 +1,144 @@
+#include "caller_request_p.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr const char* kDeadlineField = "Sequoiastage-Deadline-Ms";
+constexpr const char* kAccountField = "Sequoiastage-Account";
+constexpr std::chrono::milliseconds kMaxDeadline{600'000};
+constexpr size_t kMaxAccountBytes = 128;
+
+constexpr std::array<std::string_view, 10> kConnectionFields = {
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "te",
+    "proxy-authorization",
+    "trailer",
+    "upgrade",
+    "proxy-connection",
+    "expect",
+    "transfer-encoding"};
+
+bool IsNamed(const HttpField& field, std::string_view name) {
+  return FindField({field}, name) != nullptr;
+}
+
+std::optional<std::chrono::milliseconds> ParseMillis(const std::string& text) {
+  int64_t millis = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), millis);
+  if (error != std::errc() || end != text.data() + text.size() || millis <= 0 ||
+      millis > kMaxDeadline.count()) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(millis);
+}
+
+std::optional<CheckedRequest> Refuse(Problem& problem,
+                                     uint16_t status,
+                                     std::string title,
+                                     std::string detail) {
+  problem = {.m_status = status,
+             .m_outcome = RequestOutcome::kNotRun,
+             .m_title = std::move(title),
+             .m_detail = std::move(detail)};
+  return std::nullopt;
+}
+
+}  // namespace
+
+void RemoveConnectionFields(std::vector<HttpField>& fields) {
+  std::vector<std::string> named;
+  if (const std::string* list = FindField(fields, "Connection")) {
+    size_t at = 0;
+    while (at < list->size()) {
+      const size_t end = std::min(list->find(',', at), list->size());
+      const size_t begin = list->find_first_not_of(" \t", at);
+      if (begin < end) {
+        named.push_back(list->substr(begin, end - begin));
+      }
+      at = end + 1;
+    }
+  }
+  std::erase_if(fields, [&named](const HttpField& field) {
+    const auto matches = [&field](std::string_view name) {
+      return IsNamed(field, name);
+    };
+    return std::any_of(kConnectionFields.begin(), kConnectionFields.end(),
+                       matches) ||
+           std::any_of(named.begin(), named.end(), matches);
+  });
+}
+
+std::optional<CheckedRequest> CheckRequest(
+    const NodeView& view,
+    HttpRequest request,
+    std::chrono::milliseconds default_deadline,
+    WallTime now,
+    Problem& problem) {
+  if (view.m_routes == nullptr) {
+    Refuse(problem, 503, "No configuration",
+           "This node has no configuration yet.");
+    problem.m_retry_after = 1;
+    return std::nullopt;
+  }
+  const Route* route = view.m_routes->Find(request.m_host, request.m_target);
+  if (route == nullptr) {
+    return Refuse(problem, 404, "Unknown route",
+                  "No route matches this host and path.");
+  }
+  if (!route->Allows(request.m_method)) {
+    return Refuse(problem, 405, "Method not allowed",
+                  "The route does not serve this method.");
+  }
+  const Service* service = view.m_config->FindService(route->m_service);
+  auto deadline = service != nullptr
+                      ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                            service->m_limits.m_timeout)
+                      : default_deadline;
+  if (const std::string* text = FindField(request.m_fields, kDeadlineField)) {
+    const auto asked = ParseMillis(*text);
+    if (!asked) {
+      return Refuse(problem, 400, "Bad deadline",
+                    "Sequoiastage-Deadline-Ms takes 1 to 600000 "
+                    "milliseconds.");
+    }
+    deadline = *asked;
+  }
+  CheckedRequest checked;
+  if (const std::string* account = FindField(request.m_fields, kAccountField)) {
+    if (account->size() > kMaxAccountBytes) {
+      return Refuse(problem, 400, "Bad account",
+                    "Sequoiastage-Account is longer than 128 bytes.");
+    }
+    checked.m_account = *account;
+  }
+  if (const std::string* key = FindField(request.m_fields, kKeyField)) {
+    checked.m_key = *key;
+  }
+  checked.m_run.m_service = route->m_service;
+  checked.m_run.m_account = AccountIdOf(checked.m_account);
+  checked.m_run.m_is_repeatable = route->IsRepeatable(request.m_method);
+  checked.m_run.m_deadline = now + deadline;
+  if (service != nullptr) {
+    checked.m_run.m_max_attempts = service->m_retries.m_max_attempts;
+    checked.m_run.m_completeness_field =
+        service->m_completeness_header.value_or("");
+  }
+  RemoveConnectionFields(request.m_fields);
+  std::erase_if(request.m_fields, [](const HttpField& field) {
+    return IsNamed(field, "Content-Length") || IsNamed(field, kDeadlineField);
+  });
+  checked.m_run.m_request = std::move(request);
+  return checked;
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/node/src/ingress.cc
@@ -0,0 +1,346 @@
+#include "ingress_p.h"
+
+#include <utility>
+
+#include "sequoiastage/logging/log_event.h"
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr uint32_t kRetryAfterSeconds = 1;
+// Pause before a request is passed on again to the owner of its key.
+constexpr std::chrono::milliseconds kForwardPause{100};
+
+Problem Draining() {
+  return {.m_status = 503,
+          .m_title = "Shutting down",
+          .m_detail = "This node is shutting down; the request was not run.",
+          .m_retry_after = kRetryAfterSeconds};
+}
+
+Problem TooManyInFlight() {
+  return {.m_status = 503,
+          .m_title = "Too many requests in flight",
+          .m_detail = "The request was not run.",
+          .m_retry_after = kRetryAfterSeconds};
+}
+
+Problem BadKey(const std::string& reason) {
+  return {.m_status = 400,
+          .m_title = "Malformed idempotency key",
+          .m_detail = "The request was not run: " + reason + "."};
+}
+
+KeyedAnswer OwnerOutOfReach() {
+  const Problem problem{
+      .m_status = 504,
+      .m_outcome = RequestOutcome::kUnknown,
+      .m_title = "Outcome unknown",
+      .m_detail =
+          "The node that owns the idempotency key can't be reached. The "
+          "request may have run.",
+      .m_retry_after = kRetryAfterSeconds};
+  return {.m_outcome = problem.m_outcome, .m_answer = ToAnswer(problem)};
+}
+
+}  // namespace
+
+// One caller's request; answers it once.
+class Ingress::Call {
+ public:
+  Call(Ingress& owner, HttpResponder responder)
+      : m_owner(owner), m_responder(std::move(responder)) {
+    ++m_owner.m_in_flight;
+  }
+  ~Call() { --m_owner.m_in_flight; }
+  Call(const Call&) = delete;
+  Call& operator=(const Call&) = delete;
+
+  void Answer(HttpAnswer answer, RequestOutcome outcome) {
+    m_owner.Count(outcome);
+    m_responder.Send(std::move(answer), m_owner.m_is_draining);
+  }
+
+  void Answer(const Problem& problem) {
+    ++m_owner.m_stats.m_refused;
+    Answer(ToAnswer(problem), problem.m_outcome);
+  }
+
+ private:
+  Ingress& m_owner;
+  HttpResponder m_responder;
+};
+
+Ingress::Ingress(asio::io_context& io,
+                 const IngressOptions& options,
+                 Transport::LocalSender local_egress)
+    : m_io(io),
+      m_options(options),
+      m_transport(
+          io,
+          {.m_own = options.m_node, .m_incarnation = options.m_incarnation},
+          {.m_on_message =
+               [this](NodeId from, Message message) {
+                 OnPeerMessage(from, std::move(message));
+               },
+           .m_on_connect_failed =
+               [this](NodeId node, const std::vector<Message>& messages) {
+                 OnNotSent(node, messages);
+               },
+           .m_on_lost =
+               [this](NodeId node, const std::string& reason) {
+                 LogEvent(LogLevel::kInfo, "peer_link_lost")
+                     .Add("peer", ToString(node))
+                     .Add("reason", reason);
+                 m_runner.OnLinkLost(node);
+                 RetryForwardsTo(node);
+               }},
+          std::move(local_egress)),
+      m_runner(
+          io,
+          {.m_node = options.m_node, .m_incarnation = options.m_incarnation},
+          m_transport),
+      m_key_owner(options.m_node, options.m_incarnation, m_runner),
+      m_server(io,
+               options.m_http,
+               [this](HttpRequest request, HttpResponder responder) {
+                 OnRequest(std::move(request), std::move(responder));
+               }) {}
+
+void Ingress::Stop() {
+  m_server.Stop();
+  m_transport.CloseAll();
+}
+
+void Ingress::SetView(NodeViewPtr view) {
+  m_view = view;
+  m_runner.SetView(std::move(view));
+}
+
+void Ingress::OnLocalResult(ResultMessage result) {
+  m_runner.OnResult(std::move(result));
+}
+
+void Ingress::OnRequest(HttpRequest request, HttpResponder responder) {
+  ++m_stats.m_requests;
+  const auto call = std::make_shared<Call>(*this, std::move(responder));
+  if (m_is_draining) {
+    call->Answer(Draining());
+    return;
+  }
+  if (m_in_flight > m_options.m_max_in_flight) {
+    call->Answer(TooManyInFlight());
+    return;
+  }
+  Admit(std::move(request), call);
+}
+
+void Ingress::Admit(HttpRequest request, const std::shared_ptr<Call>& call) {
+  Problem problem;
+  static const NodeView kNoView;
+  auto checked =
+      CheckRequest(m_view != nullptr ? *m_view : kNoView, std::move(request),
+                   m_options.m_default_deadline, WallNow(), problem);
+  if (!checked) {
+    call->Answer(problem);
+    return;
+  }
+  if (!checked->m_run.m_is_repeatable) {
+    RunKeyed(std::move(*checked), call);
+    return;
+  }
+  m_runner.Run(std::move(checked->m_run), [call](RunResult result) {
+    const RequestOutcome outcome = result.m_outcome;
+    call->Answer(ToAnswer(std::move(result)), outcome);
+  });
+}
+
+void Ingress::RunKeyed(CheckedRequest checked,
+                       const std::shared_ptr<Call>& call) {
+  if (!checked.m_key) {
+    AskForKey(call);
+    return;
+  }
+  std::string reason;
+  const auto key = ParseKey(*checked.m_key, &reason);
+  if (!key) {
+    call->Answer(BadKey(reason));
+    return;
+  }
+  const auto done = [call](KeyedAnswer answer) {
+    call->Answer(std::move(answer.m_answer), answer.m_outcome);
+  };
+  if (key->m_owner == m_options.m_node) {
+    m_key_owner.Present(*key, checked.m_account, std::move(checked.m_run),
+                        done);
+    return;
+  }
+  const auto deadline_ms = checked.m_run.m_deadline.time_since_epoch().count();
+  ForwardKeyed(key->m_owner,
+               {.m_key = std::move(*checked.m_key),
+                .m_account = std::move(checked.m_account),
+                .m_deadline_ms = deadline_ms,
+                .m_request = std::move(checked.m_run.m_request)},
+               done);
+}
+
+void Ingress::AskForKey(const std::shared_ptr<Call>& call) {
+  const Problem problem{
+      .m_status = 428,
+      .m_title = "Idempotency key required",
+      .m_detail =
+          "The request was not run. Send it again with the Idempotency-Key of "
+          "this answer."};
+  HttpAnswer answer = ToAnswer(problem);
+  answer.m_fields.push_back({kKeyField, m_key_owner.Issue()});
+  call->Answer(std::move(answer), problem.m_outcome);
+}
+
+void Ingress::ForwardKeyed(NodeId owner,
+                           KeyedRequestMessage message,
+                           KeyOwner::Done done) {
+  const AttemptId id = m_runner.NextAttempt();
+  auto forward = std::make_unique<Forward>(m_io);
+  forward->m_owner = owner;
+  forward->m_deadline =
+      WallTime(std::chrono::milliseconds(message.m_deadline_ms));
+  forward->m_message = std::move(message);
+  forward->m_message.m_attempt = id;
+  forward->m_done = std::move(done);
+  const auto left = forward->m_deadline - WallNow();
+  forward->m_timer.expires_after(left);
+  forward->m_timer.async_wait([this, id](const asio::error_code& error) {
+    if (!error) {
+      EndForward(id, OwnerOutOfReach());
+    }
+  });
+  m_forwards.emplace(id, std::move(forward));
+  SendForward(id);
+}
+
+void Ingress::SendForward(const AttemptId& id) {
+  const auto it = m_forwards.find(id);
+  if (it != m_forwards.end()) {
+    m_transport.Send(it->second->m_owner, it->second->m_message);
+  }
+}
+
+void Ingress::EndForward(const AttemptId& id, KeyedAnswer answer) {
+  const auto it = m_forwards.find(id);
+  if (it == m_forwards.end()) {
+    return;
+  }
+  const std::unique_ptr<Forward> forward = std::move(it->second);
+  m_forwards.erase(it);
+  forward->m_done(std::move(answer));
+}
+
+// The owner runs a key at most once however often it is shown, so passing the
+// request on again is safe.
+void Ingress::RetryForwardsTo(NodeId node) {
+  for (const auto& [id, forward] : m_forwards) {
+    if (forward->m_owner != node) {
+      continue;
+    }
+    const auto timer = std::make_shared<asio::steady_timer>(m_io);
+    timer->expires_after(kForwardPause);
+    timer->async_wait([this, timer, id = id](const asio::error_code& error) {
+      if (!error) {
+        SendForward(id);
+      }
+    });
+  }
+}
+
+void Ingress::OnPeerMessage(NodeId /*from*/, Message message) {
+  if (auto* result = std::get_if<ResultMessage>(&message)) {
+    m_runner.OnResult(std::move(*result));
+  } else if (auto* reply = std::get_if<KeyedReplyMessage>(&message)) {
+    EndForward(reply->m_attempt, {.m_outcome = reply->m_outcome,
+                                  .m_answer = std::move(reply->m_answer)});
+  }
+}
+
+void Ingress::OnNotSent(NodeId node, const std::vector<Message>& messages) {
+  for (const Message& message : messages) {
+    m_runner.OnNotSent(message);
+  }
+  RetryForwardsTo(node);
+}
+
+void Ingress::OnKeyedRequest(KeyedRequestMessage message, KeyedReply reply) {
+  const auto done = [id = message.m_attempt, reply](KeyedAnswer answer) {
+    reply({.m_attempt = id,
+           .m_outcome = answer.m_outcome,
+           .m_answer = std::move(answer.m_answer)});
+  };
+  std::string reason;
+  const auto key = ParseKey(message.m_key, &reason);
+  if (!key) {
+    done({.m_outcome = RequestOutcome::kNotRun,
+          .m_answer = ToAnswer(BadKey(reason))});
+    return;
+  }
+  if (message.m_is_query) {
+    done(m_key_owner.Look(*key));
+    return;
+  }
+  Problem problem;
+  static const NodeView kNoView;
+  auto checked = CheckRequest(m_view != nullptr ? *m_view : kNoView,
+                              std::move(message.m_request),
+                              m_options.m_default_deadline, WallNow(), problem);
+  if (!checked) {
+    done({.m_outcome = problem.m_outcome, .m_answer = ToAnswer(problem)});
+    return;
+  }
+  checked->m_run.m_deadline =
+      WallTime(std::chrono::milliseconds(message.m_deadline_ms));
+  m_key_owner.Present(*key, message.m_account, std::move(checked->m_run), done);
+}
+
+void Ingress::LookUpOutcome(const std::string& text,
+                            std::function<void(HttpAnswer)> done) {
+  std::string reason;
+  const auto key = ParseKey(text, &reason);
+  if (!key) {
+    done(ToAnswer(BadKey(reason)));
+    return;
+  }
+  if (key->m_owner == m_options.m_node) {
+    done(m_key_owner.Look(*key).m_answer);
+    return;
+  }
+  const WallTime deadline = WallNow() + std::chrono::seconds(2);
+  ForwardKeyed(key->m_owner,
+               {.m_key = text,
+                .m_deadline_ms = deadline.time_since_epoch().count(),
+                .m_is_query = true},
+               [done = std::move(done)](KeyedAnswer answer) {
+                 done(std::move(answer.m_answer));
+               });
+}
+
+void Ingress::Count(RequestOutcome outcome) {
+  switch (outcome) {
+    case RequestOutcome::kAnswered:
+      ++m_stats.m_answered;
+      break;
+    case RequestOutcome::kNotRun:
+      ++m_stats.m_not_run;
+      break;
+    case RequestOutcome::kUnknown:
+      ++m_stats.m_unknown;
+      break;
+  }
+}
+
+IngressStats Ingress::Stats() const {
+  IngressStats stats = m_stats;
+  stats.m_runner = m_runner.Stats();
+  stats.m_keys = m_key_owner.Stats();
+  return stats;
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/node/src/ingress_p.h
@@ -0,0 +1,114 @@
+#ifndef SEQUOIASTAGE_NODE_INGRESS_P_H_
+#define SEQUOIASTAGE_NODE_INGRESS_P_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "caller_request_p.h"
+#include "key_owner_p.h"
+#include "node_view_p.h"
+#include "request_runner_p.h"
+#include "sequoiastage/http/http_server.h"
+#include "transport_p.h"
+
+namespace sequoiastage {
+
+struct IngressOptions {
+  NodeId m_node;
+  Incarnation m_incarnation;
+  HttpServerOptions m_http;
+  std::chrono::milliseconds m_default_deadline{10'000};
+  uint32_t m_max_in_flight = 4096;
+};
+
+struct IngressStats {
+  uint64_t m_requests = 0;
+  uint64_t m_answered = 0;
+  uint64_t m_not_run = 0;
+  uint64_t m_unknown = 0;
+  uint64_t m_refused = 0;
+  RunnerStats m_runner;
+  KeyLedgerStats m_keys;
+};
+
+// Takes callers' requests and answers each of them once. Owned by the ingress
+// thread.
+class Ingress {
+ public:
+  using KeyedReply = std::function<void(KeyedReplyMessage)>;
+
+  Ingress(asio::io_context& io,
+          const IngressOptions& options,
+          Transport::LocalSender local_egress);
+
+  bool Start() { return m_server.Start(); }
+  void Stop();
+  const std::string& LastReason() const { return m_server.LastReason(); }
+
+  void SetView(NodeViewPtr view);
+
+  // From now on callers' requests are not run, and told to come back.
+  void StartDraining() { m_is_draining = true; }
+
+  // Result of the own egress.
+  void OnLocalResult(ResultMessage result);
+
+  // Another node passes a request on whose key this node owns.
+  void OnKeyedRequest(KeyedRequestMessage message, KeyedReply reply);
+
+  // Outcome of the request with key `text`, asked at its owner.
+  void LookUpOutcome(const std::string& text,
+                     std::function<void(HttpAnswer)> done);
+
+  // Callers' requests that have no answer yet.
+  size_t InFlight() const { return m_in_flight; }
+  IngressStats Stats() const;
+
+ private:
+  // A request passed on to the owner of its key.
+  struct Forward {
+    Forward(asio::io_context& io) : m_timer(io) {}
+
+    NodeId m_owner;
+    KeyedRequestMessage m_message;
+    asio::steady_timer m_timer;
+    KeyOwner::Done m_done;
+    WallTime m_deadline;
+  };
+
+  class Call;
+
+  void OnRequest(HttpRequest request, HttpResponder responder);
+  void Admit(HttpRequest request, const std::shared_ptr<Call>& call);
+  void RunKeyed(CheckedRequest checked, const std::shared_ptr<Call>& call);
+  void AskForKey(const std::shared_ptr<Call>& call);
+  void ForwardKeyed(NodeId owner,
+                    KeyedRequestMessage message,
+                    KeyOwner::Done done);
+  void SendForward(const AttemptId& id);
+  void EndForward(const AttemptId& id, KeyedAnswer answer);
+  void RetryForwardsTo(NodeId node);
+  void OnPeerMessage(NodeId from, Message message);
+  void OnNotSent(NodeId node, const std::vector<Message>& messages);
+  void Count(RequestOutcome outcome);
+
+  asio::io_context& m_io;
+  IngressOptions m_options;
+  Transport m_transport;
+  RequestRunner m_runner;
+  KeyOwner m_key_owner;
+  HttpServer m_server;
+  NodeViewPtr m_view;
+  std::unordered_map<AttemptId, std::unique_ptr<Forward>> m_forwards;
+  size_t m_in_flight = 0;
+  bool m_is_draining = false;
+  IngressStats m_stats;
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_NODE_INGRESS_P_H_
--- /dev/null
+++ b/libs/node/src/instance_table.cc
@@ -0,0 +1,114 @@
+#include "instance_table_p.h"
+
+#include "sequoiastage/checkedjson/json_document.h"
+#include "sequoiastage/checkedjson/json_reader.h"
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr uint16_t kMaxSlots = 4096;
+constexpr int64_t kMaxIncarnation = int64_t{1} << 62;
+
+}  // namespace
+
+std::optional<Announcement> ParseAnnouncement(std::string_view text,
+                                              Findings& findings) {
+  const auto document = JsonDocument::Parse("announcement", text, findings);
+  if (!document) {
+    return std::nullopt;
+  }
+  JsonObject root = JsonObject::Root(*document, findings);
+  Announcement announcement;
+  Endpoint endpoint;
+  int64_t incarnation = 0;
+  root.ReadString("service", announcement.m_service, Presence::kRequired);
+  root.ReadEndpoint("endpoint", endpoint, Presence::kRequired);
+  root.ReadInteger<int64_t>("incarnation", incarnation,
+                            {.m_min = 1, .m_max = kMaxIncarnation},
+                            Presence::kRequired);
+  root.ReadInteger<uint16_t>("slots", announcement.m_slots,
+                             {.m_min = 1, .m_max = kMaxSlots},
+                             Presence::kRequired);
+  root.ReadBool("draining", announcement.m_is_draining);
+  root.RefuseUnknownKeys();
+  if (!findings.IsEmpty()) {
+    return std::nullopt;
+  }
+  announcement.m_id = InstanceId(endpoint);
+  announcement.m_incarnation = Incarnation(static_cast<uint64_t>(incarnation));
+  return announcement;
+}
+
+bool InstanceTable::Announce(const Announcement& announcement, TimePoint now) {
+  const auto [it, is_new] = m_entries.try_emplace(
+      announcement.m_id, Entry{.m_announced = announcement,
+                               .m_first_seen = now,
+                               .m_last_seen = now});
+  Entry& entry = it->second;
+  if (is_new) {
+    return true;
+  }
+  if (announcement.m_incarnation < entry.m_announced.m_incarnation) {
+    return false;
+  }
+  if (announcement.m_incarnation > entry.m_announced.m_incarnation) {
+    entry = Entry{.m_first_seen = now};
+  }
+  entry.m_announced = announcement;
+  entry.m_last_seen = now;
+  return true;
+}
+
+bool InstanceTable::Leave(InstanceId id) {
+  return m_entries.erase(id) > 0;
+}
+
+bool InstanceTable::SetDrained(InstanceId id, bool is_drained) {
+  const auto it = m_entries.find(id);
+  if (it == m_entries.end()) {
+    return false;
+  }
+  it->second.m_is_drained = is_drained;
+  return true;
+}
+
+void InstanceTable::SetSuspect(InstanceId id, bool is_suspect) {
+  const auto it = m_entries.find(id);
+  if (it != m_entries.end()) {
+    it->second.m_is_suspect = is_suspect;
+  }
+}
+
+std::vector<InstanceId> InstanceTable::Expire(TimePoint now) {
+  std::vector<InstanceId> expired;
+  for (const auto& [id, entry] : m_entries) {
+    if (now - entry.m_last_seen > kAnnouncementTtl) {
+      expired.push_back(id);
+    }
+  }
+  for (const InstanceId id : expired) {
+    m_entries.erase(id);
+  }
+  return expired;
+}
+
+std::vector<InstanceEntry> InstanceTable::ToMemberEntries(TimePoint now) const {
+  std::vector<InstanceEntry> members;
+  members.reserve(m_entries.size());
+  for (const auto& [id, entry] : m_entries) {
+    const bool is_draining =
+        entry.m_is_drained || entry.m_announced.m_is_draining;
+    members.push_back({.m_id = id,
+                       .m_service = ServiceIdOf(entry.m_announced.m_service),
+                       .m_incarnation = entry.m_announced.m_incarnation,
+                       .m_slots = entry.m_announced.m_slots,
+                       .m_state = is_draining ? InstanceState::kDraining
+                                              : InstanceState::kServing,
+                       .m_suspect = entry.m_is_suspect,
+                       .m_warm_up = now - entry.m_first_seen < kWarmUpTime});
+  }
+  return members;
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/node/src/key_owner.cc
@@ -0,0 +1,182 @@
+#include "key_owner_p.h"
+
+#include <utility>
+
+#include "caller_request_p.h"
+#include "sequoiastage/wire/frame.h"
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr uint32_t kRetryAfterSeconds = 1;
+
+StoredAnswer Store(const KeyedAnswer& answer) {
+  auto frame = EncodeFrame(KeyedReplyMessage{.m_outcome = answer.m_outcome,
+                                             .m_answer = answer.m_answer});
+  return frame ? std::make_shared<const std::string>(std::move(*frame))
+               : nullptr;
+}
+
+KeyedAnswer LoadStored(const StoredAnswer& stored) {
+  FrameDecoder decoder;
+  decoder.Feed(*stored);
+  const auto message = decoder.Next();
+  const auto* reply =
+      message ? std::get_if<KeyedReplyMessage>(&*message) : nullptr;
+  return reply == nullptr ? KeyedAnswer{}
+                          : KeyedAnswer{.m_outcome = reply->m_outcome,
+                                        .m_answer = reply->m_answer};
+}
+
+KeyedAnswer FromProblem(const Problem& problem) {
+  return {.m_outcome = problem.m_outcome, .m_answer = ToAnswer(problem)};
+}
+
+KeyedAnswer UnknownAnswer(const std::string& detail) {
+  return FromProblem({.m_status = 409,
+                      .m_outcome = RequestOutcome::kUnknown,
+                      .m_title = "Outcome unknown",
+                      .m_detail = detail});
+}
+
+// Answer for a key that is neither run nor waited for.
+KeyedAnswer AnswerFor(KeyVerdict verdict) {
+  switch (verdict) {
+    case KeyVerdict::kAnswerDropped:
+      return UnknownAnswer(
+          "The request ran and was answered; the answer is no longer kept.");
+    case KeyVerdict::kMismatch:
+      return FromProblem(
+          {.m_status = 422,
+           .m_title = "Key of another request",
+           .m_detail = "This idempotency key was used with another request."});
+    case KeyVerdict::kForged:
+      return FromProblem(
+          {.m_status = 422,
+           .m_title = "Unknown key",
+           .m_detail = "This idempotency key was issued by no node."});
+    case KeyVerdict::kExpired:
+      return UnknownAnswer(
+          "The key has expired. The request may have run and is not run "
+          "again.");
+    case KeyVerdict::kFull:
+      return FromProblem({.m_status = 503,
+                          .m_title = "Too many keys in use",
+                          .m_detail = "The request was not run.",
+                          .m_retry_after = kRetryAfterSeconds});
+    case KeyVerdict::kUnused:
+      return FromProblem({.m_status = 404,
+                          .m_title = "Key not used",
+                          .m_detail = "No request was run under this key."});
+    case KeyVerdict::kWait:
+      return FromProblem({.m_status = 202,
+                          .m_outcome = RequestOutcome::kUnknown,
+                          .m_title = "Running",
+                          .m_detail = "The request is running."});
+    default:
+      return UnknownAnswer("The request may have run and is not run again.");
+  }
+}
+
+}  // namespace
+
+HttpAnswer ToAnswer(RunResult result) {
+  const std::string reason(ToString(result.m_reason));
+  switch (result.m_outcome) {
+    case RequestOutcome::kAnswered:
+      RemoveConnectionFields(result.m_answer.m_fields);
+      result.m_answer.m_fields.push_back(
+          {kOutcomeField, std::string(ToString(result.m_outcome))});
+      return std::move(result.m_answer);
+    case RequestOutcome::kNotRun:
+      return ToAnswer(
+          Problem{.m_status = 503,
+                  .m_title = "Not run",
+                  .m_detail = "The request was not run (" + reason + ").",
+                  .m_retry_after = kRetryAfterSeconds});
+    case RequestOutcome::kUnknown:
+      break;
+  }
+  return ToAnswer(Problem{.m_status = 504,
+                          .m_outcome = RequestOutcome::kUnknown,
+                          .m_title = "Outcome unknown",
+                          .m_detail = "No whole answer came in time (" +
+                                      reason + "). The request may have run.",
+                          .m_retry_after = kRetryAfterSeconds});
+}
+
+KeyOwner::KeyOwner(NodeId node, Incarnation incarnation, RequestRunner& runner)
+    : m_issuer({.m_owner = node, .m_incarnation = incarnation},
+               KeyIssuer::MakeSecret()),
+      m_runner(runner) {}
+
+std::string KeyOwner::Issue() {
+  return ToString(m_issuer.Issue(WallNow()));
+}
+
+void KeyOwner::Present(const IdempotencyKey& key,
+                       const std::string& account,
+                       RunRequest request,
+                       const Done& done) {
+  const HttpRequest& http = request.m_request;
+  const RequestFingerprint fingerprint =
+      FingerprintOf({.m_account = account,
+                     .m_method = http.m_method,
+                     .m_host = http.m_host,
+                     .m_target = http.m_target,
+                     .m_body = http.m_body});
+  const KeyWaiter waiter(++m_last_waiter);
+  const KeyDecision decision =
+      m_ledger.Present(m_issuer, key, fingerprint, waiter, WallNow());
+  switch (decision.m_verdict) {
+    case KeyVerdict::kDispatch:
+      Start(key, std::move(request), done);
+      return;
+    case KeyVerdict::kWait:
+      m_waiters.emplace(waiter, Waiter{.m_done = done});
+      return;
+    case KeyVerdict::kAnswered:
+      done(LoadStored(decision.m_answer));
+      return;
+    default:
+      done(AnswerFor(decision.m_verdict));
+  }
+}
+
+KeyedAnswer KeyOwner::Look(const IdempotencyKey& key) {
+  const KeyDecision decision = m_ledger.Look(m_issuer, key, WallNow());
+  if (decision.m_verdict == KeyVerdict::kAnswered) {
+    return LoadStored(decision.m_answer);
+  }
+  return AnswerFor(decision.m_verdict);
+}
+
+void KeyOwner::Start(const IdempotencyKey& key,
+                     RunRequest request,
+                     const Done& done) {
+  m_runner.Run(std::move(request), [this, key, done](RunResult result) {
+    OnRun(key, std::move(result), done);
+  });
+}
+
+void KeyOwner::OnRun(const IdempotencyKey& key,
+                     RunResult result,
+                     const Done& done) {
+  KeyedAnswer answer{.m_outcome = result.m_outcome};
+  answer.m_answer = ToAnswer(std::move(result));
+  const bool is_kept = answer.m_outcome == RequestOutcome::kAnswered;
+  const std::vector<KeyWaiter> waiters = m_ledger.Resolve(
+      key, answer.m_outcome, is_kept ? Store(answer) : nullptr);
+  for (const KeyWaiter waiter : waiters) {
+    const auto it = m_waiters.find(waiter);
+    if (it != m_waiters.end()) {
+      const Done waiting = std::move(it->second.m_done);
+      m_waiters.erase(it);
+      waiting(answer);
+    }
+  }
+  done(std::move(answer));
+}
+
+}  // namespace sequoiastage
--- a/libs/node/src/peer_links.cc
+++ b/libs/node/src/peer_links.cc
@@ -32,6 +32,18 @@
   return true;
 }
 
+bool PeerLinks::Withdraw(NodeId node, const AttemptId& attempt) {
+  const auto it = m_links.find(node);
+  if (it == m_links.end()) {
+    return false;
+  }
+  return std::erase_if(
+             it->second.m_waiting, [&attempt](const Message& message) {
+               const auto* dispatch = std::get_if<DispatchMessage>(&message);
+               return dispatch != nullptr && dispatch->m_attempt == attempt;
+             }) > 0;
+}
+
 void PeerLinks::Drop(NodeId node, const std::string& reason) {
   const auto it = m_links.find(node);
   if (it != m_links.end() && it->second.m_connection != nullptr) {
@@ -73,7 +85,7 @@
           return;
         }
         if (error || !attempt->m_socket.is_open()) {
-          OnConnectFailed(node, error ? error.message() : "connect timeout");
+          OnConnectFailed(node);
           return;
         }
         OnConnected(node, std::move(attempt->m_socket));
@@ -106,9 +118,10 @@
   }
 }
 
-void PeerLinks::OnConnectFailed(NodeId node, const std::string& reason) {
+void PeerLinks::OnConnectFailed(NodeId node) {
+  const std::vector<Message> waiting = std::move(m_links[node].m_waiting);
   m_links.erase(node);
-  m_handlers.m_on_connect_failed(node, reason);
+  m_handlers.m_on_connect_failed(node, waiting);
 }
 
 }  // namespace sequoiastage
--- a/libs/node/src/peer_links_p.h
+++ b/libs/node/src/peer_links_p.h
@@ -20,9 +20,10 @@
  public:
   struct Handlers {
     std::function<void(NodeId, Message)> m_on_message;
-    // No connection could be opened: none of the messages queued for the node
-    // since the last call was sent.
-    std::function<void(NodeId, const std::string&)> m_on_connect_failed;
+    // No connection could be opened; with the messages that waited for it and
+    // so were never sent.
+    std::function<void(NodeId, const std::vector<Message>&)>
+        m_on_connect_failed;
     // A connection ended: messages sent on it may or may not have arrived.
     std::function<void(NodeId, const std::string&)> m_on_lost;
   };
@@ -39,6 +40,10 @@
   // when it can't be queued.
   bool Send(NodeId node, Message message);
 
+  // Takes a dispatch back that still waits for a connection. True: it was
+  // not sent and never will be.
+  bool Withdraw(NodeId node, const AttemptId& attempt);
+
   // Ends the connection to `node`, if any; reported as lost.
   void Drop(NodeId node, const std::string& reason);
 
@@ -54,7 +59,7 @@
 
   void Connect(NodeId node);
   void OnConnected(NodeId node, asio::ip::tcp::socket socket);
-  void OnConnectFailed(NodeId node, const std::string& reason);
+  void OnConnectFailed(NodeId node);
 
   asio::io_context& m_io;
   Options m_options;
--- /dev/null
+++ b/libs/node/src/problem_p.h
@@ -0,0 +1,33 @@
+#ifndef SEQUOIASTAGE_NODE_PROBLEM_P_H_
+#define SEQUOIASTAGE_NODE_PROBLEM_P_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "sequoiastage/base/http_message.h"
+#include "sequoiastage/wire/messages.h"
+
+namespace sequoiastage {
+
+inline constexpr const char* kOutcomeField = "Sequoiastage-Outcome";
+inline constexpr const char* kKeyField = "Idempotency-Key";
+
+// An answer that the proxy gives itself.
+struct Problem {
+  uint16_t m_status = 500;
+  RequestOutcome m_outcome = RequestOutcome::kNotRun;
+  // Short text of the kind of problem.
+  std::string m_title;
+  // What happened, for a person.
+  std::string m_detail;
+  // When it makes sense to come back, in seconds.
+  std::optional<uint32_t> m_retry_after;
+};
+
+// `problem` as application/problem+json (RFC 9457).
+HttpAnswer ToAnswer(const Problem& problem);
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_NODE_PROBLEM_P_H_
