--- a/libs/membership/include/sequoiastage/membership/member_entry.h
+++ b/libs/membership/include/sequoiastage/membership/member_entry.h
@@ -28,9 +28,9 @@
 
 /// One backend server instance as its node describes it.
 struct InstanceEntry {
-  InstanceId m_id;
-  ServiceId m_service;
-  Incarnation m_incarnation;
+  InstanceId m_id{};
+  ServiceId m_service{};
+  Incarnation m_incarnation{};
   /// Requests the instance works on at once.
   uint16_t m_slots = 0;
   InstanceState m_state = InstanceState::kServing;
@@ -45,24 +45,24 @@
 /// Everything the fleet knows of a node. Only that node writes it; a copy with
 /// a greater (incarnation, version) replaces one with a smaller.
 struct MemberEntry {
-  NodeId m_node;
-  Incarnation m_incarnation;
+  NodeId m_node{};
+  Incarnation m_incarnation{};
   /// Counts the changes within one incarnation.
   uint32_t m_version = 0;
-  std::string m_region;
-  std::string m_failure_domain;
-  std::string m_site;
+  std::string m_region{};
+  std::string m_failure_domain{};
+  std::string m_site{};
   HostState m_state = HostState::kLive;
   /// Configuration version in force. Travels apart from the rest of the entry
   /// because it changes at every node at once, see MembershipOptions.
-  LogOffset m_config_version;
-  std::vector<InstanceEntry> m_instances;
+  LogOffset m_config_version{};
+  std::vector<InstanceEntry> m_instances{};
 
   friend bool operator==(const MemberEntry&, const MemberEntry&) = default;
 };
 
 /// Most instances one node may announce: its entry has to fit in a datagram.
-inline constexpr std::size_t kMaxInstancesPerNode = 36;
+inline constexpr std::size_t kMaxInstancesPerNode = 40;
 
 /// Longest region, failure domain or site name, in bytes.
 inline constexpr std::size_t kMaxLocationNameBytes = 63;
--- a/libs/membership/include/sequoiastage/membership/membership.h
+++ b/libs/membership/include/sequoiastage/membership/membership.h
@@ -23,15 +23,15 @@
 
 struct MembershipOptions {
   /// This node. Its endpoint is where it receives datagrams.
-  NodeId m_node;
+  NodeId m_node{};
   /// Must be greater than that of any earlier run at the same endpoint.
-  Incarnation m_incarnation;
-  std::string m_region;
-  std::string m_failure_domain;
-  std::string m_site;
+  Incarnation m_incarnation{};
+  std::string m_region{};
+  std::string m_failure_domain{};
+  std::string m_site{};
   /// Nodes asked first and whenever they are no members; own endpoint is
   /// skipped.
-  std::vector<NodeId> m_seeds;
+  std::vector<NodeId> m_seeds{};
   /// Seed of the random choice of peers.
   uint64_t m_random_seed = 1;
 
@@ -56,7 +56,7 @@
   /// Ceiling of the bytes a second sent to repair the copies of others.
   uint32_t m_repair_bytes_per_second = 128 * 1024;
   /// A member this node could not reach, directly or through helpers, and
-  /// heard nothing of for so long is removed here.
+  /// heard nothing of for so long is removed here, if it hears others.
   Duration m_remove_after = std::chrono::minutes(10);
   /// A member that has left is removed after this.
   Duration m_left_keep = std::chrono::seconds(60);
@@ -69,23 +69,23 @@
 /// What this node says of itself; location and incarnation are options.
 struct OwnState {
   HostState m_state = HostState::kLive;
-  LogOffset m_config_version;
-  std::vector<InstanceEntry> m_instances;
+  LogOffset m_config_version{};
+  std::vector<InstanceEntry> m_instances{};
 
   friend bool operator==(const OwnState&, const OwnState&) = default;
 };
 
 /// A datagram to send.
 struct OutgoingDatagram {
-  NodeId m_to;
-  std::vector<uint8_t> m_bytes;
+  NodeId m_to{};
+  std::vector<uint8_t> m_bytes{};
 };
 
 /// A report that another node which hosts `m_service` sent.
 struct GroupReport {
-  NodeId m_from;
-  ServiceId m_service;
-  std::vector<uint8_t> m_bytes;
+  NodeId m_from{};
+  ServiceId m_service{};
+  std::vector<uint8_t> m_bytes{};
 };
 
 /// One member as a reader sees it.
--- /dev/null
+++ b/libs/membership/tests/datagram_test.cc
@@ -0,0 +1,104 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <new>
+
+#include "../src/datagram_p.h"
+
+namespace sequoiastage {
+namespace {
+
+std::vector<uint8_t> SampleDatagram() {
+  DatagramWriter writer({.m_from = NodeId({.m_ip = 1, .m_port = 2}),
+                         .m_incarnation = Incarnation(3)});
+  MemberEntry entry{.m_version = 4, .m_region = "north"};
+  entry.m_instances.resize(3);
+  writer.Add(Ping{.m_sequence = 5});
+  writer.Add(EntryPart{.m_entry = entry, .m_status = 6});
+  writer.Add(BucketPart{.m_bucket = 7, .m_items = {{}, {}}});
+  writer.Add(StampPart{.m_version = 8, .m_is_reply = true});
+  writer.Add(GroupPart{.m_service = ServiceId(9), .m_bytes = {1, 2, 3}});
+  return writer.Take();
+}
+
+TEST(DatagramTest, RoundTrips) {
+  std::string reason;
+  const auto datagram = DecodeDatagram(SampleDatagram(), &reason);
+  ASSERT_TRUE(datagram) << reason;
+  ASSERT_EQ(datagram->m_parts.size(), 5U);
+  const auto& entry = std::get<EntryPart>(datagram->m_parts[1]);
+  EXPECT_EQ(entry.m_entry.m_region, "north");
+  EXPECT_EQ(entry.m_entry.m_instances.size(), 3U);
+  EXPECT_EQ(entry.m_status, 6U);
+  EXPECT_TRUE(std::get<StampPart>(datagram->m_parts[3]).m_is_reply);
+  const auto& group = std::get<GroupPart>(datagram->m_parts[4]);
+  EXPECT_EQ(group.m_bytes, (std::vector<uint8_t>{1, 2, 3}));
+}
+
+TEST(DatagramTest, LargestEntryFits) {
+  MemberEntry entry;
+  entry.m_region.assign(kMaxLocationNameBytes, 'r');
+  entry.m_failure_domain = entry.m_region;
+  entry.m_site = entry.m_region;
+  entry.m_instances.resize(kMaxInstancesPerNode);
+  DatagramWriter writer({});
+  EXPECT_TRUE(writer.Add(EntryPart{.m_entry = entry}));
+  EXPECT_LE(writer.Size(), kMaxDatagramBytes);
+}
+
+TEST(DatagramTest, PartThatDoesNotFitLeavesTheDatagramWhole) {
+  DatagramWriter writer({});
+  const DigestPart digest{.m_hashes = std::vector<uint32_t>(kDigestBuckets)};
+  ASSERT_TRUE(writer.Add(digest));
+  ASSERT_FALSE(writer.Add(digest));
+  std::string reason;
+  const auto datagram = DecodeDatagram(writer.Take(), &reason);
+  ASSERT_TRUE(datagram) << reason;
+  EXPECT_EQ(datagram->m_parts.size(), 1U);
+}
+
+RC_GTEST_PROP(DatagramTest,
+              AnyBytesAreDecodedOrRefused,
+              (const std::vector<uint8_t>& bytes)) {
+  std::string reason;
+  if (!DecodeDatagram(bytes, &reason)) {
+    RC_ASSERT(!reason.empty());
+  }
+}
+
+RC_GTEST_PROP(DatagramTest, DamagedDatagramsStayWithinBounds, ()) {
+  std::vector<uint8_t> bytes = SampleDatagram();
+  const auto edits = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < edits; ++i) {
+    bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+        *rc::gen::arbitrary<uint8_t>();
+  }
+  bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+  std::string reason;
+  const auto datagram = DecodeDatagram(bytes, &reason);
+  if (!datagram) {
+    RC_ASSERT(!reason.empty());
+    return;
+  }
+  for (const DatagramPart& part : datagram->m_parts) {
+    if (const auto* entry = std::get_if<EntryPart>(&part)) {
+      RC_ASSERT(entry->m_entry.m_instances.size() <= kMaxInstancesPerNode);
+      RC_ASSERT(entry->m_entry.m_region.size() <= kMaxLocationNameBytes);
+    }
+  }
+}
+
+TEST(DatagramTest, LongLengthsAllocateNothing) {
+  DatagramWriter writer({});
+  writer.Add(GroupPart{.m_bytes = {1}});
+  std::vector<uint8_t> bytes = writer.Take();
+  // The two bytes before the payload are its length.
+  bytes[bytes.size() - 2] = 0xff;
+  bytes[bytes.size() - 3] = 0xff;
+  std::string reason;
+  EXPECT_FALSE(DecodeDatagram(bytes, &reason));
+  EXPECT_EQ(reason, "sequence too long");
+}
+
+}  // namespace
+}  // namespace sequoiastage
