--- a/libs/health/include/sequoiastage/health/instance_summary.h
+++ b/libs/health/include/sequoiastage/health/instance_summary.h
@@ -19,8 +19,8 @@
   /// Outcomes and failures among them in the last 9 to 10 s.
   uint16_t m_outcomes = 0;
   uint16_t m_failures = 0;
-  /// Latencies of the last 9 to 10 s. Work in flight that is already slow is
-  /// included with its age, so that a hang of all instances shows.
+  /// Latencies of the last 9 to 10 s. Work in flight for longer than
+  /// usual is included with its age, so that a hang of all instances shows.
   LatencyHistogram m_latencies;
 
   template <class Archive>
@@ -28,6 +28,9 @@
     archive(m_recent_outcomes, m_recent_failures, m_outcomes, m_failures,
             m_latencies);
   }
+
+  friend bool operator==(const InstanceSummary&,
+                         const InstanceSummary&) = default;
 };
 
 /// Summary of a sibling as it is held by the receiver.
--- a/libs/health/src/instance_judge.cc
+++ b/libs/health/src/instance_judge.cc
@@ -15,6 +15,9 @@
 constexpr double kSumCap = 1.2;
 // A suspicion is cleared below this share of the suspect threshold.
 constexpr double kClearShare = 0.25;
+// Work in flight for longer than this multiple of the usual latency is shown to
+// the siblings with its age.
+constexpr int kOverdueRatio = 2;
 // Work a healthy instance gets at the start of its warm-up.
 constexpr double kWarmUpShare = 0.2;
 
@@ -138,9 +141,12 @@
 
 InstanceSummary InstanceJudge::Summary(TimePoint now) const {
   InstanceSummary summary = m_window.Summarize(now);
+  // Compared with ended work alone: a limit that follows the peers' latencies
+  // would rise with a hang of all instances and leave the hanging work out.
+  const Duration usual = summary.m_latencies.Quantile(0.5);
   for (const InFlight& work : m_in_flight) {
     const Duration age = now - work.m_started;
-    if (m_evidence.OfAge(age) > 0) {
+    if (age > kOverdueRatio * usual) {
       summary.m_latencies.Add(age);
     }
   }
--- a/libs/health/src/latency_histogram.cc
+++ b/libs/health/src/latency_histogram.cc
@@ -32,8 +32,8 @@
 }
 
 uint16_t AddSaturated(uint32_t a, uint32_t b) {
-  constexpr uint32_t kMax = std::numeric_limits<uint16_t>::max();
-  return static_cast<uint16_t>(std::min(kMax, a + b));
+  const uint32_t max = std::numeric_limits<uint16_t>::max();
+  return static_cast<uint16_t>(std::min(max, a + b));
 }
 
 }  // namespace
--- /dev/null
+++ b/libs/health/tests/instance_judge_test.cc
@@ -0,0 +1,294 @@
+#include "sequoiastage/health/instance_judge.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include <map>
+
+namespace sequoiastage {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr TimePoint kWarm = kStart + seconds(31);
+
+PeerBaseline GoodPeers(TimePoint as_of) {
+  return {.m_peers = 11,
+          .m_as_of = as_of,
+          .m_failure_share = 0.001,
+          .m_outcomes_per_hour = 18000,
+          .m_latency_samples = 500,
+          .m_latency_p50 = milliseconds(100),
+          .m_latency_p95 = milliseconds(200),
+          .m_latency_p99 = milliseconds(300)};
+}
+
+// Runs one piece of work from `now` and returns the time of its end.
+TimePoint RunOne(InstanceJudge& judge,
+                 TimePoint now,
+                 Outcome outcome,
+                 Duration latency = milliseconds(100)) {
+  const WorkHandle handle = judge.OnStart(now);
+  judge.OnFinish(handle, now + latency, outcome);
+  return now + latency;
+}
+
+// Fails work, 200 ms each, until ejection is wanted.
+TimePoint FailUntilWanted(InstanceJudge& judge, TimePoint now) {
+  for (int i = 0; i < 20; ++i) {
+    now = RunOne(judge, now, Outcome::kError) + milliseconds(100);
+    judge.OnBaseline(now, GoodPeers(now));
+  }
+  EXPECT_EQ(judge.Report().m_verdict, Verdict::kEjectionWanted);
+  return now;
+}
+
+TimePoint SucceedUntilHealthy(InstanceJudge& judge, TimePoint now) {
+  for (int i = 0; i < 100'000; ++i) {
+    if (judge.Report().m_verdict == Verdict::kHealthy) {
+      return now;
+    }
+    now = RunOne(judge, now, Outcome::kSuccess) + milliseconds(100);
+    judge.OnTick(now);
+  }
+  ADD_FAILURE() << "never healthy";
+  return now;
+}
+
+JudgeOptions AnyPolicy() {
+  return MakeJudgeOptions(*rc::gen::element(kCautiousPolicy, kFastPolicy));
+}
+
+// Interleaves starts, ends, ticks, baselines, grants and probation turns. Only
+// outcomes of `outcomes` occur, and work ends within `max_latency`.
+void RunAnyInterleaving(InstanceJudge& judge,
+                        const std::vector<Outcome>& outcomes,
+                        Duration max_latency,
+                        bool with_grants,
+                        const std::function<void()>& check) {
+  struct Work {
+    WorkHandle m_handle;
+    TimePoint m_started;
+  };
+  std::vector<Work> in_flight;
+  TimePoint now = kStart;
+  const int steps = *rc::gen::inRange(1, 400);
+  const auto finish_first = [&] {
+    judge.OnFinish(in_flight.front().m_handle, now,
+                   *rc::gen::elementOf(outcomes));
+    in_flight.erase(in_flight.begin());
+  };
+  for (int i = 0; i < steps; ++i) {
+    now += milliseconds(*rc::gen::inRange(0, 50));
+    while (!in_flight.empty() &&
+           now - in_flight.front().m_started > max_latency) {
+      finish_first();
+    }
+    switch (*rc::gen::inRange(0, with_grants ? 8 : 5)) {
+      case 0:
+      case 1:
+        in_flight.push_back({judge.OnStart(now), now});
+        break;
+      case 2:
+        if (!in_flight.empty()) {
+          finish_first();
+        }
+        break;
+      case 3:
+        judge.OnTick(now);
+        break;
+      case 4:
+        judge.OnBaseline(now, GoodPeers(now));
+        break;
+      case 5:
+        judge.OnEjected(now - milliseconds(*rc::gen::inRange(0, 100)));
+        break;
+      case 6:
+        judge.OnReadmitted(now);
+        break;
+      default:
+        judge.TakeProbationTurn(now);
+        judge.OnFinish(WorkHandle(*rc::gen::arbitrary<uint64_t>()), now,
+                       Outcome::kError);
+    }
+    check();
+  }
+}
+
+RC_GTEST_PROP(InstanceJudgeTest, HealthyOutcomesNeverRaiseSuspicion, ()) {
+  InstanceJudge judge(AnyPolicy(), kStart);
+  RunAnyInterleaving(
+      judge, {Outcome::kSuccess, Outcome::kShed, Outcome::kCancelled},
+      milliseconds(150), false,
+      [&] { RC_ASSERT(judge.Report().m_verdict == Verdict::kHealthy); });
+}
+
+RC_GTEST_PROP(InstanceJudgeTest, AnyInterleavingKeepsTheReportConsistent, ()) {
+  InstanceJudge judge(AnyPolicy(), kStart);
+  RunAnyInterleaving(
+      judge,
+      {Outcome::kSuccess, Outcome::kError, Outcome::kTimeout,
+       Outcome::kIncomplete, Outcome::kShed, Outcome::kCancelled},
+      seconds(5), true, [&] {
+        const JudgeReport& report = judge.Report();
+        RC_ASSERT(report.m_share >= 0 && report.m_share <= 1);
+        RC_ASSERT(report.m_suspicion >= 0);
+        RC_ASSERT(!report.m_wants_readmission || report.m_is_ejected);
+        RC_ASSERT(!report.m_is_ejected ||
+                  report.m_verdict == Verdict::kEjectionWanted);
+        RC_ASSERT((report.m_share == 0) == report.m_is_ejected);
+      });
+}
+
+TEST(InstanceJudgeTest, NoEjectionIsWantedWithoutPeers) {
+  InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
+  TimePoint now = kWarm;
+  for (int i = 0; i < 100; ++i) {
+    now = RunOne(judge, now, Outcome::kError);
+  }
+  EXPECT_EQ(judge.Report().m_verdict, Verdict::kSuspect);
+}
+
+TEST(InstanceJudgeTest, NoEjectionIsWantedOnWorkThatPeersDoNotCoverYet) {
+  InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
+  judge.OnBaseline(kWarm, GoodPeers(kWarm));
+  TimePoint now = kWarm + milliseconds(1);
+  for (int i = 0; i < 20; ++i) {
+    now = RunOne(judge, now, Outcome::kError);
+    judge.OnBaseline(now, GoodPeers(kWarm));
+  }
+  EXPECT_EQ(judge.Report().m_verdict, Verdict::kSuspect);
+  judge.OnBaseline(now, GoodPeers(now));
+  EXPECT_EQ(judge.Report().m_verdict, Verdict::kEjectionWanted);
+}
+
+TEST(InstanceJudgeTest, SuspectsSoonerAndEjectsSoonerWithTheFastPolicy) {
+  std::map<bool, std::pair<int, int>> counts;
+  for (const bool fast : {false, true}) {
+    InstanceJudge judge(MakeJudgeOptions(fast ? kFastPolicy : kCautiousPolicy),
+                        kStart);
+    judge.OnBaseline(kWarm, GoodPeers(kWarm));
+    TimePoint now = kWarm;
+    auto& [suspect, wanted] = counts[fast];
+    for (int i = 1; wanted == 0 && i < 100; ++i) {
+      now = RunOne(judge, now, Outcome::kIncomplete);
+      judge.OnBaseline(now, GoodPeers(now));
+      const Verdict verdict = judge.Report().m_verdict;
+      suspect = suspect == 0 && verdict != Verdict::kHealthy ? i : suspect;
+      wanted = verdict == Verdict::kEjectionWanted ? i : 0;
+    }
+  }
+  EXPECT_EQ(counts[true], std::make_pair(2, 4));
+  EXPECT_EQ(counts[false], std::make_pair(3, 6));
+}
+
+TEST(InstanceJudgeTest, SheddingIsNoEvidence) {
+  InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
+  const TimePoint now = FailUntilWanted(judge, kWarm);
+  const double before = judge.Report().m_suspicion;
+  TimePoint later = now;
+  for (int i = 0; i < 100; ++i) {
+    later = RunOne(judge, later, Outcome::kShed, milliseconds(1));
+  }
+  EXPECT_EQ(judge.Report().m_suspicion, before);
+}
+
+TEST(InstanceJudgeTest, CallersThatCancelDoNotHideAHang) {
+  InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
+  judge.OnBaseline(kWarm, GoodPeers(kWarm));
+  TimePoint now = kWarm;
+  for (int i = 0; i < 5; ++i) {
+    now = RunOne(judge, now, Outcome::kCancelled, milliseconds(700));
+    judge.OnBaseline(now, GoodPeers(now));
+  }
+  EXPECT_NE(judge.Report().m_verdict, Verdict::kHealthy);
+}
+
+// Three slots fill at 5 requests a second and none of the work ever ends.
+TEST(InstanceJudgeTest, AHangAtFiveRequestsPerSecondIsSeenWithinTwoSeconds) {
+  InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
+  judge.OnBaseline(kWarm, GoodPeers(kWarm));
+  TimePoint now = kWarm;
+  for (int slot = 0; slot < 3; ++slot) {
+    now += milliseconds(200);
+    judge.OnStart(now);
+    EXPECT_EQ(judge.Report().m_verdict, Verdict::kHealthy);
+  }
+  while (judge.Report().m_verdict == Verdict::kHealthy) {
+    ASSERT_LT(now, kWarm + seconds(2));
+    now += milliseconds(100);
+    judge.OnTick(now);
+  }
+}
+
+TEST(InstanceJudgeTest, SlowAnswersOfAColdStartDoNotCount) {
+  InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
+  for (TimePoint now = kStart; now < kStart + seconds(29);) {
+    judge.OnBaseline(now, GoodPeers(now));
+    now = RunOne(judge, now, Outcome::kSuccess, seconds(2));
+    ASSERT_EQ(judge.Report().m_verdict, Verdict::kHealthy);
+  }
+}
+
+TEST(InstanceJudgeTest, AHangInTheWarmUpCounts) {
+  InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
+  judge.OnBaseline(kStart, GoodPeers(kStart));
+  judge.OnStart(kStart);
+  judge.OnStart(kStart);
+  judge.OnTick(kStart + seconds(11));
+  EXPECT_EQ(judge.Report().m_verdict, Verdict::kSuspect);
+}
+
+TEST(InstanceJudgeTest, ReadmissionIsWishedAfterTheHoldTimeAndStartsSuspect) {
+  const JudgeOptions options = MakeJudgeOptions(kFastPolicy);
+  InstanceJudge judge(options, kStart);
+  TimePoint now = FailUntilWanted(judge, kWarm);
+  judge.OnEjected(now);
+  EXPECT_FALSE(judge.TakeProbationTurn(now));
+  judge.OnTick(now + options.m_ejection_hold - milliseconds(1));
+  EXPECT_FALSE(judge.Report().m_wants_readmission);
+  now += options.m_ejection_hold;
+  judge.OnTick(now);
+  EXPECT_TRUE(judge.Report().m_wants_readmission);
+  judge.OnReadmitted(now);
+  EXPECT_EQ(judge.Report().m_verdict, Verdict::kSuspect);
+  EXPECT_TRUE(judge.TakeProbationTurn(now));
+  EXPECT_FALSE(judge.TakeProbationTurn(now));
+  SucceedUntilHealthy(judge, now);
+}
+
+TEST(InstanceJudgeTest, EachFlapRaisesTheBarForReadmission) {
+  InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
+  TimePoint now = kWarm;
+  Duration last_hold(0);
+  for (uint32_t flap = 0; flap < 4; ++flap) {
+    now = FailUntilWanted(judge, now);
+    EXPECT_EQ(judge.Report().m_flaps, flap);
+    judge.OnEjected(now);
+    const TimePoint ejected = now;
+    while (!judge.Report().m_wants_readmission) {
+      now += milliseconds(100);
+      judge.OnTick(now);
+    }
+    EXPECT_GT(now - ejected, last_hold);
+    last_hold = now - ejected;
+    judge.OnReadmitted(now);
+    now = SucceedUntilHealthy(judge, now);
+  }
+}
+
+TEST(InstanceJudgeTest, AnIdleSuspectIsTriedAgain) {
+  InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
+  TimePoint now = FailUntilWanted(judge, kWarm);
+  for (int i = 0; i < 10; ++i) {
+    now += seconds(61);
+    judge.OnTick(now);
+  }
+  EXPECT_EQ(judge.Report().m_verdict, Verdict::kHealthy);
+}
+
+}  // namespace
+}  // namespace sequoiastage
