--- a/libs/execution/include/sequoiastage/execution/idempotency_key.h
+++ b/libs/execution/include/sequoiastage/execution/idempotency_key.h
@@ -84,12 +84,12 @@
 
 /// The parts of a request that make it the same request.
 struct RequestIdentity {
-  std::string_view m_account;
-  std::string_view m_method;
-  std::string_view m_host;
+  std::string_view m_account = {};
+  std::string_view m_method = {};
+  std::string_view m_host = {};
   /// Path and query.
-  std::string_view m_target;
-  std::string_view m_body;
+  std::string_view m_target = {};
+  std::string_view m_body = {};
 };
 
 /// BLAKE2b over the parts with their lengths, so that no two different
--- a/libs/execution/include/sequoiastage/execution/outcome_tracker.h
+++ b/libs/execution/include/sequoiastage/execution/outcome_tracker.h
@@ -74,7 +74,9 @@
   OutcomeStep OnRunning(const AttemptId& attempt);
 
   /// The connection that the attempt or a query about it was sent on broke, or
-  /// it can't be reached.
+  /// the egress is held to be unreachable. Repeatable work is then tried
+  /// elsewhere; for other work the egress is asked until the deadline. Where a
+  /// newer incarnation of the egress is seen, call OnMayHaveRun() instead.
   OutcomeStep OnLinkBroken(const AttemptId& attempt);
 
   /// There is nothing to send to, or the retry budget is used up.
@@ -105,6 +107,7 @@
   Attempt* FindOpen();
   bool HasState(State state) const;
   bool CanSendAgain() const;
+  bool IsLastAttempt() const;
   OutcomeStep Close(const AttemptId& id, State state);
   OutcomeStep Finish(Outcome outcome);
   OutcomeStep FinishUnanswered();
--- a/libs/execution/src/outcome_tracker.cc
+++ b/libs/execution/src/outcome_tracker.cc
@@ -45,14 +45,14 @@
   if (m_is_finished || found == nullptr || found->m_state != State::kOpen) {
     return {};
   }
-  if (m_options.m_is_repeatable) {
+  const bool was_queried = found->m_was_queried;
+  if (m_options.m_is_repeatable && (was_queried || !IsLastAttempt())) {
     return Close(attempt, State::kMayHaveRun);
   }
-  const bool is_first_query = !found->m_was_queried;
   found->m_was_queried = true;
   return {.m_next = NextStep::kQuery,
           .m_attempt = attempt,
-          .m_after_pause = !is_first_query};
+          .m_after_pause = was_queried};
 }
 
 OutcomeStep OutcomeTracker::OnNoTarget() {
@@ -104,7 +104,11 @@
   if (!m_options.m_is_repeatable && HasState(State::kMayHaveRun)) {
     return false;
   }
-  return m_attempts.size() < m_options.m_max_attempts;
+  return !IsLastAttempt();
+}
+
+bool OutcomeTracker::IsLastAttempt() const {
+  return m_attempts.size() >= m_options.m_max_attempts;
 }
 
 OutcomeStep OutcomeTracker::Close(const AttemptId& id, State state) {
