--- a/libs/checkedjson/include/sequoiastage/checkedjson/json_reader.h
+++ b/libs/checkedjson/include/sequoiastage/checkedjson/json_reader.h
@@ -95,6 +95,10 @@
   bool ReadString(std::string_view key,
                   std::string& out,
                   Presence presence = Presence::kOptional);
+  /// Like ReadString(), but the text may be empty.
+  bool ReadText(std::string_view key,
+                std::string& out,
+                Presence presence = Presence::kOptional);
   bool ReadBool(std::string_view key,
                 bool& out,
                 Presence presence = Presence::kOptional);
--- a/libs/checkedjson/src/json_reader.cc
+++ b/libs/checkedjson/src/json_reader.cc
@@ -155,6 +155,21 @@
   return true;
 }
 
+bool JsonObject::ReadText(std::string_view key,
+                          std::string& out,
+                          Presence presence) {
+  const Json* value = Find(key, presence);
+  if (value == nullptr) {
+    return false;
+  }
+  if (!value->is_string()) {
+    ReportAt(key, WrongType("string", *value));
+    return false;
+  }
+  out = value->get<std::string>();
+  return true;
+}
+
 bool JsonObject::ReadBool(std::string_view key, bool& out, Presence presence) {
   const Json* value = Find(key, presence);
   if (value == nullptr) {
