--- /dev/null
+++ b/apps/sequoiastaged/main.cc
@@ -0,0 +1,87 @@
+/// sequoiastaged: the daemon, one process beside each backend server host.
+///
+/// Exit codes: 0 stopped in order, 1 an address could not be had or requests
+/// were cut, 2 bad command line or settings.
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <string>
+#include <string_view>
+
+#include "sequoiastage/logging/log_event.h"
+#include "sequoiastage/node/node.h"
+#include "sequoiastage/settings/node_settings.h"
+
+ABSL_FLAG(std::string, settings, "", "Settings file of this node (JSON).");
+ABSL_FLAG(bool, check, false, "Check the settings, start nothing.");
+ABSL_FLAG(bool, verbose, false, "Log debug events too.");
+
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+constexpr const char* kUsage =
+    "One node of the sequoiastage proxy fleet.\n"
+    "\n"
+    "  sequoiastaged --settings=FILE [--check] [--verbose]\n"
+    "  sequoiastaged --version | --help\n"
+    "\n"
+    "SIGTERM shuts down without cutting a request in flight.\n";
+
+bool HasArgument(int argc, char** argv, std::string_view name) {
+  return std::any_of(argv + 1, argv + argc, [name](std::string_view argument) {
+    return argument == name;
+  });
+}
+
+int RunNode(const sequoiastage::NodeSettings& settings) {
+  sequoiastage::InitLogging(absl::GetFlag(FLAGS_verbose)
+                                ? sequoiastage::LogLevel::kDebug
+                                : sequoiastage::LogLevel::kInfo);
+  sequoiastage::Node node(settings);
+  if (!node.Start()) {
+    std::fprintf(stderr, "sequoiastaged: %s\n", node.LastReason().c_str());
+    return kExitFailed;
+  }
+  return node.Run() ? 0 : kExitFailed;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  absl::SetProgramUsageMessage(kUsage);
+  absl::FlagsUsageConfig usage;
+  usage.version_string = [] {
+    return std::string("sequoiastaged ") + SEQUOIASTAGE_VERSION + "\n";
+  };
+  absl::SetFlagsUsageConfig(usage);
+  if (HasArgument(argc, argv, "--help")) {
+    std::fputs(kUsage, stdout);
+    return 0;
+  }
+  if (absl::ParseCommandLine(argc, argv).size() > 1 ||
+      absl::GetFlag(FLAGS_settings).empty()) {
+    std::fputs(kUsage, stderr);
+    return kExitUsage;
+  }
+  sequoiastage::Findings findings;
+  const auto settings =
+      sequoiastage::LoadNodeSettings(absl::GetFlag(FLAGS_settings), &findings);
+  if (!settings) {
+    std::fputs(findings.ToText().c_str(), stderr);
+    return kExitUsage;
+  }
+  if (absl::GetFlag(FLAGS_check)) {
+    std::puts("settings: valid");
+    return 0;
+  }
+  return RunNode(*settings);
+}
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -248,7 +248,14 @@
   }
 
   static int OnCloseSocket(void* user, curl_socket_t handle) {
-    static_cast<Impl*>(user)->m_sockets.erase(handle);
+    auto* self = static_cast<Impl*>(user);
+    const auto it = self->m_sockets.find(handle);
+    if (it != self->m_sockets.end()) {
+      // Waits under way hold the socket; closing ends them.
+      asio::error_code ignored;
+      it->second->m_socket.close(ignored);
+      self->m_sockets.erase(it);
+    }
     return 0;
   }
 
--- a/libs/http/tests/http_test.cc
+++ b/libs/http/tests/http_test.cc
@@ -90,6 +90,20 @@
   server.Stop();
 }
 
+TEST_F(HttpTest, UsesAConnectionAgainAfterAPause) {
+  HttpServer server(m_io, {.m_listen = m_server_at},
+                    [](const HttpRequest&, HttpResponder responder) {
+                      responder.Send({.m_status = 200, .m_body = "x"});
+                    });
+  ASSERT_TRUE(server.Start());
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(Call({.m_method = "GET", .m_target = "/"}).m_error,
+              HttpCallError::kNone);
+    m_io.run_for(std::chrono::milliseconds(600));
+  }
+  server.Stop();
+}
+
 TEST_F(HttpTest, TellsThatNothingWasSentWhenNobodyListens) {
   EXPECT_EQ(Call({.m_method = "GET", .m_target = "/"}).m_error,
             HttpCallError::kConnectFailed);
--- a/libs/logging/src/log_event.cc
+++ b/libs/logging/src/log_event.cc
@@ -40,7 +40,7 @@
 
 void InitLogging(LogLevel level) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>(
-      "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS} level=%p %m%n");
+      "time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p %m%n");
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
       layout, log4cxx::ConsoleAppender::getSystemErr());
   RootLogger()->removeAllAppenders();
--- /dev/null
+++ b/libs/node/src/control.cc
@@ -0,0 +1,312 @@
+#include "control_p.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "group_report_p.h"
+#include "problem_p.h"
+#include "sequoiastage/logging/log_event.h"
+#include "view_builder_p.h"
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{100};
+constexpr std::chrono::seconds kSiblingTtl{10};
+
+std::vector<NodeId> ToNodeIds(const std::vector<Endpoint>& endpoints) {
+  std::vector<NodeId> ids;
+  ids.reserve(endpoints.size());
+  for (const Endpoint& endpoint : endpoints) {
+    ids.emplace_back(endpoint);
+  }
+  return ids;
+}
+
+MembershipOptions MakeMembershipOptions(const NodeSettings& settings,
+                                        Incarnation incarnation) {
+  return {.m_node = NodeId(settings.m_peer),
+          .m_incarnation = incarnation,
+          .m_region = settings.m_region,
+          .m_failure_domain = settings.m_failure_domain,
+          .m_site = settings.m_site,
+          .m_seeds = ToNodeIds(settings.m_seeds),
+          .m_random_seed = incarnation.Get()};
+}
+
+HttpAnswer Refusal(uint16_t status, std::string title, std::string detail) {
+  return ToAnswer(Problem{.m_status = status,
+                          .m_title = std::move(title),
+                          .m_detail = std::move(detail)});
+}
+
+}  // namespace
+
+Control::Control(asio::io_context& io,
+                 const NodeSettings& settings,
+                 Incarnation incarnation,
+                 Outputs outputs)
+    : m_io(io),
+      m_settings(settings),
+      m_outputs(std::move(outputs)),
+      m_membership(MakeMembershipOptions(settings, incarnation), Now()),
+      m_gossip(io,
+               NodeId(settings.m_peer),
+               [this](NodeId from, std::span<const uint8_t> bytes) {
+                 m_gossip.Send(m_membership.OnDatagram(from, bytes, Now()));
+               }),
+      m_announce(io,
+                 {.m_listen = settings.m_announce},
+                 [this](const HttpRequest& request, HttpResponder responder) {
+                   OnAnnounceRequest(request, std::move(responder));
+                 }),
+      m_config(io,
+               {.m_log = settings.m_log, .m_site = settings.m_site},
+               [this] {
+                 m_is_view_due = true;
+                 Publish();
+               }),
+      m_tick(io) {}
+
+bool Control::Start() {
+  if (!m_gossip.Start()) {
+    m_last_reason = "peer UDP: " + m_gossip.LastReason();
+    return false;
+  }
+  if (!m_announce.Start()) {
+    m_last_reason = "announce: " + m_announce.LastReason();
+    return false;
+  }
+  m_config.Start();
+  ArmTick();
+  return true;
+}
+
+void Control::Stop() {
+  m_tick.cancel();
+  m_config.Stop();
+  m_announce.Stop();
+  m_gossip.Stop();
+}
+
+void Control::SetHostState(HostState state) {
+  m_host_state = state;
+  Publish();
+  m_gossip.Send(m_membership.OnTick(Now()));
+}
+
+void Control::ArmTick() {
+  m_tick.expires_after(kTickInterval);
+  m_tick.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      Tick();
+      ArmTick();
+    }
+  });
+}
+
+void Control::Tick() {
+  const TimePoint now = Now();
+  for (const InstanceId id : m_instances.Expire(now)) {
+    LogEvent(LogLevel::kWarn, "instance_silent").Add("instance", ToString(id));
+  }
+  Publish();
+  TakeGroupReports();
+  m_gossip.Send(m_membership.OnTick(now));
+}
+
+void Control::Publish() {
+  PublishOwn();
+  PublishView();
+}
+
+void Control::PublishOwn() {
+  const OwnState own{.m_state = m_host_state,
+                     .m_config_version = m_config.Version(),
+                     .m_instances = m_instances.ToMemberEntries(Now())};
+  if (!m_membership.SetOwn(own, Now())) {
+    LogEvent(LogLevel::kError, "own_entry_refused")
+        .Add("reason", m_membership.LastReason());
+  }
+  std::vector<LocalInstance> instances = MakeLocalInstances();
+  if (instances != m_published_instances) {
+    m_published_instances = instances;
+    m_outputs.m_on_instances(std::move(instances));
+  }
+}
+
+void Control::PublishView() {
+  const uint64_t change = m_membership.ChangeCount();
+  if (change == m_published_change && !m_is_view_due) {
+    return;
+  }
+  m_published_change = change;
+  m_is_view_due = false;
+  auto view = std::make_shared<NodeView>();
+  view->m_config_version = m_config.Version();
+  view->m_config = m_config.InForce();
+  view->m_routes = m_config.Routes();
+  view->m_instances =
+      BuildInstanceViews(m_membership.Members(), m_membership.Own(),
+                         [this](InstanceId instance, Incarnation incarnation) {
+                           return m_config.IsEjected(instance, incarnation);
+                         });
+  m_outputs.m_on_view(std::move(view));
+}
+
+std::vector<LocalInstance> Control::MakeLocalInstances() const {
+  std::vector<LocalInstance> locals;
+  for (const auto& [id, entry] : m_instances.Entries()) {
+    const Announcement& announced = entry.m_announced;
+    LocalInstance local{
+        .m_id = id,
+        .m_service = ServiceIdOf(announced.m_service),
+        .m_incarnation = announced.m_incarnation,
+        .m_slots = announced.m_slots,
+        .m_is_draining = entry.m_is_drained || announced.m_is_draining,
+        .m_is_ejected = m_config.IsEjected(id, announced.m_incarnation)};
+    const Service* service =
+        m_config.InForce() == nullptr
+            ? nullptr
+            : m_config.InForce()->FindService(local.m_service);
+    if (service != nullptr) {
+      local.m_queue_length =
+          static_cast<uint16_t>(service->m_limits.m_queue_length);
+      local.m_false_ejection_hours =
+          service->m_ejection.m_false_ejection_bound.Get();
+    }
+    locals.push_back(local);
+  }
+  return locals;
+}
+
+void Control::OnReports(const std::vector<InstanceReport>& reports) {
+  for (const InstanceReport& report : reports) {
+    const auto it = m_instances.Entries().find(report.m_id);
+    if (it == m_instances.Entries().end() ||
+        it->second.m_announced.m_incarnation != report.m_incarnation) {
+      continue;
+    }
+    const bool is_suspect = report.m_judge.m_verdict != Verdict::kHealthy;
+    if (is_suspect != it->second.m_is_suspect) {
+      LogEvent(LogLevel::kInfo,
+               is_suspect ? "instance_suspect" : "instance_healthy")
+          .Add("instance", ToString(report.m_id))
+          .Add("suspicion_percent",
+               static_cast<int64_t>(100 * report.m_judge.m_suspicion));
+      m_instances.SetSuspect(report.m_id, is_suspect);
+    }
+  }
+  SetGroupReports(reports);
+  UpdateBaselines();
+  Publish();
+}
+
+void Control::SetGroupReports(const std::vector<InstanceReport>& reports) {
+  std::map<ServiceId, std::vector<InstanceNews>> news;
+  for (const InstanceReport& report : reports) {
+    news[report.m_service].push_back(
+        {.m_instance = report.m_id, .m_summary = report.m_summary});
+    m_siblings[{report.m_service, report.m_id}] = {
+        .m_summary = report.m_summary, .m_received = Now()};
+  }
+  for (const auto& [service, items] : news) {
+    m_membership.SetGroupReport(service, EncodeGroupReport(items));
+  }
+}
+
+void Control::TakeGroupReports() {
+  const TimePoint now = Now();
+  for (const GroupReport& report : m_membership.TakeGroupReports()) {
+    const auto news = DecodeGroupReport(report.m_bytes);
+    if (!news) {
+      continue;
+    }
+    for (const InstanceNews& item : *news) {
+      m_siblings[{report.m_service, item.m_instance}] = {
+          .m_summary = item.m_summary, .m_received = now};
+    }
+  }
+  std::erase_if(m_siblings, [now](const auto& item) {
+    return now - item.second.m_received > kSiblingTtl;
+  });
+}
+
+void Control::UpdateBaselines() {
+  const TimePoint now = Now();
+  for (const auto& [id, entry] : m_instances.Entries()) {
+    const ServiceId service = ServiceIdOf(entry.m_announced.m_service);
+    std::vector<SiblingSummary> siblings;
+    for (const auto& [key, summary] : m_siblings) {
+      if (key.first == service && key.second != id) {
+        siblings.push_back(summary);
+      }
+    }
+    m_outputs.m_on_baseline(id, MakePeerBaseline(siblings, now));
+  }
+}
+
+void Control::OnAnnounceRequest(const HttpRequest& request,
+                                HttpResponder responder) {
+  const std::string_view path = PathOf(request.m_target);
+  if (request.m_method != "POST") {
+    responder.Send(Refusal(405, "Method not allowed", "Use POST."));
+  } else if (path == "/v1/announce") {
+    responder.Send(Announce(request.m_body));
+  } else if (path == "/v1/leave") {
+    responder.Send(Leave(request.m_body));
+  } else {
+    responder.Send(
+        Refusal(404, "Unknown path", "Use /v1/announce or /v1/leave."));
+  }
+}
+
+HttpAnswer Control::Announce(const std::string& body) {
+  Findings findings;
+  const auto announcement = ParseAnnouncement(body, findings);
+  if (!announcement) {
+    return Refusal(400, "Bad announcement", findings.ToText());
+  }
+  if (!IsAllowed(announcement->m_id)) {
+    return Refusal(403, "Instance not allowed",
+                   "The settings don't allow this instance on this host.");
+  }
+  const bool is_known = m_instances.Entries().count(announcement->m_id) > 0;
+  if (!m_instances.Announce(*announcement, Now())) {
+    return Refusal(409, "Old incarnation",
+                   "A later incarnation has announced itself.");
+  }
+  if (!is_known) {
+    LogEvent(LogLevel::kInfo, "instance_announced")
+        .Add("instance", ToString(announcement->m_id))
+        .Add("service", announcement->m_service);
+  }
+  Publish();
+  return {.m_status = 204};
+}
+
+HttpAnswer Control::Leave(const std::string& body) {
+  Findings findings;
+  const auto announcement = ParseAnnouncement(body, findings);
+  if (!announcement) {
+    return Refusal(400, "Bad announcement", findings.ToText());
+  }
+  if (!m_instances.Leave(announcement->m_id)) {
+    return Refusal(404, "Unknown instance", "It has not announced itself.");
+  }
+  LogEvent(LogLevel::kInfo, "instance_left")
+      .Add("instance", ToString(announcement->m_id));
+  Publish();
+  return {.m_status = 204};
+}
+
+bool Control::IsAllowed(InstanceId id) const {
+  const auto& allowed = m_settings.m_allowed_instances;
+  if (!allowed.empty()) {
+    return std::find(allowed.begin(), allowed.end(), id.Get()) != allowed.end();
+  }
+  return id.Get().m_ip == m_settings.m_peer.m_ip || IsLoopback(id.Get().m_ip);
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/node/src/control_p.h
@@ -0,0 +1,89 @@
+#ifndef SEQUOIASTAGE_NODE_CONTROL_P_H_
+#define SEQUOIASTAGE_NODE_CONTROL_P_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config_feed_p.h"
+#include "egress_p.h"
+#include "gossip_socket_p.h"
+#include "instance_table_p.h"
+#include "node_view_p.h"
+#include "sequoiastage/http/http_server.h"
+#include "sequoiastage/membership/membership.h"
+#include "sequoiastage/settings/node_settings.h"
+
+namespace sequoiastage {
+
+// Owns what the node knows of the fleet: members, own instances, configuration.
+// Hands the traffic threads whole, immutable views. Owned by the control
+// thread.
+class Control {
+ public:
+  struct Outputs {
+    std::function<void(NodeViewPtr)> m_on_view;
+    std::function<void(std::vector<LocalInstance>)> m_on_instances;
+    std::function<void(InstanceId, PeerBaseline)> m_on_baseline;
+  };
+
+  Control(asio::io_context& io,
+          const NodeSettings& settings,
+          Incarnation incarnation,
+          Outputs outputs);
+
+  // Binds. False with LastReason() when an address can't be had.
+  bool Start();
+  void Stop();
+  const std::string& LastReason() const { return m_last_reason; }
+
+  // The egress's news of its instances, a few times a second.
+  void OnReports(const std::vector<InstanceReport>& reports);
+
+  // The node takes no new work (kDraining) or has ended (kLeft).
+  void SetHostState(HostState state);
+
+ private:
+  void Tick();
+  void ArmTick();
+  void Publish();
+  void PublishOwn();
+  void PublishView();
+  void TakeGroupReports();
+  void UpdateBaselines();
+  void SetGroupReports(const std::vector<InstanceReport>& reports);
+  std::vector<LocalInstance> MakeLocalInstances() const;
+
+  void OnAnnounceRequest(const HttpRequest& request, HttpResponder responder);
+  HttpAnswer Announce(const std::string& body);
+  HttpAnswer Leave(const std::string& body);
+  bool IsAllowed(InstanceId id) const;
+
+  // Key of a sibling's summary.
+  using SiblingKey = std::pair<ServiceId, InstanceId>;
+
+  asio::io_context& m_io;
+  const NodeSettings& m_settings;
+  Outputs m_outputs;
+  Membership m_membership;
+  GossipSocket m_gossip;
+  HttpServer m_announce;
+  ConfigFeed m_config;
+  InstanceTable m_instances;
+  std::map<SiblingKey, SiblingSummary> m_siblings;
+  asio::steady_timer m_tick;
+  HostState m_host_state = HostState::kLive;
+  uint64_t m_published_change = 0;
+  bool m_is_view_due = true;
+  std::vector<LocalInstance> m_published_instances;
+  std::string m_last_reason;
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_NODE_CONTROL_P_H_
--- a/libs/node/src/egress.cc
+++ b/libs/node/src/egress.cc
@@ -65,6 +65,16 @@
          FindField(answer.m_fields, "Retry-After") != nullptr;
 }
 
+// Where false ejections may be more frequent, detection time weighs more.
+EjectionPolicy PolicyFor(double false_ejection_hours) {
+  EjectionPolicy policy =
+      false_ejection_hours < kCautiousPolicy.m_false_ejection_hours
+          ? kFastPolicy
+          : kCautiousPolicy;
+  policy.m_false_ejection_hours = false_ejection_hours;
+  return policy;
+}
+
 struct Judged {
   AttemptResult m_result;
   AttemptReason m_reason;
@@ -365,7 +375,8 @@
         local.m_id,
         Instance{.m_local = local,
                  .m_judge = InstanceJudge(
-                     MakeJudgeOptions(local.m_ejection_policy), Now())});
+                     MakeJudgeOptions(PolicyFor(local.m_false_ejection_hours)),
+                     Now())});
   }
   for (const auto& [id, gone] : old) {
     for (const AttemptId& queued : gone.m_queue) {
--- a/libs/node/src/egress_p.h
+++ b/libs/node/src/egress_p.h
@@ -27,7 +27,9 @@
   uint16_t m_queue_length = 0;
   bool m_is_draining = false;
   bool m_is_ejected = false;
-  EjectionPolicy m_ejection_policy;
+  double m_false_ejection_hours = 1000;
+
+  friend bool operator==(const LocalInstance&, const LocalInstance&) = default;
 };
 
 // What the egress tells the control thread of one instance.
