--- a/libs/checkedjson/include/sequoiastage/checkedjson/json_document.h
+++ b/libs/checkedjson/include/sequoiastage/checkedjson/json_document.h
@@ -16,6 +16,13 @@
 /// Copies share the parsed values.
 class JsonDocument {
  public:
+  /// An empty object from no source.
+  JsonDocument();
+
+  /// Wraps `value`, for code that includes nlohmann/json itself.
+  static JsonDocument FromValue(std::string source,
+                                const nlohmann::json& value);
+
   /// Parses `text`, which came from `source` (a file name, for instance).
   /// Syntax errors, duplicate keys, a nesting deeper than 64 levels and a text
   /// larger than 8 MiB are added to `findings`; the result is then empty.
@@ -36,6 +43,11 @@
   /// For code that includes nlohmann/json itself.
   const nlohmann::json& Value() const { return *m_value; }
 
+  bool IsEmptyObject() const;
+
+  /// Compares the values, not their sources.
+  friend bool operator==(const JsonDocument& a, const JsonDocument& b);
+
  private:
   JsonDocument(std::string source, std::shared_ptr<const nlohmann::json> value);
 
--- a/libs/checkedjson/include/sequoiastage/checkedjson/json_reader.h
+++ b/libs/checkedjson/include/sequoiastage/checkedjson/json_reader.h
@@ -143,6 +143,12 @@
   std::optional<JsonObject> ReadObject(std::string_view key,
                                        Presence presence = Presence::kOptional);
 
+  /// A copy of an object member as a document of its own, with `source`.
+  std::optional<JsonDocument> ReadDocument(
+      std::string_view key,
+      std::string source,
+      Presence presence = Presence::kOptional);
+
   /// Elements of an array; empty when it is absent or no array.
   std::vector<JsonValue> ReadArray(std::string_view key,
                                    Presence presence = Presence::kOptional);
--- a/libs/checkedjson/src/json_document.cc
+++ b/libs/checkedjson/src/json_document.cc
@@ -135,6 +135,14 @@
 
 }  // namespace
 
+JsonDocument::JsonDocument()
+    : JsonDocument("", std::make_shared<const Json>(Json::object())) {}
+
+JsonDocument JsonDocument::FromValue(std::string source,
+                                     const nlohmann::json& value) {
+  return {std::move(source), std::make_shared<const Json>(value)};
+}
+
 JsonDocument::JsonDocument(std::string source,
                            std::shared_ptr<const nlohmann::json> value)
     : m_source(std::move(source)), m_value(std::move(value)) {}
@@ -198,6 +206,14 @@
   return m_value->dump();
 }
 
+bool JsonDocument::IsEmptyObject() const {
+  return m_value->is_object() && m_value->empty();
+}
+
+bool operator==(const JsonDocument& a, const JsonDocument& b) {
+  return *a.m_value == *b.m_value;
+}
+
 std::string EscapePointerToken(std::string_view key) {
   std::string token;
   for (const char c : key) {
--- a/libs/checkedjson/src/json_reader.cc
+++ b/libs/checkedjson/src/json_reader.cc
@@ -299,6 +299,20 @@
   return JsonValue(value, PlaceOf(key)).AsObject();
 }
 
+std::optional<JsonDocument> JsonObject::ReadDocument(std::string_view key,
+                                                     std::string source,
+                                                     Presence presence) {
+  const Json* value = Find(key, presence);
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  if (!value->is_object()) {
+    ReportAt(key, WrongType("object", *value));
+    return std::nullopt;
+  }
+  return JsonDocument::FromValue(std::move(source), *value);
+}
+
 std::vector<JsonValue> JsonObject::ReadArray(std::string_view key,
                                              Presence presence) {
   const Json* value = Find(key, presence);
--- a/libs/config/include/sequoiastage/config/config_parse.h
+++ b/libs/config/include/sequoiastage/config/config_parse.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "sequoiastage/base/findings.h"
@@ -44,6 +45,9 @@
 /// instance-hours. Names have lower-case letters, digits and "-".
 namespace sequoiastage {
 
+/// Scope of the base, in place of a site's name. No site may be called so.
+inline constexpr std::string_view kBaseScope = "base";
+
 /// A JSON text and where it came from.
 struct ConfigText {
   /// File name or log record, for findings.
--- a/libs/config/src/config_parse.cc
+++ b/libs/config/src/config_parse.cc
@@ -31,7 +31,7 @@
     if (!site) {
       continue;
     }
-    if (!IsConfigName(*site)) {
+    if (!IsConfigName(*site) || *site == kBaseScope) {
       element.Report(std::string(kConfigNameFault));
     } else if (!sites.insert(*site).second) {
       element.Report("is a duplicate site");
--- a/libs/config/src/config_reader_p.h
+++ b/libs/config/src/config_reader_p.h
@@ -11,7 +11,7 @@
 namespace sequoiastage {
 
 inline constexpr std::string_view kConfigNameFault =
-    "is no name of at most 64 lower-case letters, digits and \"-\"";
+    "is reserved or no name of at most 64 lower-case letters, digits and \"-\"";
 
 /// Whether `name` may name a site, service, route or account.
 bool IsConfigName(std::string_view name);
--- a/libs/config/tests/config_parse_test.cc
+++ b/libs/config/tests/config_parse_test.cc
@@ -122,7 +122,8 @@
                       "ejection": {"false_ejection_bound": "10 days"}}},
           "routes": {"search": {"methods": ["get"], "criticality": 2,
                                 "host": "A.example:80", "path": "archive"}}})"),
-      "mikulov.json: /services/Approvals: is no name of at most 64 lower-case "
+      "mikulov.json: /services/Approvals: is reserved or no name of at most 64 "
+      "lower-case "
       "letters, digits and \"-\"\n"
       "mikulov.json: /services/archive/floor: is no whole number but string\n"
       "mikulov.json: /services/archive/ejection/false_ejection_bound: is no "
--- /dev/null
+++ b/libs/config/tests/log_replay_test.cc
@@ -0,0 +1,149 @@
+#include "sequoiastage/config/log_replay.h"
+
+#include <gtest/gtest.h>
+
+#include "replay_harness.h"
+#include "sequoiastage/config/snapshot_schedule.h"
+
+namespace sequoiastage {
+namespace {
+
+const std::string kBase(kBaseScope);
+
+class LogReplayTest : public testing::Test {
+ protected:
+  const AuditEntry& Append(const std::string& text) {
+    m_log.Append(text);
+    CatchUp(m_log, m_replay);
+    return m_replay.State().m_audit.back();
+  }
+
+  FakeLog m_log;
+  LogReplay m_replay;
+};
+
+TEST_F(LogReplayTest, TheFirstOfTwoRacingChangesWins) {
+  Append(ChangeText("c0", kBase, std::nullopt, BaseWithFloor(8)));
+  const AuditEntry won =
+      Append(ChangeText("c1", kBase, LogOffset(0), BaseWithFloor(9), "petr"));
+  EXPECT_EQ(won.m_verdict, AuditVerdict::kAccepted);
+  EXPECT_EQ(won.m_differences,
+            std::vector<std::string>{"replace /services/s/floor"});
+  const AuditEntry lost =
+      Append(ChangeText("c2", kBase, LogOffset(0), BaseWithFloor(10)));
+  EXPECT_EQ(lost.m_verdict, AuditVerdict::kConflict);
+  EXPECT_EQ(lost.m_reason, "version 1 by petr is in force");
+  EXPECT_EQ(m_replay.FloorOf(ServiceIdOf("s")), 9U);
+  EXPECT_EQ(m_replay.FindChange("c2")->m_offset, LogOffset(2));
+}
+
+TEST_F(LogReplayTest, AChangeAppendedTwiceIsAppliedOnce) {
+  const std::string text =
+      ChangeText("c0", kBase, std::nullopt, BaseWithFloor(8));
+  Append(text);
+  EXPECT_EQ(Append(text).m_verdict, AuditVerdict::kDuplicate);
+  EXPECT_EQ(m_replay.State().VersionOf(kBase), LogOffset(0));
+  EXPECT_EQ(m_replay.FindChange("c0")->m_verdict, AuditVerdict::kAccepted);
+}
+
+TEST_F(LogReplayTest, IgnoresFaultyRecordsWithAnAuditEntry) {
+  Append(ChangeText("c0", kBase, std::nullopt, BaseWithFloor(8)));
+  const AuditEntry faulty =
+      Append(ChangeText("c1", kBase, LogOffset(0), BaseWithFloor(13)));
+  EXPECT_EQ(faulty.m_verdict, AuditVerdict::kInvalid);
+  EXPECT_EQ(faulty.m_reason,
+            "base: /services/s/floor: is 13, above the 12 instances of the "
+            "service");
+  EXPECT_EQ(Append("no JSON").m_verdict, AuditVerdict::kInvalid);
+  EXPECT_EQ(Append("").m_verdict, AuditVerdict::kInvalid);
+  EXPECT_EQ(Append(R"({"type": "other"})").m_verdict, AuditVerdict::kInvalid);
+  EXPECT_EQ(
+      Append(ChangeText("c2", "x", std::nullopt, JsonDocument())).m_verdict,
+      AuditVerdict::kInvalid);
+  EXPECT_EQ(m_replay.State().VersionOf(kBase), LogOffset(0));
+  EXPECT_EQ(m_replay.NextOffset(), LogOffset(6));
+}
+
+TEST_F(LogReplayTest, RefusesABaseThatDoesNotFitAnOverlay) {
+  Append(ChangeText("c0", kBase, std::nullopt, BaseWithFloor(8)));
+  Append(ChangeText("c1", "a", std::nullopt, OverlayWithFloor(11)));
+  EXPECT_EQ(m_replay.FloorOf(ServiceIdOf("s")), 11U);
+  EXPECT_EQ(m_replay.InForce()->FindSite("b")->m_services[0].m_floor, 8U);
+  const auto smaller = MakeDocument(
+      R"({"sites": ["a"], "routes": {},
+          "services": {"s": {"instances": 10, "floor": 8}}})");
+  EXPECT_EQ(Append(ChangeText("c2", kBase, LogOffset(0), smaller)).m_verdict,
+            AuditVerdict::kInvalid);
+}
+
+TEST_F(LogReplayTest, ChecksAChangeBeforeItIsAppended) {
+  Append(ChangeText("c0", kBase, std::nullopt, BaseWithFloor(8)));
+  Findings findings;
+  m_replay.CheckChange({.m_header = MakeHeader("c1"),
+                        .m_scope = "a",
+                        .m_from = LogOffset(0),
+                        .m_content = OverlayWithFloor(13)},
+                       findings);
+  EXPECT_EQ(findings.ToText(),
+            "a: the scope has no version yet\n"
+            "test: /services/s/floor: is 13, above the 12 instances of the "
+            "service\n");
+}
+
+TEST_F(LogReplayTest, StartsFromASnapshotWhenRecordsAreGone) {
+  Append(ChangeText("c0", kBase, std::nullopt, BaseWithFloor(8)));
+  const std::string early = m_replay.MakeSnapshot(MakeHeader("s1"));
+  Append(ChangeText("c1", kBase, LogOffset(0), BaseWithFloor(9)));
+  const std::string late = m_replay.MakeSnapshot(MakeHeader("s2"));
+  Append(early);
+  Append(ChangeText("c2", kBase, LogOffset(1), BaseWithFloor(10)));
+  m_log.m_first = 2;
+  LogReplay fresh;
+  CatchUp(m_log, fresh);
+  EXPECT_FALSE(fresh.IsComplete());
+  EXPECT_EQ(fresh.InForce(), nullptr);
+  Append(late);
+  CatchUp(m_log, fresh);
+  EXPECT_TRUE(fresh.IsComplete());
+  EXPECT_EQ(fresh.State(), m_replay.State());
+  EXPECT_EQ(fresh.FloorOf(ServiceIdOf("s")), 10U);
+}
+
+TEST_F(LogReplayTest, TakesOnlyANewerStateFromAPeer) {
+  Append(ChangeText("c0", kBase, std::nullopt, BaseWithFloor(8)));
+  const ReplayState older = m_replay.State();
+  Append(ChangeText("c1", kBase, LogOffset(0), BaseWithFloor(9)));
+  EXPECT_FALSE(m_replay.Merge(older));
+  EXPECT_EQ(m_replay.FloorOf(ServiceIdOf("s")), 9U);
+  LogReplay fresh;
+  EXPECT_TRUE(fresh.Merge(older));
+  EXPECT_TRUE(fresh.Merge(m_replay.State()));
+  EXPECT_FALSE(fresh.Merge(older));
+  EXPECT_EQ(fresh.State(), m_replay.State());
+  EXPECT_EQ(fresh.FloorOf(ServiceIdOf("s")), 9U);
+}
+
+TEST_F(LogReplayTest, KeepsABoundedAudit) {
+  for (size_t i = 0; i < kMaxAuditEntries + 10; ++i) {
+    Append("no JSON");
+  }
+  EXPECT_EQ(m_replay.State().m_audit.size(), kMaxAuditEntries);
+}
+
+TEST(SnapshotScheduleTest, IsDueByRecordsByAgeAndWhenTheLastOneIsUnusable) {
+  const TimePoint start{};
+  const Duration hour = std::chrono::hours(1);
+  SnapshotSchedule schedule({.m_max_records = 10, .m_max_age = hour}, start);
+  const LogOffset zero(0);
+  EXPECT_FALSE(schedule.IsDue(zero, zero, start + 2 * hour));
+  EXPECT_FALSE(schedule.IsDue(zero, LogOffset(9), start));
+  EXPECT_TRUE(schedule.IsDue(zero, LogOffset(10), start));
+  EXPECT_TRUE(schedule.IsDue(zero, LogOffset(1), start + hour));
+  schedule.OnSnapshot(LogOffset(10), start + hour);
+  EXPECT_FALSE(schedule.IsDue(zero, LogOffset(11), start + hour));
+  EXPECT_TRUE(schedule.IsDue(LogOffset(11), LogOffset(12), start + hour));
+  EXPECT_TRUE(schedule.IsDue(zero, LogOffset(11), start + 2 * hour));
+}
+
+}  // namespace
+}  // namespace sequoiastage
