Measure detection and false ejections on a fake service

decision_bench drives the judges and two naive ones (three failed probes, five errors in a row) with Poisson requests on 12 instances of 3 slots in virtual time. Cause: hold of 10 s and a readmission that allowed four more errors. Cause: each success halved the probation interval down to 50 ms, more than an equal share. Cause: probation work sent into the hang each time the deadline freed a slot.

--- /dev/null
+++ b/bench/decision_bench/detection.h
@@ -0,0 +1,26 @@
+#ifndef SEQUOIASTAGE_BENCH_DECISION_BENCH_DETECTION_H_
+#define SEQUOIASTAGE_BENCH_DECISION_BENCH_DETECTION_H_
+
+#include <cstdint>
+
+namespace sequoiastage {
+
+struct DetectionOptions {
+  uint64_t m_seed = 1;
+  /// Runs of each fault scenario and policy.
+  int m_trials = 60;
+  /// Instance-hours of each healthy scenario and policy.
+  double m_healthy_hours = 30;
+  /// Requests a second for each instance.
+  double m_instance_rate = 5;
+  /// JudgeOptions::m_burst_weight of the judges.
+  double m_burst_weight = 0.5;
+};
+
+/// Prints detection times and false ejections of the judges and of the naive
+/// policies.
+void RunDetection(const DetectionOptions& options);
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_BENCH_DECISION_BENCH_DETECTION_H_
--- a/libs/health/include/sequoiastage/health/instance_judge.h
+++ b/libs/health/include/sequoiastage/health/instance_judge.h
@@ -37,7 +37,8 @@
 /// Judges one incarnation of an instance from its real work.
 ///
 /// Owned by the egress that all work of the instance passes. Health probes
-/// have no say: they neither raise nor clear a suspicion. Call OnStart() and
+/// neither raise nor clear a suspicion; a failed one only puts off the
+/// readmission of an ejected instance. Call OnStart() and
 /// OnFinish() around each piece of work, OnTick() at least every 100 ms,
 /// and OnBaseline() each time the siblings' summaries are pooled. Times must
 /// not run backwards; one that does counts as the latest time seen.
@@ -62,13 +63,17 @@
   /// News of the service's other instances.
   void OnBaseline(TimePoint now, const PeerBaseline& baseline);
 
+  /// A health probe of the instance ended.
+  void OnProbe(TimePoint now, bool is_good);
+
   /// A grant took the instance out of service, or a record put it back.
   void OnEjected(TimePoint now);
   void OnReadmitted(TimePoint now);
 
   /// Whether a suspect may be given one repeatable request now to prove
-  /// itself. True at most once for each probation interval; always true for a
-  /// healthy instance and never for an ejected one.
+  /// itself. True at most once for each probation interval and never while
+  /// slow work is in flight; always true for a healthy instance and never for
+  /// an ejected one.
   bool TakeProbationTurn(TimePoint now);
 
   const JudgeReport& Report() const { return m_report; }
@@ -102,10 +107,11 @@
   double Worst(const EvidenceSums& sums, TimePoint at) const;
   bool LatencyCounts(TimePoint started) const;
   void ForgetWhenIdle(TimePoint now);
-  void SlowDownProbation(TimePoint now, bool is_failure);
+  void AdaptProbation(TimePoint now, bool is_adverse);
   void UpdateVerdict(TimePoint now);
   void UpdateEjected(TimePoint now);
   void BecomeSuspect(TimePoint now);
+  void CountFlap();
   void ForgetFlaps(TimePoint now);
   Duration HoldFor(Duration base) const;
   double ShareNow(TimePoint now) const;
@@ -134,6 +140,11 @@
   TimePoint m_hold_until;
   TimePoint m_last_suspicion;
   bool m_was_suspect = false;
+  bool m_last_probe_failed = false;
+  TimePoint m_ejected_at;
+  EvidenceSums m_at_ejection;
+  // Readmitted and not healthy since.
+  bool m_is_on_trial = false;
   TimePoint m_next_turn;
   Duration m_turn_interval;
   JudgeReport m_report;
--- a/libs/health/include/sequoiastage/health/judge_options.h
+++ b/libs/health/include/sequoiastage/health/judge_options.h
@@ -63,17 +63,19 @@
   /// Shortest time as suspect; doubles with each flap.
   Duration m_suspect_hold = std::chrono::seconds(2);
   /// Shortest time without work after ejection; doubles with each flap.
-  Duration m_ejection_hold = std::chrono::seconds(10);
+  Duration m_ejection_hold = std::chrono::seconds(20);
   Duration m_max_hold = std::chrono::minutes(10);
   /// A suspicion within this time of the last one is a flap. One flap is
   /// forgotten for each such time without suspicion.
   Duration m_flap_memory = std::chrono::minutes(5);
 
   /// Interval between requests that let a suspect prove itself: the first, and
-  /// the bounds. Doubles with each failure, halves with each success.
+  /// the bounds. Doubles with each failure.
   Duration m_probation_interval = std::chrono::milliseconds(500);
-  Duration m_min_probation_interval = std::chrono::milliseconds(50);
-  Duration m_max_probation_interval = std::chrono::seconds(10);
+  Duration m_min_probation_interval = std::chrono::milliseconds(200);
+  Duration m_max_probation_interval = std::chrono::seconds(5);
+  /// Each success multiplies the interval by this.
+  double m_probation_success_factor = 0.85;
 
   /// A suspect without any evidence for this long loses half its suspicion.
   Duration m_idle_forget = std::chrono::minutes(1);
--- a/libs/health/src/instance_judge.cc
+++ b/libs/health/src/instance_judge.cc
@@ -18,9 +18,15 @@
 // Work in flight for longer than this multiple of the usual latency is shown to
 // the siblings with its age.
 constexpr int kOverdueRatio = 2;
+constexpr double kProbationBackoff = 2;
 // Work a healthy instance gets at the start of its warm-up.
 constexpr double kWarmUpShare = 0.2;
 
+Duration Scaled(Duration duration, double factor) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
 }  // namespace
 
 InstanceJudge::InstanceJudge(const JudgeOptions& options, TimePoint now)
@@ -92,6 +98,12 @@
   UpdateVerdict(now);
 }
 
+void InstanceJudge::OnProbe(TimePoint now, bool is_good) {
+  now = Advance(now);
+  m_last_probe_failed = !is_good;
+  UpdateVerdict(now);
+}
+
 void InstanceJudge::OnEjected(TimePoint now) {
   now = Advance(now);
   if (m_report.m_is_ejected) {
@@ -100,8 +112,14 @@
   if (m_report.m_verdict == Verdict::kHealthy) {
     BecomeSuspect(now);
   }
+  if (m_is_on_trial) {
+    CountFlap();
+  }
+  m_at_ejection = m_provisional;
+  m_at_ejection.m_slow += AgeEvidence(now);
   m_report.m_is_ejected = true;
   m_report.m_verdict = Verdict::kEjectionWanted;
+  m_ejected_at = now;
   m_hold_until = now + HoldFor(m_options.m_ejection_hold);
   UpdateVerdict(now);
 }
@@ -115,7 +133,11 @@
   m_report.m_wants_readmission = false;
   m_report.m_verdict = Verdict::kSuspect;
   m_records.clear();
-  m_folded = EvidenceSums{.m_failing = m_suspect_threshold};
+  // One more failure is enough to want ejection again.
+  const double start = m_ejection_threshold - m_evidence.OfFailure();
+  m_folded = EvidenceSums{.m_failing = std::min(m_at_ejection.m_failing, start),
+                          .m_slow = std::min(m_at_ejection.m_slow, start)};
+  m_is_on_trial = true;
   m_turn_interval = m_options.m_probation_interval;
   m_next_turn = now;
   m_hold_until = now + HoldFor(m_options.m_suspect_hold);
@@ -132,7 +154,7 @@
   if (m_report.m_verdict == Verdict::kHealthy) {
     return true;
   }
-  if (now < m_next_turn) {
+  if (now < m_next_turn || AgeEvidence(now) > 0) {
     return false;
   }
   m_next_turn = now + m_turn_interval;
@@ -186,7 +208,7 @@
     Apply(m_records.front(), m_folded);
     m_records.pop_front();
   }
-  SlowDownProbation(now, is_adverse);
+  AdaptProbation(now, is_adverse);
 }
 
 // Adds the record's evidence to both sums.
@@ -261,15 +283,16 @@
   WeighRecords();
 }
 
-void InstanceJudge::SlowDownProbation(TimePoint now, bool is_failure) {
+void InstanceJudge::AdaptProbation(TimePoint now, bool is_adverse) {
   if (m_report.m_verdict == Verdict::kHealthy) {
     return;
   }
-  m_turn_interval = is_failure ? m_turn_interval * 2 : m_turn_interval / 2;
-  m_turn_interval =
-      std::clamp(m_turn_interval, m_options.m_min_probation_interval,
-                 m_options.m_max_probation_interval);
-  m_next_turn = is_failure ? std::max(m_next_turn, now + m_turn_interval)
+  const double factor =
+      is_adverse ? kProbationBackoff : m_options.m_probation_success_factor;
+  m_turn_interval = std::clamp(Scaled(m_turn_interval, factor),
+                               m_options.m_min_probation_interval,
+                               m_options.m_max_probation_interval);
+  m_next_turn = is_adverse ? std::max(m_next_turn, now + m_turn_interval)
                            : std::min(m_next_turn, now + m_turn_interval);
 }
 
@@ -295,6 +318,7 @@
     if (provisional <= kClearShare * m_suspect_threshold &&
         now >= m_hold_until) {
       m_report.m_verdict = Verdict::kHealthy;
+      m_is_on_trial = false;
     }
   }
   m_report.m_suspicion = provisional / m_ejection_threshold;
@@ -302,14 +326,16 @@
 }
 
 void InstanceJudge::UpdateEjected(TimePoint now) {
-  m_report.m_wants_readmission = now >= m_hold_until;
+  const bool probe_forbids =
+      m_last_probe_failed && now - m_ejected_at < m_options.m_max_hold;
+  m_report.m_wants_readmission = now >= m_hold_until && !probe_forbids;
   m_report.m_share = 0;
 }
 
 void InstanceJudge::BecomeSuspect(TimePoint now) {
   m_report.m_verdict = Verdict::kSuspect;
   if (m_was_suspect && now - m_last_suspicion < m_options.m_flap_memory) {
-    m_report.m_flaps = std::min(m_report.m_flaps + 1, kMaxFlaps);
+    CountFlap();
   }
   m_was_suspect = true;
   m_last_suspicion = now;
@@ -318,6 +344,10 @@
   m_next_turn = now + m_turn_interval;
 }
 
+void InstanceJudge::CountFlap() {
+  m_report.m_flaps = std::min(m_report.m_flaps + 1, kMaxFlaps);
+}
+
 void InstanceJudge::ForgetFlaps(TimePoint now) {
   if (m_report.m_verdict != Verdict::kHealthy) {
     m_last_suspicion = now;
--- a/libs/health/tests/instance_judge_test.cc
+++ b/libs/health/tests/instance_judge_test.cc
@@ -260,6 +260,47 @@
   SucceedUntilHealthy(judge, now);
 }
 
+TEST(InstanceJudgeTest, ProbesClearNoSuspicionAndOnlyPutOffReadmission) {
+  const JudgeOptions options = MakeJudgeOptions(kFastPolicy);
+  InstanceJudge judge(options, kStart);
+  TimePoint now = FailUntilWanted(judge, kWarm);
+  const double before = judge.Report().m_suspicion;
+  for (int i = 0; i < 100; ++i) {
+    judge.OnProbe(now, true);
+  }
+  EXPECT_EQ(judge.Report().m_verdict, Verdict::kEjectionWanted);
+  EXPECT_EQ(judge.Report().m_suspicion, before);
+  judge.OnEjected(now);
+  now += options.m_ejection_hold;
+  judge.OnProbe(now, false);
+  EXPECT_FALSE(judge.Report().m_wants_readmission);
+  judge.OnProbe(now, true);
+  EXPECT_TRUE(judge.Report().m_wants_readmission);
+  judge.OnProbe(now, false);
+  judge.OnTick(now + options.m_max_hold);
+  EXPECT_TRUE(judge.Report().m_wants_readmission);
+}
+
+TEST(InstanceJudgeTest, FailedProbesRaiseNoSuspicion) {
+  InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
+  for (int i = 0; i < 100; ++i) {
+    judge.OnProbe(kWarm, false);
+  }
+  EXPECT_EQ(judge.Report().m_verdict, Verdict::kHealthy);
+}
+
+TEST(InstanceJudgeTest, OneFailureAfterReadmissionWantsEjectionAgain) {
+  const JudgeOptions options = MakeJudgeOptions(kCautiousPolicy);
+  InstanceJudge judge(options, kStart);
+  TimePoint now = FailUntilWanted(judge, kWarm);
+  judge.OnEjected(now);
+  now += options.m_ejection_hold;
+  judge.OnReadmitted(now);
+  now = RunOne(judge, now, Outcome::kError);
+  judge.OnBaseline(now, GoodPeers(now));
+  EXPECT_EQ(judge.Report().m_verdict, Verdict::kEjectionWanted);
+}
+
 TEST(InstanceJudgeTest, EachFlapRaisesTheBarForReadmission) {
   InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
   TimePoint now = kWarm;
