--- a/libs/membership/src/gossip.cc
+++ b/libs/membership/src/gossip.cc
@@ -7,6 +7,7 @@
 namespace sequoiastage {
 namespace {
 
+constexpr double kSpareCopies = 3;
 /// Failed probes of this node that a removal needs.
 constexpr uint8_t kProbesBeforeRemoval = 3;
 /// A node that hears no datagram at all for so long removes nobody.
@@ -15,7 +16,6 @@
 /// Copies of a change each node sends: with ln(n) + c random copies, all n
 /// nodes get it with probability exp(-exp(-c)) (Erdos and Renyi 1959).
 uint32_t CopiesToSend(std::size_t members) {
-  constexpr double kSpareCopies = 3;
   return static_cast<uint32_t>(
       std::ceil(std::log(static_cast<double>(members)) + kSpareCopies));
 }
--- a/libs/membership/src/membership.cc
+++ b/libs/membership/src/membership.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr Duration kCleanupInterval = std::chrono::seconds(1);
+/// Keeps the configuration versions of the whole fleet, which change together,
+/// below about 1 kB a second at each node.
+constexpr Duration kStatusIntervalPerMember = std::chrono::milliseconds(80);
 
 std::string Shortened(const std::string& name) {
   return name.substr(0, kMaxLocationNameBytes);
@@ -118,10 +121,8 @@
 }
 
 Duration Membership::Impl::StatusInterval() const {
-  // Keeps the versions of the whole fleet, which change together, below about
-  // 1 kB a second at each node.
-  constexpr Duration kIntervalPerMember = std::chrono::milliseconds(80);
-  return kIntervalPerMember * static_cast<int64_t>(m_table.Records().size());
+  return kStatusIntervalPerMember *
+         static_cast<int64_t>(m_table.Records().size());
 }
 
 DatagramHeader Membership::Impl::Header() const {
--- a/libs/membership/src/repair.cc
+++ b/libs/membership/src/repair.cc
@@ -13,6 +13,11 @@
 constexpr std::size_t kMaxBucketItems = 110;
 /// Copies asked for after which this node takes itself to be far behind.
 constexpr uint32_t kManyCopies = 8;
+constexpr Duration kDigestIntervalPerMember = std::chrono::milliseconds(20);
+constexpr Duration kShortestIdleInterval = std::chrono::seconds(1);
+/// Size of an encoded entry: fixed part and each instance.
+constexpr std::size_t kEntryBytes = 100;
+constexpr std::size_t kInstanceBytes = 22;
 constexpr Duration kSeedInterval = std::chrono::seconds(5);
 constexpr Duration kSeedIntervalAlone = std::chrono::milliseconds(500);
 
@@ -37,16 +42,14 @@
 }
 
 Duration Membership::Impl::DigestInterval() const {
-  constexpr Duration kIntervalPerMember = std::chrono::milliseconds(20);
-  constexpr Duration kShortestIdle = std::chrono::seconds(1);
   if (m_copies_requested >= kManyCopies || m_table.Records().size() == 1) {
     return m_options.m_digest_interval_min;
   }
   const Duration idle =
-      kIntervalPerMember * static_cast<int64_t>(m_table.Records().size());
-  return std::clamp(idle,
-                    std::min(kShortestIdle, m_options.m_digest_interval_max),
-                    m_options.m_digest_interval_max);
+      kDigestIntervalPerMember * static_cast<int64_t>(m_table.Records().size());
+  return std::clamp(
+      idle, std::min(kShortestIdleInterval, m_options.m_digest_interval_max),
+      m_options.m_digest_interval_max);
 }
 
 void Membership::Impl::ContactSeed(Outbox& outbox) {
@@ -153,9 +156,7 @@
   if (!m_repair_tokens.HasTokens(m_now)) {
     return;
   }
-  constexpr std::size_t kFixedBytes = 100;
-  constexpr std::size_t kInstanceBytes = 22;
-  m_repair_tokens.Spend(kFixedBytes +
+  m_repair_tokens.Spend(kEntryBytes +
                         kInstanceBytes * record.m_entry.m_instances.size());
   // The own entry of a new node has to go on from the first node that gets it.
   const bool is_own = record.m_entry.m_node == m_options.m_node;
--- /dev/null
+++ b/libs/routing/src/path_judge.cc
@@ -0,0 +1,101 @@
+#include "sequoiastage/routing/path_judge.h"
+
+#include <algorithm>
+
+namespace sequoiastage {
+
+void PathJudge::OnSent(NodeId peer, TimePoint now) {
+  Path& path = m_paths[peer];
+  if (path.m_in_flight++ == 0 && path.m_state == State::kGood) {
+    path.m_silent_since = now;
+  }
+}
+
+void PathJudge::OnEnded(NodeId peer, TimePoint /*now*/) {
+  const auto found = m_paths.find(peer);
+  if (found != m_paths.end() && found->second.m_in_flight > 0) {
+    --found->second.m_in_flight;
+  }
+}
+
+void PathJudge::OnFrame(NodeId peer, TimePoint now) {
+  Path& path = m_paths[peer];
+  path.m_silent_since = now;
+  if (path.m_state == State::kSuspect) {
+    path.m_good_since = now;
+  }
+  path.m_state = State::kGood;
+}
+
+void PathJudge::OnConnectionFailed(NodeId peer, TimePoint now) {
+  Path& path = m_paths[peer];
+  if (path.m_state != State::kSuspect) {
+    MakeSuspect(path, now);
+  }
+}
+
+std::vector<NodeId> PathJudge::OnTick(TimePoint now) {
+  std::vector<NodeId> probes;
+  for (auto& [peer, path] : m_paths) {
+    if (TickPath(path, now)) {
+      probes.push_back(peer);
+    }
+  }
+  // A path without work or verdict needs no entry.
+  std::erase_if(m_paths, [&](const auto& item) {
+    const Path& path = item.second;
+    return path.m_state == State::kGood && path.m_in_flight == 0 &&
+           now - path.m_silent_since > m_options.m_backoff_reset &&
+           now - path.m_good_since > m_options.m_backoff_reset;
+  });
+  return probes;
+}
+
+bool PathJudge::IsSuspect(NodeId peer) const {
+  const auto found = m_paths.find(peer);
+  return found != m_paths.end() && found->second.m_state == State::kSuspect;
+}
+
+std::size_t PathJudge::SuspectCount() const {
+  return std::count_if(m_paths.begin(), m_paths.end(), [](const auto& item) {
+    return item.second.m_state == State::kSuspect;
+  });
+}
+
+void PathJudge::MakeSuspect(Path& path, TimePoint now) {
+  const bool was_good_long =
+      now - path.m_good_since > m_options.m_backoff_reset;
+  path.m_backoff = was_good_long || path.m_backoff == Duration::zero()
+                       ? m_options.m_backoff_min
+                       : std::min(2 * path.m_backoff, m_options.m_backoff_max);
+  path.m_state = State::kSuspect;
+  path.m_probed_at = now;
+}
+
+bool PathJudge::TickPath(Path& path, TimePoint now) {
+  switch (path.m_state) {
+    case State::kGood:
+      if (path.m_in_flight == 0 ||
+          now - path.m_silent_since < m_options.m_probe_after) {
+        return false;
+      }
+      path.m_state = State::kProbing;
+      path.m_probed_at = now;
+      return true;
+    case State::kProbing:
+      if (now - path.m_probed_at >= m_options.m_suspect_after) {
+        MakeSuspect(path, now);
+      }
+      return false;
+    case State::kSuspect:
+      if (now - path.m_probed_at < path.m_backoff) {
+        return false;
+      }
+      path.m_probed_at = now;
+      path.m_backoff = std::min(2 * path.m_backoff, m_options.m_backoff_max);
+      return true;
+  }
+  return false;
+}
+
+}  // namespace sequoiastage
