Add the administration API without sockets

AdminHandler turns one request into one answer. Where the state comes from is a concept, so that the tests drive it with a hand-written fake and the node can wire it to its control thread. Publishing, draining and key look-ups end by callback, as they wait for the log or for another node.

A lost race (409), an outage before the append (503) and a lost answer (504) are told apart, since the operator has to do something else in each case.

--- /dev/null
+++ b/libs/admin/include/sequoiastage/admin/admin_handler.h
@@ -0,0 +1,184 @@
+#ifndef SEQUOIASTAGE_ADMIN_ADMIN_HANDLER_H_
+#define SEQUOIASTAGE_ADMIN_ADMIN_HANDLER_H_
+
+#include <concepts>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sequoiastage/admin/admin_message.h"
+#include "sequoiastage/admin/admin_render.h"
+#include "sequoiastage/admin/admin_route.h"
+#include "sequoiastage/admin/admin_state.h"
+#include "sequoiastage/admin/admin_token.h"
+#include "sequoiastage/metrics/metric_family.h"
+
+namespace sequoiastage {
+
+using PublishDone = std::function<void(const PublishResult&)>;
+using DrainDone = std::function<void(const DrainResult&)>;
+using KeyStateDone = std::function<void(const std::optional<KeyState>&)>;
+
+/// Where the administration API takes its answers from. The last three may
+/// call back later, once, from the thread that calls Handle().
+template <class S>
+concept AdminSource = requires(S& source,
+                               const PublishRequest& publish,
+                               InstanceId instance,
+                               const std::string& key,
+                               PublishDone publish_done,
+                               DrainDone drain_done,
+                               KeyStateDone key_done) {
+  { source.Status() } -> std::convertible_to<NodeStatus>;
+  { source.Config() } -> std::convertible_to<ConfigState>;
+  { source.Rollout() } -> std::convertible_to<ConfigRollout>;
+  { source.Services() } -> std::convertible_to<std::vector<ServiceState>>;
+  { source.Instances() } -> std::convertible_to<std::vector<InstanceState>>;
+  { source.Nodes() } -> std::convertible_to<std::vector<NodeState>>;
+  { source.Audit() } -> std::convertible_to<std::vector<AuditRecord>>;
+  { source.Metrics() } -> std::convertible_to<std::vector<MetricFamily>>;
+  source.Publish(publish, publish_done);
+  source.SetDraining(instance, true, drain_done);
+  source.FindKey(key, key_done);
+};
+
+struct AdminOptions {
+  /// Bearer token; see IsAdminAllowed().
+  std::string m_token;
+};
+
+/// The administration API: one answer for each request, no sockets. One owner
+/// thread. `source` has to outlive the handler.
+///
+///   GET  /v1/status                      this node
+///   GET  /v1/config                      documents in force
+///   GET  /v1/config/history              accepted changes, newest first
+///   GET  /v1/config/status[?version=N]   who has it in force, who misses it
+///   POST /v1/config/publish              PublishRequest as JSON
+///   GET  /v1/services, /v1/services/NAME
+///   GET  /v1/instances[?service=NAME]
+///   POST /v1/instances/ID/drain, /v1/instances/ID/undrain
+///   GET  /v1/nodes, /v1/nodes/ID
+///   GET  /v1/outcomes/KEY                what became of an idempotency key
+///   GET  /v1/audit
+///   GET  /metrics                        text for collectors
+///
+/// Lists take "limit". Errors are application/problem+json.
+template <AdminSource Source>
+class AdminHandler {
+ public:
+  AdminHandler(AdminOptions options, Source* source)
+      : m_options(std::move(options)), m_source(source) {}
+
+  void Handle(const AdminRequest& request, AdminReply reply) {
+    if (!IsAdminAllowed(m_options.m_token, request.m_authorization,
+                        request.m_remote_ip)) {
+      reply(RenderUnauthorized());
+      return;
+    }
+    AdminResponse problem;
+    const auto route =
+        ParseAdminRoute(request.m_method, request.m_target, &problem);
+    if (!route) {
+      reply(std::move(problem));
+      return;
+    }
+    Dispatch(*route, request, std::move(reply));
+  }
+
+ private:
+  void Dispatch(const AdminRoute& route,
+                const AdminRequest& request,
+                AdminReply reply) {
+    switch (route.m_action) {
+      case AdminAction::kConfigPublish:
+        Publish(request, std::move(reply));
+        return;
+      case AdminAction::kInstanceDrain:
+      case AdminAction::kInstanceUndrain:
+        SetDraining(route, std::move(reply));
+        return;
+      case AdminAction::kOutcome:
+        FindKey(route, std::move(reply));
+        return;
+      default:
+        reply(Show(route));
+    }
+  }
+
+  AdminResponse Show(const AdminRoute& route) {
+    switch (route.m_action) {
+      case AdminAction::kStatus:
+        return RenderStatus(m_source->Status());
+      case AdminAction::kConfig:
+        return RenderConfig(m_source->Config());
+      case AdminAction::kConfigHistory:
+        return RenderConfigHistory(route, m_source->Audit());
+      case AdminAction::kConfigStatus:
+        return RenderConfigRollout(route, m_source->Rollout());
+      case AdminAction::kServices:
+        return RenderServices(route, m_source->Services(),
+                              m_source->Instances());
+      case AdminAction::kService:
+        return RenderService(route, m_source->Services(),
+                             m_source->Instances());
+      case AdminAction::kInstances:
+        return RenderInstances(route, m_source->Instances());
+      case AdminAction::kNodes:
+        return RenderNodes(route, m_source->Nodes());
+      case AdminAction::kNode:
+        return RenderNode(route, m_source->Nodes());
+      case AdminAction::kAudit:
+        return RenderAudit(route, m_source->Audit());
+      default:
+        return RenderMetricsText(m_source->Metrics());
+    }
+  }
+
+  void Publish(const AdminRequest& request, AdminReply reply) {
+    AdminResponse problem;
+    auto publish = ParsePublishRequest(request, &problem);
+    if (!publish) {
+      reply(std::move(problem));
+      return;
+    }
+    auto done = [publish = *publish,
+                 reply = std::move(reply)](const PublishResult& result) {
+      reply(RenderPublishResult(publish, result));
+    };
+    m_source->Publish(*publish, std::move(done));
+  }
+
+  void SetDraining(const AdminRoute& route, AdminReply reply) {
+    const auto endpoint = ParseEndpoint(route.m_argument);
+    if (!endpoint) {
+      reply(RenderDrainResult(route,
+                              {.m_verdict = DrainVerdict::kNoSuchInstance}));
+      return;
+    }
+    auto done = [route, reply = std::move(reply)](const DrainResult& result) {
+      reply(RenderDrainResult(route, result));
+    };
+    m_source->SetDraining(InstanceId(*endpoint),
+                          route.m_action == AdminAction::kInstanceDrain,
+                          std::move(done));
+  }
+
+  void FindKey(const AdminRoute& route, AdminReply reply) {
+    const std::string key = route.m_argument;
+    auto done =
+        [key, reply = std::move(reply)](const std::optional<KeyState>& state) {
+          reply(RenderKeyState(key, state));
+        };
+    m_source->FindKey(key, std::move(done));
+  }
+
+  AdminOptions m_options;
+  Source* m_source;
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_ADMIN_ADMIN_HANDLER_H_
--- /dev/null
+++ b/libs/admin/src/admin_json_p.h
@@ -0,0 +1,33 @@
+#ifndef SEQUOIASTAGE_ADMIN_ADMIN_JSON_P_H_
+#define SEQUOIASTAGE_ADMIN_ADMIN_JSON_P_H_
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "sequoiastage/admin/admin_message.h"
+#include "sequoiastage/admin/admin_state.h"
+
+namespace sequoiastage {
+
+/// Keeps the order of members, so that answers read well.
+using Json = nlohmann::ordered_json;
+
+Json ProblemToJson(const AdminProblem& problem);
+AdminResponse ProblemResponse(int status, const Json& json);
+
+/// Indented text; bytes that are no UTF-8 are replaced.
+std::string Dump(const Json& json);
+
+Json ToJson(const NodeStatus& status);
+Json ToJson(const ConfigState& config);
+Json ToJson(const AuditRecord& record);
+Json ToJson(const InstanceState& instance);
+Json ToJson(const NodeState& node);
+
+/// The service with counts of its `instances` by standing.
+Json ToJson(const ServiceState& service,
+            const std::vector<InstanceState>& instances);
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_ADMIN_ADMIN_JSON_P_H_
--- /dev/null
+++ b/libs/admin/src/admin_message.cc
@@ -0,0 +1,71 @@
+#include "sequoiastage/admin/admin_message.h"
+
+#include "admin_json_p.h"
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr int kIndent = 2;
+
+const char* TitleOf(int status) {
+  switch (status) {
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 409:
+      return "Conflict";
+    case 415:
+      return "Unsupported Media Type";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Content";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Internal Server Error";
+  }
+}
+
+}  // namespace
+
+Json ProblemToJson(const AdminProblem& problem) {
+  Json json = {{"type", "about:blank"},
+               {"title", TitleOf(problem.m_status)},
+               {"status", problem.m_status},
+               {"code", problem.m_code},
+               {"detail", problem.m_detail}};
+  if (!problem.m_findings.empty()) {
+    json["findings"] = Json::array();
+    for (const Finding& finding : problem.m_findings) {
+      json["findings"].push_back({{"source", finding.m_source},
+                                  {"pointer", finding.m_pointer},
+                                  {"message", finding.m_message}});
+    }
+  }
+  return json;
+}
+
+std::string Dump(const Json& json) {
+  return json.dump(kIndent, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+AdminResponse ProblemResponse(int status, const Json& json) {
+  return {.m_status = status,
+          .m_content_type = kProblemContentType,
+          .m_body = Dump(json)};
+}
+
+AdminResponse RenderProblem(const AdminProblem& problem) {
+  return ProblemResponse(problem.m_status, ProblemToJson(problem));
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/admin/src/admin_route.cc
@@ -0,0 +1,254 @@
+#include "sequoiastage/admin/admin_route.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "sequoiastage/checkedjson/json_document.h"
+#include "sequoiastage/checkedjson/json_reader.h"
+
+namespace sequoiastage {
+
+namespace {
+
+// One path of the API; "*" stands for the variable part.
+struct Pattern {
+  std::string_view m_method;
+  std::vector<std::string_view> m_segments;
+  AdminAction m_action;
+};
+
+const std::vector<Pattern>& Patterns() {
+  static const std::vector<Pattern> kPatterns = {
+      {"GET", {"v1", "status"}, AdminAction::kStatus},
+      {"GET", {"v1", "config"}, AdminAction::kConfig},
+      {"GET", {"v1", "config", "history"}, AdminAction::kConfigHistory},
+      {"GET", {"v1", "config", "status"}, AdminAction::kConfigStatus},
+      {"POST", {"v1", "config", "publish"}, AdminAction::kConfigPublish},
+      {"GET", {"v1", "services"}, AdminAction::kServices},
+      {"GET", {"v1", "services", "*"}, AdminAction::kService},
+      {"GET", {"v1", "instances"}, AdminAction::kInstances},
+      {"POST", {"v1", "instances", "*", "drain"}, AdminAction::kInstanceDrain},
+      {"POST",
+       {"v1", "instances", "*", "undrain"},
+       AdminAction::kInstanceUndrain},
+      {"GET", {"v1", "nodes"}, AdminAction::kNodes},
+      {"GET", {"v1", "nodes", "*"}, AdminAction::kNode},
+      {"GET", {"v1", "outcomes", "*"}, AdminAction::kOutcome},
+      {"GET", {"v1", "audit"}, AdminAction::kAudit},
+      {"GET", {"metrics"}, AdminAction::kMetrics}};
+  return kPatterns;
+}
+
+std::vector<std::string_view> Split(std::string_view text, char separator) {
+  std::vector<std::string_view> parts;
+  while (true) {
+    const size_t end = text.find(separator);
+    parts.push_back(text.substr(0, end));
+    if (end == std::string_view::npos) {
+      return parts;
+    }
+    text.remove_prefix(end + 1);
+  }
+}
+
+template <class Number>
+std::optional<Number> ParseNumber(std::string_view text, int base) {
+  Number number = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, number, base);
+  if (text.empty() || result.ec != std::errc() || result.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+// Undoes percent-encoding; empty for a broken escape.
+std::optional<std::string> Decode(std::string_view text) {
+  std::string decoded;
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%') {
+      decoded += text[i];
+      continue;
+    }
+    if (text.size() - i < 3) {
+      return std::nullopt;
+    }
+    const auto byte = ParseNumber<uint8_t>(text.substr(i + 1, 2), 16);
+    if (!byte) {
+      return std::nullopt;
+    }
+    decoded += static_cast<char>(*byte);
+    i += 2;
+  }
+  return decoded;
+}
+
+bool Matches(const Pattern& pattern,
+             const std::vector<std::string_view>& segments) {
+  return std::equal(
+      pattern.m_segments.begin(), pattern.m_segments.end(), segments.begin(),
+      segments.end(), [](std::string_view wanted, std::string_view segment) {
+        return wanted == "*" ? !segment.empty() : wanted == segment;
+      });
+}
+
+AdminResponse BadRequest(std::string detail) {
+  return RenderProblem({.m_status = 400,
+                        .m_code = "bad-request",
+                        .m_detail = std::move(detail)});
+}
+
+// The fault of one "name=value" of the query; empty when it is taken.
+std::string ReadParameter(std::string_view parameter, AdminRoute* route) {
+  const size_t equals = parameter.find('=');
+  const std::string name(parameter.substr(0, equals));
+  const auto value = equals == std::string_view::npos
+                         ? std::nullopt
+                         : Decode(parameter.substr(equals + 1));
+  if (!value) {
+    return "the query parameter \"" + name + "\" has no readable value";
+  }
+  if (name == "limit") {
+    const auto limit = ParseNumber<uint32_t>(*value, 10);
+    if (!limit || *limit == 0 || *limit > AdminRoute::kMaxLimit) {
+      return "\"limit\" must be 1.." + std::to_string(AdminRoute::kMaxLimit);
+    }
+    route->m_limit = *limit;
+    return "";
+  }
+  if (name == "version") {
+    const auto version = ParseNumber<uint64_t>(*value, 10);
+    if (!version) {
+      return "\"version\" must be a whole number";
+    }
+    route->m_version = LogOffset(*version);
+    return "";
+  }
+  if (name == "service") {
+    route->m_service = *value;
+    return "";
+  }
+  return "there is no query parameter \"" + name + "\"";
+}
+
+std::string ReadQuery(std::string_view query, AdminRoute* route) {
+  if (query.empty()) {
+    return "";
+  }
+  for (const std::string_view parameter : Split(query, '&')) {
+    std::string fault = ReadParameter(parameter, route);
+    if (!fault.empty()) {
+      return fault;
+    }
+  }
+  return "";
+}
+
+// The pattern of path and method. A null pointer goes with a `problem`.
+const Pattern* FindPattern(std::string_view method,
+                           const std::vector<std::string_view>& segments,
+                           AdminResponse* problem) {
+  const Pattern* same_path = nullptr;
+  for (const Pattern& pattern : Patterns()) {
+    if (!Matches(pattern, segments)) {
+      continue;
+    }
+    if (pattern.m_method == method) {
+      return &pattern;
+    }
+    same_path = &pattern;
+  }
+  if (same_path == nullptr) {
+    *problem = RenderProblem({.m_status = 404,
+                              .m_code = "no-such-path",
+                              .m_detail = "the API has no such path"});
+    return nullptr;
+  }
+  const std::string allowed(same_path->m_method);
+  *problem = RenderProblem({.m_status = 405,
+                            .m_code = "wrong-method",
+                            .m_detail = "this path takes " + allowed});
+  problem->m_headers.push_back({"Allow", allowed});
+  return nullptr;
+}
+
+bool IsJson(std::string_view content_type) {
+  const std::string_view media = content_type.substr(0, content_type.find(';'));
+  return media == kJsonContentType;
+}
+
+}  // namespace
+
+std::optional<AdminRoute> ParseAdminRoute(std::string_view method,
+                                          std::string_view target,
+                                          AdminResponse* problem) {
+  const size_t question = target.find('?');
+  const std::string_view path = target.substr(0, question);
+  const auto segments =
+      Split(path.empty() || path[0] != '/' ? path : path.substr(1), '/');
+  const Pattern* pattern = FindPattern(method, segments, problem);
+  if (pattern == nullptr) {
+    return std::nullopt;
+  }
+  AdminRoute route = {.m_action = pattern->m_action};
+  const auto& wanted = pattern->m_segments;
+  const auto variable = std::find(wanted.begin(), wanted.end(), "*");
+  if (variable != wanted.end()) {
+    const auto argument =
+        Decode(segments[static_cast<size_t>(variable - wanted.begin())]);
+    if (!argument) {
+      *problem = BadRequest("the path has a broken percent escape");
+      return std::nullopt;
+    }
+    route.m_argument = *argument;
+  }
+  const std::string fault = ReadQuery(question == std::string_view::npos
+                                          ? std::string_view()
+                                          : target.substr(question + 1),
+                                      &route);
+  if (!fault.empty()) {
+    *problem = BadRequest(fault);
+    return std::nullopt;
+  }
+  return route;
+}
+
+std::optional<PublishRequest> ParsePublishRequest(const AdminRequest& request,
+                                                  AdminResponse* problem) {
+  if (!IsJson(request.m_content_type)) {
+    *problem = RenderProblem(
+        {.m_status = 415,
+         .m_code = "wrong-content-type",
+         .m_detail = "the body has to be sent as application/json"});
+    return std::nullopt;
+  }
+  Findings findings;
+  PublishRequest publish;
+  const auto document = JsonDocument::Parse("body", request.m_body, findings);
+  if (document) {
+    JsonObject root = JsonObject::Root(*document, findings);
+    uint64_t from_version = 0;
+    root.ReadString("scope", publish.m_scope, Presence::kRequired);
+    root.ReadInteger<uint64_t>("from_version", from_version, {},
+                               Presence::kRequired);
+    root.ReadString("author", publish.m_author, Presence::kRequired);
+    root.ReadString("change_id", publish.m_change_id, Presence::kRequired);
+    if (root.ReadObject("document", Presence::kRequired)) {
+      publish.m_document = document->Value().at("document").dump();
+    }
+    root.RefuseUnknownKeys();
+    publish.m_from_version = LogOffset(from_version);
+  }
+  if (!findings.IsEmpty()) {
+    *problem = RenderProblem({.m_status = 400,
+                              .m_code = "bad-request",
+                              .m_detail = "the body can't be read",
+                              .m_findings = findings.Items()});
+    return std::nullopt;
+  }
+  return publish;
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/admin/src/admin_token.cc
@@ -0,0 +1,50 @@
+#include "sequoiastage/admin/admin_token.h"
+
+#include <sodium.h>
+
+#include <array>
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr std::string_view kScheme = "Bearer ";
+// First byte of 127.0.0.0/8.
+constexpr uint32_t kLoopbackNetwork = 127;
+
+using Digest = std::array<unsigned char, crypto_generichash_BYTES>;
+
+Digest DigestOf(std::string_view text) {
+  Digest digest{};
+  crypto_generichash(digest.data(), digest.size(),
+                     reinterpret_cast<const unsigned char*>(text.data()),
+                     text.size(), nullptr, 0);
+  return digest;
+}
+
+// Digests have one length, so that the comparison hides the token's length.
+bool IsSameSecret(std::string_view left, std::string_view right) {
+  if (sodium_init() < 0) {
+    return false;
+  }
+  const Digest left_digest = DigestOf(left);
+  const Digest right_digest = DigestOf(right);
+  return sodium_memcmp(left_digest.data(), right_digest.data(),
+                       left_digest.size()) == 0;
+}
+
+}  // namespace
+
+bool IsAdminAllowed(std::string_view token,
+                    std::string_view authorization,
+                    uint32_t remote_ip) {
+  if (token.empty()) {
+    return (remote_ip >> 24) == kLoopbackNetwork;
+  }
+  if (authorization.substr(0, kScheme.size()) != kScheme) {
+    return false;
+  }
+  return IsSameSecret(token, authorization.substr(kScheme.size()));
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/admin/tests/fake_admin_source.h
@@ -0,0 +1,58 @@
+#ifndef SEQUOIASTAGE_ADMIN_TESTS_FAKE_ADMIN_SOURCE_H_
+#define SEQUOIASTAGE_ADMIN_TESTS_FAKE_ADMIN_SOURCE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sequoiastage/admin/admin_handler.h"
+
+namespace sequoiastage {
+
+// Answers from its members; keeps the callbacks of commands, so that a test
+// decides when they end.
+struct FakeAdminSource {
+  NodeStatus m_status;
+  ConfigState m_config;
+  ConfigRollout m_rollout;
+  std::vector<ServiceState> m_services;
+  std::vector<InstanceState> m_instances;
+  std::vector<NodeState> m_nodes;
+  std::vector<AuditRecord> m_audit;
+  std::vector<MetricFamily> m_metrics;
+  std::map<std::string, KeyState> m_keys;
+  DrainResult m_drain_result;
+
+  std::vector<std::pair<PublishRequest, PublishDone>> m_publishes;
+  std::vector<std::pair<InstanceId, bool>> m_drains;
+
+  NodeStatus Status() { return m_status; }
+  ConfigState Config() { return m_config; }
+  ConfigRollout Rollout() { return m_rollout; }
+  std::vector<ServiceState> Services() { return m_services; }
+  std::vector<InstanceState> Instances() { return m_instances; }
+  std::vector<NodeState> Nodes() { return m_nodes; }
+  std::vector<AuditRecord> Audit() { return m_audit; }
+  std::vector<MetricFamily> Metrics() { return m_metrics; }
+
+  void Publish(const PublishRequest& request, PublishDone done) {
+    m_publishes.emplace_back(request, std::move(done));
+  }
+
+  void SetDraining(InstanceId instance, bool draining, const DrainDone& done) {
+    m_drains.emplace_back(instance, draining);
+    done(m_drain_result);
+  }
+
+  void FindKey(const std::string& key, const KeyStateDone& done) {
+    const auto known = m_keys.find(key);
+    done(known == m_keys.end() ? std::nullopt
+                               : std::optional<KeyState>(known->second));
+  }
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_ADMIN_TESTS_FAKE_ADMIN_SOURCE_H_
