Use the shared HTTP messages in the administration API

The base library has request and answer structs by now, so the API's own ones were the same thing twice. Whether a request without a token is allowed now follows from the API's own address: 127.0.0.0/8 is reached from no other host, and the server hands on no sender address.

--- a/libs/admin/include/sequoiastage/admin/admin_handler.h
+++ b/libs/admin/include/sequoiastage/admin/admin_handler.h
@@ -46,7 +46,9 @@
 
 struct AdminOptions {
   /// Bearer token; see IsAdminAllowed().
-  std::string m_token;
+  std::string m_token = {};
+  /// Where the API is served.
+  Endpoint m_listen = {};
 };
 
 /// The administration API: one answer for each request, no sockets. One owner
@@ -72,13 +74,16 @@
   AdminHandler(AdminOptions options, Source* source)
       : m_options(std::move(options)), m_source(source) {}
 
-  void Handle(const AdminRequest& request, AdminReply reply) {
-    if (!IsAdminAllowed(m_options.m_token, request.m_authorization,
-                        request.m_remote_ip)) {
+  void Handle(const HttpRequest& request, AdminReply reply) {
+    const std::string* authorization =
+        FindField(request.m_fields, "Authorization");
+    if (!IsAdminAllowed(m_options.m_token,
+                        authorization != nullptr ? *authorization : "",
+                        m_options.m_listen.m_ip)) {
       reply(RenderUnauthorized());
       return;
     }
-    AdminResponse problem;
+    HttpAnswer problem;
     const auto route =
         ParseAdminRoute(request.m_method, request.m_target, &problem);
     if (!route) {
@@ -90,7 +95,7 @@
 
  private:
   void Dispatch(const AdminRoute& route,
-                const AdminRequest& request,
+                const HttpRequest& request,
                 AdminReply reply) {
     switch (route.m_action) {
       case AdminAction::kConfigPublish:
@@ -108,7 +113,7 @@
     }
   }
 
-  AdminResponse Show(const AdminRoute& route) {
+  HttpAnswer Show(const AdminRoute& route) {
     switch (route.m_action) {
       case AdminAction::kStatus:
         return RenderStatus(m_source->Status());
@@ -137,8 +142,8 @@
     }
   }
 
-  void Publish(const AdminRequest& request, AdminReply reply) {
-    AdminResponse problem;
+  void Publish(const HttpRequest& request, AdminReply reply) {
+    HttpAnswer problem;
     auto publish = ParsePublishRequest(request, &problem);
     if (!publish) {
       reply(std::move(problem));
--- a/libs/admin/include/sequoiastage/admin/admin_render.h
+++ b/libs/admin/include/sequoiastage/admin/admin_render.h
@@ -13,48 +13,48 @@
 /// State of the node as answers of the administration API.
 namespace sequoiastage {
 
-AdminResponse RenderStatus(const NodeStatus& status);
-AdminResponse RenderConfig(const ConfigState& config);
+HttpAnswer RenderStatus(const NodeStatus& status);
+HttpAnswer RenderConfig(const ConfigState& config);
 
 /// Accepted configuration changes of `audit`, newest first.
-AdminResponse RenderConfigHistory(const AdminRoute& route,
-                                  const std::vector<AuditRecord>& audit);
+HttpAnswer RenderConfigHistory(const AdminRoute& route,
+                               const std::vector<AuditRecord>& audit);
 
 /// Which nodes have version `route.m_version` (else the newest) or a later one
 /// in force, and which miss it.
-AdminResponse RenderConfigRollout(const AdminRoute& route,
-                                  const ConfigRollout& rollout);
+HttpAnswer RenderConfigRollout(const AdminRoute& route,
+                               const ConfigRollout& rollout);
 
-AdminResponse RenderServices(const AdminRoute& route,
-                             const std::vector<ServiceState>& services,
-                             const std::vector<InstanceState>& instances);
+HttpAnswer RenderServices(const AdminRoute& route,
+                          const std::vector<ServiceState>& services,
+                          const std::vector<InstanceState>& instances);
 
 /// 404 when there is no service `route.m_argument`.
-AdminResponse RenderService(const AdminRoute& route,
-                            const std::vector<ServiceState>& services,
-                            const std::vector<InstanceState>& instances);
+HttpAnswer RenderService(const AdminRoute& route,
+                         const std::vector<ServiceState>& services,
+                         const std::vector<InstanceState>& instances);
 
-AdminResponse RenderInstances(const AdminRoute& route,
-                              const std::vector<InstanceState>& instances);
-AdminResponse RenderNodes(const AdminRoute& route,
-                          const std::vector<NodeState>& nodes);
+HttpAnswer RenderInstances(const AdminRoute& route,
+                           const std::vector<InstanceState>& instances);
+HttpAnswer RenderNodes(const AdminRoute& route,
+                       const std::vector<NodeState>& nodes);
 
 /// 404 when there is no node `route.m_argument`.
-AdminResponse RenderNode(const AdminRoute& route,
-                         const std::vector<NodeState>& nodes);
+HttpAnswer RenderNode(const AdminRoute& route,
+                      const std::vector<NodeState>& nodes);
 
-AdminResponse RenderAudit(const AdminRoute& route,
-                          const std::vector<AuditRecord>& audit);
-AdminResponse RenderMetricsText(const std::vector<MetricFamily>& metrics);
-AdminResponse RenderKeyState(const std::string& key,
-                             const std::optional<KeyState>& state);
-AdminResponse RenderPublishResult(const PublishRequest& request,
-                                  const PublishResult& result);
-AdminResponse RenderDrainResult(const AdminRoute& route,
-                                const DrainResult& result);
+HttpAnswer RenderAudit(const AdminRoute& route,
+                       const std::vector<AuditRecord>& audit);
+HttpAnswer RenderMetricsText(const std::vector<MetricFamily>& metrics);
+HttpAnswer RenderKeyState(const std::string& key,
+                          const std::optional<KeyState>& state);
+HttpAnswer RenderPublishResult(const PublishRequest& request,
+                               const PublishResult& result);
+HttpAnswer RenderDrainResult(const AdminRoute& route,
+                             const DrainResult& result);
 
 /// The answer to a request without the right token.
-AdminResponse RenderUnauthorized();
+HttpAnswer RenderUnauthorized();
 
 /// "healthy", "suspect", "ejected", "draining", "warming-up".
 const char* ToText(InstanceStanding standing);
--- a/libs/admin/include/sequoiastage/admin/admin_token.h
+++ b/libs/admin/include/sequoiastage/admin/admin_token.h
@@ -8,10 +8,11 @@
 
 /// Whether a request may use the administration API. With a `token`,
 /// `authorization` has to be "Bearer <token>"; the time taken tells nothing
-/// about the token. Without one, the sender has to be in 127.0.0.0/8.
+/// about the token. Without one, `listen_ip`, the API's own address in host
+/// byte order, has to be in 127.0.0.0/8, which no other host reaches.
 bool IsAdminAllowed(std::string_view token,
                     std::string_view authorization,
-                    uint32_t remote_ip);
+                    uint32_t listen_ip);
 
 }  // namespace sequoiastage
 
--- a/libs/admin/src/admin_json_p.h
+++ b/libs/admin/src/admin_json_p.h
@@ -13,7 +13,10 @@
 using Json = nlohmann::ordered_json;
 
 Json ProblemToJson(const AdminProblem& problem);
-AdminResponse ProblemResponse(int status, const Json& json);
+HttpAnswer MakeAnswer(uint16_t status,
+                      const char* content_type,
+                      std::string body);
+HttpAnswer ProblemAnswer(uint16_t status, const Json& json);
 
 /// Indented text; bytes that are no UTF-8 are replaced.
 std::string Dump(const Json& json);
--- a/libs/admin/src/admin_message.cc
+++ b/libs/admin/src/admin_message.cc
@@ -8,7 +8,7 @@
 
 constexpr int kIndent = 2;
 
-const char* TitleOf(int status) {
+const char* TitleOf(uint16_t status) {
   switch (status) {
     case 400:
       return "Bad Request";
@@ -58,14 +58,20 @@
   return json.dump(kIndent, ' ', false, Json::error_handler_t::replace) + "\n";
 }
 
-AdminResponse ProblemResponse(int status, const Json& json) {
+HttpAnswer MakeAnswer(uint16_t status,
+                      const char* content_type,
+                      std::string body) {
   return {.m_status = status,
-          .m_content_type = kProblemContentType,
-          .m_body = Dump(json)};
+          .m_fields = {{"Content-Type", content_type}},
+          .m_body = std::move(body)};
 }
 
-AdminResponse RenderProblem(const AdminProblem& problem) {
-  return ProblemResponse(problem.m_status, ProblemToJson(problem));
+HttpAnswer ProblemAnswer(uint16_t status, const Json& json) {
+  return MakeAnswer(status, kProblemContentType, Dump(json));
+}
+
+HttpAnswer RenderProblem(const AdminProblem& problem) {
+  return ProblemAnswer(problem.m_status, ProblemToJson(problem));
 }
 
 }  // namespace sequoiastage
--- a/libs/admin/src/admin_render.cc
+++ b/libs/admin/src/admin_render.cc
@@ -8,15 +8,14 @@
 
 namespace {
 
+constexpr uint16_t kHttpOk = 200;
 constexpr char kRetryAfterSeconds[] = "5";
 
-AdminResponse JsonResponse(const Json& json) {
-  return {.m_status = 200,
-          .m_content_type = kJsonContentType,
-          .m_body = Dump(json)};
+HttpAnswer JsonAnswer(const Json& json) {
+  return MakeAnswer(kHttpOk, kJsonContentType, Dump(json));
 }
 
-AdminResponse NotFound(std::string detail) {
+HttpAnswer NotFound(std::string detail) {
   return RenderProblem(
       {.m_status = 404, .m_code = "not-found", .m_detail = std::move(detail)});
 }
@@ -46,30 +45,30 @@
   return audit;
 }
 
-AdminResponse RenderRecords(const char* name,
-                            const std::vector<AuditRecord>& records,
-                            uint32_t limit) {
-  return JsonResponse(
+HttpAnswer RenderRecords(const char* name,
+                         const std::vector<AuditRecord>& records,
+                         uint32_t limit) {
+  return JsonAnswer(
       ListToJson(name, records, limit,
                  [](const AuditRecord& record) { return ToJson(record); }));
 }
 
-AdminResponse RenderConflict(const PublishResult& result) {
+HttpAnswer RenderConflict(const PublishResult& result) {
   Json json = ProblemToJson(
       {.m_status = 409, .m_code = "conflict", .m_detail = result.m_reason});
   if (result.m_winner) {
     json["winner"] = ToJson(*result.m_winner);
   }
-  return ProblemResponse(409, json);
+  return ProblemAnswer(409, json);
 }
 
-AdminResponse RenderRetriable(int status,
-                              const char* code,
-                              const std::string& reason) {
-  AdminResponse response =
+HttpAnswer RenderRetriable(uint16_t status,
+                           const char* code,
+                           const std::string& reason) {
+  HttpAnswer answer =
       RenderProblem({.m_status = status, .m_code = code, .m_detail = reason});
-  response.m_headers.push_back({"Retry-After", kRetryAfterSeconds});
-  return response;
+  answer.m_fields.push_back({"Retry-After", kRetryAfterSeconds});
+  return answer;
 }
 
 const char* ToText(KeyOutcome outcome) {
@@ -88,25 +87,25 @@
 
 }  // namespace
 
-AdminResponse RenderUnauthorized() {
-  AdminResponse response = RenderProblem(
+HttpAnswer RenderUnauthorized() {
+  HttpAnswer answer = RenderProblem(
       {.m_status = 401,
        .m_code = "unauthorized",
        .m_detail = "the administration API needs the node's bearer token"});
-  response.m_headers.push_back({"WWW-Authenticate", "Bearer"});
-  return response;
+  answer.m_fields.push_back({"WWW-Authenticate", "Bearer"});
+  return answer;
 }
 
-AdminResponse RenderStatus(const NodeStatus& status) {
-  return JsonResponse(ToJson(status));
+HttpAnswer RenderStatus(const NodeStatus& status) {
+  return JsonAnswer(ToJson(status));
 }
 
-AdminResponse RenderConfig(const ConfigState& config) {
-  return JsonResponse(ToJson(config));
+HttpAnswer RenderConfig(const ConfigState& config) {
+  return JsonAnswer(ToJson(config));
 }
 
-AdminResponse RenderConfigHistory(const AdminRoute& route,
-                                  const std::vector<AuditRecord>& audit) {
+HttpAnswer RenderConfigHistory(const AdminRoute& route,
+                               const std::vector<AuditRecord>& audit) {
   std::vector<AuditRecord> changes;
   std::copy_if(audit.begin(), audit.end(), std::back_inserter(changes),
                [](const AuditRecord& record) {
@@ -117,8 +116,8 @@
                        route.m_limit);
 }
 
-AdminResponse RenderConfigRollout(const AdminRoute& route,
-                                  const ConfigRollout& rollout) {
+HttpAnswer RenderConfigRollout(const AdminRoute& route,
+                               const ConfigRollout& rollout) {
   const LogOffset version = route.m_version.value_or(rollout.m_version);
   std::vector<NodeConfigVersion> missing;
   std::copy_if(rollout.m_nodes.begin(), rollout.m_nodes.end(),
@@ -135,20 +134,20 @@
                     {"config_version", node.m_version.Get()}};
       });
   json["missing"] = list["missing"];
-  return JsonResponse(json);
+  return JsonAnswer(json);
 }
 
-AdminResponse RenderServices(const AdminRoute& route,
-                             const std::vector<ServiceState>& services,
-                             const std::vector<InstanceState>& instances) {
-  return JsonResponse(ListToJson(
+HttpAnswer RenderServices(const AdminRoute& route,
+                          const std::vector<ServiceState>& services,
+                          const std::vector<InstanceState>& instances) {
+  return JsonAnswer(ListToJson(
       "services", services, route.m_limit,
       [&](const ServiceState& service) { return ToJson(service, instances); }));
 }
 
-AdminResponse RenderService(const AdminRoute& route,
-                            const std::vector<ServiceState>& services,
-                            const std::vector<InstanceState>& instances) {
+HttpAnswer RenderService(const AdminRoute& route,
+                         const std::vector<ServiceState>& services,
+                         const std::vector<InstanceState>& instances) {
   for (const ServiceState& service : services) {
     if (service.m_name != route.m_argument) {
       continue;
@@ -160,73 +159,71 @@
         json["members"].push_back(ToJson(instance));
       }
     }
-    return JsonResponse(json);
+    return JsonAnswer(json);
   }
   return NotFound("there is no service \"" + route.m_argument +
                   "\" in the configuration in force");
 }
 
-AdminResponse RenderInstances(const AdminRoute& route,
-                              const std::vector<InstanceState>& instances) {
+HttpAnswer RenderInstances(const AdminRoute& route,
+                           const std::vector<InstanceState>& instances) {
   std::vector<InstanceState> wanted;
   std::copy_if(instances.begin(), instances.end(), std::back_inserter(wanted),
                [&](const InstanceState& instance) {
                  return route.m_service.empty() ||
                         instance.m_service == route.m_service;
                });
-  return JsonResponse(
+  return JsonAnswer(
       ListToJson("instances", wanted, route.m_limit,
                  [](const InstanceState& item) { return ToJson(item); }));
 }
 
-AdminResponse RenderNodes(const AdminRoute& route,
-                          const std::vector<NodeState>& nodes) {
-  return JsonResponse(
+HttpAnswer RenderNodes(const AdminRoute& route,
+                       const std::vector<NodeState>& nodes) {
+  return JsonAnswer(
       ListToJson("nodes", nodes, route.m_limit,
                  [](const NodeState& node) { return ToJson(node); }));
 }
 
-AdminResponse RenderNode(const AdminRoute& route,
-                         const std::vector<NodeState>& nodes) {
+HttpAnswer RenderNode(const AdminRoute& route,
+                      const std::vector<NodeState>& nodes) {
   for (const NodeState& node : nodes) {
     if (ToString(node.m_node) == route.m_argument) {
-      return JsonResponse(ToJson(node));
+      return JsonAnswer(ToJson(node));
     }
   }
   return NotFound("this node knows no live node \"" + route.m_argument + "\"");
 }
 
-AdminResponse RenderAudit(const AdminRoute& route,
-                          const std::vector<AuditRecord>& audit) {
+HttpAnswer RenderAudit(const AdminRoute& route,
+                       const std::vector<AuditRecord>& audit) {
   return RenderRecords("records", NewestFirst(audit), route.m_limit);
 }
 
-AdminResponse RenderMetricsText(const std::vector<MetricFamily>& metrics) {
-  return {.m_status = 200,
-          .m_content_type = kMetricsContentType,
-          .m_body = RenderMetrics(metrics)};
+HttpAnswer RenderMetricsText(const std::vector<MetricFamily>& metrics) {
+  return MakeAnswer(kHttpOk, kMetricsContentType, RenderMetrics(metrics));
 }
 
-AdminResponse RenderKeyState(const std::string& key,
-                             const std::optional<KeyState>& state) {
+HttpAnswer RenderKeyState(const std::string& key,
+                          const std::optional<KeyState>& state) {
   if (!state) {
     return NotFound("no node issued the key \"" + key + "\"");
   }
-  return JsonResponse({{"key", key},
-                       {"outcome", ToText(state->m_outcome)},
-                       {"owner", ToString(state->m_owner)},
-                       {"answer_status", state->m_answer_status},
-                       {"reason", state->m_reason}});
+  return JsonAnswer({{"key", key},
+                     {"outcome", ToText(state->m_outcome)},
+                     {"owner", ToString(state->m_owner)},
+                     {"answer_status", state->m_answer_status},
+                     {"reason", state->m_reason}});
 }
 
-AdminResponse RenderPublishResult(const PublishRequest& request,
-                                  const PublishResult& result) {
+HttpAnswer RenderPublishResult(const PublishRequest& request,
+                               const PublishResult& result) {
   switch (result.m_verdict) {
     case PublishVerdict::kAccepted:
-      return JsonResponse({{"result", "accepted"},
-                           {"scope", request.m_scope},
-                           {"version", result.m_version.Get()},
-                           {"change_id", request.m_change_id}});
+      return JsonAnswer({{"result", "accepted"},
+                         {"scope", request.m_scope},
+                         {"version", result.m_version.Get()},
+                         {"change_id", request.m_change_id}});
     case PublishVerdict::kConflict:
       return RenderConflict(result);
     case PublishVerdict::kInvalid:
@@ -242,11 +239,11 @@
   return RenderRetriable(504, "unknown", result.m_reason);
 }
 
-AdminResponse RenderDrainResult(const AdminRoute& route,
-                                const DrainResult& result) {
+HttpAnswer RenderDrainResult(const AdminRoute& route,
+                             const DrainResult& result) {
   switch (result.m_verdict) {
     case DrainVerdict::kDone:
-      return JsonResponse(
+      return JsonAnswer(
           {{"instance", route.m_argument},
            {"draining", route.m_action == AdminAction::kInstanceDrain}});
     case DrainVerdict::kNoSuchInstance:
@@ -261,7 +258,7 @@
        .m_code = "other-node",
        .m_detail = "the instance is beside node " + node + "; ask that one"});
   json["node"] = node;
-  return ProblemResponse(421, json);
+  return ProblemAnswer(421, json);
 }
 
 }  // namespace sequoiastage
--- a/libs/admin/src/admin_route.cc
+++ b/libs/admin/src/admin_route.cc
@@ -94,7 +94,7 @@
       });
 }
 
-AdminResponse BadRequest(std::string detail) {
+HttpAnswer BadRequest(std::string detail) {
   return RenderProblem({.m_status = 400,
                         .m_code = "bad-request",
                         .m_detail = std::move(detail)});
@@ -149,7 +149,7 @@
 // The pattern of path and method. A null pointer goes with a `problem`.
 const Pattern* FindPattern(std::string_view method,
                            const std::vector<std::string_view>& segments,
-                           AdminResponse* problem) {
+                           HttpAnswer* problem) {
   const Pattern* same_path = nullptr;
   for (const Pattern& pattern : Patterns()) {
     if (!Matches(pattern, segments)) {
@@ -170,20 +170,23 @@
   *problem = RenderProblem({.m_status = 405,
                             .m_code = "wrong-method",
                             .m_detail = "this path takes " + allowed});
-  problem->m_headers.push_back({"Allow", allowed});
+  problem->m_fields.push_back({"Allow", allowed});
   return nullptr;
 }
 
-bool IsJson(std::string_view content_type) {
-  const std::string_view media = content_type.substr(0, content_type.find(';'));
-  return media == kJsonContentType;
+bool HasJsonBody(const HttpRequest& request) {
+  const std::string* type = FindField(request.m_fields, "Content-Type");
+  if (type == nullptr) {
+    return false;
+  }
+  return std::string_view(*type).substr(0, type->find(';')) == kJsonContentType;
 }
 
 }  // namespace
 
 std::optional<AdminRoute> ParseAdminRoute(std::string_view method,
                                           std::string_view target,
-                                          AdminResponse* problem) {
+                                          HttpAnswer* problem) {
   const size_t question = target.find('?');
   const std::string_view path = target.substr(0, question);
   const auto segments =
@@ -215,9 +218,9 @@
   return route;
 }
 
-std::optional<PublishRequest> ParsePublishRequest(const AdminRequest& request,
-                                                  AdminResponse* problem) {
-  if (!IsJson(request.m_content_type)) {
+std::optional<PublishRequest> ParsePublishRequest(const HttpRequest& request,
+                                                  HttpAnswer* problem) {
+  if (!HasJsonBody(request)) {
     *problem = RenderProblem(
         {.m_status = 415,
          .m_code = "wrong-content-type",
--- a/libs/admin/src/admin_token.cc
+++ b/libs/admin/src/admin_token.cc
@@ -37,9 +37,9 @@
 
 bool IsAdminAllowed(std::string_view token,
                     std::string_view authorization,
-                    uint32_t remote_ip) {
+                    uint32_t listen_ip) {
   if (token.empty()) {
-    return (remote_ip >> 24) == kLoopbackNetwork;
+    return (listen_ip >> 24) == kLoopbackNetwork;
   }
   if (authorization.substr(0, kScheme.size()) != kScheme) {
     return false;
