--- a/libs/admin/include/sequoiastage/admin/admin_state.h
+++ b/libs/admin/include/sequoiastage/admin/admin_state.h
@@ -26,8 +26,8 @@
   bool m_is_draining = false;
   /// Whether the last read of the platform's log succeeded.
   bool m_is_log_reachable = false;
-  /// Version of the configuration in force, 0 for none.
-  LogOffset m_config_version = {};
+  /// Version of the configuration in force, if any.
+  std::optional<LogOffset> m_config_version = {};
   uint32_t m_requests_in_flight = 0;
 };
 
@@ -42,8 +42,8 @@
 };
 
 struct ConfigState {
-  /// Newest offset that is in force here, 0 for none.
-  LogOffset m_version = {};
+  /// Newest offset that is in force here, if any.
+  std::optional<LogOffset> m_version = {};
   std::vector<ConfigDocument> m_documents = {};
 };
 
@@ -51,13 +51,13 @@
 struct NodeConfigVersion {
   NodeId m_node = {};
   std::string m_failure_domain = {};
-  LogOffset m_version = {};
+  std::optional<LogOffset> m_version = {};
 };
 
 /// How far the configuration has spread, as this node knows.
 struct ConfigRollout {
   /// Newest version this node knows of.
-  LogOffset m_version = {};
+  std::optional<LogOffset> m_version = {};
   /// All live members.
   std::vector<NodeConfigVersion> m_nodes = {};
 };
@@ -75,7 +75,7 @@
   /// Scope of the configuration, or the instance.
   std::string m_subject = {};
   /// Configuration only: the version the change was made from.
-  LogOffset m_from_version = {};
+  std::optional<LogOffset> m_from_version = {};
   std::string m_change_id = {};
   bool m_is_accepted = false;
   /// Why it was refused; empty when it was accepted.
@@ -117,7 +117,7 @@
   std::string m_failure_domain = {};
   std::string m_site = {};
   bool m_is_draining = false;
-  LogOffset m_config_version = {};
+  std::optional<LogOffset> m_config_version = {};
   uint32_t m_instances = 0;
 };
 
@@ -125,8 +125,8 @@
 struct PublishRequest {
   /// "base", or a site.
   std::string m_scope = {};
-  /// Version of that scope the document was made from, 0 for the first.
-  LogOffset m_from_version = {};
+  /// Version of that scope the document was made from; none for the first.
+  std::optional<LogOffset> m_from_version = {};
   std::string m_author = {};
   /// Names the change: a publish that is sent again under the same id takes
   /// effect once.
--- a/libs/admin/src/admin_json.cc
+++ b/libs/admin/src/admin_json.cc
@@ -63,6 +63,10 @@
   return "unknown";
 }
 
+Json ToJson(std::optional<LogOffset> version) {
+  return version ? Json(version->Get()) : Json();
+}
+
 Json ToJson(const NodeStatus& status) {
   return {{"node", ToString(status.m_node)},
           {"incarnation", status.m_incarnation.Get()},
@@ -73,7 +77,7 @@
           {"uptime_ms", ToMilliseconds(status.m_uptime)},
           {"draining", status.m_is_draining},
           {"log_reachable", status.m_is_log_reachable},
-          {"config_version", status.m_config_version.Get()},
+          {"config_version", ToJson(status.m_config_version)},
           {"requests_in_flight", status.m_requests_in_flight}};
 }
 
@@ -84,7 +88,7 @@
                          {"version", document.m_version.Get()},
                          {"document", DocumentToJson(document.m_text)}});
   }
-  return {{"version", config.m_version.Get()},
+  return {{"version", ToJson(config.m_version)},
           {"documents", std::move(documents)}};
 }
 
@@ -95,7 +99,7 @@
       {"subject", record.m_subject},       {"accepted", record.m_is_accepted},
       {"reason", record.m_reason}};
   if (record.m_kind == AuditKind::kConfigChange) {
-    json["from_version"] = record.m_from_version.Get();
+    json["from_version"] = ToJson(record.m_from_version);
     json["change_id"] = record.m_change_id;
     json["differences"] = record.m_differences;
   }
@@ -120,7 +124,7 @@
           {"failure_domain", node.m_failure_domain},
           {"site", node.m_site},
           {"draining", node.m_is_draining},
-          {"config_version", node.m_config_version.Get()},
+          {"config_version", ToJson(node.m_config_version)},
           {"instances", node.m_instances}};
 }
 
--- a/libs/admin/src/admin_json_p.h
+++ b/libs/admin/src/admin_json_p.h
@@ -2,6 +2,7 @@
 #define SEQUOIASTAGE_ADMIN_ADMIN_JSON_P_H_
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "sequoiastage/admin/admin_message.h"
@@ -21,6 +22,9 @@
 /// Indented text; bytes that are no UTF-8 are replaced.
 std::string Dump(const Json& json);
 
+/// Null for none.
+Json ToJson(std::optional<LogOffset> version);
+
 Json ToJson(const NodeStatus& status);
 Json ToJson(const ConfigState& config);
 Json ToJson(const AuditRecord& record);
--- a/libs/admin/src/admin_render.cc
+++ b/libs/admin/src/admin_render.cc
@@ -53,6 +53,14 @@
                  [](const AuditRecord& record) { return ToJson(record); }));
 }
 
+bool HasVersion(const NodeConfigVersion& node,
+                std::optional<LogOffset> wanted) {
+  if (!wanted) {
+    return true;
+  }
+  return node.m_version && node.m_version->Get() >= wanted->Get();
+}
+
 HttpAnswer RenderConflict(const PublishResult& result) {
   Json json = ProblemToJson(
       {.m_status = 409, .m_code = "conflict", .m_detail = result.m_reason});
@@ -118,20 +126,20 @@
 
 HttpAnswer RenderConfigRollout(const AdminRoute& route,
                                const ConfigRollout& rollout) {
-  const LogOffset version = route.m_version.value_or(rollout.m_version);
+  const auto wanted = route.m_version ? route.m_version : rollout.m_version;
   std::vector<NodeConfigVersion> missing;
   std::copy_if(rollout.m_nodes.begin(), rollout.m_nodes.end(),
                std::back_inserter(missing), [&](const NodeConfigVersion& node) {
-                 return node.m_version.Get() < version.Get();
+                 return !HasVersion(node, wanted);
                });
-  Json json = {{"version", version.Get()},
+  Json json = {{"version", ToJson(wanted)},
                {"nodes", rollout.m_nodes.size()},
                {"in_force", rollout.m_nodes.size() - missing.size()}};
   const Json list = ListToJson(
       "missing", missing, route.m_limit, [](const NodeConfigVersion& node) {
         return Json{{"node", ToString(node.m_node)},
                     {"failure_domain", node.m_failure_domain},
-                    {"config_version", node.m_version.Get()}};
+                    {"config_version", ToJson(node.m_version)}};
       });
   json["missing"] = list["missing"];
   return JsonAnswer(json);
--- a/libs/admin/src/admin_route.cc
+++ b/libs/admin/src/admin_route.cc
@@ -234,15 +234,15 @@
     JsonObject root = JsonObject::Root(*document, findings);
     uint64_t from_version = 0;
     root.ReadString("scope", publish.m_scope, Presence::kRequired);
-    root.ReadInteger<uint64_t>("from_version", from_version, {},
-                               Presence::kRequired);
+    if (root.ReadInteger<uint64_t>("from_version", from_version)) {
+      publish.m_from_version = LogOffset(from_version);
+    }
     root.ReadString("author", publish.m_author, Presence::kRequired);
     root.ReadString("change_id", publish.m_change_id, Presence::kRequired);
     if (root.ReadObject("document", Presence::kRequired)) {
       publish.m_document = document->Value().at("document").dump();
     }
     root.RefuseUnknownKeys();
-    publish.m_from_version = LogOffset(from_version);
   }
   if (!findings.IsEmpty()) {
     *problem = RenderProblem({.m_status = 400,
--- a/libs/admin/tests/admin_handler_test.cc
+++ b/libs/admin/tests/admin_handler_test.cc
@@ -263,6 +263,24 @@
   EXPECT_EQ(request.m_document, R"({"services":{}})");
 }
 
+TEST_F(AdminHandlerTest, FirstPublishOfAScopeIsMadeFromNoVersion) {
+  AdminHandler<FakeAdminSource> handler(m_options, &m_source);
+  handler.Handle(
+      PostRequest("/v1/config/publish",
+                  R"({"scope": "base", "author": "jana", "change_id": "c1",
+                      "document": {}})"),
+      [](HttpAnswer) {});
+  ASSERT_EQ(m_source.m_publishes.size(), 1u);
+  EXPECT_FALSE(m_source.m_publishes[0].first.m_from_version);
+}
+
+TEST_F(AdminHandlerTest, NoConfigurationIsNull) {
+  EXPECT_TRUE(GetJson("/v1/status")["config_version"].is_null());
+  m_source.m_rollout.m_nodes = {{MakeNode("127.0.1.1:1"), "a", {}}};
+  EXPECT_EQ(GetJson("/v1/config/status")["in_force"], 1);
+  EXPECT_EQ(GetJson("/v1/config/status?version=0")["in_force"], 0);
+}
+
 TEST_F(AdminHandlerTest, LostRaceNamesTheWinner) {
   const HttpAnswer answer =
       Publish({.m_verdict = PublishVerdict::kConflict,
