--- a/libs/admin/tests/admin_handler_test.cc
+++ b/libs/admin/tests/admin_handler_test.cc
@@ -269,7 +269,7 @@
       PostRequest("/v1/config/publish",
                   R"({"scope": "base", "author": "jana", "change_id": "c1",
                       "document": {}})"),
-      [](HttpAnswer) {});
+      [](const HttpAnswer&) {});
   ASSERT_EQ(m_source.m_publishes.size(), 1u);
   EXPECT_FALSE(m_source.m_publishes[0].first.m_from_version);
 }
