Mend lint findings; let the compiler check null pointers

clang-tidy 14 reports each defaulted <=> as a null pointer written 0, which it is not; g++'s -Wzero-as-null-pointer-constant, now an error, tells them apart.

--- a/cmake/sequoiastage.cmake
+++ b/cmake/sequoiastage.cmake
@@ -9,7 +9,7 @@
 
 function(sequoiastage_compile_options target)
   target_compile_options(${target} PRIVATE -Wall -Wextra -Wno-missing-field-initializers
-    -Werror=return-type)
+    -Werror=return-type -Werror=zero-as-null-pointer-constant)
 endfunction()
 
 # sequoiastage_library(NAME DEPS lib... LINK target...)
--- a/libs/node/src/ingress.cc
+++ b/libs/node/src/ingress.cc
@@ -270,7 +270,8 @@
 }
 
 void Ingress::OnKeyedRequest(KeyedRequestMessage message, KeyedReply reply) {
-  const auto done = [id = message.m_attempt, reply](KeyedAnswer answer) {
+  auto done = [id = message.m_attempt,
+               reply = std::move(reply)](KeyedAnswer answer) {
     reply({.m_attempt = id,
            .m_outcome = answer.m_outcome,
            .m_answer = std::move(answer.m_answer)});
--- a/libs/node/src/ingress_p.h
+++ b/libs/node/src/ingress_p.h
@@ -71,7 +71,7 @@
  private:
   // A request passed on to the owner of its key.
   struct Forward {
-    Forward(asio::io_context& io) : m_timer(io) {}
+    explicit Forward(asio::io_context& io) : m_timer(io) {}
 
     NodeId m_owner;
     KeyedRequestMessage m_message;
--- a/libs/node/src/peer_connection_p.h
+++ b/libs/node/src/peer_connection_p.h
@@ -42,7 +42,7 @@
   asio::ip::tcp::socket m_socket;
   Handlers m_handlers;
   FrameDecoder m_decoder;
-  std::array<char, 64 * 1024> m_chunk;
+  std::array<char, size_t{64} << 10> m_chunk;
   std::deque<std::string> m_queue;
   size_t m_queued_bytes = 0;
   bool m_is_writing = false;
