--- a/libs/health/include/sequoiastage/health/instance_judge.h
+++ b/libs/health/include/sequoiastage/health/instance_judge.h
@@ -104,6 +104,7 @@
   void FoldRecordsUntil(TimePoint time);
   void WeighRecords();
   double AgeEvidence(TimePoint at) const;
+  bool SpansLongEnough() const;
   double Worst(const EvidenceSums& sums, TimePoint at) const;
   bool LatencyCounts(TimePoint started) const;
   void ForgetWhenIdle(TimePoint now);
@@ -135,6 +136,8 @@
   EvidenceSums m_confirmed;
   OutcomeWindow m_window;
 
+  // First and last adverse outcome since the sums were 0.
+  TimePoint m_first_adverse;
   TimePoint m_last_adverse;
   TimePoint m_last_evidence;
   TimePoint m_hold_until;
