--- /dev/null
+++ b/libs/limits/src/slot_gate.cc
@@ -0,0 +1,187 @@
+#include "sequoiastage/limits/slot_gate.h"
+
+#include <algorithm>
+
+namespace sequoiastage {
+
+namespace {
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+SlotGate::SlotGate(const SlotGateOptions& options)
+    : m_options(options),
+      m_shares(options.m_fair_shares),
+      m_service_time(options.m_initial_service_time) {}
+
+AdmissionResult SlotGate::Admit(TimePoint now,
+                                TimePoint deadline,
+                                AccountId account) {
+  AdmissionResult result{.m_admission = Admission::kRefused,
+                         .m_ticket = Ticket(m_next_ticket++),
+                         .m_changes = {}};
+  RefuseLate(now, result.m_changes);
+  FillSlots(now, result.m_changes);
+  if (HasFreeSlot() && now < deadline) {
+    Start(result.m_ticket, account, now);
+    result.m_admission = Admission::kRun;
+    return result;
+  }
+  if (now + ExpectedWait() + m_service_time > deadline) {
+    ++m_stats.m_refused;
+    return result;
+  }
+  if (m_queue.size() >= QueueLimit() &&
+      !Displace(account, now, result.m_changes)) {
+    ++m_stats.m_refused;
+    return result;
+  }
+  m_queue.push_back(Waiting{.m_ticket = result.m_ticket,
+                            .m_account = account,
+                            .m_deadline = deadline});
+  ++m_stats.m_queued;
+  result.m_admission = Admission::kQueued;
+  return result;
+}
+
+GateChanges SlotGate::OnFinish(Ticket ticket, TimePoint now, bool counts) {
+  GateChanges changes;
+  const auto found = m_running.find(ticket);
+  if (found == m_running.end()) {
+    return changes;
+  }
+  const Duration took = now - found->second.m_started;
+  m_shares.Add(found->second.m_account, took, now);
+  m_running.erase(found);
+  if (counts) {
+    const double average =
+        Seconds(m_service_time) + m_options.m_service_time_weight *
+                                      (Seconds(took) - Seconds(m_service_time));
+    m_service_time = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(average));
+  }
+  RefuseLate(now, changes);
+  FillSlots(now, changes);
+  return changes;
+}
+
+bool SlotGate::CancelQueued(Ticket ticket) {
+  const bool is_found = std::erase_if(m_queue, [ticket](const Waiting& work) {
+                          return work.m_ticket == ticket;
+                        }) > 0;
+  m_stats.m_cancelled += is_found ? 1 : 0;
+  return is_found;
+}
+
+GateChanges SlotGate::OnTick(TimePoint now) {
+  GateChanges changes;
+  RefuseLate(now, changes);
+  return changes;
+}
+
+GateChanges SlotGate::Resize(uint32_t slots, TimePoint now) {
+  GateChanges changes;
+  m_options.m_slots = slots;
+  RefuseLate(now, changes);
+  FillSlots(now, changes);
+  return changes;
+}
+
+// As many as the slots take up in the longest wait, but one for each slot at
+// least.
+size_t SlotGate::QueueLimit() const {
+  const double rounds =
+      Seconds(m_options.m_max_wait) / std::max(1e-6, Seconds(m_service_time));
+  return static_cast<size_t>(static_cast<double>(m_options.m_slots) *
+                             std::max(1.0, rounds));
+}
+
+Duration SlotGate::ExpectedWait() const {
+  if (HasFreeSlot()) {
+    return Duration(0);
+  }
+  if (m_options.m_slots == 0) {
+    return Duration::max() / 4;
+  }
+  return m_service_time * static_cast<int64_t>(m_queue.size() + 1) /
+         static_cast<int64_t>(m_options.m_slots);
+}
+
+// Recent use and the slots held now.
+double SlotGate::UseOf(AccountId account, TimePoint now) const {
+  double use = m_shares.Use(account, now);
+  for (const auto& [ticket, work] : m_running) {
+    if (work.m_account == account) {
+      use += Seconds(std::max(now - work.m_started, m_service_time));
+    }
+  }
+  return use;
+}
+
+// Makes room in the queue for `account` if another one has more use, counting
+// what each has in the queue.
+bool SlotGate::Displace(AccountId account,
+                        TimePoint now,
+                        GateChanges& changes) {
+  const auto claim = [&](AccountId of) {
+    double sum = UseOf(of, now);
+    for (const Waiting& work : m_queue) {
+      sum += work.m_account == of ? Seconds(m_service_time) : 0;
+    }
+    return sum;
+  };
+  auto worst = m_queue.end();
+  double worst_claim = claim(account) + Seconds(m_service_time);
+  for (auto work = m_queue.begin(); work != m_queue.end(); ++work) {
+    const double work_claim = claim(work->m_account);
+    if (work->m_account != account && work_claim >= worst_claim) {
+      worst = work;
+      worst_claim = work_claim;
+    }
+  }
+  if (worst == m_queue.end()) {
+    return false;
+  }
+  changes.m_refused.push_back(worst->m_ticket);
+  m_queue.erase(worst);
+  ++m_stats.m_displaced;
+  return true;
+}
+
+void SlotGate::Start(Ticket ticket, AccountId account, TimePoint now) {
+  m_running[ticket] = RunningWork{.m_account = account, .m_started = now};
+  ++m_stats.m_admitted;
+}
+
+void SlotGate::FillSlots(TimePoint now, GateChanges& changes) {
+  while (HasFreeSlot() && !m_queue.empty()) {
+    auto next = m_queue.begin();
+    double least = UseOf(next->m_account, now);
+    for (auto work = next + 1; work != m_queue.end(); ++work) {
+      const double use = UseOf(work->m_account, now);
+      if (use < least) {
+        next = work;
+        least = use;
+      }
+    }
+    Start(next->m_ticket, next->m_account, now);
+    changes.m_started.push_back(next->m_ticket);
+    m_queue.erase(next);
+  }
+}
+
+void SlotGate::RefuseLate(TimePoint now, GateChanges& changes) {
+  std::erase_if(m_queue, [&](const Waiting& work) {
+    if (now + m_service_time <= work.m_deadline) {
+      return false;
+    }
+    changes.m_refused.push_back(work.m_ticket);
+    ++m_stats.m_expired;
+    return true;
+  });
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/limits/tests/slot_gate_test.cc
@@ -0,0 +1,216 @@
+#include "sequoiastage/limits/slot_gate.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include <deque>
+#include <map>
+#include <random>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace sequoiastage {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr AccountId kSmall(1);
+constexpr AccountId kLarge(2);
+
+// Follows the fate of each ticket and checks each change of it.
+class TicketBook {
+ public:
+  void OnAdmit(const AdmissionResult& result) {
+    OnChanges(result.m_changes);
+    RC_ASSERT(m_seen.insert(result.m_ticket).second);
+    if (result.m_admission == Admission::kRun) {
+      m_running.push_back(result.m_ticket);
+    } else if (result.m_admission == Admission::kQueued) {
+      m_queued.insert(result.m_ticket);
+    }
+  }
+
+  void OnChanges(const GateChanges& changes) {
+    for (const Ticket ticket : changes.m_refused) {
+      RC_ASSERT(m_queued.erase(ticket) == 1);
+    }
+    for (const Ticket ticket : changes.m_started) {
+      RC_ASSERT(m_queued.erase(ticket) == 1);
+      m_running.push_back(ticket);
+    }
+  }
+
+  std::unordered_set<Ticket> m_seen;
+  std::unordered_set<Ticket> m_queued;
+  std::vector<Ticket> m_running;
+};
+
+RC_GTEST_PROP(SlotGateTest, SlotsAreCountedExactlyInAnyInterleaving, ()) {
+  const uint32_t slots = *rc::gen::inRange(1, 5);
+  SlotGate gate({.m_slots = slots});
+  TicketBook book;
+  TimePoint now = kStart;
+  const int steps = *rc::gen::inRange(1, 300);
+  for (int i = 0; i < steps; ++i) {
+    now += milliseconds(*rc::gen::inRange(0, 30));
+    switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+      case 1:
+      case 2:
+        book.OnAdmit(gate.Admit(now,
+                                now + milliseconds(*rc::gen::inRange(0, 500)),
+                                AccountId(*rc::gen::inRange(0, 4))));
+        break;
+      case 3:
+        if (!book.m_running.empty()) {
+          const Ticket ticket = book.m_running.back();
+          book.m_running.pop_back();
+          book.OnChanges(gate.OnFinish(ticket, now));
+          RC_ASSERT(gate.OnFinish(ticket, now).m_started.empty());
+        }
+        break;
+      case 4:
+        if (!book.m_queued.empty()) {
+          const Ticket ticket = *book.m_queued.begin();
+          RC_ASSERT(gate.CancelQueued(ticket));
+          book.m_queued.erase(ticket);
+        }
+        break;
+      default:
+        book.OnChanges(gate.OnTick(now));
+    }
+    RC_ASSERT(gate.Running() == book.m_running.size());
+    RC_ASSERT(gate.Queued() == book.m_queued.size());
+    RC_ASSERT(gate.Running() <= slots);
+    RC_ASSERT(gate.Running() == slots || gate.Queued() == 0);
+  }
+}
+
+TEST(SlotGateTest, RefusesWhatCannotFinishBeforeItsDeadline) {
+  SlotGate gate({.m_slots = 1, .m_initial_service_time = milliseconds(100)});
+  EXPECT_EQ(gate.Admit(kStart, kStart + seconds(1), kSmall).m_admission,
+            Admission::kRun);
+  EXPECT_EQ(gate.Admit(kStart, kStart + milliseconds(150), kSmall).m_admission,
+            Admission::kRefused);
+  const auto queued = gate.Admit(kStart, kStart + milliseconds(250), kSmall);
+  EXPECT_EQ(queued.m_admission, Admission::kQueued);
+  EXPECT_EQ(gate.OnTick(kStart + milliseconds(160)).m_refused,
+            std::vector<Ticket>{queued.m_ticket});
+}
+
+TEST(SlotGateTest, RefusesWhatIsPastItsDeadline) {
+  SlotGate gate({.m_slots = 1});
+  EXPECT_EQ(gate.Admit(kStart, kStart, kSmall).m_admission,
+            Admission::kRefused);
+}
+
+TEST(SlotGateTest, FewerSlotsTakeEffectAsWorkEnds) {
+  SlotGate gate({.m_slots = 2});
+  const auto first = gate.Admit(kStart, kStart + seconds(9), kSmall);
+  const auto second = gate.Admit(kStart, kStart + seconds(9), kSmall);
+  gate.Admit(kStart, kStart + seconds(9), kSmall);
+  gate.Resize(1, kStart);
+  EXPECT_EQ(gate.Running(), 2U);
+  EXPECT_TRUE(gate.OnFinish(first.m_ticket, kStart).m_started.empty());
+  EXPECT_EQ(gate.OnFinish(second.m_ticket, kStart).m_started.size(), 1U);
+}
+
+// Naive gate: everything waits in one unbounded queue.
+class FifoGate {
+ public:
+  AdmissionResult Admit(TimePoint, TimePoint, AccountId) {
+    const Ticket ticket(m_next++);
+    if (m_running < 3) {
+      ++m_running;
+      return {Admission::kRun, ticket, {}};
+    }
+    m_queue.push_back(ticket);
+    return {Admission::kQueued, ticket, {}};
+  }
+
+  GateChanges OnFinish(Ticket, TimePoint) {
+    if (m_queue.empty()) {
+      --m_running;
+      return {};
+    }
+    const Ticket next = m_queue.front();
+    m_queue.pop_front();
+    return {.m_started = {next}, .m_refused = {}};
+  }
+
+ private:
+  uint64_t m_next = 1;
+  int m_running = 0;
+  std::deque<Ticket> m_queue;
+};
+
+struct GoodputShares {
+  // Requests answered within their deadline: of what the slots could do, and
+  // of what the small account asked for.
+  double m_of_capacity;
+  double m_of_small;
+};
+
+// One instance with 3 slots of 100 ms, a deadline of 1 s, and load of
+// `overload` times its capacity; one request in ten is from kSmall.
+template <class Gate>
+GoodputShares MeasureGoodput(Gate gate, double overload, uint64_t seed) {
+  struct Work {
+    AccountId m_account;
+    TimePoint m_deadline;
+  };
+  std::mt19937_64 random(seed);
+  std::exponential_distribution<double> gap_s(30 * overload);
+  std::unordered_map<Ticket, Work> works;
+  std::multimap<TimePoint, Ticket> ends;
+  std::unordered_map<AccountId, double> asked;
+  std::unordered_map<AccountId, double> good;
+  const auto start_all = [&](const std::vector<Ticket>& tickets,
+                             TimePoint now) {
+    for (const Ticket ticket : tickets) {
+      ends.emplace(now + milliseconds(100), ticket);
+    }
+  };
+  const Duration run_time = seconds(60);
+  TimePoint arrival = kStart;
+  while (arrival < kStart + run_time) {
+    if (!ends.empty() && ends.begin()->first <= arrival) {
+      const auto [now, ticket] = *ends.begin();
+      ends.erase(ends.begin());
+      const Work& work = works.at(ticket);
+      good[work.m_account] += now <= work.m_deadline ? 1 : 0;
+      start_all(gate.OnFinish(ticket, now).m_started, now);
+      continue;
+    }
+    const AccountId account = random() % 10 == 0 ? kSmall : kLarge;
+    const TimePoint deadline = arrival + seconds(1);
+    asked[account] += 1;
+    const AdmissionResult result = gate.Admit(arrival, deadline, account);
+    works[result.m_ticket] = {account, deadline};
+    if (result.m_admission == Admission::kRun) {
+      start_all({result.m_ticket}, arrival);
+    }
+    start_all(result.m_changes.m_started, arrival);
+    arrival += Duration(static_cast<int64_t>(gap_s(random) * 1e6));
+  }
+  return {.m_of_capacity = (good[kSmall] + good[kLarge]) / (30 * 60),
+          .m_of_small = good[kSmall] / asked[kSmall]};
+}
+
+RC_GTEST_PROP(SlotGateTest, OverloadKeepsGoodputAndFairShares, ()) {
+  const double overload = *rc::gen::element(2.0, 4.0);
+  const uint64_t seed = *rc::gen::arbitrary<uint64_t>();
+  const GoodputShares ours =
+      MeasureGoodput(SlotGate({.m_slots = 3}), overload, seed);
+  RC_ASSERT(ours.m_of_capacity > 0.95);
+  RC_ASSERT(ours.m_of_small > 0.9);
+  const GoodputShares naive = MeasureGoodput(FifoGate(), overload, seed);
+  RC_ASSERT(naive.m_of_capacity < 0.2);
+  RC_ASSERT(naive.m_of_small < 0.2);
+}
+
+}  // namespace
+}  // namespace sequoiastage
