--- /dev/null
+++ b/bench/decision_bench/overload.h
@@ -0,0 +1,14 @@
+#ifndef SEQUOIASTAGE_BENCH_DECISION_BENCH_OVERLOAD_H_
+#define SEQUOIASTAGE_BENCH_DECISION_BENCH_OVERLOAD_H_
+
+#include <cstdint>
+
+namespace sequoiastage {
+
+/// Prints the goodput of one service from half to four times its capacity,
+/// with healthy and with gray instances, beside a naive version.
+void RunOverload(uint64_t seed);
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_BENCH_DECISION_BENCH_OVERLOAD_H_
--- /dev/null
+++ b/bench/decision_bench/overload_fake.h
@@ -0,0 +1,335 @@
+#ifndef SEQUOIASTAGE_BENCH_DECISION_BENCH_OVERLOAD_FAKE_H_
+#define SEQUOIASTAGE_BENCH_DECISION_BENCH_OVERLOAD_FAKE_H_
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include "policies.h"
+#include "sequoiastage/limits/retry_budget.h"
+#include "sequoiastage/limits/slot_gate.h"
+
+namespace sequoiastage {
+
+/// How a gray instance fails from the start of the measurement on.
+enum class GrayFault { kHang, kFastErrors, kSlow };
+
+struct OverloadOptions {
+  size_t m_instances = 12;
+  uint32_t m_slots = 3;
+  Duration m_service_time = std::chrono::milliseconds(150);
+  double m_latency_sigma = 0.4;
+  Duration m_deadline = std::chrono::seconds(2);
+  double m_repeatable_share = 0.8;
+  /// Share of the requests that come from the small account.
+  double m_small_account_share = 0.05;
+  /// Load as multiple of what all slots can do.
+  double m_load = 1;
+  /// Faults of the first instances.
+  std::vector<GrayFault> m_gray;
+  Duration m_warm_up = std::chrono::seconds(40);
+  Duration m_run_time = std::chrono::seconds(60);
+  uint64_t m_seed = 1;
+
+  /// Requests a second that all slots can do.
+  double Capacity() const {
+    const double mean_s = std::chrono::duration<double>(m_service_time).count();
+    return static_cast<double>(m_instances * m_slots) / mean_s;
+  }
+};
+
+struct OverloadStats {
+  uint64_t m_requests = 0;
+  /// Answered well within the deadline.
+  uint64_t m_good = 0;
+  uint64_t m_small_requests = 0;
+  uint64_t m_small_good = 0;
+  /// Attempts that reached an instance.
+  uint64_t m_executions = 0;
+  /// From arrival to the final answer, in s, of good and of refused ones.
+  std::vector<double> m_good_seconds;
+  std::vector<double> m_refused_seconds;
+};
+
+/// Fake of one service under load: exact knowledge of all gates, power of two
+/// choices, retries within a budget. `Gate`, `Budget` and `Policy` are the
+/// product's or naive ones.
+template <class Gate, class Budget, JudgingPolicy Policy>
+class OverloadFake {
+ public:
+  OverloadFake(const OverloadOptions& options,
+               Budget budget,
+               Policy policy,
+               TimePoint start)
+      : m_options(options),
+        m_budget(std::move(budget)),
+        m_policy(std::move(policy)),
+        m_random(options.m_seed),
+        m_now(start),
+        m_measured(start + options.m_warm_up),
+        m_end(m_measured + options.m_run_time),
+        m_gates(options.m_instances, Gate({.m_slots = options.m_slots})),
+        m_tickets(options.m_instances) {}
+
+  OverloadStats Run() {
+    ScheduleArrival();
+    Schedule(m_now + kTick, [this] { Tick(); });
+    Schedule(m_now + kExchange, [this] { Exchange(); });
+    while (m_events.top().m_at < m_end) {
+      const Event event = m_events.top();
+      m_events.pop();
+      m_now = event.m_at;
+      event.m_run();
+    }
+    return std::move(m_stats);
+  }
+
+ private:
+  static constexpr Duration kTick = std::chrono::milliseconds(100);
+  static constexpr Duration kExchange = std::chrono::milliseconds(500);
+
+  struct Event {
+    TimePoint m_at;
+    uint64_t m_order;
+    std::function<void()> m_run;
+
+    bool operator>(const Event& other) const {
+      return std::pair(m_at, m_order) > std::pair(other.m_at, other.m_order);
+    }
+  };
+
+  struct Request {
+    AccountId m_account;
+    bool m_is_repeatable = false;
+    TimePoint m_arrived;
+    TimePoint m_deadline;
+    std::vector<bool> m_tried;
+  };
+
+  struct Attempt {
+    Request m_request;
+    WorkHandle m_handle;
+  };
+
+  double Uniform() {
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+  }
+
+  void Schedule(TimePoint at, std::function<void()> run) {
+    m_events.push(Event{at, m_next_order++, std::move(run)});
+  }
+
+  void ScheduleArrival() {
+    std::exponential_distribution<double> gap_s(m_options.Capacity() *
+                                                m_options.m_load);
+    const Duration gap(1 + static_cast<int64_t>(gap_s(m_random) * 1e6));
+    Schedule(m_now + gap, [this] { Arrive(); });
+  }
+
+  bool IsMeasured(const Request& request) const {
+    return request.m_arrived >= m_measured;
+  }
+
+  void Arrive() {
+    ScheduleArrival();
+    const bool is_small = Uniform() < m_options.m_small_account_share;
+    Request request{.m_account = AccountId(is_small ? 1 : 2),
+                    .m_is_repeatable = Uniform() < m_options.m_repeatable_share,
+                    .m_arrived = m_now,
+                    .m_deadline = m_now + m_options.m_deadline,
+                    .m_tried = std::vector<bool>(m_options.m_instances, false)};
+    m_budget.OnRequest(m_now);
+    if (IsMeasured(request)) {
+      ++m_stats.m_requests;
+      m_stats.m_small_requests += is_small ? 1 : 0;
+    }
+    Dispatch(std::move(request));
+  }
+
+  size_t LoadOf(size_t i) const {
+    return m_gates[i].Running() + m_gates[i].Queued();
+  }
+
+  // The less loaded of two random instances that satisfy `allowed` and have not
+  // been tried.
+  template <class Allowed>
+  std::optional<size_t> Choose(const Request& request, Allowed allowed) {
+    std::vector<size_t> candidates;
+    for (size_t i = 0; i < m_gates.size(); ++i) {
+      if (!request.m_tried[i] && !m_policy.IsEjected(i, m_now) && allowed(i)) {
+        candidates.push_back(i);
+      }
+    }
+    if (candidates.empty()) {
+      return std::nullopt;
+    }
+    const size_t a = candidates[m_random() % candidates.size()];
+    const size_t b = candidates[m_random() % candidates.size()];
+    return LoadOf(a) <= LoadOf(b) ? a : b;
+  }
+
+  std::optional<size_t> ChooseInOrder(const Request& request) {
+    const auto is_regular = [&](size_t i) {
+      return m_policy.IsRegular(i, m_now);
+    };
+    const auto has_slot = [&](size_t i) {
+      return m_gates[i].Running() < m_options.m_slots;
+    };
+    const auto has_queue = [&](size_t i) {
+      return m_gates[i].Queued() < m_gates[i].QueueLimit();
+    };
+    std::optional<size_t> chosen;
+    if (request.m_is_repeatable) {
+      chosen = Choose(request, [&](size_t i) {
+        return !is_regular(i) && has_slot(i) &&
+               m_policy.TakeProbation(i, m_now);
+      });
+    }
+    if (!chosen) {
+      chosen = Choose(request,
+                      [&](size_t i) { return is_regular(i) && has_slot(i); });
+    }
+    if (!chosen) {
+      chosen = Choose(request,
+                      [&](size_t i) { return is_regular(i) && has_queue(i); });
+    }
+    if (!chosen) {
+      chosen = Choose(request, has_slot);
+    }
+    return chosen ? chosen : Choose(request, is_regular);
+  }
+
+  void Dispatch(Request request) {
+    const std::optional<size_t> chosen = ChooseInOrder(request);
+    if (!chosen) {
+      Refuse(request);
+      return;
+    }
+    const size_t i = *chosen;
+    request.m_tried[i] = true;
+    const AdmissionResult result =
+        m_gates[i].Admit(m_now, request.m_deadline, request.m_account);
+    if (result.m_admission == Admission::kRefused) {
+      Refuse(request);
+    } else {
+      m_tickets[i][result.m_ticket] = Attempt{std::move(request), {}};
+    }
+    if (result.m_admission == Admission::kRun) {
+      Start(i, result.m_ticket);
+    }
+    Apply(i, result.m_changes);
+  }
+
+  void Apply(size_t i, const GateChanges& changes) {
+    for (const Ticket ticket : changes.m_started) {
+      Start(i, ticket);
+    }
+    for (const Ticket ticket : changes.m_refused) {
+      const Request request = m_tickets[i][ticket].m_request;
+      m_tickets[i].erase(ticket);
+      Refuse(request);
+    }
+  }
+
+  void Refuse(const Request& request) {
+    if (IsMeasured(request)) {
+      m_stats.m_refused_seconds.push_back(SecondsSince(request.m_arrived));
+    }
+  }
+
+  double SecondsSince(TimePoint time) const {
+    return std::chrono::duration<double>(m_now - time).count();
+  }
+
+  std::optional<GrayFault> FaultOf(size_t i) const {
+    if (m_now < m_measured || i >= m_options.m_gray.size()) {
+      return std::nullopt;
+    }
+    return m_options.m_gray[i];
+  }
+
+  void Start(size_t i, Ticket ticket) {
+    Attempt& attempt = m_tickets[i][ticket];
+    attempt.m_handle = m_policy.OnStart(i, m_now);
+    m_stats.m_executions += IsMeasured(attempt.m_request) ? 1 : 0;
+    // The logarithm's mean that gives the wanted mean service time.
+    const double sigma = m_options.m_latency_sigma;
+    const double mu =
+        std::log(static_cast<double>(m_options.m_service_time.count())) -
+        sigma * sigma / 2;
+    std::lognormal_distribution<double> distribution(mu, sigma);
+    Duration latency(static_cast<int64_t>(distribution(m_random)));
+    Outcome outcome = Uniform() < 0.002 ? Outcome::kError : Outcome::kSuccess;
+    const std::optional<GrayFault> fault = FaultOf(i);
+    if (fault == GrayFault::kSlow) {
+      latency *= 5;
+    } else if (fault == GrayFault::kFastErrors) {
+      latency = std::chrono::milliseconds(5);
+      outcome = Outcome::kError;
+    }
+    if (fault == GrayFault::kHang || latency > m_options.m_deadline) {
+      latency = m_options.m_deadline;
+      outcome = Outcome::kTimeout;
+    }
+    Schedule(m_now + latency,
+             [this, i, ticket, outcome] { Finish(i, ticket, outcome); });
+  }
+
+  void Finish(size_t i, Ticket ticket, Outcome outcome) {
+    Attempt attempt = std::move(m_tickets[i][ticket]);
+    m_tickets[i].erase(ticket);
+    m_policy.OnFinish(i, attempt.m_handle, m_now, outcome);
+    Apply(i, m_gates[i].OnFinish(ticket, m_now, !IsFailure(outcome)));
+    Request& request = attempt.m_request;
+    if (!IsFailure(outcome)) {
+      NoteAnswer(request);
+    } else if (request.m_is_repeatable && m_now < request.m_deadline &&
+               m_budget.TryRetry(m_now)) {
+      Dispatch(std::move(request));
+    }
+  }
+
+  void NoteAnswer(const Request& request) {
+    if (!IsMeasured(request) || m_now > request.m_deadline) {
+      return;
+    }
+    ++m_stats.m_good;
+    m_stats.m_small_good += request.m_account == AccountId(1) ? 1 : 0;
+    m_stats.m_good_seconds.push_back(SecondsSince(request.m_arrived));
+  }
+
+  void Tick() {
+    m_policy.OnTick(m_now);
+    for (size_t i = 0; i < m_gates.size(); ++i) {
+      Apply(i, m_gates[i].OnTick(m_now));
+    }
+    Schedule(m_now + kTick, [this] { Tick(); });
+  }
+
+  void Exchange() {
+    m_policy.OnExchange(m_now);
+    Schedule(m_now + kExchange, [this] { Exchange(); });
+  }
+
+  OverloadOptions m_options;
+  Budget m_budget;
+  Policy m_policy;
+  std::mt19937_64 m_random;
+  TimePoint m_now;
+  TimePoint m_measured;
+  TimePoint m_end;
+  std::vector<Gate> m_gates;
+  std::vector<std::unordered_map<Ticket, Attempt>> m_tickets;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+  uint64_t m_next_order = 0;
+  OverloadStats m_stats;
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_BENCH_DECISION_BENCH_OVERLOAD_FAKE_H_
--- a/libs/limits/tests/retry_test.cc
+++ b/libs/limits/tests/retry_test.cc
@@ -4,6 +4,7 @@
 
 #include <random>
 
+#include "naive_limits.h"
 #include "sequoiastage/limits/fair_shares.h"
 #include "sequoiastage/limits/retry_after.h"
 #include "sequoiastage/limits/retry_budget.h"
@@ -16,12 +17,6 @@
 
 constexpr TimePoint kStart{std::chrono::hours(1)};
 
-// Naive budget: as many retries as wanted.
-struct UnlimitedRetries {
-  void OnRequest(TimePoint) {}
-  bool TryRetry(TimePoint) { return true; }
-};
-
 // Retries granted when each of `requests` wants three more attempts.
 template <class Budget>
 int CountRetries(Budget budget, int requests, Duration gap) {
--- a/libs/limits/tests/slot_gate_test.cc
+++ b/libs/limits/tests/slot_gate_test.cc
@@ -4,12 +4,13 @@
 
 #include <rapidcheck/gtest.h>
 
-#include <deque>
 #include <map>
 #include <random>
 #include <unordered_map>
 #include <unordered_set>
 
+#include "naive_limits.h"
+
 namespace sequoiastage {
 namespace {
 
@@ -118,35 +119,6 @@
   EXPECT_EQ(gate.OnFinish(second.m_ticket, kStart).m_started.size(), 1U);
 }
 
-// Naive gate: everything waits in one unbounded queue.
-class FifoGate {
- public:
-  AdmissionResult Admit(TimePoint, TimePoint, AccountId) {
-    const Ticket ticket(m_next++);
-    if (m_running < 3) {
-      ++m_running;
-      return {Admission::kRun, ticket, {}};
-    }
-    m_queue.push_back(ticket);
-    return {Admission::kQueued, ticket, {}};
-  }
-
-  GateChanges OnFinish(Ticket, TimePoint) {
-    if (m_queue.empty()) {
-      --m_running;
-      return {};
-    }
-    const Ticket next = m_queue.front();
-    m_queue.pop_front();
-    return {.m_started = {next}, .m_refused = {}};
-  }
-
- private:
-  uint64_t m_next = 1;
-  int m_running = 0;
-  std::deque<Ticket> m_queue;
-};
-
 struct GoodputShares {
   // Requests answered within their deadline: of what the slots could do, and
   // of what the small account asked for.
@@ -207,7 +179,8 @@
       MeasureGoodput(SlotGate({.m_slots = 3}), overload, seed);
   RC_ASSERT(ours.m_of_capacity > 0.95);
   RC_ASSERT(ours.m_of_small > 0.9);
-  const GoodputShares naive = MeasureGoodput(FifoGate(), overload, seed);
+  const GoodputShares naive =
+      MeasureGoodput(FifoGate({.m_slots = 3}), overload, seed);
   RC_ASSERT(naive.m_of_capacity < 0.2);
   RC_ASSERT(naive.m_of_small < 0.2);
 }
