--- a/apps/sequoiactl/config_file.cc
+++ b/apps/sequoiactl/config_file.cc
@@ -12,11 +12,6 @@
 
 namespace {
 
-const std::string& BaseScopeName() {
-  static const std::string kName = "base";
-  return kName;
-}
-
 std::string ValueAt(const Json& document, const Json::json_pointer& pointer) {
   return document.contains(pointer) ? document.at(pointer).dump() : "absent";
 }
@@ -81,7 +76,6 @@
                          const ConfigText& content,
                          const DocumentsInForce& in_force,
                          Findings& findings) {
-  const std::string& base_scope = BaseScopeName();
   std::optional<ConfigText> base;
   std::vector<SiteOverlay> overlays;
   for (const auto& [known_scope, document] : in_force) {
@@ -90,13 +84,13 @@
     }
     const ConfigText text = {.m_source = known_scope + " in force",
                              .m_text = document.m_document.dump()};
-    if (known_scope == base_scope) {
+    if (known_scope == kBaseScope) {
       base = text;
     } else {
       overlays.push_back({.m_site = known_scope, .m_content = text});
     }
   }
-  if (scope == base_scope) {
+  if (scope == kBaseScope) {
     base = content;
   } else {
     overlays.push_back({.m_site = scope, .m_content = content});
--- a/libs/admin/include/sequoiastage/admin/admin_handler.h
+++ b/libs/admin/include/sequoiastage/admin/admin_handler.h
@@ -19,7 +19,7 @@
 
 using PublishDone = std::function<void(const PublishResult&)>;
 using DrainDone = std::function<void(const DrainResult&)>;
-using KeyStateDone = std::function<void(const std::optional<KeyState>&)>;
+using KeyInfoDone = std::function<void(const std::optional<KeyInfo>&)>;
 
 /// Where the administration API takes its answers from. The last three may
 /// call back later, once, from the thread that calls Handle().
@@ -30,13 +30,13 @@
                                const std::string& key,
                                PublishDone publish_done,
                                DrainDone drain_done,
-                               KeyStateDone key_done) {
+                               KeyInfoDone key_done) {
   { source.Status() } -> std::convertible_to<NodeStatus>;
   { source.Config() } -> std::convertible_to<ConfigState>;
   { source.Rollout() } -> std::convertible_to<ConfigRollout>;
-  { source.Services() } -> std::convertible_to<std::vector<ServiceState>>;
-  { source.Instances() } -> std::convertible_to<std::vector<InstanceState>>;
-  { source.Nodes() } -> std::convertible_to<std::vector<NodeState>>;
+  { source.Services() } -> std::convertible_to<std::vector<ServiceInfo>>;
+  { source.Instances() } -> std::convertible_to<std::vector<InstanceInfo>>;
+  { source.Nodes() } -> std::convertible_to<std::vector<NodeInfo>>;
   { source.Audit() } -> std::convertible_to<std::vector<AuditRecord>>;
   { source.Metrics() } -> std::convertible_to<std::vector<MetricFamily>>;
   source.Publish(publish, publish_done);
@@ -174,8 +174,8 @@
   void FindKey(const AdminRoute& route, AdminReply reply) {
     const std::string key = route.m_argument;
     auto done =
-        [key, reply = std::move(reply)](const std::optional<KeyState>& state) {
-          reply(RenderKeyState(key, state));
+        [key, reply = std::move(reply)](const std::optional<KeyInfo>& state) {
+          reply(RenderKeyInfo(key, state));
         };
     m_source->FindKey(key, std::move(done));
   }
--- a/libs/admin/include/sequoiastage/admin/admin_render.h
+++ b/libs/admin/include/sequoiastage/admin/admin_render.h
@@ -26,28 +26,28 @@
                                const ConfigRollout& rollout);
 
 HttpAnswer RenderServices(const AdminRoute& route,
-                          const std::vector<ServiceState>& services,
-                          const std::vector<InstanceState>& instances);
+                          const std::vector<ServiceInfo>& services,
+                          const std::vector<InstanceInfo>& instances);
 
 /// 404 when there is no service `route.m_argument`.
 HttpAnswer RenderService(const AdminRoute& route,
-                         const std::vector<ServiceState>& services,
-                         const std::vector<InstanceState>& instances);
+                         const std::vector<ServiceInfo>& services,
+                         const std::vector<InstanceInfo>& instances);
 
 HttpAnswer RenderInstances(const AdminRoute& route,
-                           const std::vector<InstanceState>& instances);
+                           const std::vector<InstanceInfo>& instances);
 HttpAnswer RenderNodes(const AdminRoute& route,
-                       const std::vector<NodeState>& nodes);
+                       const std::vector<NodeInfo>& nodes);
 
 /// 404 when there is no node `route.m_argument`.
 HttpAnswer RenderNode(const AdminRoute& route,
-                      const std::vector<NodeState>& nodes);
+                      const std::vector<NodeInfo>& nodes);
 
 HttpAnswer RenderAudit(const AdminRoute& route,
                        const std::vector<AuditRecord>& audit);
 HttpAnswer RenderMetricsText(const std::vector<MetricFamily>& metrics);
-HttpAnswer RenderKeyState(const std::string& key,
-                          const std::optional<KeyState>& state);
+HttpAnswer RenderKeyInfo(const std::string& key,
+                         const std::optional<KeyInfo>& state);
 HttpAnswer RenderPublishResult(const PublishRequest& request,
                                const PublishResult& result);
 HttpAnswer RenderDrainResult(const AdminRoute& route,
--- a/libs/admin/include/sequoiastage/admin/admin_state.h
+++ b/libs/admin/include/sequoiastage/admin/admin_state.h
@@ -84,7 +84,7 @@
   std::vector<std::string> m_differences = {};
 };
 
-struct ServiceState {
+struct ServiceInfo {
   std::string m_name = {};
   /// Instances that ejections leave in service at least.
   uint32_t m_floor = 0;
@@ -98,7 +98,7 @@
   kWarmingUp
 };
 
-struct InstanceState {
+struct InstanceInfo {
   InstanceId m_instance = {};
   std::string m_service = {};
   /// The node beside it.
@@ -110,7 +110,7 @@
   uint32_t m_slots = 0;
 };
 
-struct NodeState {
+struct NodeInfo {
   NodeId m_node = {};
   Incarnation m_incarnation = {};
   std::string m_region = {};
@@ -171,7 +171,7 @@
 enum class KeyOutcome { kNotRun, kRunning, kAnswered, kUnknown };
 
 /// What became of the request sent under an idempotency key.
-struct KeyState {
+struct KeyInfo {
   KeyOutcome m_outcome = KeyOutcome::kUnknown;
   /// The node that issued the key and holds its ledger.
   NodeId m_owner = {};
--- a/libs/admin/src/admin_json.cc
+++ b/libs/admin/src/admin_json.cc
@@ -106,7 +106,7 @@
   return json;
 }
 
-Json ToJson(const InstanceState& instance) {
+Json ToJson(const InstanceInfo& instance) {
   return {{"instance", ToString(instance.m_instance)},
           {"service", instance.m_service},
           {"node", ToString(instance.m_node)},
@@ -117,7 +117,7 @@
           {"slots", instance.m_slots}};
 }
 
-Json ToJson(const NodeState& node) {
+Json ToJson(const NodeInfo& node) {
   return {{"node", ToString(node.m_node)},
           {"incarnation", node.m_incarnation.Get()},
           {"region", node.m_region},
@@ -128,12 +128,12 @@
           {"instances", node.m_instances}};
 }
 
-Json ToJson(const ServiceState& service,
-            const std::vector<InstanceState>& instances) {
+Json ToJson(const ServiceInfo& service,
+            const std::vector<InstanceInfo>& instances) {
   uint64_t slots = 0;
   uint32_t total = 0;
   uint32_t counts[std::size(kStandings)] = {};
-  for (const InstanceState& instance : instances) {
+  for (const InstanceInfo& instance : instances) {
     if (instance.m_service != service.m_name) {
       continue;
     }
--- a/libs/admin/src/admin_json_p.h
+++ b/libs/admin/src/admin_json_p.h
@@ -28,12 +28,12 @@
 Json ToJson(const NodeStatus& status);
 Json ToJson(const ConfigState& config);
 Json ToJson(const AuditRecord& record);
-Json ToJson(const InstanceState& instance);
-Json ToJson(const NodeState& node);
+Json ToJson(const InstanceInfo& instance);
+Json ToJson(const NodeInfo& node);
 
 /// The service with counts of its `instances` by standing.
-Json ToJson(const ServiceState& service,
-            const std::vector<InstanceState>& instances);
+Json ToJson(const ServiceInfo& service,
+            const std::vector<InstanceInfo>& instances);
 
 }  // namespace sequoiastage
 
--- a/libs/admin/src/admin_render.cc
+++ b/libs/admin/src/admin_render.cc
@@ -146,23 +146,23 @@
 }
 
 HttpAnswer RenderServices(const AdminRoute& route,
-                          const std::vector<ServiceState>& services,
-                          const std::vector<InstanceState>& instances) {
+                          const std::vector<ServiceInfo>& services,
+                          const std::vector<InstanceInfo>& instances) {
   return JsonAnswer(ListToJson(
       "services", services, route.m_limit,
-      [&](const ServiceState& service) { return ToJson(service, instances); }));
+      [&](const ServiceInfo& service) { return ToJson(service, instances); }));
 }
 
 HttpAnswer RenderService(const AdminRoute& route,
-                         const std::vector<ServiceState>& services,
-                         const std::vector<InstanceState>& instances) {
-  for (const ServiceState& service : services) {
+                         const std::vector<ServiceInfo>& services,
+                         const std::vector<InstanceInfo>& instances) {
+  for (const ServiceInfo& service : services) {
     if (service.m_name != route.m_argument) {
       continue;
     }
     Json json = ToJson(service, instances);
     json["members"] = Json::array();
-    for (const InstanceState& instance : instances) {
+    for (const InstanceInfo& instance : instances) {
       if (instance.m_service == service.m_name) {
         json["members"].push_back(ToJson(instance));
       }
@@ -174,28 +174,28 @@
 }
 
 HttpAnswer RenderInstances(const AdminRoute& route,
-                           const std::vector<InstanceState>& instances) {
-  std::vector<InstanceState> wanted;
+                           const std::vector<InstanceInfo>& instances) {
+  std::vector<InstanceInfo> wanted;
   std::copy_if(instances.begin(), instances.end(), std::back_inserter(wanted),
-               [&](const InstanceState& instance) {
+               [&](const InstanceInfo& instance) {
                  return route.m_service.empty() ||
                         instance.m_service == route.m_service;
                });
   return JsonAnswer(
       ListToJson("instances", wanted, route.m_limit,
-                 [](const InstanceState& item) { return ToJson(item); }));
+                 [](const InstanceInfo& item) { return ToJson(item); }));
 }
 
 HttpAnswer RenderNodes(const AdminRoute& route,
-                       const std::vector<NodeState>& nodes) {
+                       const std::vector<NodeInfo>& nodes) {
   return JsonAnswer(
       ListToJson("nodes", nodes, route.m_limit,
-                 [](const NodeState& node) { return ToJson(node); }));
+                 [](const NodeInfo& node) { return ToJson(node); }));
 }
 
 HttpAnswer RenderNode(const AdminRoute& route,
-                      const std::vector<NodeState>& nodes) {
-  for (const NodeState& node : nodes) {
+                      const std::vector<NodeInfo>& nodes) {
+  for (const NodeInfo& node : nodes) {
     if (ToString(node.m_node) == route.m_argument) {
       return JsonAnswer(ToJson(node));
     }
@@ -212,8 +212,8 @@
   return MakeAnswer(kHttpOk, kMetricsContentType, RenderMetrics(metrics));
 }
 
-HttpAnswer RenderKeyState(const std::string& key,
-                          const std::optional<KeyState>& state) {
+HttpAnswer RenderKeyInfo(const std::string& key,
+                         const std::optional<KeyInfo>& state) {
   if (!state) {
     return NotFound("no node issued the key \"" + key + "\"");
   }
--- a/libs/admin/tests/fake_admin_source.h
+++ b/libs/admin/tests/fake_admin_source.h
@@ -17,12 +17,12 @@
   NodeStatus m_status;
   ConfigState m_config;
   ConfigRollout m_rollout;
-  std::vector<ServiceState> m_services;
-  std::vector<InstanceState> m_instances;
-  std::vector<NodeState> m_nodes;
+  std::vector<ServiceInfo> m_services;
+  std::vector<InstanceInfo> m_instances;
+  std::vector<NodeInfo> m_nodes;
   std::vector<AuditRecord> m_audit;
   std::vector<MetricFamily> m_metrics;
-  std::map<std::string, KeyState> m_keys;
+  std::map<std::string, KeyInfo> m_keys;
   DrainResult m_drain_result;
 
   std::vector<std::pair<PublishRequest, PublishDone>> m_publishes;
@@ -31,9 +31,9 @@
   NodeStatus Status() { return m_status; }
   ConfigState Config() { return m_config; }
   ConfigRollout Rollout() { return m_rollout; }
-  std::vector<ServiceState> Services() { return m_services; }
-  std::vector<InstanceState> Instances() { return m_instances; }
-  std::vector<NodeState> Nodes() { return m_nodes; }
+  std::vector<ServiceInfo> Services() { return m_services; }
+  std::vector<InstanceInfo> Instances() { return m_instances; }
+  std::vector<NodeInfo> Nodes() { return m_nodes; }
   std::vector<AuditRecord> Audit() { return m_audit; }
   std::vector<MetricFamily> Metrics() { return m_metrics; }
 
@@ -46,10 +46,10 @@
     done(m_drain_result);
   }
 
-  void FindKey(const std::string& key, const KeyStateDone& done) {
+  void FindKey(const std::string& key, const KeyInfoDone& done) {
     const auto known = m_keys.find(key);
     done(known == m_keys.end() ? std::nullopt
-                               : std::optional<KeyState>(known->second));
+                               : std::optional<KeyInfo>(known->second));
   }
 };
 
