--- a/libs/execution/include/sequoiastage/execution/attempt_ledger.h
+++ b/libs/execution/include/sequoiastage/execution/attempt_ledger.h
@@ -51,7 +51,7 @@
 
 enum class RefusalReason : uint8_t {
   kNone,
-  /// Meant for another run of this egress.
+  /// Meant for another run of this egress, which may have started a copy.
   kWrongIncarnation,
   kPastDeadline,
   /// At or below what was forgotten: it may have run, or not.
@@ -64,6 +64,10 @@
 
 const char* ToString(RefusalReason reason);
 
+/// True when a refusal for this reason proves that no copy of the attempt was
+/// or will be started.
+bool IsProofOfNotStarted(RefusalReason reason);
+
 /// Answer of AttemptLedger::Admit().
 struct Admission {
   enum class Verdict : uint8_t {
@@ -71,8 +75,7 @@
     kNew,
     /// Seen before; m_state and m_answer say what became of it.
     kDuplicate,
-    /// This copy is not started. Only with kTooOldToTell may an earlier copy
-    /// have been.
+    /// This copy is not started; see IsProofOfNotStarted() for earlier ones.
     kRefused,
   };
 
--- a/libs/execution/src/attempt_ledger.cc
+++ b/libs/execution/src/attempt_ledger.cc
@@ -53,6 +53,11 @@
   return "invalid";
 }
 
+bool IsProofOfNotStarted(RefusalReason reason) {
+  return reason == RefusalReason::kPastDeadline ||
+         reason == RefusalReason::kBusy || reason == RefusalReason::kLedgerFull;
+}
+
 AttemptLedger::AttemptLedger(Incarnation own, AttemptLedgerOptions options)
     : m_own(own), m_options(options) {}
 
