--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "sequoiastage/base/http_message.h"
 #include "sequoiastage/base/ids.h"
 #include "sequoiastage/base/time.h"
 
@@ -13,37 +14,6 @@
 /// AttemptId that its reply repeats; replies come in any order.
 namespace sequoiastage {
 
-struct HttpField {
-  std::string m_name;
-  std::string m_value;
-
-  friend bool operator==(const HttpField&, const HttpField&) = default;
-};
-
-struct HttpRequest {
-  std::string m_method;
-  /// Host without port, lower case.
-  std::string m_host;
-  /// Path and query as the caller sent them.
-  std::string m_target;
-  std::vector<HttpField> m_fields;
-  std::string m_body;
-
-  friend bool operator==(const HttpRequest&, const HttpRequest&) = default;
-};
-
-struct HttpAnswer {
-  uint16_t m_status = 0;
-  std::vector<HttpField> m_fields;
-  std::string m_body;
-
-  friend bool operator==(const HttpAnswer&, const HttpAnswer&) = default;
-};
-
-/// Value of the first field called `name` (ASCII case ignored), or nullptr.
-const std::string* FindField(const std::vector<HttpField>& fields,
-                             std::string_view name);
-
 /// First message of each side on a connection.
 struct HelloMessage {
   NodeId m_node;
@@ -61,6 +31,10 @@
   InstanceId m_instance;
   AccountId m_account;
   bool m_is_repeatable = false;
+  /// True: run it though the instance is suspect, nothing better has room.
+  bool m_accept_suspect = false;
+  /// Field that a whole answer must carry; empty when none is asked for.
+  std::string m_completeness_field;
   /// Milliseconds since the epoch; the egress starts nothing later.
   int64_t m_deadline_ms = 0;
   HttpRequest m_request;
@@ -77,7 +51,8 @@
   kNotStarted = 1,
   /// Started, and ended without a whole answer.
   kFailed = 2,
-  /// Started and still running (only as reply to a query).
+  /// Started and still running; a further reply follows at its end. Only as
+  /// reply to a query.
   kRunning = 3,
   /// The egress can't tell: forgotten, or meant for another run of it.
   kCannotTell = 4,
@@ -142,7 +117,7 @@
 };
 
 /// Outcome as the caller is told it.
-enum class Outcome : uint8_t {
+enum class RequestOutcome : uint8_t {
   /// The backend server's whole answer.
   kAnswered = 0,
   /// The request was not run and never will be.
@@ -152,7 +127,7 @@
 };
 
 /// "answered", "not-run" or "unknown".
-std::string_view ToString(Outcome outcome);
+std::string_view ToString(RequestOutcome outcome);
 
 /// Passes a request with an idempotency key to the node that owns the key.
 struct KeyedRequestMessage {
@@ -171,7 +146,7 @@
 /// The key owner's final answer.
 struct KeyedReplyMessage {
   AttemptId m_attempt;
-  Outcome m_outcome = Outcome::kUnknown;
+  RequestOutcome m_outcome = RequestOutcome::kUnknown;
   HttpAnswer m_answer;
 
   friend bool operator==(const KeyedReplyMessage&,
