--- a/libs/execution/tests/fake_fleet.h
+++ b/libs/execution/tests/fake_fleet.h
@@ -230,9 +230,9 @@
     m_network.push_back({Kind::kDispatch, egress, ticket, round.m_request});
   }
 
-  void End(Round& round, Outcome outcome) {
-    m_answered += outcome == Outcome::kAnswered ? 1 : 0;
-    if (outcome == Outcome::kNotRun) {
+  void End(Round& round, RequestOutcome outcome) {
+    m_answered += outcome == RequestOutcome::kAnswered ? 1 : 0;
+    if (outcome == RequestOutcome::kNotRun) {
       for (const auto& [id, sent] : round.m_sent) {
         m_told_not_run.insert(id);
       }
--- a/libs/execution/tests/key_ledger_test.cc
+++ b/libs/execution/tests/key_ledger_test.cc
@@ -107,7 +107,7 @@
   EXPECT_EQ(Present(m_key, "fee", 2).m_verdict, KeyVerdict::kWait);
   m_ledger.Leave(m_key, KeyWaiter(1));
   const auto waiters =
-      m_ledger.Resolve(m_key, Outcome::kAnswered, Answer("paid"));
+      m_ledger.Resolve(m_key, RequestOutcome::kAnswered, Answer("paid"));
   EXPECT_EQ(waiters, std::vector<KeyWaiter>{KeyWaiter(2)});
   const KeyDecision again = Present(m_key, "fee");
   EXPECT_EQ(again.m_verdict, KeyVerdict::kAnswered);
@@ -118,7 +118,7 @@
 TEST_F(KeyLedgerTest, AnotherRequestNeverGetsTheAnswer) {
   Present(m_key, "fee");
   EXPECT_EQ(Present(m_key, "other").m_verdict, KeyVerdict::kMismatch);
-  m_ledger.Resolve(m_key, Outcome::kAnswered, Answer("paid"));
+  m_ledger.Resolve(m_key, RequestOutcome::kAnswered, Answer("paid"));
   const KeyDecision other = Present(m_key, "other");
   EXPECT_EQ(other.m_verdict, KeyVerdict::kMismatch);
   EXPECT_EQ(other.m_answer, nullptr);
@@ -127,12 +127,12 @@
 
 TEST_F(KeyLedgerTest, NotRunMayBeDispatchedAgainAndUnknownNever) {
   Present(m_key, "fee");
-  m_ledger.Resolve(m_key, Outcome::kNotRun, nullptr);
+  m_ledger.Resolve(m_key, RequestOutcome::kNotRun, nullptr);
   EXPECT_EQ(m_ledger.Look(m_issuer, m_key, At(0)).m_verdict,
             KeyVerdict::kUnused);
   EXPECT_EQ(Present(m_key, "other").m_verdict, KeyVerdict::kMismatch);
   EXPECT_EQ(Present(m_key, "fee").m_verdict, KeyVerdict::kDispatch);
-  m_ledger.Resolve(m_key, Outcome::kUnknown, nullptr);
+  m_ledger.Resolve(m_key, RequestOutcome::kUnknown, nullptr);
   EXPECT_EQ(Present(m_key, "fee").m_verdict, KeyVerdict::kUnknown);
 }
 
@@ -140,7 +140,7 @@
   for (int i = 0; i < 3; ++i) {
     const IdempotencyKey key = m_issuer.Issue(At(0));
     Present(key, "fee");
-    m_ledger.Resolve(key, Outcome::kUnknown, nullptr);
+    m_ledger.Resolve(key, RequestOutcome::kUnknown, nullptr);
   }
   EXPECT_EQ(Present(m_key, "fee").m_verdict, KeyVerdict::kFull);
   EXPECT_EQ(Present(m_key, "fee", 0, 1000).m_verdict, KeyVerdict::kExpired);
@@ -152,16 +152,17 @@
   Present(m_key, "fee");
   Present(m_key, "fee", 5);
   EXPECT_EQ(Present(m_key, "fee", 6, 2000).m_verdict, KeyVerdict::kExpired);
-  EXPECT_EQ(m_ledger.Resolve(m_key, Outcome::kAnswered, Answer("x")).size(),
-            1u);
+  EXPECT_EQ(
+      m_ledger.Resolve(m_key, RequestOutcome::kAnswered, Answer("x")).size(),
+      1u);
 }
 
 TEST_F(KeyLedgerTest, DropsTheOldestAnswersAboveTheLimit) {
   const IdempotencyKey second = m_issuer.Issue(At(0));
   Present(m_key, "fee");
-  m_ledger.Resolve(m_key, Outcome::kAnswered, Answer("12345"));
+  m_ledger.Resolve(m_key, RequestOutcome::kAnswered, Answer("12345"));
   Present(second, "fee");
-  m_ledger.Resolve(second, Outcome::kAnswered, Answer("67890"));
+  m_ledger.Resolve(second, RequestOutcome::kAnswered, Answer("67890"));
   EXPECT_EQ(Present(m_key, "fee").m_verdict, KeyVerdict::kAnswerDropped);
   EXPECT_EQ(Present(second, "fee").m_verdict, KeyVerdict::kAnswered);
   EXPECT_EQ(m_ledger.Stats().m_answer_bytes, 5u);
--- a/libs/execution/tests/outcome_tracker_test.cc
+++ b/libs/execution/tests/outcome_tracker_test.cc
@@ -29,7 +29,7 @@
   using OutcomeTracker::OutcomeTracker;
   OutcomeStep OnDeadline() {
     OutcomeStep step = OutcomeTracker::OnDeadline();
-    step.m_outcome = Outcome::kNotRun;
+    step.m_outcome = RequestOutcome::kNotRun;
     return step;
   }
 };
@@ -52,7 +52,7 @@
   }
 
   std::vector<KeyWaiter> Resolve(const IdempotencyKey& key,
-                                 Outcome outcome,
+                                 RequestOutcome outcome,
                                  StoredAnswer answer) {
     return m_ledger.Resolve(key, outcome, std::move(answer));
   }
@@ -116,7 +116,7 @@
   EXPECT_EQ(tracker.Start().m_next, NextStep::kSend);
   const OutcomeStep end = tracker.OnNoTarget();
   EXPECT_EQ(end.m_next, NextStep::kFinish);
-  EXPECT_EQ(end.m_outcome, Outcome::kNotRun);
+  EXPECT_EQ(end.m_outcome, RequestOutcome::kNotRun);
   EXPECT_FALSE(tracker.MaySend(Id(1)));
 }
 
@@ -128,7 +128,7 @@
   ASSERT_TRUE(tracker.MaySend(Id(2)));
   const OutcomeStep end = tracker.OnNotStarted(Id(2));
   EXPECT_EQ(end.m_next, NextStep::kFinish);
-  EXPECT_EQ(end.m_outcome, Outcome::kNotRun);
+  EXPECT_EQ(end.m_outcome, RequestOutcome::kNotRun);
 }
 
 TEST(OutcomeTrackerTest, BrokenLinkIsAskedAboutUntilItIsKnown) {
@@ -139,7 +139,7 @@
   EXPECT_FALSE(first.m_after_pause);
   EXPECT_TRUE(tracker.OnLinkBroken(Id(1)).m_after_pause);
   EXPECT_TRUE(tracker.OnRunning(Id(1)).m_after_pause);
-  EXPECT_EQ(tracker.OnAnswered(Id(1)).m_outcome, Outcome::kAnswered);
+  EXPECT_EQ(tracker.OnAnswered(Id(1)).m_outcome, RequestOutcome::kAnswered);
   EXPECT_EQ(tracker.OnAnswered(Id(1)).m_next, NextStep::kWait);
 }
 
@@ -149,7 +149,7 @@
   EXPECT_EQ(tracker.OnCancelTime().m_next, NextStep::kQuery);
   const OutcomeStep end = tracker.OnMayHaveRun(Id(1));
   EXPECT_EQ(end.m_next, NextStep::kFinish);
-  EXPECT_EQ(end.m_outcome, Outcome::kUnknown);
+  EXPECT_EQ(end.m_outcome, RequestOutcome::kUnknown);
   EXPECT_FALSE(tracker.MaySend(Id(2)));
 }
 
@@ -158,7 +158,7 @@
   ASSERT_TRUE(tracker.MaySend(Id(1)));
   EXPECT_EQ(tracker.OnLinkBroken(Id(1)).m_next, NextStep::kSend);
   ASSERT_TRUE(tracker.MaySend(Id(2)));
-  EXPECT_EQ(tracker.OnAnswered(Id(1)).m_outcome, Outcome::kAnswered);
+  EXPECT_EQ(tracker.OnAnswered(Id(1)).m_outcome, RequestOutcome::kAnswered);
   EXPECT_EQ(tracker.OnDeadline().m_next, NextStep::kWait);
 }
 
@@ -170,7 +170,7 @@
   EXPECT_EQ(tracker.OnLinkBroken(Id(2)).m_next, NextStep::kQuery);
   const OutcomeStep end = tracker.OnLinkBroken(Id(2));
   EXPECT_EQ(end.m_next, NextStep::kFinish);
-  EXPECT_EQ(end.m_outcome, Outcome::kUnknown);
+  EXPECT_EQ(end.m_outcome, RequestOutcome::kUnknown);
 }
 
 }  // namespace
