Answer a key look-up without the stored answer; distrust late refusals

Cause: KeyLedger::Look() returns no answer, since the one who asks shows no request; the key owner read it through a null pointer, so that a look-up of an answered key would have ended the node. It now says 200 Answered. A refusal for another incarnation counts as can't-tell once the link on which the attempt was sent was lost: see the property that found it. On a link that never broke the frame came once, so there the refusal stays a proof.

--- a/libs/node/src/key_owner.cc
+++ b/libs/node/src/key_owner.cc
@@ -146,10 +146,14 @@
 
 KeyedAnswer KeyOwner::Look(const IdempotencyKey& key) {
   const KeyDecision decision = m_ledger.Look(m_issuer, key, WallNow());
-  if (decision.m_verdict == KeyVerdict::kAnswered) {
-    return LoadStored(decision.m_answer);
+  if (decision.m_verdict != KeyVerdict::kAnswered) {
+    return AnswerFor(decision.m_verdict);
   }
-  return AnswerFor(decision.m_verdict);
+  // The answer itself goes only to a caller who shows the request.
+  return FromProblem({.m_status = 200,
+                      .m_outcome = RequestOutcome::kAnswered,
+                      .m_title = "Answered",
+                      .m_detail = "The request ran and was answered."});
 }
 
 void KeyOwner::Start(const IdempotencyKey& key,
--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -321,6 +321,11 @@
                                    ResultMessage& result) {
   const AttemptId id = result.m_attempt;
   if (SentAttempt* sent = FindSent(execution, id)) {
+    // After a lost link another run of the egress may have started it.
+    if (sent->m_may_have_run &&
+        result.m_reason == AttemptReason::kWrongIncarnation) {
+      result.m_result = AttemptResult::kCannotTell;
+    }
     sent->m_is_open = result.m_result == AttemptResult::kRunning;
     sent->m_may_have_run = result.m_result != AttemptResult::kNotStarted;
   }
