--- a/libs/wire/include/sequoiastage/wire/bytes.h
+++ b/libs/wire/include/sequoiastage/wire/bytes.h
@@ -9,6 +9,10 @@
 
 namespace sequoiastage {
 
+/// Longest list in a message. Small items take more room in memory than in a
+/// frame, so the limit on the frame does not bound them.
+inline constexpr uint32_t kMaxListItems = 4096;
+
 /// Loads a length-prefixed byte string. Grows the string only as far as input
 /// is there, so that a false length can't cause a large allocation.
 /// Throws cereal::Exception when the input ends early.
@@ -35,20 +39,27 @@
 }
 
 /// Loads a counted list item by item; like LoadBytes() it only grows as far
-/// as input is there.
+/// as input is there. Throws above kMaxListItems.
 template <class Archive, class Item>
 void LoadList(Archive& archive, std::vector<Item>& items) {
   uint32_t count = 0;
   archive(count);
+  if (count > kMaxListItems) {
+    throw cereal::Exception("list is too long");
+  }
   items.clear();
   for (uint32_t i = 0; i < count; ++i) {
     archive(items.emplace_back());
   }
 }
 
-/// Saves `items` in the form that LoadList() reads.
+/// Saves `items` in the form that LoadList() reads. Throws above
+/// kMaxListItems.
 template <class Archive, class Item>
 void SaveList(Archive& archive, const std::vector<Item>& items) {
+  if (items.size() > kMaxListItems) {
+    throw cereal::Exception("list is too long");
+  }
   archive(static_cast<uint32_t>(items.size()));
   for (const Item& item : items) {
     archive(item);
--- a/libs/wire/include/sequoiastage/wire/frame.h
+++ b/libs/wire/include/sequoiastage/wire/frame.h
@@ -20,7 +20,8 @@
 /// Largest payload a node sends or takes.
 inline constexpr size_t kMaxPayloadBytes = size_t{16} << 20;
 
-/// `message` as one whole frame. Empty when it is above kMaxPayloadBytes.
+/// `message` as one whole frame. Empty when it is above kMaxPayloadBytes or
+/// has a list above kMaxListItems.
 std::optional<std::string> EncodeFrame(const Message& message);
 
 /// Splits a byte stream into messages. After a broken frame the stream can't
--- a/libs/wire/src/frame.cc
+++ b/libs/wire/src/frame.cc
@@ -18,7 +18,9 @@
 constexpr uint32_t kMagic = 0x53515331;  // "1SQS" on the wire
 constexpr size_t kVersionAt = 4;
 constexpr size_t kTypeAt = 5;
+constexpr size_t kZero16At = 6;
 constexpr size_t kLengthAt = 8;
+constexpr size_t kZero32At = 12;
 constexpr size_t kChecksumAt = 16;
 // The decoder drops handled bytes from its buffer above this many.
 constexpr size_t kCompactBytes = size_t{64} << 10;
@@ -88,9 +90,11 @@
 std::optional<std::string> EncodeFrame(const Message& message) {
   std::ostringstream stream;
   stream << std::string(kFrameHeaderBytes, '\0');
-  {
+  try {
     cereal::PortableBinaryOutputArchive output(stream);
     std::visit([&output](const auto& value) { output(value); }, message);
+  } catch (const cereal::Exception&) {
+    return std::nullopt;
   }
   std::string frame = std::move(stream).str();
   const std::string_view payload =
@@ -130,6 +134,10 @@
   if (static_cast<uint8_t>(rest[kVersionAt]) != kFrameVersion) {
     return Fail("frame version is not supported");
   }
+  if (Get<uint16_t>(rest, kZero16At) != 0 ||
+      Get<uint32_t>(rest, kZero32At) != 0) {
+    return Fail("frame header is damaged");
+  }
   const auto length = Get<uint32_t>(rest, kLengthAt);
   if (length > m_max_payload_bytes) {
     return Fail("frame is too long");
