--- a/libs/wire/tests/frame_fault_test.cc
+++ b/libs/wire/tests/frame_fault_test.cc
@@ -12,7 +12,7 @@
 namespace {
 
 // Room for the decoder's own state and reasons beside the payload.
-constexpr size_t kSlackBytes = 64 * 1024;
+constexpr size_t kSlackBytes = size_t{64} * 1024;
 constexpr size_t kTypeAt = 5;
 constexpr size_t kLengthAt = 8;
 constexpr size_t kChecksumAt = 16;
