Tell unsent requests from cut ones; add lifecycle process tests

Cause was the test: libcurl sends a request again when a kept-alive connection was closed, and ends with 'could not connect', which counted as never sent. It counts as unsent now only where no byte was sent.

--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -235,4 +235,19 @@
   return Json::parse(answer.m_body).at("total").get<uint64_t>();
 }
 
+std::vector<uint64_t> Fleet::Incarnations(int node) const {
+  std::ifstream log(m_folder + "/node" + std::to_string(node) + ".txt");
+  const std::string name = "incarnation=";
+  std::vector<uint64_t> incarnations;
+  std::string line;
+  while (std::getline(log, line)) {
+    const size_t at = line.find(name);
+    if (line.find("node_ready") != std::string::npos &&
+        at != std::string::npos) {
+      incarnations.push_back(std::stoull(line.substr(at + name.size())));
+    }
+  }
+  return incarnations;
+}
+
 }  // namespace sequoiastage
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -68,6 +68,9 @@
   int64_t LastStartMs(int node, int index) const;
   uint64_t TotalStarts(int node, int index) const;
 
+  /// Incarnations of the node's runs, in order, from its log.
+  std::vector<uint64_t> Incarnations(int node) const;
+
   /// Removes the logs at the end unless the test failed.
   void KeepLogs() { m_keeps_logs = true; }
   const std::string& Folder() const { return m_folder; }
--- a/tests/http_call.cc
+++ b/tests/http_call.cc
@@ -73,7 +73,11 @@
   curl_easy_getinfo(curl.get(), CURLINFO_RESPONSE_CODE, &answer.m_status);
   if (code != CURLE_OK) {
     answer.m_error = curl_easy_strerror(code);
-    answer.m_is_unsent = code == CURLE_COULDNT_CONNECT;
+    // libcurl sends a request again when a connection that it kept alive was
+    // closed; so the last error alone does not tell.
+    long sent_bytes = 0;
+    curl_easy_getinfo(curl.get(), CURLINFO_REQUEST_SIZE, &sent_bytes);
+    answer.m_is_unsent = code == CURLE_COULDNT_CONNECT && sent_bytes == 0;
   }
   return answer;
 }
--- /dev/null
+++ b/tests/lifecycle_test.cc
@@ -0,0 +1,127 @@
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include "fleet.h"
+#include "load.h"
+#include "sequoiastage/base/time.h"
+
+namespace sequoiastage {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Time after which a server that leaves gets nothing new.
+constexpr milliseconds kLeaveLimit{3000};
+
+class LifecycleTest : public testing::Test {
+ protected:
+  void SetUp() override { ASSERT_EQ(m_fleet.Start(), ""); }
+
+  bool WaitForAnswers(const Load& load, int more) {
+    const int goal = load.Answered() + more;
+    return WaitUntil(milliseconds(20'000),
+                     [&load, goal] { return load.Answered() >= goal; });
+  }
+
+  bool Switch(int node, int index, const std::string& what) {
+    return Call({.m_to = m_fleet.Instance(node, index),
+                 .m_method = "POST",
+                 .m_target = "/standin/" + what})
+               .m_status == 200;
+  }
+
+  static int64_t NowMs() { return WallNow().time_since_epoch().count(); }
+
+  Fleet m_fleet;
+};
+
+TEST_F(LifecycleTest, DrainingInstanceStartsNothingAfterThreeSeconds) {
+  Load load(m_fleet, {.m_callers = 6});
+  ASSERT_TRUE(WaitUntil(milliseconds(10'000),
+                        [this] { return m_fleet.TotalStarts(1, 0) > 20; }));
+  ASSERT_TRUE(Switch(1, 0, "drain"));
+  const int64_t drained_ms = NowMs();
+  ASSERT_TRUE(WaitUntil(2 * kLeaveLimit, [drained_ms] {
+    return NowMs() > drained_ms + 2 * kLeaveLimit.count() - 1000;
+  }));
+  const int64_t last_ms = m_fleet.LastStartMs(1, 0);
+  EXPECT_LE(last_ms - drained_ms, kLeaveLimit.count());
+  // Work is back after the drain ends, so the load would have reached it.
+  const uint64_t starts = m_fleet.TotalStarts(1, 0);
+  ASSERT_TRUE(Switch(1, 0, "undrain"));
+  EXPECT_TRUE(WaitUntil(milliseconds(5000), [this, starts] {
+    return m_fleet.TotalStarts(1, 0) > starts;
+  }));
+  const LoadResult result = load.Stop();
+  EXPECT_EQ(result.m_wrong, 0) << result.m_first_wrong;
+  EXPECT_EQ(result.m_unknown, 0);
+  EXPECT_EQ(result.m_no_answer, 0);
+  std::printf("last start %lld ms after drain, answered=%d not_run=%d\n",
+              static_cast<long long>(last_ms - drained_ms), result.m_answered,
+              result.m_not_run);
+}
+
+TEST_F(LifecycleTest, RollingRestartCutsNoRequest) {
+  Load load(m_fleet, {.m_callers = 6});
+  ASSERT_TRUE(WaitForAnswers(load, 100));
+  for (int node = 0; node < m_fleet.NodeCount(); ++node) {
+    m_fleet.Node(node).Signal(SIGTERM);
+    EXPECT_EQ(m_fleet.Node(node).Wait(), 0) << "node " << node;
+    m_fleet.StartNode(node);
+    ASSERT_TRUE(WaitUntil(milliseconds(15'000),
+                          [this, node] { return m_fleet.IsServing(node); }))
+        << "node " << node;
+    ASSERT_TRUE(WaitForAnswers(load, 100));
+  }
+  const LoadResult result = load.Stop();
+  std::printf("answered=%d not_run=%d unknown=%d unsent=%d cut=%d\n",
+              result.m_answered, result.m_not_run, result.m_unknown,
+              result.m_unsent, result.m_no_answer);
+  EXPECT_EQ(result.m_wrong, 0) << result.m_first_wrong;
+  EXPECT_EQ(result.m_unknown, 0);
+  EXPECT_EQ(result.m_no_answer, 0);
+}
+
+// Reads at the living nodes 0 and 1; the longest one's time. An attempt at a
+// node that does not answer costs a third of the deadline.
+milliseconds LongestRead(const Fleet& fleet, int count) {
+  auto longest = std::chrono::steady_clock::duration::zero();
+  for (int i = 0; i < count; ++i) {
+    const auto start = std::chrono::steady_clock::now();
+    EXPECT_TRUE(fleet.IsServing(i % 2));
+    longest = std::max(longest, std::chrono::steady_clock::now() - start);
+  }
+  return std::chrono::duration_cast<milliseconds>(longest);
+}
+
+TEST_F(LifecycleTest, KilledOrFrozenNodeGetsNoWorkAfterThreeSeconds) {
+  for (const int signal : {SIGKILL, SIGSTOP}) {
+    m_fleet.Node(2).Signal(signal);
+    const int64_t gone_ms = NowMs();
+    ASSERT_TRUE(WaitUntil(2 * kLeaveLimit, [gone_ms] {
+      return NowMs() > gone_ms + kLeaveLimit.count();
+    }));
+    const milliseconds longest = LongestRead(m_fleet, 100);
+    std::printf("signal %d: longest read after 3 s: %lld ms\n", signal,
+                static_cast<long long>(longest.count()));
+    EXPECT_LT(longest, milliseconds(500)) << "signal " << signal;
+    const uint64_t starts = m_fleet.TotalStarts(2, 0);
+    if (signal == SIGKILL) {
+      m_fleet.Node(2).Wait();
+      m_fleet.StartNode(2);
+    } else {
+      m_fleet.Node(2).Signal(SIGCONT);
+    }
+    // Its instances get work again, also from the other nodes.
+    EXPECT_TRUE(WaitUntil(milliseconds(15'000), [this, starts] {
+      return m_fleet.IsServing(2) && m_fleet.IsServing(0) &&
+             m_fleet.TotalStarts(2, 0) > starts;
+    }));
+  }
+  const std::vector<uint64_t> incarnations = m_fleet.Incarnations(2);
+  ASSERT_EQ(incarnations.size(), 2u);
+  EXPECT_LT(incarnations[0], incarnations[1]);
+}
+
+}  // namespace
+}  // namespace sequoiastage
--- a/tests/load.cc
+++ b/tests/load.cc
@@ -62,7 +62,7 @@
   bool Take(const CallerAnswer& answer, const std::string& expected) {
     const std::string outcome = answer.Outcome();
     if (!answer.IsWhole()) {
-      ++m_result.m_no_answer;
+      ++(answer.m_is_unsent ? m_result.m_unsent : m_result.m_no_answer);
       return false;
     }
     if (outcome == "answered" && answer.m_status == 200) {
@@ -147,6 +147,7 @@
       m_result.m_answered += part.m_answered;
       m_result.m_not_run += part.m_not_run;
       m_result.m_unknown += part.m_unknown;
+      m_result.m_unsent += part.m_unsent;
       m_result.m_no_answer += part.m_no_answer;
       m_result.m_wrong += part.m_wrong;
       if (m_result.m_first_wrong.empty()) {
--- a/tests/load.h
+++ b/tests/load.h
@@ -37,9 +37,11 @@
   int m_answered = 0;
   int m_not_run = 0;
   int m_unknown = 0;
-  /// No answer came at all (a killed or frozen node).
+  /// The connection was refused: nothing was sent.
+  int m_unsent = 0;
+  /// It was sent and no whole answer came (a killed or frozen node).
   int m_no_answer = 0;
-  /// The answer began and broke off, or was not the request's own.
+  /// A whole answer that is not the request's own, or has no outcome.
   int m_wrong = 0;
   std::string m_first_wrong;
   std::map<std::string, KeyedRecord> m_keyed;
--- a/tests/outcome_under_faults_test.cc
+++ b/tests/outcome_under_faults_test.cc
@@ -90,10 +90,12 @@
     }
   }
   std::printf(
-      "requests=%d answered=%d not_run=%d unknown=%d no_answer=%d faults=%d "
+      "requests=%d answered=%d not_run=%d unknown=%d unsent=%d no_answer=%d "
+      "faults=%d "
       "keyed=%zu keyed_not_run=%d longest_ms=%lld\n",
       result.m_requests, result.m_answered, result.m_not_run, result.m_unknown,
-      result.m_no_answer, faults.Faults(), result.m_keyed.size(), not_run,
+      result.m_unsent, result.m_no_answer, faults.Faults(),
+      result.m_keyed.size(), not_run,
       static_cast<long long>(result.m_longest.count() / 1000));
   // The schedule must have reached what the test is about.
   EXPECT_GT(faults.Faults(), 3);
