Serve the administration API and follow the log by replay

The node's configuration feed now replays typed records, so that a published change holds only from the version in force, and serves operators' publishes: it checks, appends, and answers once the replay has judged the change. An append whose answer is lost is found by its change id; an append that was not seen in 5 s is told as unknown.

Nodes gossip the offset up to which they replayed in place of the newest version: 0 then stands for none, and 'has version N in force' is a comparison.

A node heeds ejections only after it has read the log to its end once.

--- a/apps/sequoiactl/commands.cc
+++ b/apps/sequoiactl/commands.cc
@@ -69,7 +69,7 @@
   node list
   node show IP:PORT
   outcome KEY                     what became of a request by idempotency key
-  audit                           changes, ejections and readmissions, with
+  audit                           changes, ejections and readmissions with
                                   author and reason, refused ones too
   status                          the node itself
 
--- a/apps/sequoiactl/config_file.cc
+++ b/apps/sequoiactl/config_file.cc
@@ -106,6 +106,9 @@
 
 std::vector<std::string> ListDifferences(const Json& before,
                                          const Json& after) {
+  if (before.is_null()) {
+    return {"first document of this scope"};
+  }
   std::vector<std::string> lines;
   const Json patch = Json::diff(before, after);
   for (const Json& operation : patch) {
--- a/apps/sequoiactl/show_commands.cc
+++ b/apps/sequoiactl/show_commands.cc
@@ -49,7 +49,8 @@
                         {"SITE", "site"},
                         {"CONFIG", "config_version"},
                         {"INSTANCES", "instances"},
-                        {"DRAINING", "draining"}}};
+                        {"DRAINING", "draining"},
+                        {"UNREACHABLE", "unreachable"}}};
 }
 
 View HistoryView() {
--- a/libs/admin/include/sequoiastage/admin/admin_state.h
+++ b/libs/admin/include/sequoiastage/admin/admin_state.h
@@ -62,7 +62,11 @@
   std::vector<NodeConfigVersion> m_nodes = {};
 };
 
-enum class AuditKind { kConfigChange, kEjection, kReadmission };
+enum class AuditKind {
+  kConfigChange,
+  /// An ejection or a readmission.
+  kEjectionChange
+};
 
 /// One record of the log that asked for a change.
 struct AuditRecord {
@@ -70,17 +74,17 @@
   AuditKind m_kind = AuditKind::kConfigChange;
   /// When it was asked for, by the clock of who asked.
   WallTime m_time{};
-  /// Operator, or the node that asked for an ejection or readmission.
+  /// Operator, or the node that asked for an ejection change.
   std::string m_author = {};
-  /// Scope of the configuration, or the instance.
+  /// Scope of the configuration, or the service.
   std::string m_subject = {};
-  /// Configuration only: the version the change was made from.
+  /// Version the change was made from.
   std::optional<LogOffset> m_from_version = {};
   std::string m_change_id = {};
   bool m_is_accepted = false;
   /// Why it was refused; empty when it was accepted.
   std::string m_reason = {};
-  /// Configuration only: JSON pointers of what differs, with the values.
+  /// What it changed.
   std::vector<std::string> m_differences = {};
 };
 
@@ -117,6 +121,8 @@
   std::string m_failure_domain = {};
   std::string m_site = {};
   bool m_is_draining = false;
+  /// Probes found no way to it just now.
+  bool m_is_unreachable = false;
   std::optional<LogOffset> m_config_version = {};
   uint32_t m_instances = 0;
 };
--- a/libs/admin/src/admin_json.cc
+++ b/libs/admin/src/admin_json.cc
@@ -18,10 +18,8 @@
   switch (kind) {
     case AuditKind::kConfigChange:
       return "config-change";
-    case AuditKind::kEjection:
-      return "ejection";
-    case AuditKind::kReadmission:
-      return "readmission";
+    case AuditKind::kEjectionChange:
+      return "ejection-change";
   }
   return "unknown";
 }
@@ -93,17 +91,16 @@
 }
 
 Json ToJson(const AuditRecord& record) {
-  Json json = {
-      {"offset", record.m_offset.Get()},   {"kind", ToText(record.m_kind)},
-      {"time", FormatTime(record.m_time)}, {"author", record.m_author},
-      {"subject", record.m_subject},       {"accepted", record.m_is_accepted},
-      {"reason", record.m_reason}};
-  if (record.m_kind == AuditKind::kConfigChange) {
-    json["from_version"] = ToJson(record.m_from_version);
-    json["change_id"] = record.m_change_id;
-    json["differences"] = record.m_differences;
-  }
-  return json;
+  return {{"offset", record.m_offset.Get()},
+          {"kind", ToText(record.m_kind)},
+          {"time", FormatTime(record.m_time)},
+          {"author", record.m_author},
+          {"subject", record.m_subject},
+          {"from_version", ToJson(record.m_from_version)},
+          {"change_id", record.m_change_id},
+          {"accepted", record.m_is_accepted},
+          {"reason", record.m_reason},
+          {"differences", record.m_differences}};
 }
 
 Json ToJson(const InstanceInfo& instance) {
@@ -124,6 +121,7 @@
           {"failure_domain", node.m_failure_domain},
           {"site", node.m_site},
           {"draining", node.m_is_draining},
+          {"unreachable", node.m_is_unreachable},
           {"config_version", ToJson(node.m_config_version)},
           {"instances", node.m_instances}};
 }
--- a/libs/node/src/config_feed.cc
+++ b/libs/node/src/config_feed.cc
@@ -1,8 +1,8 @@
 #include "config_feed_p.h"
 
+#include <algorithm>
 #include <utility>
 
-#include "sequoiastage/config/config_parse.h"
 #include "sequoiastage/logging/log_event.h"
 
 namespace sequoiastage {
@@ -10,9 +10,36 @@
 namespace {
 
 constexpr std::chrono::milliseconds kPollInterval{500};
+constexpr std::chrono::milliseconds kPendingPollInterval{50};
 constexpr std::chrono::seconds kReadTimeout{2};
+constexpr std::chrono::seconds kAppendTimeout{2};
+constexpr std::chrono::seconds kPublishTimeout{5};
 constexpr uint32_t kPageRecords = 256;
 
+ConfigChange ToChange(const PublishRequest& request, JsonDocument content) {
+  return {.m_header = {.m_change_id = request.m_change_id,
+                       .m_author = request.m_author,
+                       .m_time = WallNow()},
+          .m_scope = request.m_scope,
+          .m_from = request.m_from_version,
+          .m_content = std::move(content)};
+}
+
+std::string VersionText(std::optional<LogOffset> version) {
+  return version ? "version " + std::to_string(version->Get()) : "no version";
+}
+
+bool IsEjectionChange(const AuditEntry& entry) {
+  if (entry.m_verdict == AuditVerdict::kVoid) {
+    return true;
+  }
+  if (entry.m_differences.empty()) {
+    return false;
+  }
+  const std::string& first = entry.m_differences.front();
+  return first.rfind("eject ", 0) == 0 || first.rfind("readmit ", 0) == 0;
+}
+
 }  // namespace
 
 ConfigFeed::ConfigFeed(asio::io_context& io,
@@ -31,21 +58,28 @@
   m_timer.cancel();
 }
 
-bool ConfigFeed::IsEjected(InstanceId /*instance*/,
-                           Incarnation /*incarnation*/) const {
-  return false;
+bool ConfigFeed::IsEjected(InstanceId instance, Incarnation incarnation) const {
+  const auto it = m_ejected.find(instance);
+  return it != m_ejected.end() && incarnation <= it->second;
 }
 
 void ConfigFeed::Poll() {
+  if (m_is_polling) {
+    return;
+  }
+  m_is_polling = true;
   m_client.Start({.m_server = m_options.m_log,
                   .m_timeout = kReadTimeout,
                   .m_is_repeatable = true},
-                 MakeReadRequest(m_next, kPageRecords),
-                 [this](const HttpCallResult& result) { OnPage(result); });
+                 MakeReadRequest(m_replay.NextOffset(), kPageRecords),
+                 [this](const HttpCallResult& result) {
+                   m_is_polling = false;
+                   OnPage(result);
+                 });
 }
 
-void ConfigFeed::ArmPoll() {
-  m_timer.expires_after(kPollInterval);
+void ConfigFeed::ArmPoll(std::chrono::milliseconds interval) {
+  m_timer.expires_after(interval);
   m_timer.async_wait([this](const asio::error_code& error) {
     if (!error) {
       Poll();
@@ -55,37 +89,207 @@
 
 void ConfigFeed::OnPage(const HttpCallResult& result) {
   std::string reason;
-  const auto page = ToLogPage(result, m_next, &reason);
-  if (m_is_log_down != !page) {
-    m_is_log_down = !page;
+  const auto page = ToLogPage(result, m_replay.NextOffset(), &reason);
+  if (m_is_log_reachable != page.has_value()) {
+    m_is_log_reachable = page.has_value();
     LogEvent(page ? LogLevel::kInfo : LogLevel::kWarn,
              page ? "log_reachable" : "log_unreachable")
         .Add("reason", reason);
   }
-  if (page) {
-    for (const LogRecord& record : page->m_records) {
-      Apply(record);
-      m_next = LogOffset(record.m_offset.Get() + 1);
+  const bool has_more = page && ApplyPage(*page);
+  ResolvePending();
+  if (has_more) {
+    Poll();
+    return;
+  }
+  ArmPoll(m_pending.empty() ? kPollInterval : kPendingPollInterval);
+}
+
+bool ConfigFeed::ApplyPage(const LogPage& page) {
+  const LogOffset before = m_replay.State().m_next;
+  m_replay.OnFirstRetained(page.m_first_retained);
+  for (const LogRecord& record : page.m_records) {
+    const ApplyOutcome outcome = m_replay.Apply(record.m_offset, record.m_text);
+    if (outcome == ApplyOutcome::kRestored ||
+        outcome == ApplyOutcome::kOutOfOrder) {
+      break;
     }
   }
-  ArmPoll();
+  const bool is_at_end = m_replay.NextOffset() == page.m_end;
+  const bool is_first_end = is_at_end && !m_has_read_to_end;
+  m_has_read_to_end = m_has_read_to_end || is_at_end;
+  if (m_replay.State().m_next != before || is_first_end) {
+    LogNewAudit(before);
+    TakeInForce();
+  }
+  return !is_at_end && !page.m_records.empty();
 }
 
-void ConfigFeed::Apply(const LogRecord& record) {
+void ConfigFeed::LogNewAudit(LogOffset before) {
+  for (const AuditEntry& entry : m_replay.State().m_audit) {
+    if (entry.m_offset < before) {
+      continue;
+    }
+    LogEvent(LogLevel::kInfo, "log_record_judged")
+        .Add("offset", static_cast<int64_t>(entry.m_offset.Get()))
+        .Add("subject", entry.m_subject)
+        .Add("author", entry.m_header.m_author)
+        .Add("verdict", ToString(entry.m_verdict))
+        .Add("reason", entry.m_reason);
+  }
+}
+
+void ConfigFeed::TakeInForce() {
+  if (m_fleet != m_replay.InForce()) {
+    m_fleet = m_replay.InForce();
+    const Config* config =
+        m_fleet ? m_fleet->FindSite(m_options.m_site) : nullptr;
+    m_config = std::shared_ptr<const Config>(m_fleet, config);
+    m_routes = config == nullptr
+                   ? nullptr
+                   : std::make_shared<const RouteTable>(config->m_routes);
+  }
+  m_ejected.clear();
+  if (m_has_read_to_end) {
+    for (const auto& [service, ejections] : m_replay.State().m_ejections) {
+      for (const auto& [instance, ejection] : ejections.m_ejected) {
+        m_ejected[instance] = ejection.m_incarnation;
+      }
+    }
+  }
+  m_on_change();
+}
+
+void ConfigFeed::Publish(const PublishRequest& request, PublishDone done) {
+  const AuditEntry* known = m_replay.FindChange(request.m_change_id);
+  if (known != nullptr) {
+    done(ToResult(*known));
+    return;
+  }
   Findings findings;
-  const auto fleet = ParseFleetConfig(
-      {.m_source = "log", .m_text = record.m_text}, {}, findings);
-  const Config* config = fleet ? fleet->FindSite(m_options.m_site) : nullptr;
-  if (config == nullptr) {
-    LogEvent(LogLevel::kWarn, "config_record_ignored")
-        .Add("offset", static_cast<int64_t>(record.m_offset.Get()))
-        .Add("findings", findings.ToText());
+  auto content =
+      JsonDocument::Parse(request.m_scope, request.m_document, findings);
+  if (!content) {
+    done({.m_verdict = PublishVerdict::kInvalid,
+          .m_findings = findings.Items(),
+          .m_reason = "the document is no JSON object"});
     return;
   }
-  m_version = record.m_offset;
-  m_config = std::make_shared<const Config>(*config);
-  m_routes = std::make_shared<const RouteTable>(config->m_routes);
-  m_on_change();
+  const ConfigChange change = ToChange(request, std::move(*content));
+  const auto in_force = m_replay.State().VersionOf(change.m_scope);
+  if (change.m_from != in_force) {
+    done(ConflictResult(change.m_scope, "the change was made from " +
+                                            VersionText(change.m_from) +
+                                            ", but " + VersionText(in_force) +
+                                            " is in force"));
+    return;
+  }
+  m_replay.CheckChange(change, findings);
+  if (!findings.IsEmpty()) {
+    done({.m_verdict = PublishVerdict::kInvalid,
+          .m_findings = findings.Items(),
+          .m_reason = "the configuration has faults"});
+    return;
+  }
+  auto append = MakeAppendRequest(ToRecordText(change));
+  if (!append) {
+    done({.m_verdict = PublishVerdict::kInvalid,
+          .m_reason = "the document is no UTF-8 text"});
+    return;
+  }
+  m_client.Start(
+      {.m_server = m_options.m_log, .m_timeout = kAppendTimeout},
+      std::move(*append),
+      [this, id = request.m_change_id, done = std::move(done)](
+          const HttpCallResult& result) { OnAppended(id, result, done); });
+}
+
+void ConfigFeed::OnAppended(const std::string& change_id,
+                            const HttpCallResult& result,
+                            const PublishDone& done) {
+  const AppendResult append = ToAppendResult(result);
+  if (append.m_outcome == AppendOutcome::kFailed) {
+    done({.m_verdict = PublishVerdict::kLogUnavailable,
+          .m_reason = append.m_reason});
+    return;
+  }
+  m_pending.push_back({.m_change_id = change_id,
+                       .m_reason = append.m_reason,
+                       .m_deadline = Now() + kPublishTimeout,
+                       .m_done = done});
+  Poll();
+}
+
+void ConfigFeed::ResolvePending() {
+  const TimePoint now = Now();
+  std::vector<Pending> waiting;
+  std::swap(waiting, m_pending);
+  for (Pending& pending : waiting) {
+    const AuditEntry* entry = m_replay.FindChange(pending.m_change_id);
+    if (entry != nullptr) {
+      pending.m_done(ToResult(*entry));
+    } else if (now >= pending.m_deadline) {
+      pending.m_done({.m_verdict = PublishVerdict::kUnknown,
+                      .m_reason = "the change was not seen on the log in "
+                                  "time " +
+                                  pending.m_reason});
+    } else {
+      m_pending.push_back(std::move(pending));
+    }
+  }
+}
+
+PublishResult ConfigFeed::ToResult(const AuditEntry& entry) const {
+  switch (entry.m_verdict) {
+    case AuditVerdict::kAccepted:
+      return {.m_verdict = PublishVerdict::kAccepted,
+              .m_version = entry.m_offset};
+    case AuditVerdict::kConflict:
+      return ConflictResult(entry.m_subject, entry.m_reason);
+    default:
+      return {.m_verdict = PublishVerdict::kInvalid,
+              .m_reason = entry.m_reason};
+  }
+}
+
+PublishResult ConfigFeed::ConflictResult(const std::string& scope,
+                                         std::string reason) const {
+  PublishResult result{.m_verdict = PublishVerdict::kConflict,
+                       .m_reason = std::move(reason)};
+  const auto in_force = m_replay.State().m_scopes.find(scope);
+  if (in_force == m_replay.State().m_scopes.end()) {
+    return result;
+  }
+  const ScopeState& state = in_force->second;
+  result.m_version = state.m_version;
+  result.m_winner = AuditRecord{.m_offset = state.m_version,
+                                .m_time = state.m_header.m_time,
+                                .m_author = state.m_header.m_author,
+                                .m_subject = scope,
+                                .m_change_id = state.m_header.m_change_id,
+                                .m_is_accepted = true};
+  for (const AuditEntry& entry : m_replay.State().m_audit) {
+    if (entry.m_offset == state.m_version) {
+      result.m_winner = ToAuditRecord(entry);
+    }
+  }
+  return result;
+}
+
+AuditRecord ToAuditRecord(const AuditEntry& entry) {
+  const bool is_accepted = entry.m_verdict == AuditVerdict::kAccepted;
+  const std::string verdict(ToString(entry.m_verdict));
+  return {.m_offset = entry.m_offset,
+          .m_kind = IsEjectionChange(entry) ? AuditKind::kEjectionChange
+                                            : AuditKind::kConfigChange,
+          .m_time = entry.m_header.m_time,
+          .m_author = entry.m_header.m_author,
+          .m_subject = entry.m_subject,
+          .m_from_version = entry.m_from,
+          .m_change_id = entry.m_header.m_change_id,
+          .m_is_accepted = is_accepted,
+          .m_reason = is_accepted ? "" : verdict + ": " + entry.m_reason,
+          .m_differences = entry.m_differences};
 }
 
 }  // namespace sequoiastage
--- a/libs/node/src/config_feed_p.h
+++ b/libs/node/src/config_feed_p.h
@@ -6,23 +6,29 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
+#include "sequoiastage/admin/admin_state.h"
 #include "sequoiastage/base/ids.h"
+#include "sequoiastage/base/time.h"
 #include "sequoiastage/config/config.h"
+#include "sequoiastage/config/log_replay.h"
 #include "sequoiastage/config/route_table.h"
 #include "sequoiastage/http/http_client.h"
 #include "sequoiastage/platform/log_client.h"
 
 namespace sequoiastage {
 
-// Follows the platform's log and keeps the configuration in force. Owned by
-// the control thread.
+// Follows the platform's log, keeps the configuration in force and appends
+// operators' changes. Owned by the control thread.
 class ConfigFeed {
  public:
   struct Options {
     Endpoint m_log;
     std::string m_site;
   };
+  using PublishDone = std::function<void(const PublishResult&)>;
 
   // `on_change` is called after each change of what is in force.
   ConfigFeed(asio::io_context& io,
@@ -32,28 +38,61 @@
   void Start();
   void Stop();
 
-  LogOffset Version() const { return m_version; }
+  // Appends the change, unless it can't hold, and calls back once the replay
+  // has judged it, or when that takes too long.
+  void Publish(const PublishRequest& request, PublishDone done);
+
+  // Every change before this offset is in force or was refused.
+  LogOffset Version() const { return m_replay.State().m_next; }
   const std::shared_ptr<const Config>& InForce() const { return m_config; }
   const std::shared_ptr<const RouteTable>& Routes() const { return m_routes; }
+  const ReplayState& State() const { return m_replay.State(); }
+  bool IsLogReachable() const { return m_is_log_reachable; }
   bool IsEjected(InstanceId instance, Incarnation incarnation) const;
 
  private:
+  // A change that was appended, or may have been.
+  struct Pending {
+    std::string m_change_id;
+    std::string m_reason;
+    TimePoint m_deadline;
+    PublishDone m_done;
+  };
+
   void Poll();
-  void ArmPoll();
+  void ArmPoll(std::chrono::milliseconds interval);
   void OnPage(const HttpCallResult& result);
-  void Apply(const LogRecord& record);
+  // Applies the page's records; true when there are more to read at once.
+  bool ApplyPage(const LogPage& page);
+  void LogNewAudit(LogOffset before);
+  void TakeInForce();
+  void OnAppended(const std::string& change_id,
+                  const HttpCallResult& result,
+                  const PublishDone& done);
+  void ResolvePending();
+  PublishResult ToResult(const AuditEntry& entry) const;
+  PublishResult ConflictResult(const std::string& scope,
+                               std::string reason) const;
 
   Options m_options;
   std::function<void()> m_on_change;
   HttpClient m_client;
   asio::steady_timer m_timer;
-  LogOffset m_next;
-  LogOffset m_version;
+  LogReplay m_replay;
+  std::shared_ptr<const FleetConfig> m_fleet;
   std::shared_ptr<const Config> m_config;
   std::shared_ptr<const RouteTable> m_routes;
-  bool m_is_log_down = false;
+  // Ejections in force, once the log has been read to its end.
+  std::unordered_map<InstanceId, Incarnation> m_ejected;
+  std::vector<Pending> m_pending;
+  bool m_is_polling = false;
+  bool m_is_log_reachable = false;
+  bool m_has_read_to_end = false;
 };
 
+// One record of the audit trail as the administration API shows it.
+AuditRecord ToAuditRecord(const AuditEntry& entry);
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_NODE_CONFIG_FEED_P_H_
--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -67,6 +67,7 @@
                  m_is_view_due = true;
                  Publish();
                }),
+      m_admin(io, MakeAdminParts()),
       m_tick(io) {}
 
 bool Control::Start() {
@@ -78,6 +79,10 @@
     m_last_reason = "announce: " + m_announce.LastReason();
     return false;
   }
+  if (!m_admin.Start()) {
+    m_last_reason = "admin: " + m_admin.LastReason();
+    return false;
+  }
   m_config.Start();
   ArmTick();
   return true;
@@ -86,10 +91,21 @@
 void Control::Stop() {
   m_tick.cancel();
   m_config.Stop();
+  m_admin.Stop();
   m_announce.Stop();
   m_gossip.Stop();
 }
 
+NodeAdminParts Control::MakeAdminParts() {
+  return {.m_settings = &m_settings,
+          .m_membership = &m_membership,
+          .m_config = &m_config,
+          .m_instances = &m_instances,
+          .m_traffic = &m_traffic,
+          .m_on_instances = [this] { Publish(); },
+          .m_look_up_key = m_outputs.m_look_up_key};
+}
+
 void Control::SetHostState(HostState state) {
   m_host_state = state;
   Publish();
--- a/libs/node/src/control_p.h
+++ b/libs/node/src/control_p.h
@@ -14,6 +14,7 @@
 #include "egress_p.h"
 #include "gossip_socket_p.h"
 #include "instance_table_p.h"
+#include "node_admin_p.h"
 #include "node_view_p.h"
 #include "sequoiastage/http/http_server.h"
 #include "sequoiastage/membership/membership.h"
@@ -30,6 +31,10 @@
     std::function<void(NodeViewPtr)> m_on_view;
     std::function<void(std::vector<LocalInstance>)> m_on_instances;
     std::function<void(InstanceId, PeerBaseline)> m_on_baseline;
+    // Asks for the outcome of an idempotency key; calls back on the control
+    // thread.
+    std::function<void(const std::string&, std::function<void(HttpAnswer)>)>
+        m_look_up_key;
   };
 
   Control(asio::io_context& io,
@@ -45,6 +50,9 @@
   // The egress's news of its instances, a few times a second.
   void OnReports(const std::vector<InstanceReport>& reports);
 
+  // The counters of the traffic threads, a few times a second.
+  void SetTraffic(const TrafficStats& traffic) { m_traffic = traffic; }
+
   // The node takes no new work (kDraining) or has ended (kLeft).
   void SetHostState(HostState state);
 
@@ -64,6 +72,8 @@
   HttpAnswer Leave(const std::string& body);
   bool IsAllowed(InstanceId id) const;
 
+  NodeAdminParts MakeAdminParts();
+
   // Key of a sibling's summary.
   using SiblingKey = std::pair<ServiceId, InstanceId>;
 
@@ -76,6 +86,8 @@
   ConfigFeed m_config;
   InstanceTable m_instances;
   std::map<SiblingKey, SiblingSummary> m_siblings;
+  TrafficStats m_traffic;
+  NodeAdmin m_admin;
   asio::steady_timer m_tick;
   HostState m_host_state = HostState::kLive;
   uint64_t m_published_change = 0;
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -128,9 +128,25 @@
                   asio::post(m_egress_io, [this, instance, baseline] {
                     m_egress.SetBaseline(instance, baseline);
                   });
+                },
+            .m_look_up_key =
+                [this](const std::string& key,
+                       std::function<void(HttpAnswer)> done) {
+                  LookUpKey(key, std::move(done));
                 }};
   }
 
+  // From the control thread to the ingress and back.
+  void LookUpKey(const std::string& key, std::function<void(HttpAnswer)> done) {
+    asio::post(m_ingress_io, [this, key, done = std::move(done)] {
+      m_ingress.LookUpOutcome(key, [this, done](HttpAnswer answer) {
+        asio::post(m_control_io, [done, answer = std::move(answer)]() mutable {
+          done(std::move(answer));
+        });
+      });
+    });
+  }
+
   // From the ingress thread to the own egress and back.
   void OnLocalMessage(Message message) {
     asio::post(m_egress_io, [this, message = std::move(message)]() mutable {
@@ -191,6 +207,19 @@
     asio::post(m_control_io, [this, reports = m_egress.Reports()] {
       m_control.OnReports(reports);
     });
+    CollectTraffic();
+  }
+
+  // From the egress thread over the ingress to the control thread.
+  void CollectTraffic() {
+    TrafficStats traffic{.m_egress = m_egress.Stats(),
+                         .m_egress_in_flight = m_egress.InFlight()};
+    asio::post(m_ingress_io, [this, traffic]() mutable {
+      traffic.m_ingress = m_ingress.Stats();
+      traffic.m_ingress_in_flight = m_ingress.InFlight();
+      asio::post(m_control_io,
+                 [this, traffic] { m_control.SetTraffic(traffic); });
+    });
   }
 
   void BeginShutdown(int signal) {
--- /dev/null
+++ b/libs/node/src/traffic_stats_p.h
@@ -0,0 +1,37 @@
+#ifndef SEQUOIASTAGE_NODE_TRAFFIC_STATS_P_H_
+#define SEQUOIASTAGE_NODE_TRAFFIC_STATS_P_H_
+
+#include <cstddef>
+#include <vector>
+
+#include "egress_p.h"
+#include "ingress_p.h"
+#include "sequoiastage/membership/membership.h"
+#include "sequoiastage/metrics/metric_family.h"
+
+namespace sequoiastage {
+
+// Counters of the traffic threads, as they handed them over last.
+struct TrafficStats {
+  IngressStats m_ingress;
+  size_t m_ingress_in_flight = 0;
+  EgressStats m_egress;
+  size_t m_egress_in_flight = 0;
+};
+
+// What the control thread counts.
+struct ControlStats {
+  MembershipStats m_membership;
+  size_t m_members = 0;
+  size_t m_own_instances = 0;
+  uint64_t m_config_version = 0;
+  bool m_is_log_reachable = false;
+};
+
+// All of it as metrics for collectors.
+std::vector<MetricFamily> ToMetrics(const TrafficStats& traffic,
+                                    const ControlStats& control);
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_NODE_TRAFFIC_STATS_P_H_
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -20,12 +20,7 @@
   }
 }
 JSON
-for try in $(seq 100); do
-  curl -sf -o "$WORK/published" "http://$FLEET_LOG/records" --data-binary \
-    "{\"record\": $(python3 -c 'import json,sys; print(json.dumps(open(sys.argv[1]).read()))' "$WORK/base.json")}" &&
-    break
-  sleep 0.1
-done
+fleet_publish "$WORK/base.json"
 fleet_wait_ready move.example /status/ready
 build/bin/load_generator --targets="$(fleet_targets)" --host=move.example \
   --read_path=/status --write_path=/bookings --rate=300 --seconds=5
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -5,12 +5,14 @@
 
 readonly FLEET_NODES=6
 readonly FLEET_REGIONS=(hobart launceston burnie)
-readonly FLEET_LOG=127.0.0.2:19000
+# First two bytes of all addresses; other fleets on this machine take others.
+readonly FLEET_NET=${FLEET_NET:-127.0}
+readonly FLEET_LOG=$FLEET_NET.0.2:19000
 FLEET_PIDS=()
 
-fleet_address() { echo "127.0.$1.1:$2"; }
+fleet_address() { echo "$FLEET_NET.$1.1:$2"; }
 
-fleet_endpoint() { echo "{\"ip\": \"127.0.$1.1\", \"port\": $2}"; }
+fleet_endpoint() { echo "{\"ip\": \"$FLEET_NET.$1.1\", \"port\": $2}"; }
 
 fleet_settings() {
   local node=$1 region=${FLEET_REGIONS[($1 - 1) / 2]}
@@ -57,6 +59,23 @@
     paste -sd,
 }
 
+# Runs sequoiactl against the administration API of node 1.
+fleet_ctl() {
+  build/bin/sequoiactl --admin="$(fleet_address 1 18082)" "$@"
+}
+
+# Publishes FILE as the first base of the fleet.
+fleet_publish() {
+  local file=$1 try
+  for try in $(seq 100); do
+    if fleet_ctl status >"$WORK/status" 2>&1; then
+      break
+    fi
+    sleep 0.1
+  done
+  fleet_ctl --author=fleet --from_version=none config publish "$file"
+}
+
 # Waits until every node answers a request to PATH with 200.
 fleet_wait_ready() {
   local host=$1 path=$2 node try
