Mend the crash of a look-up of an answered key

KeyOwner::Look() read the stored answer, which the ledger gives only to who shows the request again: any look-up of an answered key ended the owner's process. Found by 'sequoiactl outcome' against a running fleet. The look-up now tells the state alone, and a test goes through every state of a key; it failed with the same segmentation fault before.

The API's answer_status goes, as nothing can fill it.

--- a/libs/admin/include/sequoiastage/admin/admin_state.h
+++ b/libs/admin/include/sequoiastage/admin/admin_state.h
@@ -181,8 +181,6 @@
   KeyOutcome m_outcome = KeyOutcome::kUnknown;
   /// The node that issued the key and holds its ledger.
   NodeId m_owner = {};
-  /// HTTP status of the stored answer, 0 when there is none.
-  int m_answer_status = 0;
   /// Why, for a person.
   std::string m_reason = {};
 };
--- a/libs/admin/src/admin_render.cc
+++ b/libs/admin/src/admin_render.cc
@@ -220,7 +220,6 @@
   return JsonAnswer({{"key", key},
                      {"outcome", ToText(state->m_outcome)},
                      {"owner", ToString(state->m_owner)},
-                     {"answer_status", state->m_answer_status},
                      {"reason", state->m_reason}});
 }
 
--- a/libs/node/src/key_owner.cc
+++ b/libs/node/src/key_owner.cc
@@ -69,6 +69,13 @@
       return FromProblem({.m_status = 404,
                           .m_title = "Key not used",
                           .m_detail = "No request was run under this key."});
+    case KeyVerdict::kAnswered:
+      return FromProblem(
+          {.m_status = 200,
+           .m_outcome = RequestOutcome::kAnswered,
+           .m_title = "Answered",
+           .m_detail = "The request was run and answered; the answer is given "
+                       "to who sends the request again."});
     case KeyVerdict::kWait:
       return FromProblem({.m_status = 202,
                           .m_outcome = RequestOutcome::kUnknown,
@@ -145,11 +152,7 @@
 }
 
 KeyedAnswer KeyOwner::Look(const IdempotencyKey& key) {
-  const KeyDecision decision = m_ledger.Look(m_issuer, key, WallNow());
-  if (decision.m_verdict == KeyVerdict::kAnswered) {
-    return LoadStored(decision.m_answer);
-  }
-  return AnswerFor(decision.m_verdict);
+  return AnswerFor(m_ledger.Look(m_issuer, key, WallNow()).m_verdict);
 }
 
 void KeyOwner::Start(const IdempotencyKey& key,
--- a/libs/node/src/node_admin.cc
+++ b/libs/node/src/node_admin.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "problem_p.h"
+#include "sequoiastage/checkedjson/json_reader.h"
 #include "sequoiastage/execution/idempotency_key.h"
 #include "sequoiastage/logging/log_event.h"
 
@@ -37,13 +38,15 @@
   return KeyOutcome::kUnknown;
 }
 
-// The stored answer itself is the caller's and is not shown.
-KeyInfo ToKeyInfo(NodeId owner, const HttpAnswer& answer) {
-  const KeyOutcome outcome = ToKeyOutcome(answer);
-  return {.m_outcome = outcome,
-          .m_owner = owner,
-          .m_answer_status =
-              outcome == KeyOutcome::kAnswered ? answer.m_status : 0};
+// What the owner says of the key, for a person.
+std::string DetailOf(const HttpAnswer& answer) {
+  Findings findings;
+  std::string detail;
+  if (const auto body =
+          JsonDocument::Parse("answer", answer.m_body, findings)) {
+    JsonObject::Root(*body, findings).ReadString("detail", detail);
+  }
+  return detail;
 }
 
 InstanceStanding StandingOf(const InstanceEntry& instance, bool is_ejected) {
@@ -215,7 +218,9 @@
   }
   m_parts.m_look_up_key(
       key, [owner = parsed->m_owner, done](const HttpAnswer& answer) {
-        done(ToKeyInfo(owner, answer));
+        done(KeyInfo{.m_outcome = ToKeyOutcome(answer),
+                     .m_owner = owner,
+                     .m_reason = DetailOf(answer)});
       });
 }
 
