Say not-run of a keyed request only by its key's ledger; shut down under load

A caller's HTTP library sends a request again when its connection breaks; the first copy ran, the second met a node that was just restarted and said not-run, since it had no configuration. For a request with a key a refusal (draining, no configuration, no route, too many in flight) now says not-run only where the node owns the key and its ledger has it unused; else unknown, and the caller shows the key again.

A shutdown under load always took the whole drain timeout (three nodes: 93 s), since refused callers kept coming, and cut one request at its end. Requests run for callers of other nodes count as in flight too.

--- a/libs/node/src/ingress.cc
+++ b/libs/node/src/ingress.cc
@@ -32,6 +32,11 @@
           .m_detail = "The request was not run: " + reason + "."};
 }
 
+std::string KeyTextOf(const HttpRequest& request) {
+  const std::string* text = FindField(request.m_fields, kKeyField);
+  return text != nullptr ? *text : "";
+}
+
 KeyedAnswer OwnerOutOfReach() {
   const Problem problem{
       .m_status = 504,
@@ -126,24 +131,46 @@
   ++m_stats.m_requests;
   const auto call = std::make_shared<Call>(*this, std::move(responder));
   if (m_is_draining) {
-    call->Answer(Draining());
+    Refuse(KeyTextOf(request), Draining(), call);
     return;
   }
   if (m_in_flight > m_options.m_max_in_flight) {
-    call->Answer(TooManyInFlight());
+    Refuse(KeyTextOf(request), TooManyInFlight(), call);
     return;
   }
   Admit(std::move(request), call);
 }
 
+void Ingress::Refuse(const std::string& key_text,
+                     Problem problem,
+                     const std::shared_ptr<Call>& call) {
+  const auto key = ParseKey(key_text, nullptr);
+  if (key) {
+    problem.m_outcome = OutcomeOfRefusal(*key);
+  }
+  call->Answer(problem);
+}
+
+// A request with a key may have run when it was shown before; only the ledger
+// of its key can tell.
+RequestOutcome Ingress::OutcomeOfRefusal(const IdempotencyKey& key) {
+  if (key.m_owner != m_options.m_node) {
+    return RequestOutcome::kUnknown;
+  }
+  return m_key_owner.Look(key).m_outcome == RequestOutcome::kNotRun
+             ? RequestOutcome::kNotRun
+             : RequestOutcome::kUnknown;
+}
+
 void Ingress::Admit(HttpRequest request, const std::shared_ptr<Call>& call) {
   Problem problem;
   static const NodeView kNoView;
+  const std::string key_text = KeyTextOf(request);
   auto checked =
       CheckRequest(m_view != nullptr ? *m_view : kNoView, std::move(request),
                    m_options.m_default_deadline, WallNow(), problem);
   if (!checked) {
-    call->Answer(problem);
+    Refuse(key_text, std::move(problem), call);
     return;
   }
   if (!checked->m_run.m_is_repeatable) {
@@ -292,6 +319,7 @@
                               std::move(message.m_request),
                               m_options.m_default_deadline, WallNow(), problem);
   if (!checked) {
+    problem.m_outcome = OutcomeOfRefusal(*key);
     done({.m_outcome = problem.m_outcome, .m_answer = ToAnswer(problem)});
     return;
   }
--- a/libs/node/src/ingress_p.h
+++ b/libs/node/src/ingress_p.h
@@ -11,6 +11,7 @@
 #include "caller_request_p.h"
 #include "key_owner_p.h"
 #include "node_view_p.h"
+#include "problem_p.h"
 #include "request_runner_p.h"
 #include "sequoiastage/http/http_server.h"
 #include "transport_p.h"
@@ -54,6 +55,9 @@
   // From now on callers' requests are not run, and told to come back.
   void StartDraining() { m_is_draining = true; }
 
+  // Takes no more connections; those there are go on.
+  void StopAccepting() { m_server.Stop(); }
+
   // Result of the own egress.
   void OnLocalResult(ResultMessage result);
 
@@ -65,7 +69,8 @@
                      std::function<void(HttpAnswer)> done);
 
   // Callers' requests that have no answer yet.
-  size_t InFlight() const { return m_in_flight; }
+  // Callers' requests, and requests run for callers of other nodes.
+  size_t InFlight() const { return m_in_flight + m_runner.InFlight(); }
   IngressStats Stats() const;
 
  private:
@@ -83,6 +88,11 @@
   class Call;
 
   void OnRequest(HttpRequest request, HttpResponder responder);
+  // Answers a request that is not run. `key_text` is empty when it has no key.
+  void Refuse(const std::string& key_text,
+              Problem problem,
+              const std::shared_ptr<Call>& call);
+  RequestOutcome OutcomeOfRefusal(const IdempotencyKey& key);
   void Admit(HttpRequest request, const std::shared_ptr<Call>& call);
   void RunKeyed(CheckedRequest checked, const std::shared_ptr<Call>& call);
   void AskForKey(const std::shared_ptr<Call>& call);
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -23,6 +23,9 @@
 // Ticks of the egress between two reports to the control thread.
 constexpr int kTicksPerReport = 2;
 constexpr std::chrono::milliseconds kDrainPoll{50};
+// A shutdown refuses new requests with an answer for this long; then it takes
+// no more connections, and each one there is told to close.
+constexpr std::chrono::seconds kRefuseTime{2};
 // A shutdown ends once no request has come for this long.
 constexpr std::chrono::milliseconds kQuietTime{500};
 // Time for the word that the node has left to go out.
@@ -196,6 +199,7 @@
   void BeginShutdown(int signal) {
     LogEvent(LogLevel::kInfo, "node_draining").Add("signal", signal);
     m_drain_until = Now() + m_settings.m_drain_timeout;
+    m_stop_accepting_at = Now() + kRefuseTime;
     m_control.SetHostState(HostState::kDraining);
     asio::post(m_ingress_io, [this] { m_ingress.StartDraining(); });
     asio::post(m_egress_io, [this] { m_egress.SetDraining(true); });
@@ -218,6 +222,10 @@
 
   void OnDrainPolled(size_t in_flight, uint64_t requests) {
     const TimePoint now = Now();
+    if (m_stop_accepting_at && now >= *m_stop_accepting_at) {
+      m_stop_accepting_at.reset();
+      asio::post(m_ingress_io, [this] { m_ingress.StopAccepting(); });
+    }
     if (in_flight > 0 || requests != m_drain_requests || !m_quiet_since) {
       m_quiet_since = now;
       m_drain_requests = requests;
@@ -278,6 +286,7 @@
   asio::signal_set m_signals;
   asio::steady_timer m_drain_timer;
   TimePoint m_drain_until;
+  std::optional<TimePoint> m_stop_accepting_at;
   std::optional<TimePoint> m_quiet_since;
   uint64_t m_drain_requests = 0;
   size_t m_left_in_flight = 0;
