--- /dev/null
+++ b/tests/config_test.cc
@@ -0,0 +1,71 @@
+#include <gtest/gtest.h>
+
+#include "fleet.h"
+#include "sequoiastage/base/time.h"
+
+namespace sequoiastage {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Time in which an accepted configuration is in force everywhere.
+constexpr milliseconds kInForceLimit{9000};
+
+class ConfigTest : public testing::Test {
+ protected:
+  void SetUp() override { ASSERT_EQ(m_fleet.Start(), ""); }
+
+  // Time until every node serves `path`; empty when that is not within the
+  // limit.
+  std::optional<milliseconds> TimeUntilServed(const std::string& path) {
+    const WallTime start = WallNow();
+    const bool is_served = WaitUntil(kInForceLimit, [this, &path] {
+      for (int node = 0; node < m_fleet.NodeCount(); ++node) {
+        if (!m_fleet.Serves(node, path)) {
+          return false;
+        }
+      }
+      return true;
+    });
+    return is_served ? std::optional(WallNow() - start) : std::nullopt;
+  }
+
+  Fleet m_fleet{{.m_nodes = 6, .m_instances_per_node = 1}};
+};
+
+TEST_F(ConfigTest, ChangeIsInForceOnAllNodesInTime) {
+  ASSERT_FALSE(m_fleet.Serves(0, "/added"));
+  ASSERT_TRUE(m_fleet.Publish("/added"));
+  const auto time = TimeUntilServed("/added");
+  ASSERT_TRUE(time.has_value());
+  std::printf("in force on all nodes after %lld ms\n",
+              static_cast<long long>(time->count()));
+}
+
+TEST_F(ConfigTest, NodeRestartedInALogOutageStartsWithTheNewestVersion) {
+  ASSERT_TRUE(m_fleet.Publish("/added"));
+  ASSERT_TRUE(TimeUntilServed("/added").has_value());
+  ASSERT_TRUE(m_fleet.SetLogFaults(R"({"outage": true})"));
+  m_fleet.Node(4).Kill();
+  m_fleet.StartNode(4);
+  EXPECT_TRUE(WaitUntil(milliseconds(15'000), [this] {
+    return m_fleet.Serves(4, "/added");
+  })) << "node 4 does not serve the newest version";
+  // The others keep theirs.
+  EXPECT_TRUE(TimeUntilServed("/added").has_value());
+  ASSERT_TRUE(m_fleet.SetLogFaults(R"({"outage": false})"));
+  ASSERT_TRUE(m_fleet.Publish("/later"));
+  EXPECT_TRUE(TimeUntilServed("/later").has_value());
+}
+
+TEST_F(ConfigTest, AppendWhoseAnswerIsLostTakesEffect) {
+  ASSERT_TRUE(m_fleet.SetLogFaults(R"({"lose_answers": 1})"));
+  EXPECT_FALSE(m_fleet.Publish("/added"));
+  EXPECT_TRUE(TimeUntilServed("/added").has_value());
+  // Publishing it again does no harm.
+  EXPECT_TRUE(m_fleet.Publish("/added"));
+  EXPECT_TRUE(TimeUntilServed("/added").has_value());
+}
+
+}  // namespace
+}  // namespace sequoiastage
