Publish change records in the process tests; list the known red test

The fixture appends the change records of log_record.h beside the plain document that the nodes read today. ConfigTest.NodeRestartedInALogOutage... fails: nodes don't take the configuration from peers yet.

--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -12,6 +12,8 @@
 #include <thread>
 #include <utility>
 
+#include "sequoiastage/base/time.h"
+
 namespace sequoiastage {
 
 namespace {
@@ -176,6 +178,38 @@
 }
 
 bool Fleet::Publish(const std::string& extra_path) {
+  const std::string change_id = "change-" + extra_path;
+  const CallerAnswer log = Call({.m_to = Log(), .m_target = "/records"});
+  if (log.m_status != 200) {
+    return false;
+  }
+  Json from;
+  for (const Json& item : Json::parse(log.m_body).at("records")) {
+    const Json record = Json::parse(item.at("record").get<std::string>());
+    if (record.value("type", "") != "config_change" ||
+        record.value("from", Json()) != from) {
+      continue;
+    }
+    from = item.at("offset");
+    if (record.at("change_id") == change_id) {
+      return true;
+    }
+  }
+  const std::string content = Configuration(extra_path);
+  Json change = {{"type", "config_change"},
+                 {"change_id", change_id},
+                 {"author", "test"},
+                 {"time_ms", WallNow().time_since_epoch().count()},
+                 {"scope", "base"},
+                 {"content", Json::parse(content)}};
+  if (!from.is_null()) {
+    change["from"] = from;
+  }
+  // The plain document is for nodes that read no change records yet.
+  return Append(content) && Append(change.dump());
+}
+
+std::string Fleet::Configuration(const std::string& extra_path) const {
   const auto route = [](const std::string& path) {
     return Json{{"host", "move.example"}, {"path", path}, {"service", "work"}};
   };
@@ -184,18 +218,21 @@
     routes["extra"] = route(extra_path);
   }
   const int instances = m_options.m_nodes * m_options.m_instances_per_node;
-  const Json config = {{"sites", kRegions},
-                       {"services",
-                        {{"work",
-                          {{"instances", instances},
-                           {"floor", instances / 2},
-                           {"retries", {{"max_attempts", 3}}}}}}},
-                       {"routes", routes}};
-  const CallerAnswer answer =
-      Call({.m_to = Log(),
-            .m_method = "POST",
-            .m_target = "/records",
-            .m_body = Json{{"record", config.dump()}}.dump()});
+  return Json{{"sites", kRegions},
+              {"services",
+               {{"work",
+                 {{"instances", instances},
+                  {"floor", instances / 2},
+                  {"retries", {{"max_attempts", 3}}}}}}},
+              {"routes", routes}}
+      .dump();
+}
+
+bool Fleet::Append(const std::string& record) const {
+  const CallerAnswer answer = Call({.m_to = Log(),
+                                    .m_method = "POST",
+                                    .m_target = "/records",
+                                    .m_body = Json{{"record", record}}.dump()});
   return answer.IsWhole() && answer.m_status == 200;
 }
 
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -52,13 +52,13 @@
   void StartNode(int node);
   ChildProcess& Node(int node) { return *m_nodes[node]; }
 
-  /// True when the node answers a read.
+  /// True when the node serves the route that every configuration has.
   bool IsServing(int node) const;
-  /// True when a configuration with `marker` as the only allowed path answers.
+  /// True when the node answers a read of `path`.
   bool Serves(int node, const std::string& path) const;
 
-  /// Appends the configuration with one more route, to /PATH. The offset, or
-  /// empty.
+  /// Appends the configuration with one more route, to `extra_path`, unless it
+  /// is on the log already. False when the log did not acknowledge it.
   bool Publish(const std::string& extra_path = "");
   bool SetLogFaults(const std::string& json) const;
 
@@ -78,6 +78,8 @@
  private:
   Endpoint At(int node, uint16_t port) const;
   std::string Settings(int node) const;
+  std::string Configuration(const std::string& extra_path) const;
+  bool Append(const std::string& record) const;
   void StartInstance(int node, int index);
 
   FleetOptions m_options;
