--- /dev/null
+++ b/libs/admin/src/admin_json_p.h
@@ -0,0 +1,40 @@
+#ifndef SEQUOIASTAGE_ADMIN_ADMIN_JSON_P_H_
+#define SEQUOIASTAGE_ADMIN_ADMIN_JSON_P_H_
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "sequoiastage/admin/admin_message.h"
+#include "sequoiastage/admin/admin_state.h"
+
+namespace sequoiastage {
+
+/// Keeps the order of members, so that answers read well.
+using Json = nlohmann::ordered_json;
+
+Json ProblemToJson(const AdminProblem& problem);
+HttpAnswer MakeAnswer(uint16_t status,
+                      const char* content_type,
+                      std::string body);
+HttpAnswer ProblemAnswer(uint16_t status, const Json& json);
+
+/// Indented text; bytes that are no UTF-8 are replaced.
+std::string Dump(const Json& json);
+
+/// Null for none.
+Json ToJson(std::optional<LogOffset> version);
+
+Json ToJson(const NodeStatus& status);
+Json ToJson(const ConfigState& config);
+Json ToJson(const AuditRecord& record);
+Json ToJson(const InstanceInfo& instance);
+Json ToJson(const NodeInfo& node);
+
+/// The service with counts of its `instances` by standing.
+Json ToJson(const ServiceInfo& service,
+            const std::vector<InstanceInfo>& instances);
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_ADMIN_ADMIN_JSON_P_H_
--- a/libs/health/include/sequoiastage/health/judge_options.h
+++ b/libs/health/include/sequoiastage/health/judge_options.h
@@ -20,7 +20,7 @@
 
 /// Detection time weighs more: one false ejection in 10 instance-hours.
 inline constexpr EjectionPolicy kFastPolicy{.m_false_ejection_hours = 10,
-                                            .m_detection_weight = 0.5};
+                                            .m_detection_weight = 0.55};
 
 /// Settings of an InstanceJudge. MakeJudgeOptions() derives them from an
 /// EjectionPolicy; the defaults are those of kCautiousPolicy.
@@ -39,6 +39,8 @@
   /// burst; the later ones count with m_burst_weight.
   Duration m_burst_window = std::chrono::milliseconds(50);
   double m_burst_weight = 0.5;
+  /// Ejection is wanted only when what speaks for it spans this time.
+  Duration m_min_fault_span = std::chrono::seconds(1);
   /// Work that hangs at the same time may have one common cause: the n-th
   /// counts with this weight to the power of n - 1.
   double m_concurrent_weight = 0.7;
@@ -63,17 +65,19 @@
   /// Shortest time as suspect; doubles with each flap.
   Duration m_suspect_hold = std::chrono::seconds(2);
   /// Shortest time without work after ejection; doubles with each flap.
-  Duration m_ejection_hold = std::chrono::seconds(10);
+  Duration m_ejection_hold = std::chrono::seconds(20);
   Duration m_max_hold = std::chrono::minutes(10);
   /// A suspicion within this time of the last one is a flap. One flap is
   /// forgotten for each such time without suspicion.
   Duration m_flap_memory = std::chrono::minutes(5);
 
   /// Interval between requests that let a suspect prove itself: the first, and
-  /// the bounds. Doubles with each failure, halves with each success.
+  /// the bounds. Doubles with each failure.
   Duration m_probation_interval = std::chrono::milliseconds(500);
-  Duration m_min_probation_interval = std::chrono::milliseconds(50);
-  Duration m_max_probation_interval = std::chrono::seconds(10);
+  Duration m_min_probation_interval = std::chrono::milliseconds(200);
+  Duration m_max_probation_interval = std::chrono::seconds(5);
+  /// Each success multiplies the interval by this.
+  double m_probation_success_factor = 0.85;
 
   /// A suspect without any evidence for this long loses half its suspicion.
   Duration m_idle_forget = std::chrono::minutes(1);
