--- a/libs/limits/include/sequoiastage/limits/slot_gate.h
+++ b/libs/limits/include/sequoiastage/limits/slot_gate.h
@@ -28,7 +28,7 @@
   /// Pieces of work the instance executes at the same time.
   uint32_t m_slots = 3;
   /// Longest expected wait in the queue.
-  Duration m_max_wait = std::chrono::milliseconds(200);
+  Duration m_max_wait = std::chrono::milliseconds(300);
   /// Service time assumed before any has been seen.
   Duration m_initial_service_time = std::chrono::milliseconds(50);
   /// Weight of the newest service time in the moving average.
