Try replication of repeatable requests: none, always, threshold, hedged

Also mended: requests that arrived shortly before the end of a run counted as missed although they were in flight. The fake now runs on for one deadline.

--- a/bench/decision_bench/main.cc
+++ b/bench/decision_bench/main.cc
@@ -8,9 +8,10 @@
 
 #include "detection.h"
 #include "overload.h"
+#include "replication.h"
 
 ABSL_FLAG(uint64_t, seed, 1, "seed of all random numbers");
-ABSL_FLAG(std::string, mode, "detection", "detection or overload");
+ABSL_FLAG(std::string, mode, "detection", "detection, overload or replication");
 ABSL_FLAG(int, trials, 100, "runs of each fault scenario");
 ABSL_FLAG(double, rate, 5, "requests a second for each instance");
 ABSL_FLAG(double, burst_weight, 0.5, "weight of failures inside a burst");
@@ -41,6 +42,10 @@
     sequoiastage::RunOverload(seed);
     return 0;
   }
+  if (mode == "replication") {
+    sequoiastage::RunReplication(seed);
+    return 0;
+  }
   fmt::print(stderr, "decision_bench: unknown --mode={}\n", mode);
   return kUsageError;
 }
--- a/bench/decision_bench/overload_fake.h
+++ b/bench/decision_bench/overload_fake.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <queue>
 #include <random>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "policies.h"
+#include "replication.h"
 #include "sequoiastage/limits/retry_budget.h"
 #include "sequoiastage/limits/slot_gate.h"
 
@@ -32,6 +34,7 @@
   double m_load = 1;
   /// Faults of the first instances.
   std::vector<GrayFault> m_gray;
+  ReplicationOptions m_replication;
   Duration m_warm_up = std::chrono::seconds(40);
   Duration m_run_time = std::chrono::seconds(60);
   uint64_t m_seed = 1;
@@ -49,6 +52,9 @@
   uint64_t m_good = 0;
   uint64_t m_small_requests = 0;
   uint64_t m_small_good = 0;
+  /// Requests of criticality 1.
+  uint64_t m_critical_requests = 0;
+  uint64_t m_critical_good = 0;
   /// Attempts that reached an instance.
   uint64_t m_executions = 0;
   /// From arrival to the final answer, in s, of good and of refused ones.
@@ -72,7 +78,8 @@
         m_random(options.m_seed),
         m_now(start),
         m_measured(start + options.m_warm_up),
-        m_end(m_measured + options.m_run_time),
+        m_measured_end(m_measured + options.m_run_time),
+        m_end(m_measured_end + options.m_deadline),
         m_gates(options.m_instances, Gate({.m_slots = options.m_slots})),
         m_tickets(options.m_instances) {}
 
@@ -103,17 +110,28 @@
     }
   };
 
+  struct Copy {
+    size_t m_instance;
+    Ticket m_ticket;
+  };
+
   struct Request {
     AccountId m_account;
     bool m_is_repeatable = false;
+    bool m_is_answered = false;
+    double m_criticality = 0;
     TimePoint m_arrived;
     TimePoint m_deadline;
     std::vector<bool> m_tried;
+    std::vector<Copy> m_copies;
   };
 
+  using RequestRef = std::shared_ptr<Request>;
+
   struct Attempt {
-    Request m_request;
+    RequestRef m_request;
     WorkHandle m_handle;
+    bool m_is_running = false;
   };
 
   double Uniform() {
@@ -132,23 +150,80 @@
   }
 
   bool IsMeasured(const Request& request) const {
-    return request.m_arrived >= m_measured;
+    return request.m_arrived >= m_measured &&
+           request.m_arrived < m_measured_end;
   }
 
   void Arrive() {
     ScheduleArrival();
     const bool is_small = Uniform() < m_options.m_small_account_share;
-    Request request{.m_account = AccountId(is_small ? 1 : 2),
-                    .m_is_repeatable = Uniform() < m_options.m_repeatable_share,
-                    .m_arrived = m_now,
-                    .m_deadline = m_now + m_options.m_deadline,
-                    .m_tried = std::vector<bool>(m_options.m_instances, false)};
+    constexpr double criticalities[] = {0.1, 0.5, 1};
+    const auto request = std::make_shared<Request>();
+    request->m_account = AccountId(is_small ? 1 : 2);
+    request->m_is_repeatable = Uniform() < m_options.m_repeatable_share;
+    request->m_criticality = criticalities[m_next_order % 3];
+    request->m_arrived = m_now;
+    request->m_deadline = m_now + m_options.m_deadline;
+    request->m_tried.resize(m_options.m_instances, false);
     m_budget.OnRequest(m_now);
-    if (IsMeasured(request)) {
+    if (IsMeasured(*request)) {
       ++m_stats.m_requests;
       m_stats.m_small_requests += is_small ? 1 : 0;
+      m_stats.m_critical_requests += request->m_criticality == 1 ? 1 : 0;
+    }
+    Dispatch(request);
+    Replicate(request);
+  }
+
+  size_t FreeSlots() const {
+    size_t free = 0;
+    for (size_t i = 0; i < m_gates.size(); ++i) {
+      free += m_policy.IsRegular(i, m_now)
+                  ? m_options.m_slots - m_gates[i].Running()
+                  : 0;
+    }
+    return free;
+  }
+
+  // Sends further copies at once, or later while there is no answer.
+  void Replicate(const RequestRef& request) {
+    if (!request->m_is_repeatable) {
+      return;
+    }
+    const ReplicationOptions& options = m_options.m_replication;
+    if (options.m_mode == ReplicationMode::kHedged) {
+      Schedule(m_now + options.m_hedge_delay, [this, request] {
+        if (!request->m_is_answered && !request->m_copies.empty()) {
+          SendCopy(request);
+        }
+      });
+      return;
+    }
+    const double free_share =
+        static_cast<double>(FreeSlots()) /
+        static_cast<double>(m_options.m_instances * m_options.m_slots);
+    const uint32_t copies =
+        CopiesOf(options, request->m_criticality, free_share);
+    for (uint32_t copy = 1; copy < copies; ++copy) {
+      SendCopy(request);
+    }
+  }
+
+  // Uses a free slot of a regular instance only, but when all are replicated;
+  // hedges are paid from the retry budget.
+  void SendCopy(const RequestRef& request) {
+    const ReplicationMode mode = m_options.m_replication.m_mode;
+    const std::optional<size_t> chosen =
+        mode == ReplicationMode::kAlways
+            ? ChooseInOrder(*request)
+            : Choose(*request, [&](size_t i) {
+                return m_policy.IsRegular(i, m_now) &&
+                       m_gates[i].Running() < m_options.m_slots;
+              });
+    if (chosen &&
+        (mode != ReplicationMode::kHedged || m_budget.TryRetry(m_now))) {
+      Send(request, *chosen);
     }
-    Dispatch(std::move(request));
   }
 
   size_t LoadOf(size_t i) const {
@@ -204,20 +279,25 @@
     return chosen ? chosen : Choose(request, is_regular);
   }
 
-  void Dispatch(Request request) {
-    const std::optional<size_t> chosen = ChooseInOrder(request);
+  void Dispatch(const RequestRef& request) {
+    const std::optional<size_t> chosen = ChooseInOrder(*request);
     if (!chosen) {
-      Refuse(request);
+      Refuse(*request);
       return;
     }
-    const size_t i = *chosen;
-    request.m_tried[i] = true;
+    Send(request, *chosen);
+  }
+
+  void Send(const RequestRef& request, size_t i) {
+    request->m_tried[i] = true;
     const AdmissionResult result =
-        m_gates[i].Admit(m_now, request.m_deadline, request.m_account);
+        m_gates[i].Admit(m_now, request->m_deadline, request->m_account);
     if (result.m_admission == Admission::kRefused) {
-      Refuse(request);
+      Refuse(*request);
     } else {
-      m_tickets[i][result.m_ticket] = Attempt{std::move(request), {}};
+      m_tickets[i][result.m_ticket] =
+          Attempt{.m_request = request, .m_handle = WorkHandle()};
+      request->m_copies.push_back(Copy{i, result.m_ticket});
     }
     if (result.m_admission == Admission::kRun) {
       Start(i, result.m_ticket);
@@ -230,18 +310,43 @@
       Start(i, ticket);
     }
     for (const Ticket ticket : changes.m_refused) {
-      const Request request = m_tickets[i][ticket].m_request;
-      m_tickets[i].erase(ticket);
-      Refuse(request);
+      const RequestRef request = TakeAttempt(i, ticket).m_request;
+      Refuse(*request);
     }
   }
 
+  Attempt TakeAttempt(size_t i, Ticket ticket) {
+    Attempt attempt = std::move(m_tickets[i][ticket]);
+    m_tickets[i].erase(ticket);
+    std::erase_if(attempt.m_request->m_copies, [&](const Copy& copy) {
+      return copy.m_instance == i && copy.m_ticket == ticket;
+    });
+    return attempt;
+  }
+
+  // Counts a final refusal; other copies may still bring an answer.
   void Refuse(const Request& request) {
-    if (IsMeasured(request)) {
+    if (IsMeasured(request) && request.m_copies.empty()) {
       m_stats.m_refused_seconds.push_back(SecondsSince(request.m_arrived));
     }
   }
 
+  void CancelCopies(Request& request) {
+    const std::vector<Copy> copies = std::move(request.m_copies);
+    request.m_copies.clear();
+    for (const Copy& copy : copies) {
+      const size_t i = copy.m_instance;
+      const Attempt attempt = std::move(m_tickets[i][copy.m_ticket]);
+      m_tickets[i].erase(copy.m_ticket);
+      if (!attempt.m_is_running) {
+        m_gates[i].CancelQueued(copy.m_ticket);
+        continue;
+      }
+      m_policy.OnFinish(i, attempt.m_handle, m_now, Outcome::kCancelled);
+      Apply(i, m_gates[i].OnFinish(copy.m_ticket, m_now, false));
+    }
+  }
+
   double SecondsSince(TimePoint time) const {
     return std::chrono::duration<double>(m_now - time).count();
   }
@@ -256,7 +361,8 @@
   void Start(size_t i, Ticket ticket) {
     Attempt& attempt = m_tickets[i][ticket];
     attempt.m_handle = m_policy.OnStart(i, m_now);
-    m_stats.m_executions += IsMeasured(attempt.m_request) ? 1 : 0;
+    attempt.m_is_running = true;
+    m_stats.m_executions += IsMeasured(*attempt.m_request) ? 1 : 0;
     // The logarithm's mean that gives the wanted mean service time.
     const double sigma = m_options.m_latency_sigma;
     const double mu =
@@ -281,25 +387,32 @@
   }
 
   void Finish(size_t i, Ticket ticket, Outcome outcome) {
-    Attempt attempt = std::move(m_tickets[i][ticket]);
-    m_tickets[i].erase(ticket);
+    if (!m_tickets[i].contains(ticket)) {
+      return;
+    }
+    const Attempt attempt = TakeAttempt(i, ticket);
     m_policy.OnFinish(i, attempt.m_handle, m_now, outcome);
     Apply(i, m_gates[i].OnFinish(ticket, m_now, !IsFailure(outcome)));
-    Request& request = attempt.m_request;
+    const RequestRef& request = attempt.m_request;
     if (!IsFailure(outcome)) {
-      NoteAnswer(request);
-    } else if (request.m_is_repeatable && m_now < request.m_deadline &&
-               m_budget.TryRetry(m_now)) {
-      Dispatch(std::move(request));
+      NoteAnswer(*request);
+      return;
+    }
+    if (request->m_copies.empty() && request->m_is_repeatable &&
+        m_now < request->m_deadline && m_budget.TryRetry(m_now)) {
+      Dispatch(request);
     }
   }
 
-  void NoteAnswer(const Request& request) {
+  void NoteAnswer(Request& request) {
+    request.m_is_answered = true;
+    CancelCopies(request);
     if (!IsMeasured(request) || m_now > request.m_deadline) {
       return;
     }
     ++m_stats.m_good;
     m_stats.m_small_good += request.m_account == AccountId(1) ? 1 : 0;
+    m_stats.m_critical_good += request.m_criticality == 1 ? 1 : 0;
     m_stats.m_good_seconds.push_back(SecondsSince(request.m_arrived));
   }
 
@@ -322,6 +435,7 @@
   std::mt19937_64 m_random;
   TimePoint m_now;
   TimePoint m_measured;
+  TimePoint m_measured_end;
   TimePoint m_end;
   std::vector<Gate> m_gates;
   std::vector<std::unordered_map<Ticket, Attempt>> m_tickets;
--- a/libs/limits/tests/naive_limits.h
+++ b/libs/limits/tests/naive_limits.h
@@ -38,6 +38,9 @@
     return {.m_started = {next}, .m_refused = {}};
   }
 
+  /// What waits can't be taken out.
+  bool CancelQueued(Ticket /*ticket*/) { return false; }
+
   GateChanges OnTick(TimePoint /*now*/) { return {}; }
 
   size_t Running() const { return m_running; }
