--- /dev/null
+++ b/bench/capacity_bench/config_section.cc
@@ -0,0 +1,126 @@
+#include <fmt/core.h>
+
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "report.h"
+#include "sections.h"
+#include "sequoiastage/config/config_parse.h"
+#include "sequoiastage/config/route_table.h"
+
+namespace sequoiastage {
+namespace {
+
+/// `count` account names with different handles; the check refuses names that
+/// share one.
+std::vector<std::string> AccountNames(uint32_t count) {
+  std::vector<std::string> names;
+  std::set<AccountId> handles;
+  for (uint32_t i = 0; names.size() < count; ++i) {
+    std::string name = fmt::format("account-{}", i);
+    if (handles.insert(AccountIdOf(name)).second) {
+      names.push_back(std::move(name));
+    }
+  }
+  return names;
+}
+
+std::string BaseText(uint32_t services, uint32_t routes, uint32_t accounts) {
+  std::string text = R"({"sites": ["north"], "services": {)";
+  for (uint32_t i = 0; i < services; ++i) {
+    text += fmt::format(R"({}"service-{}": {{"instances": 28, "floor": 20}})",
+                        i == 0 ? "" : ",", i);
+  }
+  text += R"(}, "routes": {)";
+  for (uint32_t i = 0; i < routes; ++i) {
+    text += fmt::format(
+        R"({}"route-{}": {{"host": "host-{}.example", "path": "/path/{}",)"
+        R"( "service": "service-{}"}})",
+        i == 0 ? "" : ",", i, i % 400, i, i % services);
+  }
+  text += R"(}, "accounts": {)";
+  const char* separator = "";
+  for (const std::string& name : AccountNames(accounts)) {
+    text += fmt::format(R"({}"{}": {{"share": 2}})", separator, name);
+    separator = ",";
+  }
+  return text + "}}";
+}
+
+std::optional<FleetConfig> Parse(const std::string& text) {
+  Findings findings;
+  auto config =
+      ParseFleetConfig({.m_source = "base", .m_text = text}, {}, findings);
+  if (!config) {
+    PrintHeading(findings.ToText().substr(0, 500));
+  }
+  return config;
+}
+
+void MeasureRoutes(uint64_t seed) {
+  std::mt19937_64 random(seed);
+  Series heap("bytes of heap for configuration and route table", "routes");
+  Series build("us to build the route table", "routes");
+  Series lookup("us for a route lookup", "routes");
+  for (const uint32_t routes : {6'000U, 12'000U, 24'000U}) {
+    const std::string text = BaseText(2100, routes, 0);
+    const double before = HeapBytes();
+    const auto config = Parse(text);
+    if (!config) {
+      return;
+    }
+    const Config& site = *config->FindSite("north");
+    const RouteTable table(site.m_routes);
+    heap.Add(routes, HeapBytes() - before);
+    build.Add(routes, 1e6 * SecondsPerCall([&] { RouteTable(site.m_routes); }));
+    lookup.Add(routes, 1e6 * SecondsPerCall([&] {
+                         const auto i =
+                             static_cast<uint32_t>(random() % routes);
+                         const Route* route =
+                             table.Find(fmt::format("host-{}.example", i % 400),
+                                        fmt::format("/path/{}/item/7", i));
+                         if (route == nullptr) {
+                           PrintHeading("no route found");
+                         }
+                       }));
+  }
+}
+
+void MeasureAccounts(uint64_t seed) {
+  std::mt19937_64 random(seed);
+  Series text_bytes("bytes of the JSON text", "accounts");
+  Series parse("seconds to parse and check", "accounts");
+  Series heap("bytes of heap for the configuration", "accounts");
+  Series lookup("us for an account lookup", "accounts");
+  for (const uint32_t accounts : {47'500U, 95'000U, 190'000U}) {
+    const std::string text = BaseText(2100, 24'000, accounts);
+    text_bytes.Add(accounts, static_cast<double>(text.size()));
+    const double before = HeapBytes();
+    const double start = CpuSeconds();
+    const auto config = Parse(text);
+    if (!config) {
+      return;
+    }
+    parse.Add(accounts, CpuSeconds() - start);
+    heap.Add(accounts, HeapBytes() - before);
+    const Config& site = *config->FindSite("north");
+    lookup.Add(accounts,
+               1e6 * SecondsPerCall([&] {
+                 site.FindAccount(site.m_accounts[random() % accounts].m_id);
+               }));
+  }
+}
+
+}  // namespace
+
+void MeasureConfig(uint64_t seed) {
+  PrintHeading("config: 2,100 services, routes, no accounts");
+  MeasureRoutes(seed);
+  PrintHeading("config: 2,100 services, 24,000 routes, accounts");
+  MeasureAccounts(seed);
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/bench/capacity_bench/fleet_section.cc
@@ -0,0 +1,216 @@
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <random>
+
+#include "report.h"
+#include "sections.h"
+#include "tests/fake_network.h"
+
+namespace sequoiastage {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint32_t kInstancesPerNode = 9;
+constexpr uint32_t kInstancesPerService = 28;
+/// Size of an encoded summary of one instance.
+constexpr std::size_t kReportBytes = 56;
+
+OwnState StateOf(uint32_t node, uint32_t nodes, uint16_t slots) {
+  const uint32_t services =
+      std::max(nodes * kInstancesPerNode / kInstancesPerService, 1U);
+  OwnState state;
+  for (uint32_t i = 0; i < kInstancesPerNode; ++i) {
+    const uint32_t instance = node * kInstancesPerNode + i;
+    state.m_instances.push_back(
+        {.m_id = InstanceId({.m_ip = instance, .m_port = 80}),
+         .m_service = ServiceId(instance % services),
+         .m_incarnation = Incarnation(1),
+         .m_slots = slots});
+  }
+  return state;
+}
+
+/// A fleet that has started and come to rest.
+class Fleet {
+ public:
+  Fleet(uint32_t nodes, uint64_t seed)
+      : m_nodes(nodes),
+        m_random(seed),
+        m_network(
+            {.m_nodes = nodes, .m_seed = seed, .m_step = milliseconds(50)}) {
+    for (uint32_t i = 0; i < nodes; ++i) {
+      m_network.At(i).SetOwn(StateOf(i, nodes, 3), m_network.Time());
+    }
+    Rest();
+  }
+
+  FakeNetwork& Network() { return m_network; }
+
+  /// Runs until the queues are empty: no node sends more than its probes and
+  /// digests.
+  void Rest() {
+    double before = 0;
+    for (int i = 0; i < 60; ++i) {
+      const double now = BytesPerNodeSecond(seconds(10));
+      if (i > 0 && now < 800 && now > 0.9 * before) {
+        return;
+      }
+      before = now;
+    }
+  }
+
+  double BytesPerNodeSecond(Duration window) {
+    m_network.TakeTraffic();
+    m_network.Run(window);
+    m_traffic = m_network.TakeTraffic();
+    return static_cast<double>(m_traffic.m_bytes) / m_nodes /
+           std::chrono::duration<double>(window).count();
+  }
+  double ShareBetweenRegions() const {
+    return static_cast<double>(m_traffic.m_bytes_between_regions) /
+           static_cast<double>(m_traffic.m_bytes);
+  }
+
+  /// One node changes its entry.
+  uint32_t Change() {
+    const auto node = static_cast<uint32_t>(m_random() % m_nodes);
+    const auto slots = static_cast<uint16_t>(4 + m_random() % 1000);
+    if (m_network.IsUp(node)) {
+      m_network.At(node).SetOwn(StateOf(node, m_nodes, slots),
+                                m_network.Time());
+    }
+    return node;
+  }
+
+  /// Seconds until all nodes hold the newest entry of `node`.
+  double SecondsToKnow(uint32_t node) {
+    const auto took = m_network.RunUntil(
+        [&] {
+          for (uint32_t i = 0; i < m_nodes; ++i) {
+            if (m_network.IsUp(i) && !m_network.Sees(i, node)) {
+              return false;
+            }
+          }
+          return true;
+        },
+        seconds(60));
+    return took ? std::chrono::duration<double>(*took).count() : 60;
+  }
+
+ private:
+  uint32_t m_nodes;
+  std::mt19937_64 m_random;
+  FakeNetwork m_network;
+  FakeNetwork::Traffic m_traffic;
+};
+
+void MeasureRest(const std::vector<uint32_t>& sizes, uint64_t seed) {
+  Series rest("bytes a second of a node at rest", "nodes");
+  Series cpu("share of a core of a node at rest, in %", "nodes");
+  Series regions("share of bytes between regions, in %", "nodes");
+  Series spread("seconds until a change is known everywhere", "nodes");
+  Series groups("bytes a second of a node with group reports", "nodes");
+  for (const uint32_t nodes : sizes) {
+    Fleet fleet(nodes, seed);
+    const double start = CpuSeconds();
+    rest.Add(nodes, fleet.BytesPerNodeSecond(seconds(60)));
+    cpu.Add(nodes, (CpuSeconds() - start) / 60 / nodes * 100);
+    regions.Add(nodes, 100 * fleet.ShareBetweenRegions());
+    double sum = 0;
+    for (int i = 0; i < 5; ++i) {
+      sum += fleet.SecondsToKnow(fleet.Change());
+    }
+    spread.Add(nodes, sum / 5);
+    FakeNetwork& network = fleet.Network();
+    for (uint32_t i = 0; i < nodes; ++i) {
+      for (const InstanceEntry& instance : network.At(i).Own().m_instances) {
+        network.At(i).SetGroupReport(instance.m_service,
+                                     std::vector<uint8_t>(kReportBytes));
+      }
+    }
+    network.Run(seconds(10));
+    groups.Add(nodes, fleet.BytesPerNodeSecond(seconds(20)));
+  }
+}
+
+void MeasureChanges(uint32_t nodes, uint64_t seed) {
+  Series bytes(fmt::format("bytes a second of a node, {} nodes", nodes),
+               "changes/s");
+  Series cpu(fmt::format("share of a core in %, {} nodes", nodes), "changes/s");
+  Fleet fleet(nodes, seed);
+  for (const uint32_t tenths : {0U, 5U, 10U, 20U}) {
+    const double start = CpuSeconds();
+    double sum = 0;
+    constexpr int kSteps = 400;
+    for (int step = 0; step < kSteps; ++step) {
+      if (step * tenths / 100 != (step + 1) * tenths / 100) {
+        fleet.Change();
+      }
+      sum += fleet.BytesPerNodeSecond(milliseconds(100));
+    }
+    bytes.Add(tenths / 10.0, sum / kSteps);
+    cpu.Add(tenths / 10.0,
+            (CpuSeconds() - start) / (kSteps * 0.1) / nodes * 100);
+    fleet.Network().Run(seconds(20));
+  }
+}
+
+/// A seventh of the nodes is lost at once.
+void MeasureDomainLoss(const std::vector<uint32_t>& sizes, uint64_t seed) {
+  Series first("seconds until the first lost node is hinted everywhere",
+               "nodes");
+  Series last("seconds until all lost nodes are hinted everywhere", "nodes");
+  Series rate("bytes a second of a node meanwhile", "nodes");
+  for (const uint32_t nodes : sizes) {
+    Fleet fleet(nodes, seed);
+    FakeNetwork& network = fleet.Network();
+    const uint32_t lost = nodes / 7;
+    for (uint32_t i = nodes - lost; i < nodes; ++i) {
+      network.Kill(i);
+    }
+    network.TakeTraffic();
+    const TimePoint start = network.Time();
+    double first_seconds = -1;
+    bool is_all_hinted = false;
+    while (!is_all_hinted && network.Time() - start < seconds(600)) {
+      network.Run(milliseconds(500));
+      uint32_t hinted = 0;
+      for (uint32_t i = nodes - lost; i < nodes; ++i) {
+        const NodeId node = FakeNetwork::Id(i);
+        hinted += network.AllUp([node](Membership& at) {
+          const auto view = at.Find(node);
+          return !view || view->m_unreachable;
+        });
+      }
+      const double elapsed =
+          std::chrono::duration<double>(network.Time() - start).count();
+      if (hinted > 0 && first_seconds < 0) {
+        first_seconds = elapsed;
+        first.Add(nodes, elapsed);
+      }
+      is_all_hinted = hinted == lost;
+    }
+    const double elapsed =
+        std::chrono::duration<double>(network.Time() - start).count();
+    last.Add(nodes, elapsed);
+    rate.Add(nodes, static_cast<double>(network.TakeTraffic().m_bytes) /
+                        (nodes - lost) / elapsed);
+  }
+}
+
+}  // namespace
+
+void MeasureFleets(uint64_t seed) {
+  PrintHeading("fleets: 9 instances a node, 28 a service, 3 regions");
+  MeasureRest({125, 250, 500, 1000}, seed);
+  PrintHeading("fleets: changes of entries");
+  MeasureChanges(250, seed);
+  MeasureChanges(500, seed);
+  PrintHeading("fleets: loss of a seventh of the nodes");
+  MeasureDomainLoss({125, 250, 500}, seed);
+}
+
+}  // namespace sequoiastage
--- a/libs/membership/tests/fake_network.h
+++ b/libs/membership/tests/fake_network.h
@@ -34,6 +34,14 @@
     MembershipOptions m_membership{};
   };
 
+  /// What the nodes sent since the last TakeTraffic(), IP and UDP headers
+  /// included.
+  struct Traffic {
+    uint64_t m_datagrams = 0;
+    uint64_t m_bytes = 0;
+    uint64_t m_bytes_between_regions = 0;
+  };
+
   explicit FakeNetwork(Options options)
       : m_options(std::move(options)), m_random(m_options.m_seed) {
     m_nodes.resize(m_options.m_nodes);
@@ -94,6 +102,8 @@
     }
   }
 
+  Traffic TakeTraffic() { return std::exchange(m_traffic, {}); }
+
   void Run(Duration duration) {
     for (const TimePoint end = m_now + duration; m_now < end;) {
       Step();
@@ -190,9 +200,22 @@
     return probability > 0 &&
            std::bernoulli_distribution(probability)(m_random);
   }
+  uint32_t RegionOf(uint32_t index) const {
+    return index % (m_options.m_regions * m_options.m_domains_per_region) /
+           m_options.m_domains_per_region;
+  }
+  void Count(uint32_t from, uint32_t to, std::size_t payload) {
+    constexpr std::size_t kHeaderBytes = 28;
+    ++m_traffic.m_datagrams;
+    m_traffic.m_bytes += payload + kHeaderBytes;
+    if (RegionOf(from) != RegionOf(to)) {
+      m_traffic.m_bytes_between_regions += payload + kHeaderBytes;
+    }
+  }
   void Send(uint32_t from, const std::vector<OutgoingDatagram>& datagrams) {
     for (const OutgoingDatagram& datagram : datagrams) {
       const uint32_t to = datagram.m_to.Get().m_ip - 0x7f000001;
+      Count(from, to, datagram.m_bytes.size());
       if (to >= Size() || m_cuts.contains({from, to}) ||
           Happens(m_options.m_loss)) {
         continue;
@@ -218,6 +241,7 @@
   std::vector<Node> m_nodes;
   std::set<std::pair<uint32_t, uint32_t>> m_cuts;
   std::priority_queue<InFlight> m_in_flight;
+  Traffic m_traffic;
 };
 
 }  // namespace sequoiastage
