Send a changed entry whole once, then only its stamp

Cause: each node passed 12 whole copies (about 300 B each) of a changed entry on, 3.4 kB for each node and change at 500 nodes. After the first round nearly all nodes have the entry. Weighed: losing interest on duplicates (needs an answer for each copy), deltas of entries (a lost one needs the whole again). Now the later rounds carry the 27 B stamp, which a node that lacks the entry answers by asking for it.

--- a/libs/membership/src/gossip.cc
+++ b/libs/membership/src/gossip.cc
@@ -176,7 +176,9 @@
     return;
   }
   DatagramWriter writer(Header());
-  m_updates.Round([&](const UpdateKey& key) { return AddUpdate(key, writer); });
+  m_updates.Round([&](const UpdateKey& key, bool was_sent) {
+    return AddUpdate(key, was_sent, writer);
+  });
   if (writer.IsEmpty()) {
     return;
   }
@@ -187,7 +189,9 @@
   }
 }
 
-bool Membership::Impl::AddUpdate(const UpdateKey& key, DatagramWriter& writer) {
+bool Membership::Impl::AddUpdate(const UpdateKey& key,
+                                 bool was_sent,
+                                 DatagramWriter& writer) {
   const MemberRecord* record = m_table.Find(key.m_node);
   if (record == nullptr) {
     return true;
@@ -195,6 +199,10 @@
   const MemberEntry& entry = record->m_entry;
   switch (key.m_kind) {
     case UpdateKind::kEntry:
+      // Most nodes get the entry in the first round; the others ask for it.
+      if (was_sent) {
+        return writer.Add(record->Stamp());
+      }
       return writer.Add(
           EntryPart{.m_entry = entry, .m_status = record->m_status});
     case UpdateKind::kStatus:
--- a/libs/membership/src/membership_impl_p.h
+++ b/libs/membership/src/membership_impl_p.h
@@ -58,7 +58,7 @@
   void Note(NodeId node, const MergeResult& result, bool passes_on);
   void Queue(NodeId node, UpdateKind kind);
   void SendGossip(Outbox& outbox);
-  bool AddUpdate(const UpdateKey& key, DatagramWriter& writer);
+  bool AddUpdate(const UpdateKey& key, bool was_sent, DatagramWriter& writer);
   void ApplyFindings(const ProbeFindings& findings);
   void MarkAnswered(NodeId node);
   void MarkFailed(const ProbeFindings::Failure& failure);
--- a/libs/membership/src/update_queue_p.h
+++ b/libs/membership/src/update_queue_p.h
@@ -25,7 +25,8 @@
  public:
   /// Puts the change in front; one already queued starts over.
   void Push(const UpdateKey& key, uint32_t rounds) {
-    const bool is_new = m_rounds.insert_or_assign(key, rounds).second;
+    const bool is_new =
+        m_rounds.insert_or_assign(key, Progress{.m_left = rounds}).second;
     if (is_new) {
       m_order.push_front(key);
     }
@@ -33,18 +34,20 @@
 
   bool IsEmpty() const { return m_order.empty(); }
 
-  /// Offers changes to `take` until it refuses one, each at most once.
+  /// Offers changes to `take` until it refuses one, each at most once. Its
+  /// second argument says whether the change had a round before.
   template <class Take>
   void Round(Take take) {
     for (std::size_t left = m_order.size(); left > 0; --left) {
       const UpdateKey key = m_order.front();
-      if (!take(key)) {
+      const auto progress = m_rounds.find(key);
+      if (!take(key, progress->second.m_was_sent)) {
         return;
       }
       m_order.pop_front();
-      const auto rounds = m_rounds.find(key);
-      if (--rounds->second == 0) {
-        m_rounds.erase(rounds);
+      progress->second.m_was_sent = true;
+      if (--progress->second.m_left == 0) {
+        m_rounds.erase(progress);
       } else {
         m_order.push_back(key);
       }
@@ -52,8 +55,13 @@
   }
 
  private:
+  struct Progress {
+    uint32_t m_left = 0;
+    bool m_was_sent = false;
+  };
+
   std::deque<UpdateKey> m_order;
-  std::map<UpdateKey, uint32_t> m_rounds;
+  std::map<UpdateKey, Progress> m_rounds;
 };
 
 }  // namespace sequoiastage
