--- a/libs/node/src/config_feed.cc
+++ b/libs/node/src/config_feed.cc
@@ -11,6 +11,10 @@
 
 constexpr std::chrono::milliseconds kPollInterval{500};
 constexpr std::chrono::milliseconds kPendingPollInterval{50};
+// Poll of a node that gets the changes from others.
+constexpr std::chrono::seconds kFallbackPollInterval{5};
+// Bytes of records kept for peers.
+constexpr size_t kMaxRecentBytes = size_t{4} << 20;
 constexpr std::chrono::seconds kReadTimeout{2};
 constexpr std::chrono::seconds kAppendTimeout{2};
 constexpr std::chrono::seconds kPublishTimeout{5};
@@ -102,14 +106,19 @@
     Poll();
     return;
   }
-  ArmPoll(m_pending.empty() ? kPollInterval : kPendingPollInterval);
+  if (!m_pending.empty()) {
+    ArmPoll(kPendingPollInterval);
+    return;
+  }
+  ArmPoll(m_is_reader || !m_has_read_to_end ? kPollInterval
+                                            : kFallbackPollInterval);
 }
 
 bool ConfigFeed::ApplyPage(const LogPage& page) {
   const LogOffset before = m_replay.State().m_next;
   m_replay.OnFirstRetained(page.m_first_retained);
   for (const LogRecord& record : page.m_records) {
-    const ApplyOutcome outcome = m_replay.Apply(record.m_offset, record.m_text);
+    const ApplyOutcome outcome = ApplyRecord(record.m_offset, record.m_text);
     if (outcome == ApplyOutcome::kRestored ||
         outcome == ApplyOutcome::kOutOfOrder) {
       break;
@@ -119,12 +128,88 @@
   const bool is_first_end = is_at_end && !m_has_read_to_end;
   m_has_read_to_end = m_has_read_to_end || is_at_end;
   if (m_replay.State().m_next != before || is_first_end) {
-    LogNewAudit(before);
-    TakeInForce();
+    OnStateChange(before);
   }
   return !is_at_end && !page.m_records.empty();
 }
 
+ApplyOutcome ConfigFeed::ApplyRecord(LogOffset offset,
+                                     const std::string& text) {
+  const LogOffset before = m_replay.State().m_next;
+  const ApplyOutcome outcome = m_replay.Apply(offset, text);
+  if (m_replay.State().m_next == before) {
+    return outcome;
+  }
+  if (offset != before) {
+    m_recent.clear();
+    m_recent_bytes = 0;
+  }
+  if (outcome != ApplyOutcome::kRestored) {
+    m_recent.push_back({.m_offset = offset, .m_text = text});
+    m_recent_bytes += text.size();
+  }
+  while (m_recent_bytes > kMaxRecentBytes) {
+    m_recent_bytes -= m_recent.front().m_text.size();
+    m_recent.pop_front();
+  }
+  return outcome;
+}
+
+void ConfigFeed::OnStateChange(LogOffset before) {
+  LogNewAudit(before);
+  TakeInForce();
+}
+
+ConfigReplyMessage ConfigFeed::AnswerPeer(
+    const ConfigRequestMessage& request) const {
+  ConfigReplyMessage reply{.m_attempt = request.m_attempt};
+  if (request.m_have >= Version()) {
+    return reply;
+  }
+  if (m_recent.empty() || request.m_have < m_recent.front().m_offset) {
+    reply.m_state = ToDocument(m_replay.State()).ToText();
+    return reply;
+  }
+  for (const RelayedRecord& record : m_recent) {
+    if (record.m_offset >= request.m_have) {
+      reply.m_records.push_back(record);
+    }
+  }
+  return reply;
+}
+
+void ConfigFeed::TakeFromPeer(const ConfigReplyMessage& reply) {
+  const LogOffset before = Version();
+  for (const RelayedRecord& record : reply.m_records) {
+    if (record.m_offset >= Version()) {
+      ApplyRecord(record.m_offset, record.m_text);
+    }
+  }
+  if (!reply.m_state.empty()) {
+    TakePeerState(reply.m_state);
+  }
+  if (Version() != before) {
+    OnStateChange(before);
+    ResolvePending();
+  }
+}
+
+void ConfigFeed::TakePeerState(const std::string& text) {
+  Findings findings;
+  const auto document = JsonDocument::Parse("peer", text, findings);
+  const auto state =
+      document ? ParseReplayState(*document, findings) : std::nullopt;
+  if (!state) {
+    LogEvent(LogLevel::kWarn, "peer_state_refused")
+        .Add("findings", findings.ToText());
+    return;
+  }
+  if (m_replay.Merge(*state)) {
+    m_recent.clear();
+    m_recent_bytes = 0;
+  }
+}
+
 void ConfigFeed::LogNewAudit(LogOffset before) {
   for (const AuditEntry& entry : m_replay.State().m_audit) {
     if (entry.m_offset < before) {
--- a/libs/node/src/config_feed_p.h
+++ b/libs/node/src/config_feed_p.h
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -17,6 +18,7 @@
 #include "sequoiastage/config/route_table.h"
 #include "sequoiastage/http/http_client.h"
 #include "sequoiastage/platform/log_client.h"
+#include "sequoiastage/wire/messages.h"
 
 namespace sequoiastage {
 
@@ -42,6 +44,16 @@
   // has judged it, or when that takes too long.
   void Publish(const PublishRequest& request, PublishDone done);
 
+  // With `is_reader` the log is polled for every change, else only now and
+  // then: other nodes pass the changes on.
+  void SetReader(bool is_reader) { m_is_reader = is_reader; }
+
+  // What a peer whose state ends before `have` lacks.
+  ConfigReplyMessage AnswerPeer(const ConfigRequestMessage& request) const;
+
+  // What a peer passed on.
+  void TakeFromPeer(const ConfigReplyMessage& reply);
+
   // Every change before this offset is in force or was refused.
   LogOffset Version() const { return m_replay.State().m_next; }
   const std::shared_ptr<const Config>& InForce() const { return m_config; }
@@ -64,6 +76,9 @@
   void OnPage(const HttpCallResult& result);
   // Applies the page's records; true when there are more to read at once.
   bool ApplyPage(const LogPage& page);
+  ApplyOutcome ApplyRecord(LogOffset offset, const std::string& text);
+  void OnStateChange(LogOffset before);
+  void TakePeerState(const std::string& text);
   void LogNewAudit(LogOffset before);
   void TakeInForce();
   void OnAppended(const std::string& change_id,
@@ -85,6 +100,10 @@
   // Ejections in force, once the log has been read to its end.
   std::unordered_map<InstanceId, Incarnation> m_ejected;
   std::vector<Pending> m_pending;
+  // Newest records without a gap, for peers.
+  std::deque<RelayedRecord> m_recent;
+  size_t m_recent_bytes = 0;
+  bool m_is_reader = true;
   bool m_is_polling = false;
   bool m_is_log_reachable = false;
   bool m_has_read_to_end = false;
--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -67,6 +67,10 @@
                  m_is_view_due = true;
                  Publish();
                }),
+      m_relay(io,
+              {.m_own = NodeId(settings.m_peer), .m_incarnation = incarnation},
+              &m_membership,
+              &m_config),
       m_admin(io, MakeAdminParts()),
       m_tick(io) {}
 
@@ -91,6 +95,7 @@
 void Control::Stop() {
   m_tick.cancel();
   m_config.Stop();
+  m_relay.Stop();
   m_admin.Stop();
   m_announce.Stop();
   m_gossip.Stop();
@@ -129,6 +134,7 @@
   }
   Publish();
   TakeGroupReports();
+  m_relay.OnTick(now);
   m_gossip.Send(m_membership.OnTick(now));
 }
 
--- a/libs/node/src/control_p.h
+++ b/libs/node/src/control_p.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "config_feed_p.h"
+#include "config_relay_p.h"
 #include "egress_p.h"
 #include "gossip_socket_p.h"
 #include "instance_table_p.h"
@@ -53,6 +54,11 @@
   // The counters of the traffic threads, a few times a second.
   void SetTraffic(const TrafficStats& traffic) { m_traffic = traffic; }
 
+  // What a peer asks for of the configuration.
+  ConfigReplyMessage AnswerPeer(const ConfigRequestMessage& request) const {
+    return m_config.AnswerPeer(request);
+  }
+
   // The node takes no new work (kDraining) or has ended (kLeft).
   void SetHostState(HostState state);
 
@@ -84,6 +90,7 @@
   GossipSocket m_gossip;
   HttpServer m_announce;
   ConfigFeed m_config;
+  ConfigRelay m_relay;
   InstanceTable m_instances;
   std::map<SiblingKey, SiblingSummary> m_siblings;
   TrafficStats m_traffic;
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -174,11 +174,25 @@
       PassToKeyOwner(from, std::move(*keyed));
       return;
     }
+    if (const auto* request = std::get_if<ConfigRequestMessage>(&message)) {
+      AnswerConfig(from, *request);
+      return;
+    }
     RunAtEgress(std::move(message), [from](ResultMessage result) {
       from->Send(std::move(result));
     });
   }
 
+  // From the egress thread to the control thread and back.
+  void AnswerConfig(const PeerServer::Connection& from,
+                    const ConfigRequestMessage& request) {
+    asio::post(m_control_io, [this, from, request] {
+      asio::post(m_egress_io, [from, reply = m_control.AnswerPeer(request)] {
+        from->Send(reply);
+      });
+    });
+  }
+
   void PassToKeyOwner(const PeerServer::Connection& from,
                       KeyedRequestMessage message) {
     auto reply = [this, from](KeyedReplyMessage answer) {
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -162,12 +162,22 @@
                          const ConfigRequestMessage&) = default;
 };
 
-/// A node's state of the log as an opaque snapshot; empty when it holds
-/// nothing newer than was asked for.
+/// A record of the platform's log as one node passes it on to another.
+struct RelayedRecord {
+  LogOffset m_offset;
+  std::string m_text;
+
+  friend bool operator==(const RelayedRecord&, const RelayedRecord&) = default;
+};
+
+/// What a node holds of the log beyond what was asked: the records, or the
+/// state they amount to where it no longer has them all. Both empty when it
+/// holds nothing newer.
 struct ConfigReplyMessage {
   AttemptId m_attempt;
-  LogOffset m_version;
-  std::string m_snapshot;
+  std::vector<RelayedRecord> m_records;
+  /// JSON text of the state.
+  std::string m_state;
 
   friend bool operator==(const ConfigReplyMessage&,
                          const ConfigReplyMessage&) = default;
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -97,10 +97,17 @@
   archive(message.m_attempt, message.m_have);
 }
 
+template <class Archive>
+void serialize(Archive& archive, RelayedRecord& record) {
+  archive(record.m_offset);
+  Bounded(archive, record.m_text);
+}
+
 template <class Archive>
 void serialize(Archive& archive, ConfigReplyMessage& message) {
-  archive(message.m_attempt, message.m_version);
-  Bounded(archive, message.m_snapshot);
+  archive(message.m_attempt);
+  Bounded(archive, message.m_records);
+  Bounded(archive, message.m_state);
 }
 
 }  // namespace sequoiastage
--- a/libs/wire/tests/frame_fault_test.cc
+++ b/libs/wire/tests/frame_fault_test.cc
@@ -43,7 +43,7 @@
       return KeyedRequestMessage{
           .m_attempt = id, .m_key = text, .m_account = text};
     default:
-      return ConfigReplyMessage{.m_attempt = id, .m_snapshot = text};
+      return ConfigReplyMessage{.m_attempt = id, .m_state = text};
   }
 }
 
