Tell a known log outage before anything is appended

The log client has to call a 503 ambiguous. While the node's own reads fail, a publish now is refused at once, with the certainty that nothing was written. sequoiactl keeps 'unknown' when such an answer follows a lost one.

--- a/apps/sequoiactl/config_commands.cc
+++ b/apps/sequoiactl/config_commands.cc
@@ -172,8 +172,8 @@
     ExplainConflict(answer.m_json, options, err);
   }
   if (exit_code == ExitCode::kLogUnavailable) {
-    err << "the platform's log is down and nothing was written; what is in "
-           "force stays in force. Run the same command again when it is back\n";
+    err << "the platform's log is down and this command wrote nothing; what is "
+           "in force stays in force. Run it again when the log is back\n";
   }
   return exit_code;
 }
--- a/apps/sequoiactl/config_commands_inl.h
+++ b/apps/sequoiactl/config_commands_inl.h
@@ -11,6 +11,7 @@
 inline constexpr Duration kRolloutPollInterval = std::chrono::milliseconds(200);
 inline constexpr Duration kPublishRetryInterval = std::chrono::seconds(1);
 inline constexpr int kHttpStatusOk = 200;
+inline constexpr int kHttpStatusUnavailable = 503;
 inline constexpr int kHttpStatusUnknown = 504;
 
 template <AdminApi Api, CommandClock Clock>
@@ -51,13 +52,19 @@
                       const CommandOutput& output) {
   const Json body = ToPublishBody(options, document);
   const TimePoint end = clock.Now() + options.m_wait;
+  bool may_be_written = false;
   while (true) {
     ApiAnswer answer = api.Post("/v1/config/publish", body);
+    // An outage says nothing of an append that was sent before.
+    if (may_be_written && answer.m_status == kHttpStatusUnavailable) {
+      answer.m_status = kHttpStatusUnknown;
+    }
     const bool is_unknown =
         answer.m_status == 0 || answer.m_status == kHttpStatusUnknown;
     if (!is_unknown || clock.Now() >= end) {
       return answer;
     }
+    may_be_written = true;
     *output.m_err << "no certain answer yet; asking again under change id "
                   << options.m_change_id << "\n";
     clock.Sleep(kPublishRetryInterval);
--- a/apps/sequoiactl/tests/sequoiactl_test.cc
+++ b/apps/sequoiactl/tests/sequoiactl_test.cc
@@ -167,7 +167,7 @@
   m_api.m_answers["/v1/config/publish"] = {
       {.m_status = 503, .m_json = {{"detail", "no answer from the log"}}}};
   EXPECT_EQ(Publish(), ExitCode::kLogUnavailable);
-  EXPECT_NE(m_err.str().find("log is down and nothing was written"),
+  EXPECT_NE(m_err.str().find("log is down and this command wrote nothing"),
             std::string::npos);
   EXPECT_EQ(m_api.m_posts.size(), 1u);
 }
@@ -191,6 +191,15 @@
   EXPECT_NE(m_err.str().find("--change_id=c1"), std::string::npos);
 }
 
+TEST_F(SequoiactlTest, OutageAfterALostAnswerStaysUnknown) {
+  StartFromVersion4();
+  m_api.m_answers["/v1/config/publish"] = {
+      {.m_status = 504, .m_json = {{"detail", "lost"}}},
+      {.m_status = 503, .m_json = {{"detail", "no log"}}}};
+  EXPECT_EQ(Publish(), ExitCode::kUnknown);
+  EXPECT_EQ(m_err.str().find("wrote nothing"), std::string::npos);
+}
+
 TEST_F(SequoiactlTest, FaultyFileIsNeverSent) {
   StartFromVersion4();
   WriteFile(R"({"sites": [], "services": {}, "colour": 1})");
--- a/libs/node/src/config_feed.cc
+++ b/libs/node/src/config_feed.cc
@@ -191,6 +191,12 @@
           .m_reason = "the configuration has faults"});
     return;
   }
+  if (!m_is_log_reachable) {
+    done({.m_verdict = PublishVerdict::kLogUnavailable,
+          .m_reason = "the last read of the log failed, so that nothing was "
+                      "appended"});
+    return;
+  }
   auto append = MakeAppendRequest(ToRecordText(change));
   if (!append) {
     done({.m_verdict = PublishVerdict::kInvalid,
