--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,18 +8,7 @@
 . scripts/fleet.sh
 trap 'fleet_stop; rm -rf "$WORK"' EXIT
 fleet_start bookings
-cat >"$WORK/base.json" <<'JSON'
-{
-  "sites": ["hobart", "launceston", "burnie"],
-  "services": {
-    "bookings": {"instances": 12, "floor": 9, "retries": {"max_attempts": 3}}
-  },
-  "routes": {
-    "status": {"host": "move.example", "path": "/status", "service": "bookings"},
-    "book": {"host": "move.example", "path": "/bookings", "service": "bookings"}
-  }
-}
-JSON
+fleet_base >"$WORK/base.json"
 fleet_publish "$WORK/base.json"
 fleet_wait_ready move.example /status/ready
 build/bin/load_generator --targets="$(fleet_targets)" --host=move.example \
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -59,6 +59,22 @@
     paste -sd,
 }
 
+# A base configuration for the fleet.
+fleet_base() {
+  cat <<JSON
+{
+  "sites": ["hobart", "launceston", "burnie"],
+  "services": {
+    "bookings": {"instances": 12, "floor": 9, "retries": {"max_attempts": 3}}
+  },
+  "routes": {
+    "status": {"host": "move.example", "path": "/status", "service": "bookings"},
+    "book": {"host": "move.example", "path": "/bookings", "service": "bookings"}
+  }
+}
+JSON
+}
+
 # Runs sequoiactl against the administration API of node 1.
 fleet_ctl() {
   build/bin/sequoiactl --admin="$(fleet_address 1 18082)" "$@"
