--- a/libs/execution/tests/key_ledger_test.cc
+++ b/libs/execution/tests/key_ledger_test.cc
@@ -50,7 +50,7 @@
 
 RC_GTEST_PROP(IdempotencyKeyTest, AnyTextIsParsedOrRefusedWithAReason, ()) {
   const auto text = *rc::gen::container<std::string>(
-      rc::gen::elementOf(std::string("sq1-0123456789abcdefABCDEFg ")));
+      rc::gen::elementOf(std::string("sq1-0123456789abcdefABCDEFg ") + '\0'));
   std::string reason;
   const auto key = ParseKey(text, &reason);
   RC_ASSERT(key.has_value() == reason.empty());
