Let a node bind its peer address elsewhere

The setting peer_bind is where a node binds for its peers when something that translates addresses stands before the address that others know. Without it nothing changes. The process tests need it to cut links one way.

--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -52,7 +52,7 @@
       m_outputs(std::move(outputs)),
       m_membership(MakeMembershipOptions(settings, incarnation), Now()),
       m_gossip(io,
-               NodeId(settings.m_peer),
+               PeerBindOf(settings),
                [this](NodeId from, std::span<const uint8_t> bytes) {
                  m_gossip.Send(m_membership.OnDatagram(from, bytes, Now()));
                }),
--- a/libs/node/src/gossip_socket.cc
+++ b/libs/node/src/gossip_socket.cc
@@ -6,12 +6,14 @@
 
 namespace sequoiastage {
 
-GossipSocket::GossipSocket(asio::io_context& io, NodeId own, Handler handler)
-    : m_socket(io), m_own(own), m_handler(std::move(handler)) {}
+GossipSocket::GossipSocket(asio::io_context& io,
+                           const Endpoint& bind,
+                           Handler handler)
+    : m_socket(io), m_bind(bind), m_handler(std::move(handler)) {}
 
 bool GossipSocket::Start() {
-  const asio::ip::udp::endpoint at(asio::ip::address_v4(m_own.Get().m_ip),
-                                   m_own.Get().m_port);
+  const asio::ip::udp::endpoint at(asio::ip::address_v4(m_bind.m_ip),
+                                   m_bind.m_port);
   try {
     m_socket.open(at.protocol());
     m_socket.bind(at);
--- a/libs/node/src/gossip_socket_p.h
+++ b/libs/node/src/gossip_socket_p.h
@@ -18,7 +18,7 @@
  public:
   using Handler = std::function<void(NodeId, std::span<const uint8_t>)>;
 
-  GossipSocket(asio::io_context& io, NodeId own, Handler handler);
+  GossipSocket(asio::io_context& io, const Endpoint& bind, Handler handler);
 
   // Binds. False with LastReason() when the address can't be had.
   bool Start();
@@ -30,7 +30,7 @@
   void Receive();
 
   asio::ip::udp::socket m_socket;
-  NodeId m_own;
+  Endpoint m_bind;
   Handler m_handler;
   std::array<uint8_t, 2048> m_buffer{};
   asio::ip::udp::endpoint m_from;
--- a/libs/node/src/ingress.cc
+++ b/libs/node/src/ingress.cc
@@ -84,7 +84,9 @@
       m_options(options),
       m_transport(
           io,
-          {.m_own = options.m_node, .m_incarnation = options.m_incarnation},
+          {.m_own = options.m_node,
+           .m_incarnation = options.m_incarnation,
+           .m_bind_ip = options.m_bind_ip},
           {.m_on_message =
                [this](NodeId from, Message message) {
                  OnPeerMessage(from, std::move(message));
--- a/libs/node/src/ingress_p.h
+++ b/libs/node/src/ingress_p.h
@@ -20,6 +20,8 @@
 
 struct IngressOptions {
   NodeId m_node;
+  // Source address of connections to other nodes.
+  uint32_t m_bind_ip = 0;
   Incarnation m_incarnation;
   HttpServerOptions m_http;
   std::chrono::milliseconds m_default_deadline{10'000};
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -40,6 +40,7 @@
 IngressOptions MakeIngressOptions(const NodeSettings& settings,
                                   Incarnation incarnation) {
   return {.m_node = NodeId(settings.m_peer),
+          .m_bind_ip = PeerBindOf(settings).m_ip,
           .m_incarnation = incarnation,
           .m_http = {.m_listen = settings.m_listen,
                      .m_max_body_bytes = settings.m_max_body_bytes,
@@ -73,7 +74,7 @@
         m_drain_timer(m_control_io) {}
 
   bool Start() {
-    if (!m_peer_server.Start()) {
+    if (!m_peer_server.Start(PeerBindOf(m_settings))) {
       m_last_reason = "peer TCP: " + m_peer_server.LastReason();
       return false;
     }
--- a/libs/node/src/peer_links.cc
+++ b/libs/node/src/peer_links.cc
@@ -75,8 +75,7 @@
                                      node.Get().m_port);
   asio::error_code open_error;
   attempt->m_socket.open(asio::ip::tcp::v4(), open_error);
-  // The source address is the node's own, as the membership protocol expects.
-  attempt->m_socket.bind({asio::ip::address_v4(m_options.m_own.Get().m_ip), 0},
+  attempt->m_socket.bind({asio::ip::address_v4(m_options.m_bind_ip), 0},
                          open_error);
   attempt->m_socket.async_connect(
       peer, [this, attempt, alive, node](const asio::error_code& error) {
--- a/libs/node/src/peer_links_p.h
+++ b/libs/node/src/peer_links_p.h
@@ -31,6 +31,8 @@
   struct Options {
     NodeId m_own;
     Incarnation m_incarnation;
+    // Source address of the connections.
+    uint32_t m_bind_ip = 0;
     Duration m_connect_timeout = std::chrono::milliseconds(500);
   };
 
--- a/libs/node/src/peer_server.cc
+++ b/libs/node/src/peer_server.cc
@@ -13,9 +13,9 @@
       m_incarnation(incarnation),
       m_handler(std::move(handler)) {}
 
-bool PeerServer::Start() {
-  const asio::ip::tcp::endpoint at(asio::ip::address_v4(m_own.Get().m_ip),
-                                   m_own.Get().m_port);
+bool PeerServer::Start(const Endpoint& bind) {
+  const asio::ip::tcp::endpoint at(asio::ip::address_v4(bind.m_ip),
+                                   bind.m_port);
   try {
     m_acceptor.open(at.protocol());
     m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
--- a/libs/node/src/peer_server_p.h
+++ b/libs/node/src/peer_server_p.h
@@ -25,7 +25,7 @@
              Handler handler);
 
   // Binds and listens. False with LastReason() when the address can't be had.
-  bool Start();
+  bool Start(const Endpoint& bind);
   void Stop();
   const std::string& LastReason() const { return m_last_reason; }
 
--- a/libs/settings/include/sequoiastage/settings/node_settings.h
+++ b/libs/settings/include/sequoiastage/settings/node_settings.h
@@ -33,6 +33,9 @@
   Endpoint m_listen;
   /// TCP and UDP between nodes; also the node's identity. Required.
   Endpoint m_peer;
+  /// Where the node binds for its peers, when something that translates
+  /// addresses stands between it and `m_peer`.
+  std::optional<Endpoint> m_peer_bind;
   /// Administration API and metrics. Required.
   Endpoint m_admin;
   /// Bearer token of the administration API. Without one, `m_admin` has to be
@@ -78,6 +81,9 @@
 std::optional<NodeSettings> LoadNodeSettings(const std::string& path,
                                              Findings* findings);
 
+/// `m_peer_bind`, or `m_peer` without one.
+Endpoint PeerBindOf(const NodeSettings& settings);
+
 /// True for 127.0.0.0/8. `ip` is in host byte order.
 bool IsLoopback(uint32_t ip);
 
--- a/libs/settings/src/node_settings.cc
+++ b/libs/settings/src/node_settings.cc
@@ -57,6 +57,14 @@
   }
 }
 
+void ReadOptionalEndpoint(JsonObject& root,
+                          const char* key,
+                          std::optional<Endpoint>& out) {
+  if (auto object = root.ReadObject(key)) {
+    ReadEndpointObject(std::move(*object), out.emplace());
+  }
+}
+
 void ReadEndpointList(JsonObject& root,
                       const char* key,
                       std::vector<Endpoint>& out) {
@@ -104,6 +112,7 @@
 void ReadMembers(JsonObject& root, NodeSettings& settings) {
   ReadEndpointMember(root, "listen", settings.m_listen);
   ReadEndpointMember(root, "peer", settings.m_peer);
+  ReadOptionalEndpoint(root, "peer_bind", settings.m_peer_bind);
   ReadEndpointMember(root, "admin", settings.m_admin);
   ReadEndpointMember(root, "announce", settings.m_announce);
   ReadEndpointMember(root, "log", settings.m_log);
@@ -167,6 +176,10 @@
 
 }  // namespace
 
+Endpoint PeerBindOf(const NodeSettings& settings) {
+  return settings.m_peer_bind.value_or(settings.m_peer);
+}
+
 bool IsLoopback(uint32_t ip) {
   return (ip >> 24) == kLoopbackNetwork;
 }
--- a/libs/settings/tests/node_settings_test.cc
+++ b/libs/settings/tests/node_settings_test.cc
@@ -80,10 +80,21 @@
   ASSERT_TRUE(settings) << findings.ToText();
   const NodeSettings defaults;
   EXPECT_TRUE(settings->m_seeds.empty());
+  EXPECT_EQ(PeerBindOf(*settings), settings->m_peer);
   EXPECT_EQ(settings->m_max_body_bytes, defaults.m_max_body_bytes);
   EXPECT_EQ(settings->m_default_deadline, defaults.m_default_deadline);
 }
 
+TEST(NodeSettingsTest, PeersMayBeBoundElsewhere) {
+  Findings findings;
+  const auto settings = ParseNodeSettings(
+      ValidBut("\"region\"",
+               R"("peer_bind": {"ip": "127.0.3.1", "port": 8}, "region")"),
+      "settings.json", &findings);
+  ASSERT_TRUE(settings) << findings.ToText();
+  EXPECT_EQ(ToString(PeerBindOf(*settings)), "127.0.3.1:8");
+}
+
 TEST(NodeSettingsTest, ReportsAllFaultsTogetherWithTheirPlaces) {
   const std::vector<std::string> expected = {
       "/admin/ip", "/announce", "/listen/port", "/log", "/max_body", "/peers"};
