--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -26,6 +26,8 @@
 constexpr uint16_t kAnnouncePort = 18083;
 constexpr uint16_t kInstancePort = 19000;
 constexpr uint16_t kLogPort = 19100;
+// From the address that others know of a node to the one it binds.
+constexpr uint32_t kBindOffset = 100;
 constexpr std::chrono::milliseconds kPoll{20};
 constexpr std::chrono::milliseconds kStartLimit{15'000};
 constexpr const char* kRegions[] = {"hobart", "launceston", "burnie"};
@@ -88,9 +90,12 @@
   m_log.emplace("log_service",
                 std::vector<std::string>{"--listen=" + ToString(Log())},
                 m_folder + "/log.txt");
+  if (m_options.m_has_relay) {
+    StartRelay();
+  }
   for (int node = 0; node < m_options.m_nodes; ++node) {
     StartNode(node);
-    for (int i = 0; i < m_options.m_instances_per_node; ++i) {
+    for (int i = 0; i < InstancesAt(node); ++i) {
       StartInstance(node, i);
     }
   }
@@ -98,6 +103,13 @@
     return "the log service takes no configuration";
   }
   for (int node = 0; node < m_options.m_nodes; ++node) {
+    for (int i = 0; i < InstancesAt(node); ++i) {
+      const CallerRequest health{.m_to = Instance(node, i),
+                                 .m_target = "/health"};
+      if (!WaitUntil(kStartLimit, [&] { return Call(health).IsWhole(); })) {
+        return "an instance does not start";
+      }
+    }
     const auto is_serving = [this, node] { return IsServing(node); };
     if (!WaitUntil(kStartLimit, is_serving)) {
       return "node " + std::to_string(node) + " does not serve";
@@ -110,6 +122,26 @@
   return {.m_ip = m_base_ip + 1 + static_cast<uint32_t>(node), .m_port = port};
 }
 
+Endpoint Fleet::PeerBind(int node) const {
+  Endpoint bind = At(node, kPeerPort);
+  bind.m_ip += m_options.m_has_relay ? kBindOffset : 0;
+  return bind;
+}
+
+int Fleet::InstancesAt(int node) const {
+  const int only = m_options.m_only_instances_at;
+  return only < 0 || only == node ? m_options.m_instances_per_node : 0;
+}
+
+void Fleet::StartRelay() {
+  std::vector<Relay::Node> nodes;
+  for (int node = 0; node < m_options.m_nodes; ++node) {
+    nodes.push_back(
+        {.m_known = At(node, kPeerPort), .m_bound = PeerBind(node)});
+  }
+  m_relay = std::make_unique<Relay>(std::move(nodes));
+}
+
 Endpoint Fleet::Caller(int node) const {
   return At(node, kListenPort);
 }
@@ -154,6 +186,7 @@
   const Json settings = {
       {"listen", ToJson(At(node, kListenPort))},
       {"peer", ToJson(At(node, kPeerPort))},
+      {"peer_bind", ToJson(PeerBind(node))},
       {"admin", ToJson(At(node, kAdminPort))},
       {"announce", ToJson(At(node, kAnnouncePort))},
       {"region", region},
@@ -247,7 +280,7 @@
 std::map<std::string, int> Fleet::Executions() const {
   std::map<std::string, int> sum;
   for (int node = 0; node < m_options.m_nodes; ++node) {
-    for (int i = 0; i < m_options.m_instances_per_node; ++i) {
+    for (int i = 0; i < InstancesAt(node); ++i) {
       const CallerAnswer answer =
           Call({.m_to = Instance(node, i), .m_target = "/standin/executions"});
       EXPECT_TRUE(answer.IsWhole()) << answer.m_error;
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -13,6 +13,7 @@
 
 #include "child_process.h"
 #include "http_call.h"
+#include "relay.h"
 
 namespace sequoiastage {
 
@@ -21,6 +22,10 @@
   int m_instances_per_node = 2;
   int m_slots = 3;
   int m_latency_ms = 5;
+  /// Instances only beside this node; -1: beside every node.
+  int m_only_instances_at = -1;
+  /// A relay stands between the nodes, see Fleet::Links().
+  bool m_has_relay = false;
 };
 
 /// True once `condition` holds; false when it does not within `limit`.
@@ -49,6 +54,9 @@
   Endpoint Instance(int node, int index) const;
   Endpoint Log() const;
 
+  /// The relay between the nodes.
+  Relay& Links() { return *m_relay; }
+
   void StartNode(int node);
   ChildProcess& Node(int node) { return *m_nodes[node]; }
 
@@ -77,6 +85,9 @@
 
  private:
   Endpoint At(int node, uint16_t port) const;
+  Endpoint PeerBind(int node) const;
+  int InstancesAt(int node) const;
+  void StartRelay();
   std::string Settings(int node) const;
   std::string Configuration(const std::string& extra_path) const;
   bool Append(const std::string& record) const;
@@ -86,6 +97,7 @@
   uint32_t m_base_ip;
   std::string m_folder;
   bool m_keeps_logs = false;
+  std::unique_ptr<Relay> m_relay;
   std::optional<ChildProcess> m_log;
   std::vector<std::optional<ChildProcess>> m_nodes;
   std::vector<ChildProcess> m_instances;
