--- a/bench/capacity_bench/config_section.cc
+++ b/bench/capacity_bench/config_section.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "config_text.h"
 #include "report.h"
 #include "sections.h"
 #include "sequoiastage/config/config_parse.h"
@@ -15,42 +16,6 @@
 namespace sequoiastage {
 namespace {
 
-/// `count` account names with different handles; the check refuses names that
-/// share one.
-std::vector<std::string> AccountNames(uint32_t count) {
-  std::vector<std::string> names;
-  std::set<AccountId> handles;
-  for (uint32_t i = 0; names.size() < count; ++i) {
-    std::string name = fmt::format("account-{}", i);
-    if (handles.insert(AccountIdOf(name)).second) {
-      names.push_back(std::move(name));
-    }
-  }
-  return names;
-}
-
-std::string BaseText(uint32_t services, uint32_t routes, uint32_t accounts) {
-  std::string text = R"({"sites": ["north"], "services": {)";
-  for (uint32_t i = 0; i < services; ++i) {
-    text += fmt::format(R"({}"service-{}": {{"instances": 28, "floor": 20}})",
-                        i == 0 ? "" : ",", i);
-  }
-  text += R"(}, "routes": {)";
-  for (uint32_t i = 0; i < routes; ++i) {
-    text += fmt::format(
-        R"({}"route-{}": {{"host": "host-{}.example", "path": "/path/{}",)"
-        R"( "service": "service-{}"}})",
-        i == 0 ? "" : ",", i, i % 400, i, i % services);
-  }
-  text += R"(}, "accounts": {)";
-  const char* separator = "";
-  for (const std::string& name : AccountNames(accounts)) {
-    text += fmt::format(R"({}"{}": {{"share": 2}})", separator, name);
-    separator = ",";
-  }
-  return text + "}}";
-}
-
 std::optional<FleetConfig> Parse(const std::string& text) {
   Findings findings;
   auto config =
--- a/bench/capacity_bench/main.cc
+++ b/bench/capacity_bench/main.cc
@@ -11,7 +11,7 @@
 ABSL_FLAG(std::string,
           section,
           "all",
-          "What to measure: all, fleets, members, config or routing.");
+          "What to measure: all, fleets, members, config, replay or routing.");
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
@@ -30,6 +30,7 @@
   };
   run("members", sequoiastage::MeasureMemberState);
   run("config", sequoiastage::MeasureConfig);
+  run("replay", sequoiastage::MeasureReplay);
   run("routing", sequoiastage::MeasureRouting);
   run("fleets", sequoiastage::MeasureFleets);
   if (!is_known) {
--- /dev/null
+++ b/bench/capacity_bench/replay_section.cc
@@ -0,0 +1,129 @@
+#include <fmt/core.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "config_text.h"
+#include "report.h"
+#include "sections.h"
+#include "sequoiastage/config/log_replay.h"
+
+namespace sequoiastage {
+namespace {
+
+constexpr uint32_t kInstancesPerService = 28;
+
+JsonDocument Document(const std::string& text) {
+  Findings findings;
+  return JsonDocument::Parse("base", text, findings).value_or(JsonDocument());
+}
+
+/// A log whose records are replayed as they are appended.
+class Log {
+ public:
+  /// Replays `content`; false if it does not hold.
+  bool Append(const RecordContent& content) {
+    return AppendText(ToRecordText(content));
+  }
+
+  bool AppendText(const std::string& text) {
+    const LogOffset offset = m_replay.NextOffset();
+    return m_replay.Apply(offset, text) == ApplyOutcome::kJudged &&
+           m_replay.State().m_audit.back().m_verdict == AuditVerdict::kAccepted;
+  }
+
+  ConfigChange BaseChange(const std::string& text) {
+    return {.m_header = Header(),
+            .m_scope = "base",
+            .m_from = m_replay.State().VersionOf("base"),
+            .m_content = Document(text)};
+  }
+
+  ConfigChange SiteChange(const std::string& text) {
+    return {.m_header = Header(),
+            .m_scope = "north",
+            .m_from = m_replay.State().VersionOf("north"),
+            .m_content = Document(text)};
+  }
+
+  EjectionGrant Grant(uint32_t service) {
+    const std::string name = fmt::format("service-{}", service);
+    EjectionGrant grant{
+        .m_header = Header(),
+        .m_service = name,
+        .m_from = m_replay.EjectionsOf(ServiceIdOf(name)).m_version,
+        .m_target = Run(service, 0)};
+    for (uint32_t i = 1; i < kInstancesPerService; ++i) {
+      grant.m_remaining.push_back(Run(service, i));
+    }
+    return grant;
+  }
+
+  RecordHeader Header() {
+    return {.m_change_id = fmt::format("change-{}", ++m_changes),
+            .m_author = "operator",
+            .m_time = {}};
+  }
+  const LogReplay& Replay() const { return m_replay; }
+
+ private:
+  static InstanceRun Run(uint32_t service, uint32_t instance) {
+    const uint32_t ip = 0x0a000000 + service * kInstancesPerService + instance;
+    return {.m_instance = InstanceId({.m_ip = ip, .m_port = 80}),
+            .m_incarnation = Incarnation(1)};
+  }
+
+  LogReplay m_replay;
+  uint64_t m_changes = 0;
+};
+
+}  // namespace
+
+void MeasureReplay(uint64_t /*seed*/) {
+  PrintHeading("replay: 11.4 routes a service, no accounts");
+  Series record("bytes of a record that changes the base", "services");
+  Series base("ms to replay a change of the base", "services");
+  Series site("ms to replay a change of one service at a site", "services");
+  Series grant_bytes("bytes of an ejection grant", "services");
+  Series grant("us to replay an ejection grant", "services");
+  Series snapshot("bytes of a snapshot record", "services");
+  Series heap("bytes of heap of the replayed state", "services");
+  for (const uint32_t services : {525U, 1050U, 2100U}) {
+    const uint32_t routes = services * 24'000 / 2'100;
+    const double before = HeapBytes();
+    Log log;
+    bool holds = log.Append(log.BaseChange(BaseText(services, routes, 0)));
+    heap.Add(services, HeapBytes() - before);
+    const std::string changed = BaseText(services, routes, 0, 21);
+    const std::string text = ToRecordText(log.BaseChange(changed));
+    record.Add(services, static_cast<double>(text.size()));
+    double start = CpuSeconds();
+    holds = log.AppendText(text) && holds;
+    base.Add(services, 1e3 * (CpuSeconds() - start));
+    start = CpuSeconds();
+    holds = log.Append(log.SiteChange(
+                R"({"services": {"service-7": {"floor": 22}}})")) &&
+            holds;
+    site.Add(services, 1e3 * (CpuSeconds() - start));
+    std::vector<std::string> grants;
+    for (uint32_t i = 0; i < 256; ++i) {
+      grants.push_back(ToRecordText(log.Grant(i)));
+    }
+    grant_bytes.Add(services, static_cast<double>(grants[0].size()));
+    start = CpuSeconds();
+    for (const std::string& one : grants) {
+      holds = log.AppendText(one) && holds;
+    }
+    grant.Add(services, 1e6 * (CpuSeconds() - start) /
+                            static_cast<double>(grants.size()));
+    snapshot.Add(services, static_cast<double>(
+                               log.Replay().MakeSnapshot(log.Header()).size()));
+    if (!holds) {
+      PrintHeading("  a record did not hold: " +
+                   log.Replay().State().m_audit.back().m_reason);
+    }
+  }
+}
+
+}  // namespace sequoiastage
--- a/bench/capacity_bench/sections.h
+++ b/bench/capacity_bench/sections.h
@@ -16,6 +16,9 @@
 /// Routes and accounts: memory, parsing, lookups.
 void MeasureConfig(uint64_t seed);
 
+/// Log replay: configuration changes, ejection grants, snapshots.
+void MeasureReplay(uint64_t seed);
+
 /// Selection, subsets, load and paths.
 void MeasureRouting(uint64_t seed);
 
