--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,24 +8,8 @@
 . scripts/fleet.sh
 trap 'fleet_stop; rm -rf "$WORK"' EXIT
 fleet_start bookings
-cat >"$WORK/base.json" <<'JSON'
-{
-  "sites": ["hobart", "launceston", "burnie"],
-  "services": {
-    "bookings": {"instances": 12, "floor": 9, "retries": {"max_attempts": 3}}
-  },
-  "routes": {
-    "status": {"host": "move.example", "path": "/status", "service": "bookings"},
-    "book": {"host": "move.example", "path": "/bookings", "service": "bookings"}
-  }
-}
-JSON
-for try in $(seq 100); do
-  curl -sf -o "$WORK/published" "http://$FLEET_LOG/records" --data-binary \
-    "{\"record\": $(python3 -c 'import json,sys; print(json.dumps(open(sys.argv[1]).read()))' "$WORK/base.json")}" &&
-    break
-  sleep 0.1
-done
+fleet_base >"$WORK/base.json"
+fleet_publish "$WORK/base.json"
 fleet_wait_ready move.example /status/ready
 build/bin/load_generator --targets="$(fleet_targets)" --host=move.example \
   --read_path=/status --write_path=/bookings --rate=300 --seconds=5
