Split the evidence trail from the instance judge

The sums over ended work, their burst weights and the weighing against new baselines are now EvidenceTrail. One change of behaviour: slow answers in the warm-up, whose latency doesn't count, no longer slow down probation or start a burst.

--- a/libs/health/include/sequoiastage/health/instance_judge.h
+++ b/libs/health/include/sequoiastage/health/instance_judge.h
@@ -2,12 +2,12 @@
 #define SEQUOIASTAGE_HEALTH_INSTANCE_JUDGE_H_
 
 #include <cstdint>
-#include <deque>
 #include <vector>
 
 #include "sequoiastage/base/strong.h"
 #include "sequoiastage/base/time.h"
 #include "sequoiastage/health/evidence.h"
+#include "sequoiastage/health/evidence_trail.h"
 #include "sequoiastage/health/instance_summary.h"
 #include "sequoiastage/health/judge_options.h"
 #include "sequoiastage/health/outcome.h"
@@ -82,27 +82,13 @@
   InstanceSummary Summary(TimePoint now) const;
 
  private:
-  enum class Kind : uint8_t { kSuccess, kFailure, kUnfinished };
-
-  // One ended piece of work that is still weighed again with new baselines.
-  struct Record {
-    TimePoint m_ended;
-    Duration m_latency;
-    Kind m_kind;
-    bool m_latency_counts;
-    double m_weight;
-  };
-
   struct InFlight {
     WorkHandle m_handle;
     TimePoint m_started;
   };
 
   TimePoint Advance(TimePoint now);
-  void AddRecord(const InFlight& work, TimePoint now, Kind kind);
-  void Apply(const Record& record, EvidenceSums& sums) const;
-  void FoldRecordsUntil(TimePoint time);
-  void WeighRecords();
+  void AddRecord(const InFlight& work, TimePoint now, WorkRecord::Kind kind);
   double AgeEvidence(TimePoint at) const;
   bool SpansLongEnough() const;
   double Worst(const EvidenceSums& sums, TimePoint at) const;
@@ -129,16 +115,9 @@
 
   uint64_t m_next_handle = 1;
   std::vector<InFlight> m_in_flight;
-  std::deque<Record> m_records;
-  // Of records no longer kept; of all; of those that the baseline covers.
-  EvidenceSums m_folded;
-  EvidenceSums m_provisional;
-  EvidenceSums m_confirmed;
+  EvidenceTrail m_trail;
   OutcomeWindow m_window;
 
-  // First and last adverse outcome since the sums were 0.
-  TimePoint m_first_adverse;
-  TimePoint m_last_adverse;
   TimePoint m_last_evidence;
   TimePoint m_hold_until;
   TimePoint m_last_suspicion;
--- a/libs/health/src/instance_judge.cc
+++ b/libs/health/src/instance_judge.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr size_t kMaxRecords = 256;
 constexpr uint32_t kMaxFlaps = 10;
 // Evidence beyond this multiple of the ejection threshold is not kept, so that
 // recovery does not take longer the longer a fault lasted.
@@ -36,8 +35,7 @@
       m_evidence(options, m_baseline),
       m_ejection_threshold(EjectionThreshold(options, 0)),
       m_suspect_threshold(SuspectThreshold(options, 0)),
-      m_first_adverse(now - options.m_burst_window),
-      m_last_adverse(now - options.m_burst_window),
+      m_trail(options, m_evidence),
       m_last_evidence(now),
       m_turn_interval(options.m_probation_interval) {
   m_report.m_share = ShareNow(now);
@@ -63,11 +61,11 @@
   const InFlight work = *found;
   m_in_flight.erase(found);
   if (outcome == Outcome::kSuccess) {
-    AddRecord(work, now, Kind::kSuccess);
+    AddRecord(work, now, WorkRecord::Kind::kSuccess);
   } else if (IsFailure(outcome)) {
-    AddRecord(work, now, Kind::kFailure);
+    AddRecord(work, now, WorkRecord::Kind::kFailure);
   } else if (m_evidence.OfAge(now - work.m_started) > 0) {
-    AddRecord(work, now, Kind::kUnfinished);
+    AddRecord(work, now, WorkRecord::Kind::kUnfinished);
   }
   UpdateVerdict(now);
   return true;
@@ -94,8 +92,8 @@
       EjectionThreshold(m_options, baseline.m_outcomes_per_hour);
   m_suspect_threshold =
       SuspectThreshold(m_options, baseline.m_outcomes_per_hour);
-  FoldRecordsUntil(m_baseline.m_as_of - m_options.m_reweigh_time);
-  WeighRecords();
+  m_trail.Reweigh(m_evidence, m_baseline.m_as_of,
+                  kSumCap * m_ejection_threshold);
   UpdateVerdict(now);
 }
 
@@ -116,7 +114,7 @@
   if (m_is_on_trial) {
     CountFlap();
   }
-  m_at_ejection = m_provisional;
+  m_at_ejection = m_trail.Provisional();
   m_at_ejection.m_slow += AgeEvidence(now);
   m_report.m_is_ejected = true;
   m_report.m_verdict = Verdict::kEjectionWanted;
@@ -133,17 +131,15 @@
   m_report.m_is_ejected = false;
   m_report.m_wants_readmission = false;
   m_report.m_verdict = Verdict::kSuspect;
-  m_records.clear();
   // One more failure is enough to want ejection again.
   const double start = m_ejection_threshold - m_evidence.OfFailure();
-  m_folded = EvidenceSums{.m_failing = std::min(m_at_ejection.m_failing, start),
-                          .m_slow = std::min(m_at_ejection.m_slow, start)};
+  m_trail.Restart({.m_failing = std::min(m_at_ejection.m_failing, start),
+                   .m_slow = std::min(m_at_ejection.m_slow, start)});
   m_is_on_trial = true;
   m_turn_interval = m_options.m_probation_interval;
   m_next_turn = now;
   m_hold_until = now + HoldFor(m_options.m_suspect_hold);
   m_last_evidence = now;
-  WeighRecords();
   UpdateVerdict(now);
 }
 
@@ -185,77 +181,21 @@
   return started >= m_started + m_options.m_warm_up;
 }
 
-void InstanceJudge::AddRecord(const InFlight& work, TimePoint now, Kind kind) {
-  const Duration latency = now - work.m_started;
+void InstanceJudge::AddRecord(const InFlight& work,
+                              TimePoint now,
+                              WorkRecord::Kind kind) {
   const bool is_adverse =
-      kind != Kind::kSuccess || m_evidence.OfLatency(latency) > 0;
-  const bool in_burst =
-      is_adverse && now - m_last_adverse < m_options.m_burst_window;
-  const Record record{.m_ended = now,
-                      .m_latency = latency,
-                      .m_kind = kind,
-                      .m_latency_counts = LatencyCounts(work.m_started),
-                      .m_weight = in_burst ? m_options.m_burst_weight : 1};
-  if (is_adverse) {
-    if (m_provisional.m_failing == 0 && m_provisional.m_slow == 0) {
-      m_first_adverse =
-          std::min(now, work.m_started + m_evidence.SlowLatency());
-    }
-    m_last_adverse = now;
-  }
-  if (kind != Kind::kUnfinished) {
-    m_window.Add(now, kind == Kind::kFailure, latency);
+      m_trail.Add({.m_started = work.m_started,
+                   .m_ended = now,
+                   .m_kind = kind,
+                   .m_latency_counts = LatencyCounts(work.m_started)});
+  if (kind != WorkRecord::Kind::kUnfinished) {
+    m_window.Add(now, kind == WorkRecord::Kind::kFailure, now - work.m_started);
   }
   m_last_evidence = now;
-  m_records.push_back(record);
-  Apply(record, m_provisional);
-  if (m_records.size() > kMaxRecords) {
-    Apply(m_records.front(), m_folded);
-    m_records.pop_front();
-  }
   AdaptProbation(now, is_adverse);
 }
 
-// Adds the record's evidence to both sums.
-void InstanceJudge::Apply(const Record& record, EvidenceSums& sums) const {
-  const double cap = kSumCap * m_ejection_threshold;
-  const auto add = [&](double& sum, double evidence) {
-    const double weighed = evidence > 0 ? record.m_weight * evidence : evidence;
-    sum = std::clamp(sum + weighed, 0.0, cap);
-  };
-  if (record.m_kind == Kind::kFailure) {
-    add(sums.m_failing, m_evidence.OfFailure());
-  } else if (record.m_kind == Kind::kSuccess) {
-    add(sums.m_failing, m_evidence.OfSuccess());
-  }
-  if (!record.m_latency_counts) {
-    return;
-  }
-  // A failure says nothing about how fast an answer would have been, but how
-  // long it took can be too long.
-  add(sums.m_slow, record.m_kind == Kind::kSuccess
-                       ? m_evidence.OfLatency(record.m_latency)
-                       : m_evidence.OfAge(record.m_latency));
-}
-
-void InstanceJudge::FoldRecordsUntil(TimePoint time) {
-  while (!m_records.empty() && m_records.front().m_ended < time) {
-    Apply(m_records.front(), m_folded);
-    m_records.pop_front();
-  }
-}
-
-void InstanceJudge::WeighRecords() {
-  m_provisional = m_folded;
-  m_confirmed = m_folded;
-  for (const Record& record : m_records) {
-    Apply(record, m_provisional);
-    if (record.m_ended <= m_baseline.m_as_of) {
-      Apply(record, m_confirmed);
-    }
-  }
-}
-
 // Evidence of the work in flight at `at`.
 double InstanceJudge::AgeEvidence(TimePoint at) const {
   double sum = 0;
@@ -273,7 +213,7 @@
 }
 
 bool InstanceJudge::SpansLongEnough() const {
-  if (m_last_adverse - m_first_adverse >= m_options.m_min_fault_span) {
+  if (m_trail.AdverseSpan() >= m_options.m_min_fault_span) {
     return true;
   }
   return !m_in_flight.empty() && AgeEvidence(m_baseline.m_as_of) > 0 &&
@@ -290,11 +230,9 @@
       !m_in_flight.empty() || now - m_last_evidence < m_options.m_idle_forget) {
     return;
   }
-  m_folded = EvidenceSums{.m_failing = m_provisional.m_failing / 2,
-                          .m_slow = m_provisional.m_slow / 2};
-  m_records.clear();
+  const EvidenceSums& sums = m_trail.Provisional();
+  m_trail.Restart({.m_failing = sums.m_failing / 2, .m_slow = sums.m_slow / 2});
   m_last_evidence = now;
-  WeighRecords();
 }
 
 void InstanceJudge::AdaptProbation(TimePoint now, bool is_adverse) {
@@ -317,8 +255,8 @@
   }
   const bool has_fresh_baseline =
       m_has_baseline && now - m_baseline_at <= m_options.m_baseline_ttl;
-  const double provisional = Worst(m_provisional, now);
-  const double confirmed = Worst(m_confirmed, m_baseline.m_as_of);
+  const double provisional = Worst(m_trail.Provisional(), now);
+  const double confirmed = Worst(m_trail.Confirmed(), m_baseline.m_as_of);
   if (provisional >= m_suspect_threshold &&
       m_report.m_verdict == Verdict::kHealthy) {
     BecomeSuspect(now);
