--- /dev/null
+++ b/libs/membership/src/update_queue_p.h
@@ -0,0 +1,69 @@
+#ifndef SEQUOIASTAGE_MEMBERSHIP_UPDATE_QUEUE_P_H_
+#define SEQUOIASTAGE_MEMBERSHIP_UPDATE_QUEUE_P_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <utility>
+
+#include "sequoiastage/base/ids.h"
+
+namespace sequoiastage {
+
+enum class UpdateKind : uint8_t { kEntry, kStatus, kHint };
+
+/// A change to pass on, by name: the value is read when it is sent.
+struct UpdateKey {
+  NodeId m_node;
+  UpdateKind m_kind = UpdateKind::kEntry;
+
+  friend auto operator<=>(const UpdateKey&, const UpdateKey&) = default;
+};
+
+/// Changes to pass on, the newest first, each for a number of rounds.
+class UpdateQueue {
+ public:
+  /// Puts the change in front; one already queued starts over.
+  void Push(const UpdateKey& key, uint32_t rounds) {
+    const bool is_new =
+        m_rounds.insert_or_assign(key, Progress{.m_left = rounds}).second;
+    if (is_new) {
+      m_order.push_front(key);
+    }
+  }
+
+  bool IsEmpty() const { return m_order.empty(); }
+
+  /// Offers changes to `take` until it refuses one, each at most once. Its
+  /// second argument says whether the change had a round before.
+  template <class Take>
+  void Round(Take take) {
+    for (std::size_t left = m_order.size(); left > 0; --left) {
+      const UpdateKey key = m_order.front();
+      const auto progress = m_rounds.find(key);
+      if (!take(key, progress->second.m_was_sent)) {
+        return;
+      }
+      m_order.pop_front();
+      progress->second.m_was_sent = true;
+      if (--progress->second.m_left == 0) {
+        m_rounds.erase(progress);
+      } else {
+        m_order.push_back(key);
+      }
+    }
+  }
+
+ private:
+  struct Progress {
+    uint32_t m_left = 0;
+    bool m_was_sent = false;
+  };
+
+  std::deque<UpdateKey> m_order;
+  std::map<UpdateKey, Progress> m_rounds;
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_MEMBERSHIP_UPDATE_QUEUE_P_H_
