Bound what the configuration versions of all nodes cost each node

Cause: each node passes 12 copies of a status on, so one every 80 ms per member was about 4.6 kB a second for each node (worked out, not measured), not the 1 kB meant. The interval now follows from the copies and the size of a status.

--- a/bench/capacity_bench/fleet_section.cc
+++ b/bench/capacity_bench/fleet_section.cc
@@ -158,6 +158,25 @@
   }
 }
 
+/// A configuration comes in force at all nodes every 2.5 s.
+void MeasureConfigVersions(const std::vector<uint32_t>& sizes, uint64_t seed) {
+  Series bytes("bytes a second of a node, 0.4 configurations/s", "nodes");
+  for (const uint32_t nodes : sizes) {
+    Fleet fleet(nodes, seed);
+    double sum = 0;
+    constexpr uint64_t kVersions = 40;
+    for (uint64_t version = 1; version <= kVersions; ++version) {
+      for (uint32_t i = 0; i < nodes; ++i) {
+        OwnState state = StateOf(i, nodes, 3);
+        state.m_config_version = LogOffset(version);
+        fleet.Network().At(i).SetOwn(state, fleet.Network().Time());
+      }
+      sum += fleet.BytesPerNodeSecond(milliseconds(2500));
+    }
+    bytes.Add(nodes, sum / kVersions);
+  }
+}
+
 /// A seventh of the nodes is lost at once.
 void MeasureDomainLoss(const std::vector<uint32_t>& sizes, uint64_t seed) {
   Series first("seconds until the first lost node is hinted everywhere",
@@ -209,6 +228,8 @@
   PrintHeading("fleets: changes of entries");
   MeasureChanges(250, seed);
   MeasureChanges(500, seed);
+  PrintHeading("fleets: configuration versions");
+  MeasureConfigVersions({125, 250, 500}, seed);
   PrintHeading("fleets: loss of a seventh of the nodes");
   MeasureDomainLoss({125, 250, 500}, seed);
 }
--- a/bench/capacity_bench/replay_section.cc
+++ b/bench/capacity_bench/replay_section.cc
@@ -78,6 +78,19 @@
   uint64_t m_changes = 0;
 };
 
+void MeasureAccountState() {
+  Series heap("bytes of heap of the replayed state", "accounts");
+  for (const uint32_t accounts : {4'000U, 8'000U, 16'000U}) {
+    const std::string text = BaseText(10, 10, accounts);
+    const double before = HeapBytes();
+    Log log;
+    if (!log.Append(log.BaseChange(text))) {
+      PrintHeading("  the base did not hold");
+    }
+    heap.Add(accounts, HeapBytes() - before);
+  }
+}
+
 }  // namespace
 
 void MeasureReplay(uint64_t /*seed*/) {
@@ -124,6 +137,8 @@
                    log.Replay().State().m_audit.back().m_reason);
     }
   }
+  PrintHeading("replay: accounts");
+  MeasureAccountState();
 }
 
 }  // namespace sequoiastage
--- a/libs/membership/src/gossip.cc
+++ b/libs/membership/src/gossip.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <cmath>
 #include <variant>
 
 #include "membership_impl_p.h"
@@ -7,19 +6,11 @@
 namespace sequoiastage {
 namespace {
 
-constexpr double kSpareCopies = 3;
 /// Failed probes of this node that a removal needs.
 constexpr uint8_t kProbesBeforeRemoval = 3;
 /// A node that hears no datagram at all for so long removes nobody.
 constexpr Duration kIsolationSilence = std::chrono::seconds(30);
 
-/// Copies of a change each node sends: with ln(n) + c random copies, all n
-/// nodes get it with probability exp(-exp(-c)) (Erdos and Renyi 1959).
-uint32_t CopiesToSend(std::size_t members) {
-  return static_cast<uint32_t>(
-      std::ceil(std::log(static_cast<double>(members)) + kSpareCopies));
-}
-
 }  // namespace
 
 std::vector<OutgoingDatagram> Membership::Impl::OnDatagram(
--- a/libs/membership/src/membership.cc
+++ b/libs/membership/src/membership.cc
@@ -9,9 +9,11 @@
 namespace {
 
 constexpr Duration kCleanupInterval = std::chrono::seconds(1);
-/// Keeps the configuration versions of the whole fleet, which change together,
-/// below about 1 kB a second at each node.
-constexpr Duration kStatusIntervalPerMember = std::chrono::milliseconds(80);
+/// Size of an encoded status.
+constexpr int64_t kStatusBytes = 31;
+/// What all nodes' statuses may cost each node. They change together, whenever
+/// a configuration comes in force.
+constexpr int64_t kStatusBytesPerSecond = 1000;
 
 std::string Shortened(const std::string& name) {
   return name.substr(0, kMaxLocationNameBytes);
@@ -121,8 +123,10 @@
 }
 
 Duration Membership::Impl::StatusInterval() const {
-  return kStatusIntervalPerMember *
-         static_cast<int64_t>(m_table.Records().size());
+  const std::size_t members = m_table.Records().size();
+  const int64_t bytes =
+      static_cast<int64_t>(members) * CopiesToSend(members) * kStatusBytes;
+  return Duration(std::chrono::seconds(1)) * bytes / kStatusBytesPerSecond;
 }
 
 DatagramHeader Membership::Impl::Header() const {
--- a/libs/membership/src/update_queue_p.h
+++ b/libs/membership/src/update_queue_p.h
@@ -1,6 +1,7 @@
 #ifndef SEQUOIASTAGE_MEMBERSHIP_UPDATE_QUEUE_P_H_
 #define SEQUOIASTAGE_MEMBERSHIP_UPDATE_QUEUE_P_H_
 
+#include <cmath>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -10,6 +11,14 @@
 
 namespace sequoiastage {
 
+/// Copies of a change each node sends: with ln(n) + c random copies, all n
+/// nodes get it with probability exp(-exp(-c)) (Erdos and Renyi 1959).
+inline uint32_t CopiesToSend(std::size_t members) {
+  constexpr double kSpareCopies = 3;
+  return static_cast<uint32_t>(
+      std::ceil(std::log(static_cast<double>(members)) + kSpareCopies));
+}
+
 enum class UpdateKind : uint8_t { kEntry, kStatus, kHint };
 
 /// A change to pass on, by name: the value is read when it is sent.
