--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -23,6 +23,9 @@
 // Ticks of the egress between two reports to the control thread.
 constexpr int kTicksPerReport = 2;
 constexpr std::chrono::milliseconds kDrainPoll{50};
+// A shutdown refuses new requests with an answer for this long; then it takes
+// no more connections, and each one there is told to close.
+constexpr std::chrono::seconds kRefuseTime{2};
 // A shutdown ends once no request has come for this long.
 constexpr std::chrono::milliseconds kQuietTime{500};
 // Time for the word that the node has left to go out.
@@ -37,6 +40,7 @@
 IngressOptions MakeIngressOptions(const NodeSettings& settings,
                                   Incarnation incarnation) {
   return {.m_node = NodeId(settings.m_peer),
+          .m_bind_ip = PeerBindOf(settings).m_ip,
           .m_incarnation = incarnation,
           .m_http = {.m_listen = settings.m_listen,
                      .m_max_body_bytes = settings.m_max_body_bytes,
@@ -70,7 +74,7 @@
         m_drain_timer(m_control_io) {}
 
   bool Start() {
-    if (!m_peer_server.Start()) {
+    if (!m_peer_server.Start(PeerBindOf(m_settings))) {
       m_last_reason = "peer TCP: " + m_peer_server.LastReason();
       return false;
     }
@@ -128,9 +132,25 @@
                   asio::post(m_egress_io, [this, instance, baseline] {
                     m_egress.SetBaseline(instance, baseline);
                   });
+                },
+            .m_look_up_key =
+                [this](const std::string& key,
+                       std::function<void(HttpAnswer)> done) {
+                  LookUpKey(key, std::move(done));
                 }};
   }
 
+  // From the control thread to the ingress and back.
+  void LookUpKey(const std::string& key, std::function<void(HttpAnswer)> done) {
+    asio::post(m_ingress_io, [this, key, done = std::move(done)] {
+      m_ingress.LookUpOutcome(key, [this, done](HttpAnswer answer) {
+        asio::post(m_control_io, [done, answer = std::move(answer)]() mutable {
+          done(std::move(answer));
+        });
+      });
+    });
+  }
+
   // From the ingress thread to the own egress and back.
   void OnLocalMessage(Message message) {
     asio::post(m_egress_io, [this, message = std::move(message)]() mutable {
@@ -155,11 +175,25 @@
       PassToKeyOwner(from, std::move(*keyed));
       return;
     }
+    if (const auto* request = std::get_if<ConfigRequestMessage>(&message)) {
+      AnswerConfig(from, *request);
+      return;
+    }
     RunAtEgress(std::move(message), [from](ResultMessage result) {
       from->Send(std::move(result));
     });
   }
 
+  // From the egress thread to the control thread and back.
+  void AnswerConfig(const PeerServer::Connection& from,
+                    const ConfigRequestMessage& request) {
+    asio::post(m_control_io, [this, from, request] {
+      asio::post(m_egress_io, [from, reply = m_control.AnswerPeer(request)] {
+        from->Send(reply);
+      });
+    });
+  }
+
   void PassToKeyOwner(const PeerServer::Connection& from,
                       KeyedRequestMessage message) {
     auto reply = [this, from](KeyedReplyMessage answer) {
@@ -191,11 +225,25 @@
     asio::post(m_control_io, [this, reports = m_egress.Reports()] {
       m_control.OnReports(reports);
     });
+    CollectTraffic();
+  }
+
+  // From the egress thread over the ingress to the control thread.
+  void CollectTraffic() {
+    TrafficStats traffic{.m_egress = m_egress.Stats(),
+                         .m_egress_in_flight = m_egress.InFlight()};
+    asio::post(m_ingress_io, [this, traffic]() mutable {
+      traffic.m_ingress = m_ingress.Stats();
+      traffic.m_ingress_in_flight = m_ingress.InFlight();
+      asio::post(m_control_io,
+                 [this, traffic] { m_control.SetTraffic(traffic); });
+    });
   }
 
   void BeginShutdown(int signal) {
     LogEvent(LogLevel::kInfo, "node_draining").Add("signal", signal);
     m_drain_until = Now() + m_settings.m_drain_timeout;
+    m_stop_accepting_at = Now() + kRefuseTime;
     m_control.SetHostState(HostState::kDraining);
     asio::post(m_ingress_io, [this] { m_ingress.StartDraining(); });
     asio::post(m_egress_io, [this] { m_egress.SetDraining(true); });
@@ -218,6 +266,10 @@
 
   void OnDrainPolled(size_t in_flight, uint64_t requests) {
     const TimePoint now = Now();
+    if (m_stop_accepting_at && now >= *m_stop_accepting_at) {
+      m_stop_accepting_at.reset();
+      asio::post(m_ingress_io, [this] { m_ingress.StopAccepting(); });
+    }
     if (in_flight > 0 || requests != m_drain_requests || !m_quiet_since) {
       m_quiet_since = now;
       m_drain_requests = requests;
@@ -278,6 +330,7 @@
   asio::signal_set m_signals;
   asio::steady_timer m_drain_timer;
   TimePoint m_drain_until;
+  std::optional<TimePoint> m_stop_accepting_at;
   std::optional<TimePoint> m_quiet_since;
   uint64_t m_drain_requests = 0;
   size_t m_left_in_flight = 0;
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -13,6 +13,7 @@
 
 #include "child_process.h"
 #include "http_call.h"
+#include "relay.h"
 
 namespace sequoiastage {
 
@@ -21,6 +22,10 @@
   int m_instances_per_node = 2;
   int m_slots = 3;
   int m_latency_ms = 5;
+  /// Instances only beside this node; -1: beside every node.
+  int m_only_instances_at = -1;
+  /// A relay stands between the nodes, see Fleet::Links().
+  bool m_has_relay = false;
 };
 
 /// True once `condition` holds; false when it does not within `limit`.
@@ -49,16 +54,19 @@
   Endpoint Instance(int node, int index) const;
   Endpoint Log() const;
 
+  /// The relay between the nodes.
+  Relay& Links() { return *m_relay; }
+
   void StartNode(int node);
   ChildProcess& Node(int node) { return *m_nodes[node]; }
 
-  /// True when the node answers a read.
+  /// True when the node serves the route that every configuration has.
   bool IsServing(int node) const;
-  /// True when a configuration with `marker` as the only allowed path answers.
+  /// True when the node answers a read of `path`.
   bool Serves(int node, const std::string& path) const;
 
-  /// Appends the configuration with one more route, to /PATH. The offset, or
-  /// empty.
+  /// Appends the configuration with one more route, to `extra_path`, unless it
+  /// is on the log already. False when the log did not acknowledge it.
   bool Publish(const std::string& extra_path = "");
   bool SetLogFaults(const std::string& json) const;
 
@@ -77,13 +85,19 @@
 
  private:
   Endpoint At(int node, uint16_t port) const;
+  Endpoint PeerBind(int node) const;
+  int InstancesAt(int node) const;
+  void StartRelay();
   std::string Settings(int node) const;
+  std::string Configuration(const std::string& extra_path) const;
+  bool Append(const std::string& record) const;
   void StartInstance(int node, int index);
 
   FleetOptions m_options;
   uint32_t m_base_ip;
   std::string m_folder;
   bool m_keeps_logs = false;
+  std::unique_ptr<Relay> m_relay;
   std::optional<ChildProcess> m_log;
   std::vector<std::optional<ChildProcess>> m_nodes;
   std::vector<ChildProcess> m_instances;
