Route, retry and admit by the decision libraries

The ingress picks by Selector, LoadTable and PathJudge instead of a random healthy instance; retries take from a budget per service; Retry-After follows the load.

--- a/libs/limits/include/sequoiastage/limits/slot_gate.h
+++ b/libs/limits/include/sequoiastage/limits/slot_gate.h
@@ -2,6 +2,7 @@
 #define SEQUOIASTAGE_LIMITS_SLOT_GATE_H_
 
 #include <cstdint>
+#include <limits>
 #include <unordered_map>
 #include <vector>
 
@@ -15,7 +16,7 @@
 /// A piece of work known to a SlotGate.
 using Ticket = Strong<struct TicketTag, uint64_t>;
 
-enum class Admission : uint8_t {
+enum class GateVerdict : uint8_t {
   /// Holds a slot; start it now and call OnFinish() at its end.
   kRun,
   /// Waits; a later result starts or refuses it.
@@ -27,6 +28,8 @@
 struct SlotGateOptions {
   /// Pieces of work the instance executes at the same time.
   uint32_t m_slots = 3;
+  /// Most pieces of work that wait, however short the wait.
+  uint32_t m_max_queued = std::numeric_limits<uint32_t>::max();
   /// Longest expected wait in the queue.
   Duration m_max_wait = std::chrono::milliseconds(300);
   /// Service time assumed before any has been seen.
@@ -45,7 +48,7 @@
 };
 
 struct AdmissionResult {
-  Admission m_admission = Admission::kRefused;
+  GateVerdict m_admission = GateVerdict::kRefused;
   Ticket m_ticket;
   /// Others whose wait ended by this admission.
   GateChanges m_changes;
--- a/libs/limits/src/slot_gate.cc
+++ b/libs/limits/src/slot_gate.cc
@@ -20,14 +20,14 @@
 AdmissionResult SlotGate::Admit(TimePoint now,
                                 TimePoint deadline,
                                 AccountId account) {
-  AdmissionResult result{.m_admission = Admission::kRefused,
+  AdmissionResult result{.m_admission = GateVerdict::kRefused,
                          .m_ticket = Ticket(m_next_ticket++),
                          .m_changes = {}};
   RefuseLate(now, result.m_changes);
   FillSlots(now, result.m_changes);
   if (HasFreeSlot() && now < deadline) {
     Start(result.m_ticket, account, now);
-    result.m_admission = Admission::kRun;
+    result.m_admission = GateVerdict::kRun;
     return result;
   }
   if (now + ExpectedWait() + m_service_time > deadline) {
@@ -43,7 +43,7 @@
                             .m_account = account,
                             .m_deadline = deadline});
   ++m_stats.m_queued;
-  result.m_admission = Admission::kQueued;
+  result.m_admission = GateVerdict::kQueued;
   return result;
 }
 
@@ -95,8 +95,10 @@
 size_t SlotGate::QueueLimit() const {
   const double rounds =
       Seconds(m_options.m_max_wait) / std::max(1e-6, Seconds(m_service_time));
-  return static_cast<size_t>(static_cast<double>(m_options.m_slots) *
-                             std::max(1.0, rounds));
+  const double limit =
+      static_cast<double>(m_options.m_slots) * std::max(1.0, rounds);
+  return std::min(static_cast<size_t>(limit),
+                  static_cast<size_t>(m_options.m_max_queued));
 }
 
 Duration SlotGate::ExpectedWait() const {
--- a/libs/limits/tests/naive_limits.h
+++ b/libs/limits/tests/naive_limits.h
@@ -20,10 +20,10 @@
     const Ticket ticket(m_next_ticket++);
     if (m_running < m_slots) {
       ++m_running;
-      return {Admission::kRun, ticket, {}};
+      return {GateVerdict::kRun, ticket, {}};
     }
     m_queue.push_back(ticket);
-    return {Admission::kQueued, ticket, {}};
+    return {GateVerdict::kQueued, ticket, {}};
   }
 
   GateChanges OnFinish(Ticket /*ticket*/,
--- a/libs/limits/tests/slot_gate_test.cc
+++ b/libs/limits/tests/slot_gate_test.cc
@@ -27,9 +27,9 @@
   void OnAdmit(const AdmissionResult& result) {
     OnChanges(result.m_changes);
     RC_ASSERT(m_seen.insert(result.m_ticket).second);
-    if (result.m_admission == Admission::kRun) {
+    if (result.m_admission == GateVerdict::kRun) {
       m_running.push_back(result.m_ticket);
-    } else if (result.m_admission == Admission::kQueued) {
+    } else if (result.m_admission == GateVerdict::kQueued) {
       m_queued.insert(result.m_ticket);
     }
   }
@@ -93,11 +93,11 @@
 TEST(SlotGateTest, RefusesWhatCannotFinishBeforeItsDeadline) {
   SlotGate gate({.m_slots = 1, .m_initial_service_time = milliseconds(100)});
   EXPECT_EQ(gate.Admit(kStart, kStart + seconds(1), kSmall).m_admission,
-            Admission::kRun);
+            GateVerdict::kRun);
   EXPECT_EQ(gate.Admit(kStart, kStart + milliseconds(150), kSmall).m_admission,
-            Admission::kRefused);
+            GateVerdict::kRefused);
   const auto queued = gate.Admit(kStart, kStart + milliseconds(250), kSmall);
-  EXPECT_EQ(queued.m_admission, Admission::kQueued);
+  EXPECT_EQ(queued.m_admission, GateVerdict::kQueued);
   EXPECT_EQ(gate.OnTick(kStart + milliseconds(160)).m_refused,
             std::vector<Ticket>{queued.m_ticket});
 }
@@ -105,7 +105,7 @@
 TEST(SlotGateTest, RefusesWhatIsPastItsDeadline) {
   SlotGate gate({.m_slots = 1});
   EXPECT_EQ(gate.Admit(kStart, kStart, kSmall).m_admission,
-            Admission::kRefused);
+            GateVerdict::kRefused);
 }
 
 TEST(SlotGateTest, FewerSlotsTakeEffectAsWorkEnds) {
@@ -162,7 +162,7 @@
     asked[account] += 1;
     const AdmissionResult result = gate.Admit(arrival, deadline, account);
     works[result.m_ticket] = {account, deadline};
-    if (result.m_admission == Admission::kRun) {
+    if (result.m_admission == GateVerdict::kRun) {
       start_all({result.m_ticket}, arrival);
     }
     start_all(result.m_changes.m_started, arrival);
--- a/libs/node/src/caller_request.cc
+++ b/libs/node/src/caller_request.cc
@@ -130,6 +130,7 @@
   checked.m_run.m_deadline = now + deadline;
   if (service != nullptr) {
     checked.m_run.m_max_attempts = service->m_retries.m_max_attempts;
+    checked.m_run.m_retry_share = service->m_retries.m_budget_share;
     checked.m_run.m_completeness_field =
         service->m_completeness_header.value_or("");
   }
--- a/libs/node/src/egress.cc
+++ b/libs/node/src/egress.cc
@@ -139,12 +139,25 @@
     return;
   }
   const AttemptId id = message.m_attempt;
+  const TimePoint now = Now();
   Instance& instance = *Find(message.m_instance);
+  const AdmissionResult result = instance.m_gate.Admit(
+      now, now + (DeadlineOf(message.m_deadline_ms) - WallNow()),
+      message.m_account);
+  if (result.m_admission == GateVerdict::kRefused) {
+    Refuse(message, AttemptReason::kBusy, reply);
+    Follow(instance, result.m_changes);
+    return;
+  }
   Attempt& attempt = m_attempts[id];
   attempt.m_message = std::move(message);
   attempt.m_replies.push_back(std::move(reply));
-  instance.m_queue.push_back(id);
-  StartNext(instance);
+  attempt.m_ticket = result.m_ticket;
+  instance.m_attempts[result.m_ticket] = id;
+  if (result.m_admission == GateVerdict::kRun) {
+    Start(instance, id);
+  }
+  Follow(instance, result.m_changes);
 }
 
 void Egress::Query(const QueryMessage& message, Reply reply) {
@@ -205,12 +218,6 @@
       instance->m_local.m_is_ejected) {
     return AttemptReason::kDraining;
   }
-  const bool has_slot = instance->m_in_use < instance->m_local.m_slots;
-  const bool has_room =
-      instance->m_queue.size() < instance->m_local.m_queue_length;
-  if (!has_slot && !has_room) {
-    return AttemptReason::kBusy;
-  }
   if (!MayTakeSuspectWork(*instance, message)) {
     return AttemptReason::kSuspect;
   }
@@ -237,27 +244,50 @@
   reply(std::move(result));
 }
 
-void Egress::StartNext(Instance& instance) {
-  while (instance.m_in_use < instance.m_local.m_slots &&
-         !instance.m_queue.empty()) {
-    const AttemptId id = instance.m_queue.front();
-    instance.m_queue.pop_front();
-    const auto it = m_attempts.find(id);
-    if (it == m_attempts.end()) {
-      continue;
-    }
-    if (m_ledger.MarkRunning(id, WallNow())) {
-      StartCall(instance, id);
-      continue;
+void Egress::Follow(Instance& instance, const GateChanges& changes) {
+  for (const Ticket ticket : changes.m_refused) {
+    RefuseQueued(instance, ticket);
+  }
+  for (const Ticket ticket : changes.m_started) {
+    const auto it = instance.m_attempts.find(ticket);
+    if (it != instance.m_attempts.end()) {
+      Start(instance, it->second);
     }
-    ++m_stats.m_refused;
-    const Attempt attempt = std::move(it->second);
-    m_attempts.erase(it);
-    SendReplies(attempt.m_replies, MakeResult(id, AttemptResult::kNotStarted,
-                                              AttemptReason::kPastDeadline));
   }
 }
 
+void Egress::RefuseQueued(Instance& instance, Ticket ticket) {
+  const auto it = instance.m_attempts.find(ticket);
+  if (it == instance.m_attempts.end()) {
+    return;
+  }
+  const AttemptId id = it->second;
+  instance.m_attempts.erase(it);
+  const Attempt attempt = std::move(m_attempts[id]);
+  m_attempts.erase(id);
+  m_ledger.MarkRefused(id);
+  ++m_stats.m_refused;
+  ResultMessage result =
+      MakeResult(id, AttemptResult::kNotStarted, AttemptReason::kBusy);
+  result.m_loads = LoadsOf(attempt.m_message.m_service);
+  SendReplies(attempt.m_replies, result);
+}
+
+// The attempt holds a slot of the gate.
+void Egress::Start(Instance& instance, const AttemptId& id) {
+  if (m_ledger.MarkRunning(id, WallNow())) {
+    StartCall(instance, id);
+    return;
+  }
+  ++m_stats.m_refused;
+  const Attempt attempt = std::move(m_attempts[id]);
+  m_attempts.erase(id);
+  instance.m_attempts.erase(attempt.m_ticket);
+  SendReplies(attempt.m_replies, MakeResult(id, AttemptResult::kNotStarted,
+                                            AttemptReason::kPastDeadline));
+  Follow(instance, instance.m_gate.OnFinish(attempt.m_ticket, Now(), false));
+}
+
 void Egress::StartCall(Instance& instance, const AttemptId& id) {
   Attempt& attempt = m_attempts[id];
   const auto left = DeadlineOf(attempt.m_message.m_deadline_ms) - WallNow();
@@ -269,10 +299,8 @@
   }
   HttpRequest request = std::move(attempt.m_message.m_request);
   request.m_fields.push_back({kDeadlineField, std::to_string(left.count())});
-  attempt.m_is_running = true;
   attempt.m_instance_incarnation = instance.m_local.m_incarnation;
   attempt.m_work = instance.m_judge.OnStart(Now());
-  ++instance.m_in_use;
   ++m_stats.m_started;
   attempt.m_call = m_client.Start(
       options, std::move(request),
@@ -308,17 +336,21 @@
     m_ledger.MarkFailed(id);
   }
   Instance* instance = Find(attempt.m_message.m_instance);
-  if (instance != nullptr) {
-    if (instance->m_local.m_incarnation == attempt.m_instance_incarnation &&
-        instance->m_judge.OnFinish(attempt.m_work, Now(), outcome)) {
-      --instance->m_in_use;
-    }
-    result.m_loads = LoadsOf(attempt.m_message.m_service);
+  if (instance == nullptr ||
+      instance->m_local.m_incarnation != attempt.m_instance_incarnation) {
+    SendReplies(attempt.m_replies, result);
+    return;
   }
+  const TimePoint now = Now();
+  const bool counts =
+      outcome != Outcome::kCancelled && outcome != Outcome::kShed;
+  instance->m_judge.OnFinish(attempt.m_work, now, outcome);
+  instance->m_attempts.erase(attempt.m_ticket);
+  const GateChanges changes =
+      instance->m_gate.OnFinish(attempt.m_ticket, now, counts);
+  result.m_loads = LoadsOf(attempt.m_message.m_service);
   SendReplies(attempt.m_replies, result);
-  if (instance != nullptr) {
-    StartNext(*instance);
-  }
+  Follow(*instance, changes);
 }
 
 void Egress::CancelRunning(const AttemptId& id) {
@@ -341,7 +373,9 @@
   const Attempt attempt = std::move(it->second);
   m_attempts.erase(it);
   if (Instance* instance = Find(attempt.m_message.m_instance)) {
-    std::erase(instance->m_queue, id);
+    if (instance->m_gate.CancelQueued(attempt.m_ticket)) {
+      instance->m_attempts.erase(attempt.m_ticket);
+    }
   }
   SendReplies(attempt.m_replies, MakeResult(id, AttemptResult::kNotStarted,
                                             AttemptReason::kCancelled));
@@ -358,34 +392,49 @@
   std::unordered_map<InstanceId, Instance> old = std::exchange(m_instances, {});
   for (const LocalInstance& local : instances) {
     const auto it = old.find(local.m_id);
-    if (it != old.end() &&
-        it->second.m_local.m_incarnation == local.m_incarnation) {
-      Instance& known = it->second;
-      if (local.m_is_ejected && !known.m_local.m_is_ejected) {
-        known.m_judge.OnEjected(Now());
-      } else if (!local.m_is_ejected && known.m_local.m_is_ejected) {
-        known.m_judge.OnReadmitted(Now());
-      }
-      known.m_local = local;
-      m_instances.emplace(local.m_id, std::move(known));
-      old.erase(it);
+    if (it == old.end() ||
+        it->second.m_local.m_incarnation != local.m_incarnation) {
+      m_instances.emplace(local.m_id, MakeInstance(local));
       continue;
     }
-    m_instances.emplace(
-        local.m_id,
-        Instance{.m_local = local,
-                 .m_judge = InstanceJudge(
-                     MakeJudgeOptions(PolicyFor(local.m_false_ejection_hours)),
-                     Now())});
-  }
-  for (const auto& [id, gone] : old) {
-    for (const AttemptId& queued : gone.m_queue) {
-      m_ledger.MarkRefused(queued);
-      CancelQueued(queued);
+    Instance& known =
+        m_instances.emplace(local.m_id, std::move(it->second)).first->second;
+    old.erase(it);
+    Update(known, local);
+  }
+  for (auto& [id, gone] : old) {
+    const auto attempts = std::exchange(gone.m_attempts, {});
+    for (const auto& [ticket, attempt] : attempts) {
+      if (gone.m_gate.CancelQueued(ticket)) {
+        m_ledger.MarkRefused(attempt);
+        CancelQueued(attempt);
+      }
     }
   }
 }
 
+Egress::Instance Egress::MakeInstance(const LocalInstance& local) {
+  return {.m_local = local,
+          .m_judge = InstanceJudge(
+              MakeJudgeOptions(PolicyFor(local.m_false_ejection_hours)), Now()),
+          .m_gate = SlotGate({.m_slots = local.m_slots,
+                              .m_max_queued = local.m_queue_length})};
+}
+
+void Egress::Update(Instance& instance, const LocalInstance& local) {
+  const TimePoint now = Now();
+  if (local.m_is_ejected && !instance.m_local.m_is_ejected) {
+    instance.m_judge.OnEjected(now);
+  } else if (!local.m_is_ejected && instance.m_local.m_is_ejected) {
+    instance.m_judge.OnReadmitted(now);
+  }
+  const bool is_resized = local.m_slots != instance.m_local.m_slots;
+  instance.m_local = local;
+  if (is_resized) {
+    Follow(instance, instance.m_gate.Resize(local.m_slots, now));
+  }
+}
+
 void Egress::SetBaseline(InstanceId instance, const PeerBaseline& baseline) {
   if (Instance* known = Find(instance)) {
     known->m_judge.OnBaseline(Now(), baseline);
@@ -396,7 +445,7 @@
   const TimePoint now = Now();
   for (auto& [id, instance] : m_instances) {
     instance.m_judge.OnTick(now);
-    StartNext(instance);
+    Follow(instance, instance.m_gate.OnTick(now));
   }
 }
 
@@ -411,8 +460,8 @@
          .m_incarnation = instance.m_local.m_incarnation,
          .m_judge = instance.m_judge.Report(),
          .m_summary = instance.m_judge.Summary(now),
-         .m_in_use = instance.m_in_use,
-         .m_queued = static_cast<uint16_t>(instance.m_queue.size())});
+         .m_in_use = static_cast<uint16_t>(instance.m_gate.Running()),
+         .m_queued = static_cast<uint16_t>(instance.m_gate.Queued())});
   }
   return reports;
 }
@@ -429,12 +478,13 @@
     if (instance.m_local.m_service != service) {
       continue;
     }
-    loads.push_back({.m_instance = id,
-                     .m_slots = instance.m_local.m_slots,
-                     .m_in_use = instance.m_in_use,
-                     .m_queued = static_cast<uint16_t>(instance.m_queue.size()),
-                     .m_is_suspect = instance.m_judge.Report().m_verdict !=
-                                     Verdict::kHealthy});
+    loads.push_back(
+        {.m_instance = id,
+         .m_slots = instance.m_local.m_slots,
+         .m_in_use = static_cast<uint16_t>(instance.m_gate.Running()),
+         .m_queued = static_cast<uint16_t>(instance.m_gate.Queued()),
+         .m_is_suspect =
+             instance.m_judge.Report().m_verdict != Verdict::kHealthy});
   }
   return loads;
 }
--- a/libs/node/src/egress_p.h
+++ b/libs/node/src/egress_p.h
@@ -3,7 +3,6 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -13,6 +12,7 @@
 #include "sequoiastage/execution/attempt_ledger.h"
 #include "sequoiastage/health/instance_judge.h"
 #include "sequoiastage/http/http_client.h"
+#include "sequoiastage/limits/slot_gate.h"
 #include "sequoiastage/wire/messages.h"
 
 namespace sequoiastage {
@@ -85,15 +85,16 @@
   struct Instance {
     LocalInstance m_local;
     InstanceJudge m_judge;
-    uint16_t m_in_use = 0;
-    std::deque<AttemptId> m_queue;
+    SlotGate m_gate;
+    std::unordered_map<Ticket, AttemptId> m_attempts;
   };
 
   // An attempt that is queued or running.
   struct Attempt {
     DispatchMessage m_message;
     std::vector<Reply> m_replies;
-    bool m_is_running = false;
+    // In the gate of its instance.
+    Ticket m_ticket;
     // Of the instance that runs it.
     Incarnation m_instance_incarnation;
     WorkHandle m_work;
@@ -109,7 +110,10 @@
   void Refuse(const DispatchMessage& message,
               AttemptReason reason,
               const Reply& reply);
-  void StartNext(Instance& instance);
+  // Starts and refuses what the gate says.
+  void Follow(Instance& instance, const GateChanges& changes);
+  void Start(Instance& instance, const AttemptId& id);
+  void RefuseQueued(Instance& instance, Ticket ticket);
   void StartCall(Instance& instance, const AttemptId& id);
   void OnCallEnd(const AttemptId& id, HttpCallResult result);
   void Finish(const AttemptId& id, ResultMessage result, Outcome outcome);
@@ -121,6 +125,8 @@
                            AttemptResult result,
                            AttemptReason reason) const;
   std::vector<InstanceLoad> LoadsOf(ServiceId service) const;
+  static Instance MakeInstance(const LocalInstance& local);
+  void Update(Instance& instance, const LocalInstance& local);
   Instance* Find(InstanceId id);
 
   HttpClient m_client;
--- a/libs/node/src/ingress.cc
+++ b/libs/node/src/ingress.cc
@@ -100,6 +100,7 @@
                  LogEvent(LogLevel::kInfo, "peer_link_lost")
                      .Add("peer", ToString(node))
                      .Add("reason", reason);
+                 m_runner.OnConnectionFailed(node);
                  m_runner.OnLinkLost(node);
                  RetryForwardsTo(node);
                }},
@@ -282,7 +283,8 @@
   }
 }
 
-void Ingress::OnPeerMessage(NodeId /*from*/, Message message) {
+void Ingress::OnPeerMessage(NodeId from, Message message) {
+  m_runner.OnFrame(from);
   if (auto* result = std::get_if<ResultMessage>(&message)) {
     m_runner.OnResult(std::move(*result));
   } else if (auto* reply = std::get_if<KeyedReplyMessage>(&message)) {
@@ -291,7 +293,16 @@
   }
 }
 
+void Ingress::OnTick() {
+  for (const NodeId peer : m_runner.OnTick()) {
+    m_transport.Send(peer,
+                     HelloMessage{.m_node = m_options.m_node,
+                                  .m_incarnation = m_options.m_incarnation});
+  }
+}
+
 void Ingress::OnNotSent(NodeId node, const std::vector<Message>& messages) {
+  m_runner.OnConnectionFailed(node);
   for (const Message& message : messages) {
     m_runner.OnNotSent(message);
   }
--- a/libs/node/src/ingress_p.h
+++ b/libs/node/src/ingress_p.h
@@ -60,6 +60,9 @@
   // Takes no more connections; those there are go on.
   void StopAccepting() { m_server.Stop(); }
 
+  // To be called every 50 ms.
+  void OnTick();
+
   // Result of the own egress.
   void OnLocalResult(ResultMessage result);
 
--- a/libs/node/src/key_owner.cc
+++ b/libs/node/src/key_owner.cc
@@ -90,6 +90,7 @@
 
 HttpAnswer ToAnswer(RunResult result) {
   const std::string reason(ToString(result.m_reason));
+  const auto retry_after = static_cast<uint32_t>(result.m_retry_after.count());
   switch (result.m_outcome) {
     case RequestOutcome::kAnswered:
       RemoveConnectionFields(result.m_answer.m_fields);
@@ -101,7 +102,7 @@
           Problem{.m_status = 503,
                   .m_title = "Not run",
                   .m_detail = "The request was not run (" + reason + ").",
-                  .m_retry_after = kRetryAfterSeconds});
+                  .m_retry_after = retry_after});
     case RequestOutcome::kUnknown:
       break;
   }
@@ -110,7 +111,7 @@
                           .m_title = "Outcome unknown",
                           .m_detail = "No whole answer came in time (" +
                                       reason + "). The request may have run.",
-                          .m_retry_after = kRetryAfterSeconds});
+                          .m_retry_after = retry_after});
 }
 
 KeyOwner::KeyOwner(NodeId node, Incarnation incarnation, RequestRunner& runner)
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kEgressTick{100};
+constexpr std::chrono::milliseconds kIngressTick{50};
 // Ticks of the egress between two reports to the control thread.
 constexpr int kTicksPerReport = 2;
 constexpr std::chrono::milliseconds kDrainPoll{50};
@@ -69,6 +70,7 @@
             m_ingress_io,
             MakeIngressOptions(m_settings, m_incarnation),
             [this](Message message) { OnLocalMessage(std::move(message)); }),
+        m_ingress_tick(m_ingress_io),
         m_control(m_control_io, m_settings, m_incarnation, MakeOutputs()),
         m_signals(m_control_io, SIGTERM, SIGINT),
         m_drain_timer(m_control_io) {}
@@ -87,6 +89,7 @@
       return false;
     }
     ArmEgressTick();
+    ArmIngressTick();
     m_signals.async_wait([this](const asio::error_code& error, int signal) {
       if (!error) {
         BeginShutdown(signal);
@@ -179,6 +182,12 @@
       AnswerConfig(from, *request);
       return;
     }
+    if (std::holds_alternative<HelloMessage>(message)) {
+      // Answered at once, so that the peer sees the path is good.
+      from->Send(HelloMessage{.m_node = NodeId(m_settings.m_peer),
+                              .m_incarnation = m_incarnation});
+      return;
+    }
     RunAtEgress(std::move(message), [from](ResultMessage result) {
       from->Send(std::move(result));
     });
@@ -217,6 +226,16 @@
     });
   }
 
+  void ArmIngressTick() {
+    m_ingress_tick.expires_after(kIngressTick);
+    m_ingress_tick.async_wait([this](const asio::error_code& error) {
+      if (!error) {
+        m_ingress.OnTick();
+        ArmIngressTick();
+      }
+    });
+  }
+
   void OnEgressTick() {
     m_egress.Tick();
     if (++m_egress_ticks % kTicksPerReport != 0) {
@@ -324,6 +343,7 @@
 
   // Ingress thread.
   Ingress m_ingress;
+  asio::steady_timer m_ingress_tick;
 
   // Control thread.
   Control m_control;
--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -1,7 +1,6 @@
 #include "request_runner_p.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace sequoiastage {
@@ -38,6 +37,8 @@
     : m_io(io),
       m_options(options),
       m_transport(transport),
+      m_picker(options.m_node, options.m_incarnation.Get()),
+      m_retry_after({}, Now()),
       m_random(options.m_incarnation.Get()) {}
 
 AttemptId RequestRunner::NextAttempt() {
@@ -64,6 +65,7 @@
 }
 
 void RequestRunner::OnResult(ResultMessage result) {
+  m_picker.OnLoads(result.m_loads, Now());
   const auto it = m_run_of.find(result.m_attempt);
   if (it == m_run_of.end()) {
     return;
@@ -138,9 +140,10 @@
 }
 
 void RequestRunner::SendAttempt(RunId run, Execution& execution) {
-  bool accept_suspect = false;
-  const InstanceView* target =
-      MayTryAgain(execution) ? Pick(execution, accept_suspect) : nullptr;
+  const Target choice = MayTryAgain(execution) && TakeRetry(execution)
+                            ? Pick(execution)
+                            : Target{};
+  const InstanceView* target = choice.m_instance;
   if (target == nullptr) {
     Follow(run, execution.m_tracker.OnNoTarget());
     return;
@@ -159,6 +162,7 @@
                               .m_node_incarnation = target->m_node_incarnation,
                               .m_deadline = request.m_deadline});
   m_run_of[id] = run;
+  m_picker.OnSent(target->m_id, target->m_node, Now());
   const WallTime now = WallNow();
   if (request.m_is_repeatable) {
     const auto attempts_left = static_cast<int>(
@@ -176,12 +180,12 @@
           .m_instance = target->m_id,
           .m_account = request.m_account,
           .m_is_repeatable = request.m_is_repeatable,
-          .m_accept_suspect = accept_suspect,
+          .m_accept_suspect = choice.m_accept_suspect,
           .m_completeness_field = request.m_completeness_field,
           .m_deadline_ms = request.m_deadline.time_since_epoch().count(),
           .m_request = request.m_request});
   if (!was_queued) {
-    execution.m_sent.back().m_is_open = false;
+    Close(execution.m_sent.back());
     execution.m_reason = AttemptReason::kBusy;
     Follow(run, execution.m_tracker.OnNotStarted(id));
     return;
@@ -209,7 +213,15 @@
   for (const SentAttempt& sent : execution->m_sent) {
     m_run_of.erase(sent.m_id);
   }
-  RunResult result{.m_outcome = outcome, .m_reason = execution->m_reason};
+  const TimePoint now = Now();
+  if (outcome == RequestOutcome::kNotRun) {
+    m_retry_after.OnRefused(now);
+  } else {
+    m_retry_after.OnAnswered(now);
+  }
+  RunResult result{.m_outcome = outcome,
+                   .m_reason = execution->m_reason,
+                   .m_retry_after = m_retry_after.Draw(now, m_random)};
   if (outcome == RequestOutcome::kAnswered) {
     result.m_answer = std::move(execution->m_answer);
   } else if (execution->m_error_answer) {
@@ -219,6 +231,9 @@
   if (execution->m_request.m_is_repeatable) {
     CancelOpen(*execution);
   }
+  for (SentAttempt& sent : execution->m_sent) {
+    Close(sent);
+  }
   execution->m_done(std::move(result));
 }
 
@@ -282,7 +297,7 @@
 bool RequestRunner::Withdraw(RunId run, Execution& execution) {
   for (SentAttempt& sent : execution.m_sent) {
     if (sent.m_is_open && m_transport.Withdraw(sent.m_node, sent.m_id)) {
-      sent.m_is_open = false;
+      Close(sent);
       execution.m_reason = AttemptReason::kConnectFailed;
       const OutcomeStep step = execution.m_tracker.OnNotStarted(sent.m_id);
       const bool is_late = WallNow() >= execution.m_request.m_deadline;
@@ -326,7 +341,9 @@
         result.m_reason == AttemptReason::kWrongIncarnation) {
       result.m_result = AttemptResult::kCannotTell;
     }
-    sent->m_is_open = result.m_result == AttemptResult::kRunning;
+    if (result.m_result != AttemptResult::kRunning) {
+      Close(*sent);
+    }
     sent->m_may_have_run = result.m_result != AttemptResult::kNotStarted;
   }
   switch (result.m_result) {
@@ -355,37 +372,74 @@
   return execution.m_tracker.OnAnswered(result.m_attempt);
 }
 
-const InstanceView* RequestRunner::Pick(const Execution& execution,
-                                        bool& accept_suspect) {
-  if (m_view == nullptr) {
-    return nullptr;
-  }
-  const auto it = m_view->m_instances.find(execution.m_request.m_service);
-  if (it == m_view->m_instances.end()) {
-    return nullptr;
-  }
-  const InstanceView* best = nullptr;
-  auto best_rank =
-      std::make_tuple(true, true, Distance::kOtherRegion, uint64_t{0});
-  for (const InstanceView& instance : it->second) {
-    const bool was_tried =
-        std::any_of(execution.m_sent.begin(), execution.m_sent.end(),
-                    [&instance](const SentAttempt& sent) {
-                      return sent.m_instance == instance.m_id;
-                    });
-    if (instance.m_is_excluded || was_tried) {
+Target RequestRunner::Pick(const Execution& execution) {
+  std::vector<InstanceId> tried;
+  tried.reserve(execution.m_sent.size());
+  for (const SentAttempt& sent : execution.m_sent) {
+    tried.push_back(sent.m_instance);
+  }
+  const RunRequest& request = execution.m_request;
+  return m_picker.Pick(request.m_service,
+                       {.m_repeatable = request.m_is_repeatable,
+                        .m_time_left = request.m_deadline - WallNow(),
+                        .m_tried = tried},
+                       Now());
+}
+
+// The first refusal is followed by another try at no charge, for the view of
+// the ingress may be old; any other retry takes from the service's budget.
+bool RequestRunner::TakeRetry(const Execution& execution) {
+  const RunRequest& request = execution.m_request;
+  const TimePoint now = Now();
+  const auto [budget, is_new] = m_budgets.try_emplace(
+      request.m_service, RetryBudgetOptions{.m_share = request.m_retry_share},
+      now);
+  if (execution.m_sent.empty()) {
+    budget->second.OnRequest(now);
+    return true;
+  }
+  const bool is_first_refusal =
+      execution.m_sent.size() == 1 && !execution.m_sent.front().m_may_have_run;
+  return is_first_refusal || budget->second.TryRetry(now);
+}
+
+std::vector<NodeId> RequestRunner::OnTick() {
+  std::vector<NodeId> probes = m_picker.OnTick(Now());
+  if (m_picker.HasSuspectPaths()) {
+    GiveUpOnSuspectPaths();
+  }
+  return probes;
+}
+
+// Repeatable work on a path that has gone silent is tried elsewhere.
+void RequestRunner::GiveUpOnSuspectPaths() {
+  std::vector<std::pair<RunId, AttemptId>> affected;
+  for (const auto& [run, execution] : m_runs) {
+    if (!execution->m_request.m_is_repeatable || execution->m_sent.empty()) {
       continue;
     }
-    const auto rank =
-        std::make_tuple(instance.m_is_unreachable, instance.m_is_suspect,
-                        instance.m_distance, m_random());
-    if (best == nullptr || rank < best_rank) {
-      best = &instance;
-      best_rank = rank;
+    SentAttempt& last = execution->m_sent.back();
+    if (last.m_is_open && !last.m_may_have_run &&
+        m_picker.IsPathSuspect(last.m_node)) {
+      last.m_may_have_run = true;
+      execution->m_reason = AttemptReason::kTimeout;
+      affected.emplace_back(run, last.m_id);
+    }
+  }
+  for (const auto& [run, attempt] : affected) {
+    const auto it = m_runs.find(run);
+    if (it != m_runs.end()) {
+      Follow(run, it->second->m_tracker.OnMayHaveRun(attempt));
     }
   }
-  accept_suspect = best != nullptr && best->m_is_suspect;
-  return best;
+}
+
+// The attempt is over for this node.
+void RequestRunner::Close(SentAttempt& sent) {
+  if (sent.m_is_open) {
+    sent.m_is_open = false;
+    m_picker.OnEnded(sent.m_instance, sent.m_node, Now());
+  }
 }
 
 RequestRunner::SentAttempt* RequestRunner::FindSent(Execution& execution,
--- a/libs/node/src/request_runner_p.h
+++ b/libs/node/src/request_runner_p.h
@@ -12,7 +12,10 @@
 
 #include "node_view_p.h"
 #include "sequoiastage/execution/outcome_tracker.h"
+#include "sequoiastage/limits/retry_after.h"
+#include "sequoiastage/limits/retry_budget.h"
 #include "sequoiastage/wire/messages.h"
+#include "target_picker_p.h"
 #include "transport_p.h"
 
 namespace sequoiastage {
@@ -25,6 +28,8 @@
   std::string m_completeness_field;
   bool m_is_repeatable = false;
   uint32_t m_max_attempts = 2;
+  // Retries as a share of the service's requests.
+  double m_retry_share = 0.1;
   WallTime m_deadline;
 };
 
@@ -34,6 +39,8 @@
   HttpAnswer m_answer;
   // What the last attempt ended with; kNone when there was none.
   AttemptReason m_reason = AttemptReason::kNone;
+  // When to come back, unless answered.
+  std::chrono::seconds m_retry_after{1};
 };
 
 struct RunnerStats {
@@ -55,7 +62,7 @@
 
   RequestRunner(asio::io_context& io, Options options, Transport& transport);
 
-  void SetView(NodeViewPtr view) { m_view = std::move(view); }
+  void SetView(NodeViewPtr view) { m_picker.SetView(std::move(view)); }
 
   // Runs `request`; `done` is called once, at the latest at its deadline.
   void Run(RunRequest request, Done done);
@@ -64,6 +71,14 @@
   void OnResult(ResultMessage result);
   void OnNotSent(const Message& message);
   void OnLinkLost(NodeId node);
+  // Any frame came from `node`.
+  void OnFrame(NodeId node) { m_picker.OnFrame(node, Now()); }
+  void OnConnectionFailed(NodeId node) {
+    m_picker.OnConnectionFailed(node, Now());
+  }
+
+  // To be called every 50 ms; returns the nodes to send a HelloMessage to.
+  std::vector<NodeId> OnTick();
 
   // Numbers unique in this incarnation, shared with forwarded requests.
   AttemptId NextAttempt();
@@ -115,13 +130,18 @@
   bool MayTryAgain(const Execution& execution) const;
   OutcomeStep StepFor(Execution& execution, ResultMessage& result);
   OutcomeStep StepForAnswer(Execution& execution, ResultMessage& result);
-  const InstanceView* Pick(const Execution& execution, bool& accept_suspect);
+  Target Pick(const Execution& execution);
+  bool TakeRetry(const Execution& execution);
+  void GiveUpOnSuspectPaths();
+  void Close(SentAttempt& sent);
   SentAttempt* FindSent(Execution& execution, const AttemptId& attempt);
 
   asio::io_context& m_io;
   Options m_options;
   Transport& m_transport;
-  NodeViewPtr m_view;
+  TargetPicker m_picker;
+  std::unordered_map<ServiceId, RetryBudget> m_budgets;
+  RetryAfter m_retry_after;
   RunId m_last_run = 0;
   uint64_t m_last_counter = 0;
   std::unordered_map<RunId, std::unique_ptr<Execution>> m_runs;
