--- a/libs/node/src/config_feed.cc
+++ b/libs/node/src/config_feed.cc
@@ -277,6 +277,7 @@
     return;
   }
   if (!m_is_log_reachable) {
+    Poll();
     done({.m_verdict = PublishVerdict::kLogUnavailable,
           .m_reason = "the last read of the log failed, so that nothing was "
                       "appended"});
