--- a/bench/decision_bench/detection.cc
+++ b/bench/decision_bench/detection.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <iterator>
 
+#include "path_cut.h"
 #include "service_fake.h"
 
 namespace sequoiastage {
@@ -162,8 +163,6 @@
       PrintFault(scenario, policy, options);
     }
   }
-  fmt::print(
-      "one-way cut: not run (path evidence is not part of this bench)\n");
   fmt::print("\n{:<25} {:<16} {:>9} {:>10} {:>12} {:>12} {:>9}\n",
              "no instance fails", "judge", "hours", "ejections", "ejections/h",
              "suspects/h", "refused");
@@ -172,6 +171,7 @@
       PrintHealthy(scenario, policy, options);
     }
   }
+  RunPathCut(options.m_seed, options.m_trials);
 }
 
 }  // namespace sequoiastage
--- a/bench/decision_bench/overload_fake.h
+++ b/bench/decision_bench/overload_fake.h
@@ -97,6 +97,7 @@
   }
 
  private:
+  static constexpr double kCriticalities[] = {0.1, 0.5, 1};
   static constexpr Duration kTick = std::chrono::milliseconds(100);
   static constexpr Duration kExchange = std::chrono::milliseconds(500);
 
@@ -157,11 +158,10 @@
   void Arrive() {
     ScheduleArrival();
     const bool is_small = Uniform() < m_options.m_small_account_share;
-    constexpr double criticalities[] = {0.1, 0.5, 1};
     const auto request = std::make_shared<Request>();
     request->m_account = AccountId(is_small ? 1 : 2);
     request->m_is_repeatable = Uniform() < m_options.m_repeatable_share;
-    request->m_criticality = criticalities[m_next_order % 3];
+    request->m_criticality = kCriticalities[m_next_order % 3];
     request->m_arrived = m_now;
     request->m_deadline = m_now + m_options.m_deadline;
     request->m_tried.resize(m_options.m_instances, false);
--- /dev/null
+++ b/bench/decision_bench/path_cut.h
@@ -0,0 +1,14 @@
+#ifndef SEQUOIASTAGE_BENCH_DECISION_BENCH_PATH_CUT_H_
+#define SEQUOIASTAGE_BENCH_DECISION_BENCH_PATH_CUT_H_
+
+#include <cstdint>
+
+namespace sequoiastage {
+
+/// Prints how soon an ingress stops using a path on which nothing comes back,
+/// and how much work it sends into it, `trials` runs.
+void RunPathCut(uint64_t seed, int trials);
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_BENCH_DECISION_BENCH_PATH_CUT_H_
