--- a/libs/membership/src/membership_impl_p.h
+++ b/libs/membership/src/membership_impl_p.h
@@ -92,8 +92,8 @@
   bool m_is_status_due = false;
   /// Greatest configuration version any member has announced.
   LogOffset m_newest_config;
-  /// Copies asked for since the last digest went out.
-  uint32_t m_copies_requested = 0;
+  /// Members that were not known, found since the last digest went out.
+  uint32_t m_missing = 0;
 };
 
 }  // namespace sequoiastage
--- a/libs/membership/src/repair.cc
+++ b/libs/membership/src/repair.cc
@@ -11,8 +11,9 @@
 constexpr uint32_t kManyBuckets = 16;
 /// Members listed of one bucket; fits in a datagram.
 constexpr std::size_t kMaxBucketItems = 110;
-/// Copies asked for after which this node takes itself to be far behind.
-constexpr uint32_t kManyCopies = 8;
+/// Members not known after which this node takes itself to be far behind.
+/// Copies that are only old do not count: under many changes some always are.
+constexpr uint32_t kManyMissing = 8;
 constexpr Duration kDigestIntervalPerMember = std::chrono::milliseconds(20);
 constexpr Duration kShortestIdleInterval = std::chrono::seconds(1);
 /// Size of an encoded entry: fixed part and each instance.
@@ -38,11 +39,11 @@
     outbox.Send(peer, DigestPart{.m_hashes = {hashes.begin(), hashes.end()}});
   }
   m_next_digest = m_now + DigestInterval();
-  m_copies_requested = 0;
+  m_missing = 0;
 }
 
 Duration Membership::Impl::DigestInterval() const {
-  if (m_copies_requested >= kManyCopies || m_table.Records().size() == 1) {
+  if (m_missing >= kManyMissing || m_table.Records().size() == 1) {
     return m_options.m_digest_interval_min;
   }
   const Duration idle =
@@ -112,7 +113,7 @@
       continue;
     }
     if (record == nullptr || MemberTable::HashOf(stamp) != item.m_hash) {
-      ++m_copies_requested;
+      m_missing += record == nullptr ? 1 : 0;
       outbox.Send(from, stamp);
     }
   }
