--- a/libs/node/src/config_feed.cc
+++ b/libs/node/src/config_feed.cc
@@ -19,6 +19,8 @@
 constexpr std::chrono::seconds kAppendTimeout{2};
 constexpr std::chrono::seconds kPublishTimeout{5};
 constexpr uint32_t kPageRecords = 256;
+// Longest time between two looks whether a snapshot is due.
+constexpr std::chrono::milliseconds kSnapshotLookTime{20'000};
 
 ConfigChange ToChange(const PublishRequest& request, JsonDocument content) {
   return {.m_header = {.m_change_id = request.m_change_id,
@@ -52,7 +54,9 @@
     : m_options(std::move(options)),
       m_on_change(std::move(on_change)),
       m_client(io),
-      m_timer(io) {}
+      m_timer(io),
+      m_snapshots({}, Now()),
+      m_random(std::random_device()()) {}
 
 void ConfigFeed::Start() {
   Poll();
@@ -62,9 +66,56 @@
   m_timer.cancel();
 }
 
-bool ConfigFeed::IsEjected(InstanceId instance, Incarnation incarnation) const {
-  const auto it = m_ejected.find(instance);
-  return it != m_ejected.end() && incarnation <= it->second;
+const std::map<ServiceId, ServiceEjections>& ConfigFeed::EnforcedEjections()
+    const {
+  static const std::map<ServiceId, ServiceEjections> kNone;
+  return m_has_read_to_end ? m_replay.State().m_ejections : kNone;
+}
+
+void ConfigFeed::Append(const RecordContent& content) {
+  auto request = MakeAppendRequest(ToRecordText(content));
+  if (!request) {
+    return;
+  }
+  m_client.Start({.m_server = m_options.m_log, .m_timeout = kAppendTimeout},
+                 std::move(*request), [this](const HttpCallResult& result) {
+                   const AppendResult append = ToAppendResult(result);
+                   if (append.m_outcome != AppendOutcome::kAppended) {
+                     LogEvent(LogLevel::kWarn, "append_failed")
+                         .Add("reason", append.m_reason);
+                   }
+                   Poll();
+                 });
+}
+
+void ConfigFeed::AppendSnapshotIfDue(LogOffset first_retained) {
+  const TimePoint now = Now();
+  if (const auto reach = m_replay.SnapshotReach()) {
+    m_snapshots.OnSnapshot(*reach, now);
+  }
+  if (!m_is_reader || now < m_snapshot_look) {
+    return;
+  }
+  m_snapshot_look = now + std::uniform_int_distribution<int64_t>(
+                              0, kSnapshotLookTime.count())(m_random) *
+                              std::chrono::milliseconds(1);
+  if (!m_snapshots.IsDue(first_retained, Version(), now)) {
+    return;
+  }
+  const std::string author = m_options.m_site;
+  const WallTime wall = WallNow();
+  const std::string text = m_replay.MakeSnapshot(
+      {.m_change_id = "snapshot-" + std::to_string(Version().Get()) + "-" +
+                      std::to_string(m_random()),
+       .m_author = author,
+       .m_time = wall});
+  auto request = MakeAppendRequest(text);
+  if (request) {
+    LogEvent(LogLevel::kInfo, "snapshot_appended")
+        .Add("covers", static_cast<int64_t>(Version().Get()));
+    m_client.Start({.m_server = m_options.m_log, .m_timeout = kAppendTimeout},
+                   std::move(*request), [](const HttpCallResult&) {});
+  }
 }
 
 void ConfigFeed::Poll() {
@@ -101,6 +152,9 @@
         .Add("reason", reason);
   }
   const bool has_more = page && ApplyPage(*page);
+  if (page && !has_more) {
+    AppendSnapshotIfDue(page->m_first_retained);
+  }
   ResolvePending();
   if (has_more) {
     Poll();
@@ -234,14 +288,6 @@
                    ? nullptr
                    : std::make_shared<const RouteTable>(config->m_routes);
   }
-  m_ejected.clear();
-  if (m_has_read_to_end) {
-    for (const auto& [service, ejections] : m_replay.State().m_ejections) {
-      for (const auto& [instance, ejection] : ejections.m_ejected) {
-        m_ejected[instance] = ejection.m_incarnation;
-      }
-    }
-  }
   m_on_change();
 }
 
--- a/libs/node/src/config_feed_p.h
+++ b/libs/node/src/config_feed_p.h
@@ -5,9 +5,10 @@
 #include <asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
+#include <random>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "sequoiastage/admin/admin_state.h"
@@ -16,6 +17,7 @@
 #include "sequoiastage/config/config.h"
 #include "sequoiastage/config/log_replay.h"
 #include "sequoiastage/config/route_table.h"
+#include "sequoiastage/config/snapshot_schedule.h"
 #include "sequoiastage/http/http_client.h"
 #include "sequoiastage/platform/log_client.h"
 #include "sequoiastage/wire/messages.h"
@@ -60,7 +62,13 @@
   const std::shared_ptr<const RouteTable>& Routes() const { return m_routes; }
   const ReplayState& State() const { return m_replay.State(); }
   bool IsLogReachable() const { return m_is_log_reachable; }
-  bool IsEjected(InstanceId instance, Incarnation incarnation) const;
+  const LogReplay& Replay() const { return m_replay; }
+
+  // Ejections that may be enforced: none before the log was read to its end.
+  const std::map<ServiceId, ServiceEjections>& EnforcedEjections() const;
+
+  // Appends a record once; its fate shows in the replay.
+  void Append(const RecordContent& content);
 
  private:
   // A change that was appended, or may have been.
@@ -79,6 +87,7 @@
   ApplyOutcome ApplyRecord(LogOffset offset, const std::string& text);
   void OnStateChange(LogOffset before);
   void TakePeerState(const std::string& text);
+  void AppendSnapshotIfDue(LogOffset first_retained);
   void LogNewAudit(LogOffset before);
   void TakeInForce();
   void OnAppended(const std::string& change_id,
@@ -97,8 +106,11 @@
   std::shared_ptr<const FleetConfig> m_fleet;
   std::shared_ptr<const Config> m_config;
   std::shared_ptr<const RouteTable> m_routes;
-  // Ejections in force, once the log has been read to its end.
-  std::unordered_map<InstanceId, Incarnation> m_ejected;
+  SnapshotSchedule m_snapshots;
+  // When to look again whether a snapshot is due; nodes look at random times,
+  // so that one of them comes first.
+  TimePoint m_snapshot_look;
+  std::mt19937_64 m_random;
   std::vector<Pending> m_pending;
   // Newest records without a gap, for peers.
   std::deque<RelayedRecord> m_recent;
--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -71,6 +71,7 @@
               {.m_own = NodeId(settings.m_peer), .m_incarnation = incarnation},
               &m_membership,
               &m_config),
+      m_ejections(&m_membership, &m_config),
       m_admin(io, MakeAdminParts()),
       m_tick(io) {}
 
@@ -105,6 +106,7 @@
   return {.m_settings = &m_settings,
           .m_membership = &m_membership,
           .m_config = &m_config,
+          .m_ejections = &m_ejections,
           .m_instances = &m_instances,
           .m_traffic = &m_traffic,
           .m_on_instances = [this] { Publish(); },
@@ -139,6 +141,9 @@
 }
 
 void Control::Publish() {
+  if (m_is_view_due || m_membership.ChangeCount() != m_published_change) {
+    m_is_view_due = m_ejections.Refresh() || m_is_view_due;
+  }
   PublishOwn();
   PublishView();
 }
@@ -172,7 +177,7 @@
   view->m_instances =
       BuildInstanceViews(m_membership.Members(), m_membership.Own(),
                          [this](InstanceId instance, Incarnation incarnation) {
-                           return m_config.IsEjected(instance, incarnation);
+                           return m_ejections.IsEjected(instance, incarnation);
                          });
   m_outputs.m_on_view(std::move(view));
 }
@@ -187,7 +192,7 @@
         .m_incarnation = announced.m_incarnation,
         .m_slots = announced.m_slots,
         .m_is_draining = entry.m_is_drained || announced.m_is_draining,
-        .m_is_ejected = m_config.IsEjected(id, announced.m_incarnation)};
+        .m_is_ejected = m_ejections.IsEjected(id, announced.m_incarnation)};
     const Service* service =
         m_config.InForce() == nullptr
             ? nullptr
@@ -222,6 +227,7 @@
   }
   SetGroupReports(reports);
   UpdateBaselines();
+  m_ejections.OnReports(reports, m_siblings, Now());
   Publish();
 }
 
--- a/libs/node/src/control_p.h
+++ b/libs/node/src/control_p.h
@@ -13,6 +13,7 @@
 #include "config_feed_p.h"
 #include "config_relay_p.h"
 #include "egress_p.h"
+#include "ejection_keeper_p.h"
 #include "gossip_socket_p.h"
 #include "instance_table_p.h"
 #include "node_admin_p.h"
@@ -80,9 +81,6 @@
 
   NodeAdminParts MakeAdminParts();
 
-  // Key of a sibling's summary.
-  using SiblingKey = std::pair<ServiceId, InstanceId>;
-
   asio::io_context& m_io;
   const NodeSettings& m_settings;
   Outputs m_outputs;
@@ -91,8 +89,9 @@
   HttpServer m_announce;
   ConfigFeed m_config;
   ConfigRelay m_relay;
+  EjectionKeeper m_ejections;
   InstanceTable m_instances;
-  std::map<SiblingKey, SiblingSummary> m_siblings;
+  SiblingSummaries m_siblings;
   TrafficStats m_traffic;
   NodeAdmin m_admin;
   asio::steady_timer m_tick;
--- /dev/null
+++ b/libs/node/src/ejection_keeper.cc
@@ -0,0 +1,158 @@
+#include "ejection_keeper_p.h"
+
+#include "sequoiastage/logging/log_event.h"
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr std::chrono::seconds kAskInterval{3};
+// Share of failures up to which an instance counts as working.
+constexpr double kWorkingFailureShare = 0.1;
+
+bool IsWorking(const InstanceSummary& summary) {
+  return summary.m_recent_outcomes > 0 &&
+         summary.m_recent_failures <=
+             kWorkingFailureShare * summary.m_recent_outcomes;
+}
+
+bool IsServing(const MemberView& view, const InstanceEntry& instance) {
+  return view.m_entry->m_state == HostState::kLive && !view.m_unreachable &&
+         instance.m_state == InstanceState::kServing;
+}
+
+}  // namespace
+
+void EjectionKeeper::OnReports(const std::vector<InstanceReport>& reports,
+                               const SiblingSummaries& summaries,
+                               TimePoint now) {
+  for (const InstanceReport& report : reports) {
+    const bool wants_ejection =
+        report.m_judge.m_verdict == Verdict::kEjectionWanted &&
+        !report.m_judge.m_is_ejected;
+    if (!wants_ejection && !report.m_judge.m_wants_readmission) {
+      continue;
+    }
+    const auto asked = m_asked.find(report.m_id);
+    if (asked != m_asked.end() && now - asked->second < kAskInterval) {
+      continue;
+    }
+    m_asked[report.m_id] = now;
+    if (wants_ejection) {
+      AskForEjection(report, summaries);
+    } else {
+      AskForReadmission(report);
+    }
+  }
+}
+
+void EjectionKeeper::AskForEjection(const InstanceReport& report,
+                                    const SiblingSummaries& summaries) {
+  const std::string* name = NameOf(report.m_service);
+  if (name == nullptr || !m_feed->IsLogReachable()) {
+    return;
+  }
+  std::string reason;
+  const auto grant = ProposeEjection(
+      MakeHeader("eject", report), *name,
+      {.m_instance = report.m_id, .m_incarnation = report.m_incarnation},
+      StatusesOf(report.m_service, summaries),
+      m_feed->Replay().FloorOf(report.m_service),
+      m_feed->Replay().EjectionsOf(report.m_service), &reason);
+  LogEvent(LogLevel::kInfo, grant ? "ejection_asked" : "ejection_not_possible")
+      .Add("instance", ToString(report.m_id))
+      .Add("service", *name)
+      .Add("reason", reason);
+  if (grant) {
+    m_feed->Append(*grant);
+  }
+}
+
+void EjectionKeeper::AskForReadmission(const InstanceReport& report) {
+  const std::string* name = NameOf(report.m_service);
+  const ServiceEjections& ejections =
+      m_feed->Replay().EjectionsOf(report.m_service);
+  const auto ejection = ejections.m_ejected.find(report.m_id);
+  if (name == nullptr || ejection == ejections.m_ejected.end()) {
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "readmission_asked")
+      .Add("instance", ToString(report.m_id))
+      .Add("service", *name);
+  m_feed->Append(
+      Readmission{.m_header = MakeHeader("readmit", report),
+                  .m_service = *name,
+                  .m_target = {.m_instance = report.m_id,
+                               .m_incarnation = report.m_incarnation},
+                  .m_grant = ejection->second.m_grant});
+}
+
+RecordHeader EjectionKeeper::MakeHeader(const char* kind,
+                                        const InstanceReport& report) {
+  const WallTime now = WallNow();
+  return {.m_change_id = std::string(kind) + "-" + ToString(report.m_id) + "-" +
+                         std::to_string(now.time_since_epoch().count()),
+          .m_author = ToString(m_membership->Own().m_node),
+          .m_time = now};
+}
+
+std::vector<InstanceStatus> EjectionKeeper::StatusesOf(
+    ServiceId service,
+    const SiblingSummaries& summaries) const {
+  std::vector<InstanceStatus> statuses;
+  for (const MemberView& view : m_membership->Members()) {
+    for (const InstanceEntry& instance : view.m_entry->m_instances) {
+      if (instance.m_service != service) {
+        continue;
+      }
+      const auto known = summaries.find({service, instance.m_id});
+      const bool is_working =
+          known != summaries.end() && IsServing(view, instance) &&
+          !instance.m_suspect && IsWorking(known->second.m_summary);
+      statuses.push_back({.m_run = {.m_instance = instance.m_id,
+                                    .m_incarnation = instance.m_incarnation},
+                          .m_replayed = view.m_entry->m_config_version,
+                          .m_is_working = is_working});
+    }
+  }
+  return statuses;
+}
+
+bool EjectionKeeper::Refresh() {
+  std::set<InstanceRun> heeded;
+  for (const auto& [service, ejections] : m_feed->EnforcedEjections()) {
+    if (ejections.m_ejected.empty()) {
+      continue;
+    }
+    std::vector<InstanceRun> live;
+    for (const MemberView& view : m_membership->Members()) {
+      for (const InstanceEntry& instance : view.m_entry->m_instances) {
+        if (instance.m_service == service && IsServing(view, instance)) {
+          live.push_back({.m_instance = instance.m_id,
+                          .m_incarnation = instance.m_incarnation});
+        }
+      }
+    }
+    const auto runs =
+        HeededEjections(ejections, live, m_feed->Replay().FloorOf(service));
+    heeded.insert(runs.begin(), runs.end());
+  }
+  const bool has_changed = heeded != m_heeded;
+  m_heeded = std::move(heeded);
+  return has_changed;
+}
+
+bool EjectionKeeper::IsEjected(InstanceId instance,
+                               Incarnation incarnation) const {
+  return m_heeded.count(
+             {.m_instance = instance, .m_incarnation = incarnation}) > 0;
+}
+
+const std::string* EjectionKeeper::NameOf(ServiceId service) const {
+  const Config* config = m_feed->InForce().get();
+  const Service* found =
+      config == nullptr ? nullptr : config->FindService(service);
+  return found == nullptr ? nullptr : &found->m_name;
+}
+
+}  // namespace sequoiastage
--- a/libs/node/src/node_admin.cc
+++ b/libs/node/src/node_admin.cc
@@ -227,7 +227,7 @@
 InstanceInfo NodeAdminSource::ToInfo(const MemberView& member,
                                      const InstanceEntry& instance) const {
   const bool is_ejected =
-      m_parts.m_config->IsEjected(instance.m_id, instance.m_incarnation);
+      m_parts.m_ejections->IsEjected(instance.m_id, instance.m_incarnation);
   return {.m_instance = instance.m_id,
           .m_service = ServiceName(instance.m_service),
           .m_node = member.m_entry->m_node,
--- a/libs/node/src/node_admin_p.h
+++ b/libs/node/src/node_admin_p.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "config_feed_p.h"
+#include "ejection_keeper_p.h"
 #include "instance_table_p.h"
 #include "sequoiastage/admin/admin_handler.h"
 #include "sequoiastage/http/http_server.h"
@@ -22,6 +23,7 @@
   const NodeSettings* m_settings = nullptr;
   const Membership* m_membership = nullptr;
   ConfigFeed* m_config = nullptr;
+  const EjectionKeeper* m_ejections = nullptr;
   InstanceTable* m_instances = nullptr;
   const TrafficStats* m_traffic = nullptr;
   // To be called after a change of m_instances.
