--- a/libs/limits/tests/naive_limits.h
+++ b/libs/limits/tests/naive_limits.h
@@ -20,10 +20,10 @@
     const Ticket ticket(m_next_ticket++);
     if (m_running < m_slots) {
       ++m_running;
-      return {Admission::kRun, ticket, {}};
+      return {GateVerdict::kRun, ticket, {}};
     }
     m_queue.push_back(ticket);
-    return {Admission::kQueued, ticket, {}};
+    return {GateVerdict::kQueued, ticket, {}};
   }
 
   GateChanges OnFinish(Ticket /*ticket*/,
@@ -38,6 +38,9 @@
     return {.m_started = {next}, .m_refused = {}};
   }
 
+  /// What waits can't be taken out.
+  bool CancelQueued(Ticket /*ticket*/) { return false; }
+
   GateChanges OnTick(TimePoint /*now*/) { return {}; }
 
   size_t Running() const { return m_running; }
--- a/libs/membership/src/gossip.cc
+++ b/libs/membership/src/gossip.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <cmath>
 #include <variant>
 
 #include "membership_impl_p.h"
@@ -7,19 +6,11 @@
 namespace sequoiastage {
 namespace {
 
-constexpr double kSpareCopies = 3;
 /// Failed probes of this node that a removal needs.
 constexpr uint8_t kProbesBeforeRemoval = 3;
 /// A node that hears no datagram at all for so long removes nobody.
 constexpr Duration kIsolationSilence = std::chrono::seconds(30);
 
-/// Copies of a change each node sends: with ln(n) + c random copies, all n
-/// nodes get it with probability exp(-exp(-c)) (Erdos and Renyi 1959).
-uint32_t CopiesToSend(std::size_t members) {
-  return static_cast<uint32_t>(
-      std::ceil(std::log(static_cast<double>(members)) + kSpareCopies));
-}
-
 }  // namespace
 
 std::vector<OutgoingDatagram> Membership::Impl::OnDatagram(
@@ -147,6 +138,10 @@
     return;
   }
   ++m_change_count;
+  if (const MemberRecord* record = m_table.Find(node)) {
+    m_newest_config =
+        std::max(m_newest_config, record->m_entry.m_config_version);
+  }
   if (!passes_on) {
     return;
   }
@@ -176,7 +171,9 @@
     return;
   }
   DatagramWriter writer(Header());
-  m_updates.Round([&](const UpdateKey& key) { return AddUpdate(key, writer); });
+  m_updates.Round([&](const UpdateKey& key, bool was_sent) {
+    return AddUpdate(key, was_sent, writer);
+  });
   if (writer.IsEmpty()) {
     return;
   }
@@ -187,7 +184,9 @@
   }
 }
 
-bool Membership::Impl::AddUpdate(const UpdateKey& key, DatagramWriter& writer) {
+bool Membership::Impl::AddUpdate(const UpdateKey& key,
+                                 bool was_sent,
+                                 DatagramWriter& writer) {
   const MemberRecord* record = m_table.Find(key.m_node);
   if (record == nullptr) {
     return true;
@@ -195,6 +194,10 @@
   const MemberEntry& entry = record->m_entry;
   switch (key.m_kind) {
     case UpdateKind::kEntry:
+      // Most nodes get the entry in the first round; the others ask for it.
+      if (was_sent) {
+        return writer.Add(record->Stamp());
+      }
       return writer.Add(
           EntryPart{.m_entry = entry, .m_status = record->m_status});
     case UpdateKind::kStatus:
--- a/libs/membership/src/membership_impl_p.h
+++ b/libs/membership/src/membership_impl_p.h
@@ -58,7 +58,7 @@
   void Note(NodeId node, const MergeResult& result, bool passes_on);
   void Queue(NodeId node, UpdateKind kind);
   void SendGossip(Outbox& outbox);
-  bool AddUpdate(const UpdateKey& key, DatagramWriter& writer);
+  bool AddUpdate(const UpdateKey& key, bool was_sent, DatagramWriter& writer);
   void ApplyFindings(const ProbeFindings& findings);
   void MarkAnswered(NodeId node);
   void MarkFailed(const ProbeFindings::Failure& failure);
@@ -90,8 +90,10 @@
   TimePoint m_next_cleanup;
   TimePoint m_last_status;
   bool m_is_status_due = false;
-  /// Copies asked for since the last digest went out.
-  uint32_t m_copies_requested = 0;
+  /// Greatest configuration version any member has announced.
+  LogOffset m_newest_config;
+  /// Members that were not known, found since the last digest went out.
+  uint32_t m_missing = 0;
 };
 
 }  // namespace sequoiastage
--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -52,7 +52,7 @@
       m_outputs(std::move(outputs)),
       m_membership(MakeMembershipOptions(settings, incarnation), Now()),
       m_gossip(io,
-               NodeId(settings.m_peer),
+               PeerBindOf(settings),
                [this](NodeId from, std::span<const uint8_t> bytes) {
                  m_gossip.Send(m_membership.OnDatagram(from, bytes, Now()));
                }),
@@ -67,6 +67,11 @@
                  m_is_view_due = true;
                  Publish();
                }),
+      m_relay(io,
+              {.m_own = NodeId(settings.m_peer), .m_incarnation = incarnation},
+              &m_membership,
+              &m_config),
+      m_admin(io, MakeAdminParts()),
       m_tick(io) {}
 
 bool Control::Start() {
@@ -78,6 +83,10 @@
     m_last_reason = "announce: " + m_announce.LastReason();
     return false;
   }
+  if (!m_admin.Start()) {
+    m_last_reason = "admin: " + m_admin.LastReason();
+    return false;
+  }
   m_config.Start();
   ArmTick();
   return true;
@@ -86,10 +95,22 @@
 void Control::Stop() {
   m_tick.cancel();
   m_config.Stop();
+  m_relay.Stop();
+  m_admin.Stop();
   m_announce.Stop();
   m_gossip.Stop();
 }
 
+NodeAdminParts Control::MakeAdminParts() {
+  return {.m_settings = &m_settings,
+          .m_membership = &m_membership,
+          .m_config = &m_config,
+          .m_instances = &m_instances,
+          .m_traffic = &m_traffic,
+          .m_on_instances = [this] { Publish(); },
+          .m_look_up_key = m_outputs.m_look_up_key};
+}
+
 void Control::SetHostState(HostState state) {
   m_host_state = state;
   Publish();
@@ -113,6 +134,7 @@
   }
   Publish();
   TakeGroupReports();
+  m_relay.OnTick(now);
   m_gossip.Send(m_membership.OnTick(now));
 }
 
--- a/libs/node/src/key_owner.cc
+++ b/libs/node/src/key_owner.cc
@@ -69,6 +69,13 @@
       return FromProblem({.m_status = 404,
                           .m_title = "Key not used",
                           .m_detail = "No request was run under this key."});
+    case KeyVerdict::kAnswered:
+      return FromProblem(
+          {.m_status = 200,
+           .m_outcome = RequestOutcome::kAnswered,
+           .m_title = "Answered",
+           .m_detail = "The request was run and answered; the answer is given "
+                       "to who sends the request again."});
     case KeyVerdict::kWait:
       return FromProblem({.m_status = 202,
                           .m_outcome = RequestOutcome::kUnknown,
@@ -83,6 +90,7 @@
 
 HttpAnswer ToAnswer(RunResult result) {
   const std::string reason(ToString(result.m_reason));
+  const auto retry_after = static_cast<uint32_t>(result.m_retry_after.count());
   switch (result.m_outcome) {
     case RequestOutcome::kAnswered:
       RemoveConnectionFields(result.m_answer.m_fields);
@@ -94,7 +102,7 @@
           Problem{.m_status = 503,
                   .m_title = "Not run",
                   .m_detail = "The request was not run (" + reason + ").",
-                  .m_retry_after = kRetryAfterSeconds});
+                  .m_retry_after = retry_after});
     case RequestOutcome::kUnknown:
       break;
   }
@@ -103,7 +111,7 @@
                           .m_title = "Outcome unknown",
                           .m_detail = "No whole answer came in time (" +
                                       reason + "). The request may have run.",
-                          .m_retry_after = kRetryAfterSeconds});
+                          .m_retry_after = retry_after});
 }
 
 KeyOwner::KeyOwner(NodeId node, Incarnation incarnation, RequestRunner& runner)
@@ -145,11 +153,7 @@
 }
 
 KeyedAnswer KeyOwner::Look(const IdempotencyKey& key) {
-  const KeyDecision decision = m_ledger.Look(m_issuer, key, WallNow());
-  if (decision.m_verdict == KeyVerdict::kAnswered) {
-    return LoadStored(decision.m_answer);
-  }
-  return AnswerFor(decision.m_verdict);
+  return AnswerFor(m_ledger.Look(m_issuer, key, WallNow()).m_verdict);
 }
 
 void KeyOwner::Start(const IdempotencyKey& key,
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -20,9 +20,13 @@
 namespace {
 
 constexpr std::chrono::milliseconds kEgressTick{100};
+constexpr std::chrono::milliseconds kIngressTick{50};
 // Ticks of the egress between two reports to the control thread.
 constexpr int kTicksPerReport = 2;
 constexpr std::chrono::milliseconds kDrainPoll{50};
+// A shutdown refuses new requests with an answer for this long; then it takes
+// no more connections, and each one there is told to close.
+constexpr std::chrono::seconds kRefuseTime{2};
 // A shutdown ends once no request has come for this long.
 constexpr std::chrono::milliseconds kQuietTime{500};
 // Time for the word that the node has left to go out.
@@ -37,6 +41,7 @@
 IngressOptions MakeIngressOptions(const NodeSettings& settings,
                                   Incarnation incarnation) {
   return {.m_node = NodeId(settings.m_peer),
+          .m_bind_ip = PeerBindOf(settings).m_ip,
           .m_incarnation = incarnation,
           .m_http = {.m_listen = settings.m_listen,
                      .m_max_body_bytes = settings.m_max_body_bytes,
@@ -65,12 +70,13 @@
             m_ingress_io,
             MakeIngressOptions(m_settings, m_incarnation),
             [this](Message message) { OnLocalMessage(std::move(message)); }),
+        m_ingress_tick(m_ingress_io),
         m_control(m_control_io, m_settings, m_incarnation, MakeOutputs()),
         m_signals(m_control_io, SIGTERM, SIGINT),
         m_drain_timer(m_control_io) {}
 
   bool Start() {
-    if (!m_peer_server.Start()) {
+    if (!m_peer_server.Start(PeerBindOf(m_settings))) {
       m_last_reason = "peer TCP: " + m_peer_server.LastReason();
       return false;
     }
@@ -83,6 +89,7 @@
       return false;
     }
     ArmEgressTick();
+    ArmIngressTick();
     m_signals.async_wait([this](const asio::error_code& error, int signal) {
       if (!error) {
         BeginShutdown(signal);
@@ -128,9 +135,25 @@
                   asio::post(m_egress_io, [this, instance, baseline] {
                     m_egress.SetBaseline(instance, baseline);
                   });
+                },
+            .m_look_up_key =
+                [this](const std::string& key,
+                       std::function<void(HttpAnswer)> done) {
+                  LookUpKey(key, std::move(done));
                 }};
   }
 
+  // From the control thread to the ingress and back.
+  void LookUpKey(const std::string& key, std::function<void(HttpAnswer)> done) {
+    asio::post(m_ingress_io, [this, key, done = std::move(done)] {
+      m_ingress.LookUpOutcome(key, [this, done](HttpAnswer answer) {
+        asio::post(m_control_io, [done, answer = std::move(answer)]() mutable {
+          done(std::move(answer));
+        });
+      });
+    });
+  }
+
   // From the ingress thread to the own egress and back.
   void OnLocalMessage(Message message) {
     asio::post(m_egress_io, [this, message = std::move(message)]() mutable {
@@ -155,11 +178,31 @@
       PassToKeyOwner(from, std::move(*keyed));
       return;
     }
+    if (const auto* request = std::get_if<ConfigRequestMessage>(&message)) {
+      AnswerConfig(from, *request);
+      return;
+    }
+    if (std::holds_alternative<HelloMessage>(message)) {
+      // Answered at once, so that the peer sees the path is good.
+      from->Send(HelloMessage{.m_node = NodeId(m_settings.m_peer),
+                              .m_incarnation = m_incarnation});
+      return;
+    }
     RunAtEgress(std::move(message), [from](ResultMessage result) {
       from->Send(std::move(result));
     });
   }
 
+  // From the egress thread to the control thread and back.
+  void AnswerConfig(const PeerServer::Connection& from,
+                    const ConfigRequestMessage& request) {
+    asio::post(m_control_io, [this, from, request] {
+      asio::post(m_egress_io, [from, reply = m_control.AnswerPeer(request)] {
+        from->Send(reply);
+      });
+    });
+  }
+
   void PassToKeyOwner(const PeerServer::Connection& from,
                       KeyedRequestMessage message) {
     auto reply = [this, from](KeyedReplyMessage answer) {
@@ -183,6 +226,16 @@
     });
   }
 
+  void ArmIngressTick() {
+    m_ingress_tick.expires_after(kIngressTick);
+    m_ingress_tick.async_wait([this](const asio::error_code& error) {
+      if (!error) {
+        m_ingress.OnTick();
+        ArmIngressTick();
+      }
+    });
+  }
+
   void OnEgressTick() {
     m_egress.Tick();
     if (++m_egress_ticks % kTicksPerReport != 0) {
@@ -191,11 +244,25 @@
     asio::post(m_control_io, [this, reports = m_egress.Reports()] {
       m_control.OnReports(reports);
     });
+    CollectTraffic();
+  }
+
+  // From the egress thread over the ingress to the control thread.
+  void CollectTraffic() {
+    TrafficStats traffic{.m_egress = m_egress.Stats(),
+                         .m_egress_in_flight = m_egress.InFlight()};
+    asio::post(m_ingress_io, [this, traffic]() mutable {
+      traffic.m_ingress = m_ingress.Stats();
+      traffic.m_ingress_in_flight = m_ingress.InFlight();
+      asio::post(m_control_io,
+                 [this, traffic] { m_control.SetTraffic(traffic); });
+    });
   }
 
   void BeginShutdown(int signal) {
     LogEvent(LogLevel::kInfo, "node_draining").Add("signal", signal);
     m_drain_until = Now() + m_settings.m_drain_timeout;
+    m_stop_accepting_at = Now() + kRefuseTime;
     m_control.SetHostState(HostState::kDraining);
     asio::post(m_ingress_io, [this] { m_ingress.StartDraining(); });
     asio::post(m_egress_io, [this] { m_egress.SetDraining(true); });
@@ -218,6 +285,10 @@
 
   void OnDrainPolled(size_t in_flight, uint64_t requests) {
     const TimePoint now = Now();
+    if (m_stop_accepting_at && now >= *m_stop_accepting_at) {
+      m_stop_accepting_at.reset();
+      asio::post(m_ingress_io, [this] { m_ingress.StopAccepting(); });
+    }
     if (in_flight > 0 || requests != m_drain_requests || !m_quiet_since) {
       m_quiet_since = now;
       m_drain_requests = requests;
@@ -272,12 +343,14 @@
 
   // Ingress thread.
   Ingress m_ingress;
+  asio::steady_timer m_ingress_tick;
 
   // Control thread.
   Control m_control;
   asio::signal_set m_signals;
   asio::steady_timer m_drain_timer;
   TimePoint m_drain_until;
+  std::optional<TimePoint> m_stop_accepting_at;
   std::optional<TimePoint> m_quiet_since;
   uint64_t m_drain_requests = 0;
   size_t m_left_in_flight = 0;
