--- a/libs/membership/src/membership_impl_p.h
+++ b/libs/membership/src/membership_impl_p.h
@@ -90,8 +90,10 @@
   TimePoint m_next_cleanup;
   TimePoint m_last_status;
   bool m_is_status_due = false;
-  /// Copies asked for since the last digest went out.
-  uint32_t m_copies_requested = 0;
+  /// Greatest configuration version any member has announced.
+  LogOffset m_newest_config;
+  /// Members that were not known, found since the last digest went out.
+  uint32_t m_missing = 0;
 };
 
 }  // namespace sequoiastage
