--- a/libs/membership/src/datagram.cc
+++ b/libs/membership/src/datagram.cc
@@ -139,8 +139,8 @@
 
 template <class Archive>
 void Fields(Archive& archive, StatusPart& part) {
-  archive(part.m_node, part.m_incarnation, part.m_status,
-          part.m_config_version);
+  archive(part.m_node, part.m_incarnation, part.m_status, part.m_config_version,
+          part.m_is_repair);
 }
 
 template <class Archive>
--- a/libs/membership/src/datagram_p.h
+++ b/libs/membership/src/datagram_p.h
@@ -53,6 +53,8 @@
   Incarnation m_incarnation{};
   uint32_t m_status = 0;
   LogOffset m_config_version{};
+  /// As in EntryPart.
+  bool m_is_repair = false;
 };
 
 /// Someone could not reach the node while its status was `m_status`. Void once
--- a/libs/membership/src/gossip.cc
+++ b/libs/membership/src/gossip.cc
@@ -73,7 +73,7 @@
                               const StatusPart& part,
                               Outbox& /*outbox*/) {
   if (part.m_node != m_options.m_node) {
-    Note(part.m_node, m_table.MergeStatus(part, m_now), true);
+    Note(part.m_node, m_table.MergeStatus(part, m_now), !part.m_is_repair);
   }
 }
 
--- a/libs/membership/src/membership.cc
+++ b/libs/membership/src/membership.cc
@@ -10,7 +10,7 @@
 
 constexpr Duration kCleanupInterval = std::chrono::seconds(1);
 /// Size of an encoded status.
-constexpr int64_t kStatusBytes = 31;
+constexpr int64_t kStatusBytes = 32;
 /// What all nodes' statuses may cost each node. They change together, whenever
 /// a configuration comes in force.
 constexpr int64_t kStatusBytesPerSecond = 1000;
--- a/libs/membership/src/membership_impl_p.h
+++ b/libs/membership/src/membership_impl_p.h
@@ -72,7 +72,11 @@
   void Handle(NodeId from, const StampPart& part, Outbox& outbox);
   void StartDigest(Outbox& outbox);
   void ContactSeed(Outbox& outbox);
-  void SendRecord(NodeId to, const MemberRecord& record, Outbox& outbox);
+  /// Sends what of `record` is newer than the receiver's copy `theirs`.
+  void SendRecord(NodeId to,
+                  const MemberRecord& record,
+                  const StampPart& theirs,
+                  Outbox& outbox);
   Duration DigestInterval() const;
 
   PeerPicker m_picker;
--- a/libs/membership/src/repair.cc
+++ b/libs/membership/src/repair.cc
@@ -16,6 +16,7 @@
 constexpr uint32_t kManyMissing = 8;
 constexpr Duration kDigestIntervalPerMember = std::chrono::milliseconds(20);
 constexpr Duration kShortestIdleInterval = std::chrono::seconds(1);
+constexpr std::size_t kStatusBytes = 32;
 /// Size of an encoded entry: fixed part and each instance.
 constexpr std::size_t kEntryBytes = 100;
 constexpr std::size_t kInstanceBytes = 22;
@@ -118,7 +119,7 @@
     }
   }
   for (const NodeId node : only_here) {
-    SendRecord(from, *m_table.Find(node), outbox);
+    SendRecord(from, *m_table.Find(node), {.m_node = node}, outbox);
   }
 }
 
@@ -142,7 +143,7 @@
     mine = *removed;
   }
   if (record != nullptr && IsNewer(mine, part)) {
-    SendRecord(from, *record, outbox);
+    SendRecord(from, *record, part, outbox);
   }
   if (!part.m_is_reply && IsNewer(part, mine)) {
     StampPart reply = mine;
@@ -153,20 +154,33 @@
 
 void Membership::Impl::SendRecord(NodeId to,
                                   const MemberRecord& record,
+                                  const StampPart& theirs,
                                   Outbox& outbox) {
   if (!m_repair_tokens.HasTokens(m_now)) {
     return;
   }
-  m_repair_tokens.Spend(kEntryBytes +
-                        kInstanceBytes * record.m_entry.m_instances.size());
-  // The own entry of a new node has to go on from the first node that gets it.
-  const bool is_own = record.m_entry.m_node == m_options.m_node;
-  outbox.Send(to, EntryPart{.m_entry = record.m_entry,
-                            .m_status = record.m_status,
-                            .m_is_repair = !is_own});
+  const MemberEntry& entry = record.m_entry;
+  // The own word of a new node has to go on from the first node that gets it.
+  const bool is_repair = entry.m_node != m_options.m_node;
+  const bool has_entry = theirs.m_incarnation == entry.m_incarnation &&
+                         theirs.m_version >= entry.m_version;
+  if (has_entry) {
+    m_repair_tokens.Spend(kStatusBytes);
+    outbox.Send(to, StatusPart{.m_node = entry.m_node,
+                               .m_incarnation = entry.m_incarnation,
+                               .m_status = record.m_status,
+                               .m_config_version = entry.m_config_version,
+                               .m_is_repair = is_repair});
+  } else {
+    m_repair_tokens.Spend(kEntryBytes +
+                          kInstanceBytes * entry.m_instances.size());
+    outbox.Send(to, EntryPart{.m_entry = entry,
+                              .m_status = record.m_status,
+                              .m_is_repair = is_repair});
+  }
   if (record.m_hint > 0) {
-    outbox.Send(to, HintPart{.m_node = record.m_entry.m_node,
-                             .m_incarnation = record.m_entry.m_incarnation,
+    outbox.Send(to, HintPart{.m_node = entry.m_node,
+                             .m_incarnation = entry.m_incarnation,
                              .m_status = record.m_hint,
                              .m_is_repair = true});
   }
