--- a/libs/config/tests/examples_test.cc
+++ b/libs/config/tests/examples_test.cc
@@ -20,10 +20,11 @@
                                         const std::vector<std::string>& sites,
                                         Findings& findings) {
   std::vector<SiteOverlay> overlays;
+  overlays.reserve(sites.size());
   for (const std::string& site : sites) {
-    overlays.push_back(
-        {.m_site = site,
-         .m_content = ReadExample(user + "/sites/" + site + ".json")});
+    std::string path = user;
+    path.append("/sites/").append(site).append(".json");
+    overlays.push_back({.m_site = site, .m_content = ReadExample(path)});
   }
   return ParseFleetConfig(ReadExample(user + "/base.json"), overlays, findings);
 }
