--- a/libs/config/tests/log_replay_test.cc
+++ b/libs/config/tests/log_replay_test.cc
@@ -1,6 +1,7 @@
 #include "sequoiastage/config/log_replay.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include "replay_harness.h"
 #include "sequoiastage/config/snapshot_schedule.h"
@@ -130,6 +131,43 @@
   EXPECT_EQ(m_replay.State().m_audit.size(), kMaxAuditEntries);
 }
 
+// Damaged records are judged, and the state survives its text form.
+RC_GTEST_PROP(LogReplayPropertyTest, AnyRecordIsJudged, ()) {
+  const InstanceRun run{.m_instance = InstanceId({.m_ip = 1, .m_port = 80}),
+                        .m_incarnation = Incarnation(1)};
+  const std::string records[] = {
+      ChangeText("c0", kBase, std::nullopt, BaseWithFloor(1)),
+      ChangeText("c1", "a", std::nullopt, OverlayWithFloor(2)),
+      ToRecordText(EjectionGrant{.m_header = MakeHeader("g"),
+                                 .m_service = "s",
+                                 .m_from = std::nullopt,
+                                 .m_target = run,
+                                 .m_remaining = {}}),
+      ToRecordText(Readmission{.m_header = MakeHeader("r"),
+                               .m_service = "s",
+                               .m_target = run,
+                               .m_grant = LogOffset(2)})};
+  FakeLog log;
+  LogReplay replay;
+  log.Append(records[0]);
+  const auto count = *rc::gen::inRange<int>(0, 20);
+  for (int i = 0; i < count; ++i) {
+    std::string text = records[*rc::gen::inRange<size_t>(0, 4)];
+    const auto at = *rc::gen::inRange<size_t>(0, text.size());
+    text[at] = *rc::gen::arbitrary<char>();
+    log.Append(text);
+  }
+  CatchUp(log, replay);
+  RC_ASSERT(replay.NextOffset().Get() == log.End());
+  Findings findings;
+  const auto document = JsonDocument::Parse(
+      "state", ToDocument(replay.State()).ToText(), findings);
+  RC_ASSERT(document.has_value());
+  const auto state = ParseReplayState(*document, findings);
+  RC_ASSERT(state.has_value());
+  RC_ASSERT(*state == replay.State());
+}
+
 TEST(SnapshotScheduleTest, IsDueByRecordsByAgeAndWhenTheLastOneIsUnusable) {
   const TimePoint start{};
   const Duration hour = std::chrono::hours(1);
