--- a/bench/decision_bench/overload_fake.h
+++ b/bench/decision_bench/overload_fake.h
@@ -11,57 +11,13 @@
 #include <unordered_map>
 #include <vector>
 
+#include "overload_options.h"
 #include "policies.h"
-#include "replication.h"
 #include "sequoiastage/limits/retry_budget.h"
 #include "sequoiastage/limits/slot_gate.h"
 
 namespace sequoiastage {
 
-/// How a gray instance fails from the start of the measurement on.
-enum class GrayFault { kHang, kFastErrors, kSlow };
-
-struct OverloadOptions {
-  size_t m_instances = 12;
-  uint32_t m_slots = 3;
-  Duration m_service_time = std::chrono::milliseconds(150);
-  double m_latency_sigma = 0.4;
-  Duration m_deadline = std::chrono::seconds(2);
-  double m_repeatable_share = 0.8;
-  /// Share of the requests that come from the small account.
-  double m_small_account_share = 0.05;
-  /// Load as multiple of what all slots can do.
-  double m_load = 1;
-  /// Faults of the first instances.
-  std::vector<GrayFault> m_gray;
-  ReplicationOptions m_replication;
-  Duration m_warm_up = std::chrono::seconds(40);
-  Duration m_run_time = std::chrono::seconds(60);
-  uint64_t m_seed = 1;
-
-  /// Requests a second that all slots can do.
-  double Capacity() const {
-    const double mean_s = std::chrono::duration<double>(m_service_time).count();
-    return static_cast<double>(m_instances * m_slots) / mean_s;
-  }
-};
-
-struct OverloadStats {
-  uint64_t m_requests = 0;
-  /// Answered well within the deadline.
-  uint64_t m_good = 0;
-  uint64_t m_small_requests = 0;
-  uint64_t m_small_good = 0;
-  /// Requests of criticality 1.
-  uint64_t m_critical_requests = 0;
-  uint64_t m_critical_good = 0;
-  /// Attempts that reached an instance.
-  uint64_t m_executions = 0;
-  /// From arrival to the final answer, in s, of good and of refused ones.
-  std::vector<double> m_good_seconds;
-  std::vector<double> m_refused_seconds;
-};
-
 /// Fake of one service under load: exact knowledge of all gates, power of two
 /// choices, retries within a budget. `Gate`, `Budget` and `Policy` are the
 /// product's or naive ones.
--- a/libs/health/include/sequoiastage/health/instance_judge.h
+++ b/libs/health/include/sequoiastage/health/instance_judge.h
@@ -96,6 +96,8 @@
   void ForgetWhenIdle(TimePoint now);
   void AdaptProbation(TimePoint now, bool is_adverse);
   void UpdateVerdict(TimePoint now);
+  void UpdateSuspect(TimePoint now, double provisional);
+  bool IsEjectionConfirmed(TimePoint now) const;
   void UpdateEjected(TimePoint now);
   void BecomeSuspect(TimePoint now);
   void CountFlap();
--- a/libs/health/src/instance_judge.cc
+++ b/libs/health/src/instance_judge.cc
@@ -253,31 +253,39 @@
     UpdateEjected(now);
     return;
   }
-  const bool has_fresh_baseline =
-      m_has_baseline && now - m_baseline_at <= m_options.m_baseline_ttl;
   const double provisional = Worst(m_trail.Provisional(), now);
-  const double confirmed = Worst(m_trail.Confirmed(), m_baseline.m_as_of);
   if (provisional >= m_suspect_threshold &&
       m_report.m_verdict == Verdict::kHealthy) {
     BecomeSuspect(now);
   }
   if (m_report.m_verdict != Verdict::kHealthy) {
-    if (has_fresh_baseline && confirmed >= m_ejection_threshold &&
-        SpansLongEnough()) {
-      m_report.m_verdict = Verdict::kEjectionWanted;
-    } else if (provisional < m_suspect_threshold) {
-      m_report.m_verdict = Verdict::kSuspect;
-    }
-    if (provisional <= kClearShare * m_suspect_threshold &&
-        now >= m_hold_until) {
-      m_report.m_verdict = Verdict::kHealthy;
-      m_is_on_trial = false;
-    }
+    UpdateSuspect(now, provisional);
   }
   m_report.m_suspicion = provisional / m_ejection_threshold;
   m_report.m_share = ShareNow(now);
 }
 
+// Moves between suspect, ejection wanted and healthy again.
+void InstanceJudge::UpdateSuspect(TimePoint now, double provisional) {
+  if (IsEjectionConfirmed(now)) {
+    m_report.m_verdict = Verdict::kEjectionWanted;
+  } else if (provisional < m_suspect_threshold) {
+    m_report.m_verdict = Verdict::kSuspect;
+  }
+  if (provisional <= kClearShare * m_suspect_threshold && now >= m_hold_until) {
+    m_report.m_verdict = Verdict::kHealthy;
+    m_is_on_trial = false;
+  }
+}
+
+bool InstanceJudge::IsEjectionConfirmed(TimePoint now) const {
+  if (!m_has_baseline || now - m_baseline_at > m_options.m_baseline_ttl) {
+    return false;
+  }
+  const double confirmed = Worst(m_trail.Confirmed(), m_baseline.m_as_of);
+  return confirmed >= m_ejection_threshold && SpansLongEnough();
+}
+
 void InstanceJudge::UpdateEjected(TimePoint now) {
   const bool probe_forbids =
       m_last_probe_failed && now - m_ejected_at < m_options.m_max_hold;
