--- a/libs/membership/src/membership.cc
+++ b/libs/membership/src/membership.cc
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr Duration kCleanupInterval = std::chrono::seconds(1);
+/// Longest random wait before the newest configuration version is announced, so
+/// that of several nodes that get it at a time only the first ones do.
+constexpr Duration kStatusHoldPerMember = std::chrono::milliseconds(5);
+constexpr Duration kLongestStatusHold = std::chrono::seconds(3);
 /// Size of an encoded status.
 constexpr int64_t kStatusBytes = 32;
 /// What all nodes' statuses may cost each node. They change together, whenever
@@ -95,6 +99,7 @@
   if (own.m_entry.m_config_version != state.m_config_version) {
     own.m_entry.m_config_version = state.m_config_version;
     m_is_status_due = true;
+    m_status_hold_until = now + StatusHold();
     ++m_change_count;
     AnnounceStatus();
   }
@@ -113,8 +118,10 @@
 
 void Membership::Impl::AnnounceStatus() {
   const bool is_newest = OwnRecord().m_entry.m_config_version > m_newest_config;
-  if (!m_is_status_due ||
-      (!is_newest && m_now - m_last_status < StatusInterval())) {
+  const bool may_announce = is_newest
+                                ? m_now >= m_status_hold_until
+                                : m_now - m_last_status >= StatusInterval();
+  if (!m_is_status_due || !may_announce) {
     return;
   }
   m_is_status_due = false;
@@ -124,6 +131,14 @@
   Note(m_options.m_node, {.m_status = true}, true);
 }
 
+Duration Membership::Impl::StatusHold() {
+  const Duration longest = std::min(
+      kStatusHoldPerMember * static_cast<int64_t>(m_table.Records().size()),
+      kLongestStatusHold);
+  const auto share = static_cast<int64_t>(m_picker.Below(1000));
+  return longest * share / 1000;
+}
+
 Duration Membership::Impl::StatusInterval() const {
   const std::size_t members = m_table.Records().size();
   const int64_t bytes =
--- a/libs/membership/src/membership_impl_p.h
+++ b/libs/membership/src/membership_impl_p.h
@@ -64,6 +64,7 @@
   void MarkFailed(const ProbeFindings::Failure& failure);
   void RemoveSilent();
   void AnnounceStatus();
+  Duration StatusHold();
   Duration StatusInterval() const;
 
   // repair.cc
@@ -93,6 +94,8 @@
   TimePoint m_next_seed;
   TimePoint m_next_cleanup;
   TimePoint m_last_status;
+  /// End of the wait before a newest configuration version is announced.
+  TimePoint m_status_hold_until;
   bool m_is_status_due = false;
   /// Greatest configuration version any member has announced.
   LogOffset m_newest_config;
