--- a/libs/base/include/sequoiastage/base/ids.h
+++ b/libs/base/include/sequoiastage/base/ids.h
@@ -48,7 +48,7 @@
 using ServiceId = Strong<struct ServiceIdTag, uint32_t>;
 
 /// Compact handle of a caller account, see AccountIdOf().
-using AccountId = Strong<struct AccountIdTag, uint32_t>;
+using AccountId = Strong<struct AccountIdTag, uint64_t>;
 
 /// Offset of a record on the platform's append-only log.
 using LogOffset = Strong<struct LogOffsetTag, uint64_t>;
--- a/libs/base/src/ids.cc
+++ b/libs/base/src/ids.cc
@@ -29,8 +29,8 @@
   return true;
 }
 
-uint32_t HashName(std::string_view name) {
-  return static_cast<uint32_t>(XXH3_64bits(name.data(), name.size()));
+uint64_t HashName(std::string_view name) {
+  return XXH3_64bits(name.data(), name.size());
 }
 
 }  // namespace
@@ -76,7 +76,7 @@
 }
 
 ServiceId ServiceIdOf(std::string_view name) {
-  return ServiceId(HashName(name));
+  return ServiceId(static_cast<uint32_t>(HashName(name)));
 }
 
 AccountId AccountIdOf(std::string_view name) {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -92,10 +92,12 @@
   fleet_ctl --author=fleet --from_version=none config publish "$file"
 }
 
-# Waits until every node answers a request to PATH with 200.
+# fleet_wait_ready HOST PATH [NODE...]: waits until the nodes (all, where none
+# is named) answer a request to PATH with 200.
 fleet_wait_ready() {
   local host=$1 path=$2 node try
-  for node in $(seq $FLEET_NODES); do
+  shift 2
+  for node in ${*:-$(seq $FLEET_NODES)}; do
     for try in $(seq 100); do
       if curl -sf -o "$WORK/ready" -H "Host: $host" \
         "http://$(fleet_address "$node" 18080)$path"; then
