--- /dev/null
+++ b/libs/execution/tests/fake_egress.h
@@ -0,0 +1,135 @@
+#ifndef SEQUOIASTAGE_EXECUTION_TESTS_FAKE_EGRESS_H_
+#define SEQUOIASTAGE_EXECUTION_TESTS_FAKE_EGRESS_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sequoiastage/execution/attempt_ledger.h"
+
+namespace sequoiastage {
+
+enum class PacketKind {
+  kDispatch,
+  kQuery,
+  kNotStarted,
+  kRunning,
+  kMayHave,
+  kDone
+};
+
+/// A message between the key owner and an egress.
+struct Packet {
+  PacketKind m_kind = PacketKind::kDispatch;
+  int m_egress = 0;
+  AttemptTicket m_ticket;
+  int m_request = 0;
+};
+
+/// An egress around the ledger under test; it can restart and be paused for
+/// any time between two calls.
+class FakeEgress {
+ public:
+  explicit FakeEgress(int number) : m_number(number) {}
+
+  Incarnation OwnIncarnation() const { return m_incarnation; }
+
+  /// The reply, when there is one at once.
+  std::optional<Packet> OnDispatch(const Packet& packet, WallTime now) {
+    const Admission admission = m_ledger->Admit(packet.m_ticket, now);
+    switch (admission.m_verdict) {
+      case Admission::Verdict::kNew:
+        m_queued.push_back(packet);
+        return std::nullopt;
+      case Admission::Verdict::kDuplicate:
+        return std::nullopt;
+      case Admission::Verdict::kRefused:
+        break;
+    }
+    return Reply(packet, IsProofOfNotStarted(admission.m_reason)
+                             ? PacketKind::kNotStarted
+                             : PacketKind::kMayHave);
+  }
+
+  std::optional<Packet> OnQuery(const Packet& packet) {
+    const AttemptReport report = m_ledger->CancelIfNotStarted(packet.m_ticket);
+    if (report.m_knowledge == AttemptReport::Knowledge::kCannotTell) {
+      return Reply(packet, PacketKind::kMayHave);
+    }
+    if (IsNeverStarted(report.m_state)) {
+      return Reply(packet, PacketKind::kNotStarted);
+    }
+    if (report.m_state == AttemptState::kRunning) {
+      return Reply(packet, PacketKind::kRunning);
+    }
+    return Reply(packet, report.m_answer == nullptr ? PacketKind::kMayHave
+                                                    : PacketKind::kDone);
+  }
+
+  /// What was started, if anything.
+  std::optional<Packet> StartQueued(WallTime now) {
+    if (m_queued.empty()) {
+      return std::nullopt;
+    }
+    const Packet packet = m_queued.front();
+    m_queued.erase(m_queued.begin());
+    if (!m_ledger->MarkRunning(packet.m_ticket.m_id, now)) {
+      return std::nullopt;
+    }
+    m_running.push_back(packet);
+    return packet;
+  }
+
+  /// There is no slot for the attempt that has waited longest.
+  std::optional<Packet> RefuseQueued() {
+    if (m_queued.empty() ||
+        !m_ledger->MarkRefused(m_queued.front().m_ticket.m_id)) {
+      return std::nullopt;
+    }
+    return Reply(m_queued.front(), PacketKind::kNotStarted);
+  }
+
+  std::optional<Packet> EndRunning(bool is_whole) {
+    if (m_running.empty()) {
+      return std::nullopt;
+    }
+    const Packet packet = m_running.back();
+    m_running.pop_back();
+    const AttemptId& id = packet.m_ticket.m_id;
+    if (!is_whole) {
+      m_ledger->MarkFailed(id);
+      return Reply(packet, PacketKind::kMayHave);
+    }
+    m_ledger->MarkAnswered(id, std::make_shared<const std::string>(
+                                   std::to_string(packet.m_request)));
+    return Reply(packet, PacketKind::kDone);
+  }
+
+  void Restart() {
+    m_incarnation = Incarnation(m_incarnation.Get() + 1);
+    m_ledger = MakeLedger();
+    m_queued.clear();
+    m_running.clear();
+  }
+
+ private:
+  std::unique_ptr<AttemptLedger> MakeLedger() const {
+    return std::make_unique<AttemptLedger>(
+        m_incarnation, AttemptLedgerOptions{.m_max_attempts = 6});
+  }
+
+  Packet Reply(const Packet& to, PacketKind kind) const {
+    return {kind, m_number, to.m_ticket, to.m_request};
+  }
+
+  int m_number;
+  Incarnation m_incarnation{1};
+  std::unique_ptr<AttemptLedger> m_ledger = MakeLedger();
+  std::vector<Packet> m_queued;
+  std::vector<Packet> m_running;
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_EXECUTION_TESTS_FAKE_EGRESS_H_
--- a/libs/execution/tests/fake_fleet.h
+++ b/libs/execution/tests/fake_fleet.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "fake_egress.h"
 #include "sequoiastage/execution/attempt_ledger.h"
 #include "sequoiastage/execution/idempotency_key.h"
 #include "sequoiastage/execution/key_ledger.h"
@@ -63,11 +64,12 @@
         break;
       case 8:
       case 9:
-        StartQueued(step.m_pick);
+        Start(m_egresses[step.m_pick % kEgresses]);
         break;
       case 10:
       case 11:
-        EndRunning(step.m_pick, step.m_other_pick);
+        Post(m_egresses[step.m_pick % kEgresses].EndRunning(
+            step.m_other_pick % 4 != 0));
         break;
       case 12:
         BreakLink(step.m_pick);
@@ -77,11 +79,11 @@
         EndOverdueRounds();
         break;
       case 14:
-        RestartEgress(step.m_pick);
+        m_egresses[step.m_pick % kEgresses].Restart();
         break;
       case 15:
       case 16:
-        RefuseQueued(step.m_pick);
+        Post(m_egresses[step.m_pick % kEgresses].RefuseQueued());
         break;
       case 17:
       case 18:
@@ -125,22 +127,6 @@
   static constexpr int kRequests = 3;
   static constexpr int kEgresses = 2;
 
-  struct Egress {
-    Incarnation m_incarnation{1};
-    std::unique_ptr<AttemptLedger> m_ledger;
-    std::vector<std::pair<AttemptTicket, int>> m_queued;
-    std::vector<std::pair<AttemptTicket, int>> m_running;
-  };
-
-  enum class Kind { kDispatch, kQuery, kNotStarted, kRunning, kMayHave, kDone };
-
-  struct Packet {
-    Kind m_kind;
-    int m_egress;
-    AttemptTicket m_ticket;
-    int m_request;
-  };
-
   // One dispatch of a request, from its start to the outcome.
   struct Round {
     explicit Round(bool is_repeatable)
@@ -165,14 +151,6 @@
     return FingerprintOf({.m_body = body});
   }
 
-  AttemptLedger& LedgerOf(Egress& egress) {
-    if (egress.m_ledger == nullptr) {
-      egress.m_ledger = std::make_unique<AttemptLedger>(
-          egress.m_incarnation, AttemptLedgerOptions{.m_max_attempts = 6});
-    }
-    return *egress.m_ledger;
-  }
-
   // A caller shows the key of a request, for the first time or again.
   void Show(int request) {
     if (!m_is_repeatable) {
@@ -203,7 +181,8 @@
         return Send(at);
       case NextStep::kQuery: {
         const auto& [egress, ticket] = round.m_sent.at(step.m_attempt);
-        m_network.push_back({Kind::kQuery, egress, ticket, round.m_request});
+        m_network.push_back(
+            {PacketKind::kQuery, egress, ticket, round.m_request});
         return;
       }
       case NextStep::kFinish:
@@ -221,13 +200,14 @@
         .m_id = {.m_ingress = m_issuer.Owner(),
                  .m_incarnation = m_issuer.OwnIncarnation(),
                  .m_counter = ++m_next_counter},
-        .m_egress = m_egresses[egress].m_incarnation,
+        .m_egress = m_egresses[egress].OwnIncarnation(),
         .m_deadline = round.m_deadline};
     if (!round.m_tracker.MaySend(ticket.m_id)) {
       return;
     }
     round.m_sent.emplace(ticket.m_id, std::make_pair(egress, ticket));
-    m_network.push_back({Kind::kDispatch, egress, ticket, round.m_request});
+    m_network.push_back(
+        {PacketKind::kDispatch, egress, ticket, round.m_request});
   }
 
   void End(Round& round, RequestOutcome outcome) {
@@ -262,10 +242,10 @@
       m_network.erase(m_network.begin() + static_cast<std::ptrdiff_t>(at));
     }
     switch (packet.m_kind) {
-      case Kind::kDispatch:
-        return OnDispatch(packet);
-      case Kind::kQuery:
-        return OnQuery(packet);
+      case PacketKind::kDispatch:
+        return Post(m_egresses[packet.m_egress].OnDispatch(packet, Now()));
+      case PacketKind::kQuery:
+        return Post(m_egresses[packet.m_egress].OnQuery(packet));
       default:
         return OnReply(packet);
     }
@@ -277,37 +257,16 @@
     }
   }
 
-  void Reply(const Packet& to, Kind kind) {
-    m_network.push_back({kind, to.m_egress, to.m_ticket, to.m_request});
-  }
-
-  void OnDispatch(const Packet& packet) {
-    Egress& egress = m_egresses[packet.m_egress];
-    const Admission admission = LedgerOf(egress).Admit(packet.m_ticket, Now());
-    switch (admission.m_verdict) {
-      case Admission::Verdict::kNew:
-        egress.m_queued.emplace_back(packet.m_ticket, packet.m_request);
-        return;
-      case Admission::Verdict::kDuplicate:
-        return;
-      case Admission::Verdict::kRefused:
-        Reply(packet, IsProofOfNotStarted(admission.m_reason)
-                          ? Kind::kNotStarted
-                          : Kind::kMayHave);
+  void Post(const std::optional<Packet>& packet) {
+    if (packet) {
+      m_network.push_back(*packet);
     }
   }
 
-  void OnQuery(const Packet& packet) {
-    const AttemptReport report = LedgerOf(m_egresses[packet.m_egress])
-                                     .CancelIfNotStarted(packet.m_ticket);
-    if (report.m_knowledge == AttemptReport::Knowledge::kCannotTell) {
-      Reply(packet, Kind::kMayHave);
-    } else if (IsNeverStarted(report.m_state)) {
-      Reply(packet, Kind::kNotStarted);
-    } else if (report.m_state == AttemptState::kRunning) {
-      Reply(packet, Kind::kRunning);
-    } else {
-      Reply(packet, report.m_answer == nullptr ? Kind::kMayHave : Kind::kDone);
+  void Start(FakeEgress& egress) {
+    if (const auto started = egress.StartQueued(Now())) {
+      ++m_executions[started->m_request];
+      m_started.insert(started->m_ticket.m_id);
     }
   }
 
@@ -317,7 +276,7 @@
       if (m_rounds[at].m_sent.count(id) == 0) {
         continue;
       }
-      m_wrong_answer |= packet.m_kind == Kind::kDone &&
+      m_wrong_answer |= packet.m_kind == PacketKind::kDone &&
                         packet.m_request != m_rounds[at].m_request;
       return Follow(at, StepOf(m_rounds[at].m_tracker, packet));
     }
@@ -325,30 +284,17 @@
 
   OutcomeStep StepOf(Tracker& tracker, const Packet& packet) {
     switch (packet.m_kind) {
-      case Kind::kNotStarted:
+      case PacketKind::kNotStarted:
         return tracker.OnNotStarted(packet.m_ticket.m_id);
-      case Kind::kRunning:
+      case PacketKind::kRunning:
         return tracker.OnRunning(packet.m_ticket.m_id);
-      case Kind::kDone:
+      case PacketKind::kDone:
         return tracker.OnAnswered(packet.m_ticket.m_id);
       default:
         return tracker.OnMayHaveRun(packet.m_ticket.m_id);
     }
   }
 
-  // The egress has no slot for the attempt.
-  void RefuseQueued(uint8_t pick) {
-    const int at = pick % kEgresses;
-    Egress& egress = m_egresses[at];
-    if (egress.m_queued.empty()) {
-      return;
-    }
-    const auto [ticket, request] = egress.m_queued.front();
-    if (LedgerOf(egress).MarkRefused(ticket.m_id)) {
-      Reply({Kind::kDispatch, at, ticket, request}, Kind::kNotStarted);
-    }
-  }
-
   // All callers' deadlines are near.
   void CancelOpen() {
     for (size_t at = 0; at < m_rounds.size(); ++at) {
@@ -356,40 +302,6 @@
     }
   }
 
-  // The egress may be paused for any time before it comes here.
-  void StartQueued(uint8_t pick) {
-    Egress& egress = m_egresses[pick % kEgresses];
-    if (egress.m_queued.empty()) {
-      return;
-    }
-    const auto [ticket, request] = egress.m_queued.front();
-    egress.m_queued.erase(egress.m_queued.begin());
-    if (LedgerOf(egress).MarkRunning(ticket.m_id, Now())) {
-      ++m_executions[request];
-      m_started.insert(ticket.m_id);
-      egress.m_running.emplace_back(ticket, request);
-    }
-  }
-
-  void EndRunning(uint8_t pick, uint8_t how) {
-    const int at = pick % kEgresses;
-    Egress& egress = m_egresses[at];
-    if (egress.m_running.empty()) {
-      return;
-    }
-    const auto [ticket, request] = egress.m_running.back();
-    egress.m_running.pop_back();
-    const Packet packet{Kind::kDispatch, at, ticket, request};
-    if (how % 4 == 0) {
-      LedgerOf(egress).MarkFailed(ticket.m_id);
-      return Reply(packet, Kind::kMayHave);
-    }
-    LedgerOf(egress).MarkAnswered(
-        ticket.m_id,
-        std::make_shared<const std::string>(std::to_string(request)));
-    Reply(packet, Kind::kDone);
-  }
-
   // The owner notices that its connection to an egress broke; what is under
   // way on it may still arrive.
   void BreakLink(uint8_t pick) {
@@ -404,14 +316,6 @@
     }
   }
 
-  void RestartEgress(uint8_t pick) {
-    Egress& egress = m_egresses[pick % kEgresses];
-    egress.m_incarnation = Incarnation(egress.m_incarnation.Get() + 1);
-    egress.m_ledger = nullptr;
-    egress.m_queued.clear();
-    egress.m_running.clear();
-  }
-
   // Its rounds are forgotten; their packets are not.
   void RestartOwner() {
     m_issuer = MakeIssuer(m_issuer.OwnIncarnation().Get() + 1);
@@ -426,7 +330,7 @@
   KeyIssuer m_issuer = MakeIssuer(1);
   Keys m_key_ledger{{.m_max_keys = 64}};
   std::vector<IdempotencyKey> m_keys;
-  std::array<Egress, kEgresses> m_egresses;
+  std::array<FakeEgress, kEgresses> m_egresses{FakeEgress(0), FakeEgress(1)};
   std::vector<Round> m_rounds;
   std::vector<Packet> m_network;
   std::array<int, kRequests> m_executions{};
