--- a/bench/capacity_bench/fleet_section.cc
+++ b/bench/capacity_bench/fleet_section.cc
@@ -238,10 +238,13 @@
   PrintHeading("fleets: changes of entries");
   MeasureChanges(250, seed);
   MeasureChanges(500, seed);
-  PrintHeading("fleets: configuration versions");
-  MeasureConfigVersions({125, 250, 500}, seed);
   PrintHeading("fleets: loss of a seventh of the nodes");
   MeasureDomainLoss({125, 250, 500}, seed);
 }
 
+void MeasureVersions(uint64_t seed) {
+  PrintHeading("versions: configurations come in force in whole fleets");
+  MeasureConfigVersions({125, 250, 500}, seed);
+}
+
 }  // namespace sequoiastage
--- a/bench/capacity_bench/main.cc
+++ b/bench/capacity_bench/main.cc
@@ -11,7 +11,8 @@
 ABSL_FLAG(std::string,
           section,
           "all",
-          "What to measure: all, fleets, members, config, replay or routing.");
+          "What to measure: all, fleets, versions, members, config, replay or "
+          "routing.");
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
@@ -32,6 +33,7 @@
   run("config", sequoiastage::MeasureConfig);
   run("replay", sequoiastage::MeasureReplay);
   run("routing", sequoiastage::MeasureRouting);
+  run("versions", sequoiastage::MeasureVersions);
   run("fleets", sequoiastage::MeasureFleets);
   if (!is_known) {
     std::fprintf(stderr, "unknown section \"%s\"\n", section.c_str());
--- a/bench/capacity_bench/sections.h
+++ b/bench/capacity_bench/sections.h
@@ -9,6 +9,9 @@
 /// time until a change or a loss is known everywhere.
 void MeasureFleets(uint64_t seed);
 
+/// Whole fleets in which configurations come in force: bytes of a node.
+void MeasureVersions(uint64_t seed);
+
 /// One node with the entries of a large fleet: memory, processor time of
 /// datagrams, ticks, digests and snapshots.
 void MeasureMemberState(uint64_t seed);
--- a/libs/membership/src/membership.cc
+++ b/libs/membership/src/membership.cc
@@ -13,6 +13,9 @@
 /// that of several nodes that get it at a time only the first ones do.
 constexpr Duration kStatusHoldPerMember = std::chrono::milliseconds(5);
 constexpr Duration kLongestStatusHold = std::chrono::seconds(3);
+/// Above this interval between two statuses of a node, the nodes spread theirs
+/// over it; below, so few nodes announce theirs together that it does no harm.
+constexpr Duration kSpreadStatusInterval = std::chrono::seconds(2);
 /// Size of an encoded status.
 constexpr int64_t kStatusBytes = 32;
 /// What all nodes' statuses may cost each node. They change together, whenever
@@ -98,8 +101,11 @@
   MemberRecord& own = OwnRecord();
   if (own.m_entry.m_config_version != state.m_config_version) {
     own.m_entry.m_config_version = state.m_config_version;
-    m_is_status_due = true;
     m_status_hold_until = now + StatusHold();
+    if (!m_is_status_due) {
+      m_is_status_due = true;
+      m_status_follow_at = FollowTime();
+    }
     ++m_change_count;
     AnnounceStatus();
   }
@@ -118,9 +124,8 @@
 
 void Membership::Impl::AnnounceStatus() {
   const bool is_newest = OwnRecord().m_entry.m_config_version > m_newest_config;
-  const bool may_announce = is_newest
-                                ? m_now >= m_status_hold_until
-                                : m_now - m_last_status >= StatusInterval();
+  const bool may_announce =
+      m_now >= (is_newest ? m_status_hold_until : m_status_follow_at);
   if (!m_is_status_due || !may_announce) {
     return;
   }
@@ -132,11 +137,21 @@
 }
 
 Duration Membership::Impl::StatusHold() {
-  const Duration longest = std::min(
-      kStatusHoldPerMember * static_cast<int64_t>(m_table.Records().size()),
-      kLongestStatusHold);
-  const auto share = static_cast<int64_t>(m_picker.Below(1000));
-  return longest * share / 1000;
+  const auto members = static_cast<int64_t>(m_table.Records().size());
+  return RandomPart(
+      std::min(kStatusHoldPerMember * members, kLongestStatusHold));
+}
+
+TimePoint Membership::Impl::FollowTime() {
+  const Duration interval = StatusInterval();
+  const Duration spread =
+      interval < kSpreadStatusInterval ? Duration::zero() : interval;
+  return std::max(m_last_status + interval, m_now + RandomPart(spread));
+}
+
+Duration Membership::Impl::RandomPart(Duration longest) {
+  constexpr uint32_t kParts = 1000;
+  return longest * static_cast<int64_t>(m_picker.Below(kParts)) / kParts;
 }
 
 Duration Membership::Impl::StatusInterval() const {
--- a/libs/membership/src/membership_impl_p.h
+++ b/libs/membership/src/membership_impl_p.h
@@ -65,6 +65,8 @@
   void RemoveSilent();
   void AnnounceStatus();
   Duration StatusHold();
+  TimePoint FollowTime();
+  Duration RandomPart(Duration longest);
   Duration StatusInterval() const;
 
   // repair.cc
@@ -96,6 +98,8 @@
   TimePoint m_last_status;
   /// End of the wait before a newest configuration version is announced.
   TimePoint m_status_hold_until;
+  /// When a version that others announced before is announced.
+  TimePoint m_status_follow_at;
   bool m_is_status_due = false;
   /// Greatest configuration version any member has announced.
   LogOffset m_newest_config;
