--- a/bench/capacity_bench/fleet_section.cc
+++ b/bench/capacity_bench/fleet_section.cc
@@ -158,32 +158,45 @@
   }
 }
 
+constexpr uint32_t kLogReaders = 18;
+
+/// Whether `node` sees in its member list that a log reader has `version`.
+bool HasHeardOf(FakeNetwork& network, uint32_t node, LogOffset version) {
+  for (uint32_t reader = 0; reader < kLogReaders; ++reader) {
+    const auto view = network.At(node).Find(FakeNetwork::Id(reader));
+    if (view && view->m_entry->m_config_version >= version) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /// A configuration comes in force every 2.5 s: at three nodes of each failure
-/// domain, that read the log, and 1.2 s later at the others.
+/// domain, that read the log within a second, and at each other one when it
+/// has heard of it.
 void MeasureConfigVersions(const std::vector<uint32_t>& sizes, uint64_t seed) {
-  constexpr uint32_t kLogReaders = 18;
   Series bytes("bytes a second of a node, 0.4 configurations/s", "nodes");
   for (const uint32_t nodes : sizes) {
     Fleet fleet(nodes, seed);
-    const auto set = [&](uint32_t begin, uint32_t end, uint64_t version) {
-      for (uint32_t i = begin; i < end; ++i) {
-        OwnState state = StateOf(i, nodes, 3);
-        state.m_config_version = LogOffset(version);
-        fleet.Network().At(i).SetOwn(state, fleet.Network().Time());
-      }
-    };
+    FakeNetwork& network = fleet.Network();
     double sum = 0;
     constexpr uint64_t kVersions = 40;
-    for (uint64_t version = 1; version <= kVersions; ++version) {
-      for (uint32_t reader = 0; reader < kLogReaders; ++reader) {
-        set(reader, reader + 1, version);
-        sum += fleet.BytesPerNodeSecond(milliseconds(50)) * 0.05;
+    constexpr uint32_t kSteps = 50;
+    for (uint64_t step = 0; step < kVersions * kSteps; ++step) {
+      const LogOffset version(step / kSteps + 1);
+      for (uint32_t i = 0; i < nodes; ++i) {
+        const bool is_reader = i < kLogReaders;
+        const bool gets_it =
+            is_reader ? i <= step % kSteps : HasHeardOf(network, i, version);
+        if (gets_it && network.At(i).Own().m_config_version < version) {
+          OwnState state = StateOf(i, nodes, 3);
+          state.m_config_version = version;
+          network.At(i).SetOwn(state, network.Time());
+        }
       }
-      sum += fleet.BytesPerNodeSecond(milliseconds(300)) * 0.3;
-      set(kLogReaders, nodes, version);
-      sum += fleet.BytesPerNodeSecond(milliseconds(1300)) * 1.3;
+      sum += fleet.BytesPerNodeSecond(milliseconds(50));
     }
-    bytes.Add(nodes, sum / kVersions / 2.5);
+    bytes.Add(nodes, sum / (kVersions * kSteps));
   }
 }
 
