Start anew after a predecessor whose clock was ahead

Cause: a node's incarnation is its wall clock. On a host whose clock is behind that of its predecessor the fleet heeds nothing the new run says, and its attempts and keys are refused until the clock catches up. The member list knew (SupersededBy) and nobody asked it. The node now drains and runs anew with a greater incarnation.

--- a/apps/sequoiastaged/main.cc
+++ b/apps/sequoiastaged/main.cc
@@ -45,12 +45,19 @@
   sequoiastage::InitLogging(absl::GetFlag(FLAGS_verbose)
                                 ? sequoiastage::LogLevel::kDebug
                                 : sequoiastage::LogLevel::kInfo);
-  sequoiastage::Node node(settings);
-  if (!node.Start()) {
-    std::fprintf(stderr, "sequoiastaged: %s\n", node.LastReason().c_str());
-    return kExitFailed;
+  sequoiastage::Incarnation after;
+  while (true) {
+    sequoiastage::Node node(settings, after);
+    if (!node.Start()) {
+      std::fprintf(stderr, "sequoiastaged: %s\n", node.LastReason().c_str());
+      return kExitFailed;
+    }
+    const bool is_in_order = node.Run();
+    if (!node.SupersededBy()) {
+      return is_in_order ? 0 : kExitFailed;
+    }
+    after = *node.SupersededBy();
   }
-  return node.Run() ? 0 : kExitFailed;
 }
 
 }  // namespace
--- a/libs/node/include/sequoiastage/node/node.h
+++ b/libs/node/include/sequoiastage/node/node.h
@@ -2,8 +2,10 @@
 #define SEQUOIASTAGE_NODE_NODE_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "sequoiastage/base/ids.h"
 #include "sequoiastage/settings/node_settings.h"
 
 /// One node of the fleet: ingress and egress in one process.
@@ -16,7 +18,9 @@
 
 class Node {
  public:
-  explicit Node(NodeSettings settings);
+  /// The node's incarnation is the wall clock in milliseconds, and greater
+  /// than `after`.
+  explicit Node(NodeSettings settings, Incarnation after = {});
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
@@ -26,10 +30,17 @@
 
   /// Serves until SIGTERM or SIGINT, then shuts down: refuses new requests
   /// with a final answer, finishes those in flight (at most for the drain
-  /// timeout of the settings) and leaves the fleet. False with LastReason()
-  /// when requests were still in flight at the end.
+  /// timeout of the settings) and leaves the fleet. False when requests were
+  /// still in flight at the end.
+  ///
+  /// It shuts down as well when the fleet knows a greater incarnation of this
+  /// node: the host's clock is behind that of its predecessor, and the fleet
+  /// heeds nothing this run says. SupersededBy() tells that incarnation; run
+  /// the node anew after it.
   bool Run();
 
+  std::optional<Incarnation> SupersededBy() const;
+
   const std::string& LastReason() const;
 
  private:
--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -14,6 +14,8 @@
 
 constexpr std::chrono::milliseconds kTickInterval{100};
 constexpr std::chrono::seconds kSiblingTtl{10};
+// Greater incarnations are no clock readings and are not followed.
+constexpr Incarnation kMaxIncarnation{uint64_t{1} << 62};
 // After a view was made, the next one waits for this multiple of the time it
 // took, so that views take about 1% of a core however large the fleet is.
 constexpr int kViewPause = 100;
@@ -138,12 +140,24 @@
   for (const InstanceId id : m_instances.Expire(now)) {
     LogEvent(LogLevel::kWarn, "instance_silent").Add("instance", ToString(id));
   }
+  CheckIncarnation();
   Publish();
   TakeGroupReports();
   m_relay.OnTick(now);
   m_gossip.Send(m_membership.OnTick(now));
 }
 
+void Control::CheckIncarnation() {
+  const auto other = m_membership.SupersededBy();
+  if (!other || m_is_superseded || *other > kMaxIncarnation) {
+    return;
+  }
+  m_is_superseded = true;
+  LogEvent(LogLevel::kWarn, "node_superseded")
+      .Add("incarnation", static_cast<int64_t>(other->Get()));
+  m_outputs.m_on_superseded(*other);
+}
+
 void Control::Publish() {
   const TimePoint start = Now();
   const bool is_due =
--- a/libs/node/src/control_p.h
+++ b/libs/node/src/control_p.h
@@ -33,6 +33,8 @@
     std::function<void(NodeViewPtr)> m_on_view;
     std::function<void(std::vector<LocalInstance>)> m_on_instances;
     std::function<void(InstanceId, PeerBaseline)> m_on_baseline;
+    // The fleet knows a greater incarnation of this node. Called once.
+    std::function<void(Incarnation)> m_on_superseded;
     // Asks for the outcome of an idempotency key; calls back on the control
     // thread.
     std::function<void(const std::string&, std::function<void(HttpAnswer)>)>
@@ -69,6 +71,7 @@
   void Publish();
   void PublishOwn();
   void PublishView();
+  void CheckIncarnation();
   void TakeGroupReports();
   void UpdateBaselines();
   void SetGroupReports(const std::vector<InstanceReport>& reports);
@@ -97,6 +100,7 @@
   asio::steady_timer m_tick;
   HostState m_host_state = HostState::kLive;
   uint64_t m_published_change = 0;
+  bool m_is_superseded = false;
   bool m_is_view_due = true;
   TimePoint m_next_view;
   std::vector<LocalInstance> m_published_instances;
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -1,5 +1,6 @@
 #include "sequoiastage/node/node.h"
 
+#include <algorithm>
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
@@ -33,9 +34,9 @@
 constexpr std::chrono::milliseconds kLeaveTime{300};
 
 // A later run of the node has a greater value.
-Incarnation MakeIncarnation() {
-  return Incarnation(
-      static_cast<uint64_t>(WallNow().time_since_epoch().count()));
+Incarnation MakeIncarnation(Incarnation after) {
+  const auto now = static_cast<uint64_t>(WallNow().time_since_epoch().count());
+  return Incarnation(std::max(now, after.Get() + 1));
 }
 
 IngressOptions MakeIngressOptions(const NodeSettings& settings,
@@ -54,9 +55,9 @@
 
 class Node::Impl {
  public:
-  explicit Impl(NodeSettings settings)
+  Impl(NodeSettings settings, Incarnation after)
       : m_settings(std::move(settings)),
-        m_incarnation(MakeIncarnation()),
+        m_incarnation(MakeIncarnation(after)),
         m_egress(m_egress_io, m_incarnation),
         m_peer_server(
             m_egress_io,
@@ -92,7 +93,8 @@
     ArmIngressTick();
     m_signals.async_wait([this](const asio::error_code& error, int signal) {
       if (!error) {
-        BeginShutdown(signal);
+        m_superseded_by.reset();
+        BeginShutdown("signal " + std::to_string(signal));
       }
     });
     return true;
@@ -114,33 +116,35 @@
   }
 
   const std::string& LastReason() const { return m_last_reason; }
+  std::optional<Incarnation> SupersededBy() const { return m_superseded_by; }
 
  private:
   Control::Outputs MakeOutputs() {
-    return {.m_on_view =
-                [this](NodeViewPtr view) {
-                  asio::post(m_ingress_io, [this, view = std::move(view)] {
-                    m_ingress.SetView(view);
-                  });
-                },
-            .m_on_instances =
-                [this](std::vector<LocalInstance> instances) {
-                  asio::post(m_egress_io,
-                             [this, instances = std::move(instances)] {
-                               m_egress.SetInstances(instances);
-                             });
-                },
-            .m_on_baseline =
-                [this](InstanceId instance, const PeerBaseline& baseline) {
-                  asio::post(m_egress_io, [this, instance, baseline] {
-                    m_egress.SetBaseline(instance, baseline);
-                  });
-                },
-            .m_look_up_key =
-                [this](const std::string& key,
-                       std::function<void(HttpAnswer)> done) {
-                  LookUpKey(key, std::move(done));
-                }};
+    return {
+        .m_on_view =
+            [this](NodeViewPtr view) {
+              asio::post(m_ingress_io, [this, view = std::move(view)] {
+                m_ingress.SetView(view);
+              });
+            },
+        .m_on_instances =
+            [this](std::vector<LocalInstance> instances) {
+              asio::post(m_egress_io, [this, instances = std::move(instances)] {
+                m_egress.SetInstances(instances);
+              });
+            },
+        .m_on_baseline =
+            [this](InstanceId instance, const PeerBaseline& baseline) {
+              asio::post(m_egress_io, [this, instance, baseline] {
+                m_egress.SetBaseline(instance, baseline);
+              });
+            },
+        .m_on_superseded = [this](Incarnation other) { OnSuperseded(other); },
+        .m_look_up_key =
+            [this](const std::string& key,
+                   std::function<void(HttpAnswer)> done) {
+              LookUpKey(key, std::move(done));
+            }};
   }
 
   // From the control thread to the ingress and back.
@@ -260,8 +264,17 @@
     });
   }
 
-  void BeginShutdown(int signal) {
-    LogEvent(LogLevel::kInfo, "node_draining").Add("signal", signal);
+  void OnSuperseded(Incarnation other) {
+    m_superseded_by = other;
+    BeginShutdown("superseded by incarnation " + std::to_string(other.Get()));
+  }
+
+  void BeginShutdown(const std::string& reason) {
+    if (m_is_draining) {
+      return;
+    }
+    m_is_draining = true;
+    LogEvent(LogLevel::kInfo, "node_draining").Add("reason", reason);
     m_drain_until = Now() + m_settings.m_drain_timeout;
     m_stop_accepting_at = Now() + kRefuseTime;
     m_control.SetHostState(HostState::kDraining);
@@ -350,6 +363,8 @@
   Control m_control;
   asio::signal_set m_signals;
   asio::steady_timer m_drain_timer;
+  bool m_is_draining = false;
+  std::optional<Incarnation> m_superseded_by;
   TimePoint m_drain_until;
   std::optional<TimePoint> m_stop_accepting_at;
   std::optional<TimePoint> m_quiet_since;
@@ -358,8 +373,8 @@
   std::string m_last_reason;
 };
 
-Node::Node(NodeSettings settings)
-    : m_impl(std::make_unique<Impl>(std::move(settings))) {}
+Node::Node(NodeSettings settings, Incarnation after)
+    : m_impl(std::make_unique<Impl>(std::move(settings), after)) {}
 
 Node::~Node() = default;
 
@@ -371,6 +386,10 @@
   return m_impl->Run();
 }
 
+std::optional<Incarnation> Node::SupersededBy() const {
+  return m_impl->SupersededBy();
+}
+
 const std::string& Node::LastReason() const {
   return m_impl->LastReason();
 }
--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -148,6 +148,10 @@
   return At(node, kListenPort);
 }
 
+Endpoint Fleet::Peer(int node) const {
+  return At(node, kPeerPort);
+}
+
 Endpoint Fleet::Admin(int node) const {
   return At(node, kAdminPort);
 }
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -53,6 +53,8 @@
   int NodeCount() const { return m_options.m_nodes; }
   Endpoint Caller(int node) const;
   Endpoint Admin(int node) const;
+  /// Where other nodes reach the node.
+  Endpoint Peer(int node) const;
   Endpoint Instance(int node, int index) const;
   Endpoint Log() const;
 
