Name the best instances elsewhere in a refusal

The nodes of a service now exchange loads with their summaries; an egress that refuses adds the three best siblings beside other nodes, so that the second try of an ingress that seldom meets the service lands well.

--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -1,6 +1,7 @@
 #include "control_p.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "group_report_p.h"
@@ -14,6 +15,8 @@
 
 constexpr std::chrono::milliseconds kTickInterval{100};
 constexpr std::chrono::seconds kSiblingTtl{10};
+// Loads of siblings that are older are no hint for a refused request.
+constexpr std::chrono::seconds kFreshLoad{3};
 // Greater incarnations are no clock readings and are not followed.
 constexpr Incarnation kMaxIncarnation{uint64_t{1} << 62};
 // After a view was made, the next one waits for this multiple of the time it
@@ -247,7 +250,7 @@
     }
   }
   SetGroupReports(reports);
-  UpdateBaselines();
+  UpdateSiblings();
   m_ejections.OnReports(reports, m_siblings, Now());
   Publish();
 }
@@ -255,13 +258,23 @@
 void Control::SetGroupReports(const std::vector<InstanceReport>& reports) {
   std::map<ServiceId, std::vector<InstanceNews>> news;
   for (const InstanceReport& report : reports) {
+    const InstanceLoad load{
+        .m_instance = report.m_id,
+        .m_slots = report.m_slots,
+        .m_in_use = report.m_in_use,
+        .m_queued = report.m_queued,
+        .m_is_suspect = report.m_judge.m_verdict != Verdict::kHealthy};
     news[report.m_service].push_back(
-        {.m_instance = report.m_id, .m_summary = report.m_summary});
+        {.m_load = load, .m_summary = report.m_summary});
     m_siblings[{report.m_service, report.m_id}] = {
-        .m_summary = report.m_summary, .m_received = Now()};
+        .m_summary = {.m_summary = report.m_summary, .m_received = Now()},
+        .m_load = load};
   }
   for (const auto& [service, items] : news) {
-    m_membership.SetGroupReport(service, EncodeGroupReport(items));
+    if (!m_membership.SetGroupReport(service, EncodeGroupReport(items))) {
+      LogEvent(LogLevel::kWarn, "group_report_refused")
+          .Add("reason", m_membership.LastReason());
+    }
   }
 }
 
@@ -273,27 +286,46 @@
       continue;
     }
     for (const InstanceNews& item : *news) {
-      m_siblings[{report.m_service, item.m_instance}] = {
-          .m_summary = item.m_summary, .m_received = now};
+      m_siblings[{report.m_service, item.m_load.m_instance}] = {
+          .m_summary = {.m_summary = item.m_summary, .m_received = now},
+          .m_load = item.m_load};
     }
   }
   std::erase_if(m_siblings, [now](const auto& item) {
-    return now - item.second.m_received > kSiblingTtl;
+    return now - item.second.m_summary.m_received > kSiblingTtl;
   });
 }
 
-void Control::UpdateBaselines() {
+void Control::UpdateSiblings() {
   const TimePoint now = Now();
+  std::set<ServiceId> services;
   for (const auto& [id, entry] : m_instances.Entries()) {
     const ServiceId service = ServiceIdOf(entry.m_announced.m_service);
-    std::vector<SiblingSummary> siblings;
-    for (const auto& [key, summary] : m_siblings) {
+    services.insert(service);
+    std::vector<SiblingSummary> summaries;
+    for (const auto& [key, sibling] : m_siblings) {
       if (key.first == service && key.second != id) {
-        siblings.push_back(summary);
+        summaries.push_back(sibling.m_summary);
       }
     }
-    m_outputs.m_on_baseline(id, MakePeerBaseline(siblings, now));
+    m_outputs.m_on_baseline(id, MakePeerBaseline(summaries, now));
+  }
+  for (const ServiceId service : services) {
+    m_outputs.m_on_siblings(service, LoadsElsewhere(service, now));
+  }
+}
+
+std::vector<InstanceLoad> Control::LoadsElsewhere(ServiceId service,
+                                                  TimePoint now) const {
+  std::vector<InstanceLoad> loads;
+  for (const auto& [key, sibling] : m_siblings) {
+    if (key.first == service &&
+        now - sibling.m_summary.m_received <= kFreshLoad &&
+        m_instances.Entries().count(key.second) == 0) {
+      loads.push_back(sibling.m_load);
+    }
   }
+  return loads;
 }
 
 void Control::OnAnnounceRequest(const HttpRequest& request,
--- a/libs/node/src/control_p.h
+++ b/libs/node/src/control_p.h
@@ -33,6 +33,8 @@
     std::function<void(NodeViewPtr)> m_on_view;
     std::function<void(std::vector<LocalInstance>)> m_on_instances;
     std::function<void(InstanceId, PeerBaseline)> m_on_baseline;
+    // Loads of instances beside other nodes, for a service of an own instance.
+    std::function<void(ServiceId, std::vector<InstanceLoad>)> m_on_siblings;
     // The fleet knows a greater incarnation of this node. Called once.
     std::function<void(Incarnation)> m_on_superseded;
     // Asks for the outcome of an idempotency key; calls back on the control
@@ -73,7 +75,9 @@
   void PublishView();
   void CheckIncarnation();
   void TakeGroupReports();
-  void UpdateBaselines();
+  void UpdateSiblings();
+  std::vector<InstanceLoad> LoadsElsewhere(ServiceId service,
+                                           TimePoint now) const;
   void SetGroupReports(const std::vector<InstanceReport>& reports);
   std::vector<LocalInstance> MakeLocalInstances() const;
 
@@ -94,7 +98,7 @@
   ConfigRelay m_relay;
   EjectionKeeper m_ejections;
   InstanceTable m_instances;
-  SiblingSummaries m_siblings;
+  Siblings m_siblings;
   TrafficStats m_traffic;
   NodeAdmin m_admin;
   asio::steady_timer m_tick;
--- a/libs/node/src/egress.cc
+++ b/libs/node/src/egress.cc
@@ -15,6 +15,9 @@
 // deadline, for a caller that asks again.
 constexpr std::chrono::seconds kLateAnswerTime{5};
 
+// Instances elsewhere that a refusal names.
+constexpr size_t kMaxHints = 3;
+
 constexpr const char* kDeadlineField = "Sequoiastage-Deadline-Ms";
 
 WallTime DeadlineOf(int64_t deadline_ms) {
@@ -176,7 +179,7 @@
   ++m_stats.m_refused;
   ResultMessage result =
       MakeResult(message.m_attempt, AttemptResult::kNotStarted, reason);
-  result.m_loads = LoadsOf(message.m_service);
+  result.m_loads = HintsFor(message.m_service);
   reply(std::move(result));
 }
 
@@ -205,7 +208,7 @@
   ++m_stats.m_refused;
   ResultMessage result =
       MakeResult(id, AttemptResult::kNotStarted, AttemptReason::kBusy);
-  result.m_loads = LoadsOf(attempt.m_message.m_service);
+  result.m_loads = HintsFor(attempt.m_message.m_service);
   SendReplies(attempt.m_replies, result);
 }
 
@@ -378,6 +381,28 @@
   }
 }
 
+void Egress::SetSiblings(ServiceId service, std::vector<InstanceLoad> loads) {
+  const auto rank = [](const InstanceLoad& load) {
+    const int free = load.m_slots - load.m_in_use - load.m_queued;
+    return std::pair(load.m_is_suspect, -free);
+  };
+  std::sort(loads.begin(), loads.end(),
+            [&rank](const InstanceLoad& a, const InstanceLoad& b) {
+              return rank(a) < rank(b);
+            });
+  loads.resize(std::min(loads.size(), kMaxHints));
+  m_siblings[service] = std::move(loads);
+}
+
+std::vector<InstanceLoad> Egress::HintsFor(ServiceId service) const {
+  std::vector<InstanceLoad> hints = LoadsOf(service);
+  const auto siblings = m_siblings.find(service);
+  if (siblings != m_siblings.end()) {
+    hints.insert(hints.end(), siblings->second.begin(), siblings->second.end());
+  }
+  return hints;
+}
+
 void Egress::Tick() {
   const TimePoint now = Now();
   for (auto& [id, instance] : m_instances) {
@@ -397,6 +422,7 @@
          .m_incarnation = instance.m_local.m_incarnation,
          .m_judge = instance.m_judge.Report(),
          .m_summary = instance.m_judge.Summary(now),
+         .m_slots = instance.m_local.m_slots,
          .m_in_use = static_cast<uint16_t>(instance.m_gate.Running()),
          .m_queued = static_cast<uint16_t>(instance.m_gate.Queued())});
   }
--- a/libs/node/src/egress_p.h
+++ b/libs/node/src/egress_p.h
@@ -39,6 +39,7 @@
   Incarnation m_incarnation;
   JudgeReport m_judge;
   InstanceSummary m_summary;
+  uint16_t m_slots = 0;
   uint16_t m_in_use = 0;
   uint16_t m_queued = 0;
 };
@@ -74,6 +75,10 @@
   // Siblings' summaries of the instance's service.
   void SetBaseline(InstanceId instance, const PeerBaseline& baseline);
 
+  // Loads of the service's instances beside other nodes; a refusal names the
+  // best of them.
+  void SetSiblings(ServiceId service, std::vector<InstanceLoad> loads);
+
   // To be called every 100 ms.
   void Tick();
 
@@ -125,6 +130,8 @@
                            AttemptResult result,
                            AttemptReason reason) const;
   std::vector<InstanceLoad> LoadsOf(ServiceId service) const;
+  // Those, and the best siblings elsewhere.
+  std::vector<InstanceLoad> HintsFor(ServiceId service) const;
   static Instance MakeInstance(const LocalInstance& local);
   void Update(Instance& instance, const LocalInstance& local);
   Instance* Find(InstanceId id);
@@ -134,6 +141,8 @@
   AttemptLedger m_ledger;
   std::unordered_map<InstanceId, Instance> m_instances;
   std::unordered_map<AttemptId, Attempt> m_attempts;
+  // Best first.
+  std::unordered_map<ServiceId, std::vector<InstanceLoad>> m_siblings;
   EgressStats m_stats;
   bool m_is_draining = false;
 };
--- a/libs/node/src/ejection_keeper.cc
+++ b/libs/node/src/ejection_keeper.cc
@@ -24,7 +24,7 @@
 }  // namespace
 
 void EjectionKeeper::OnReports(const std::vector<InstanceReport>& reports,
-                               const SiblingSummaries& summaries,
+                               const Siblings& siblings,
                                TimePoint now) {
   for (const InstanceReport& report : reports) {
     const bool wants_ejection =
@@ -39,7 +39,7 @@
     }
     m_asked[report.m_id] = now;
     if (wants_ejection) {
-      AskForEjection(report, summaries);
+      AskForEjection(report, siblings);
     } else {
       AskForReadmission(report);
     }
@@ -47,7 +47,7 @@
 }
 
 void EjectionKeeper::AskForEjection(const InstanceReport& report,
-                                    const SiblingSummaries& summaries) {
+                                    const Siblings& siblings) {
   const std::string* name = NameOf(report.m_service);
   if (name == nullptr || !m_feed->IsLogReachable()) {
     return;
@@ -56,7 +56,7 @@
   const auto grant = ProposeEjection(
       MakeHeader("eject", report), *name,
       {.m_instance = report.m_id, .m_incarnation = report.m_incarnation},
-      StatusesOf(report.m_service, summaries),
+      StatusesOf(report.m_service, siblings),
       m_feed->Replay().FloorOf(report.m_service),
       m_feed->Replay().EjectionsOf(report.m_service), &reason);
   LogEvent(LogLevel::kInfo, grant ? "ejection_asked" : "ejection_not_possible")
@@ -98,17 +98,17 @@
 
 std::vector<InstanceStatus> EjectionKeeper::StatusesOf(
     ServiceId service,
-    const SiblingSummaries& summaries) const {
+    const Siblings& siblings) const {
   std::vector<InstanceStatus> statuses;
   for (const MemberView& view : m_membership->Members()) {
     for (const InstanceEntry& instance : view.m_entry->m_instances) {
       if (instance.m_service != service) {
         continue;
       }
-      const auto known = summaries.find({service, instance.m_id});
+      const auto known = siblings.find({service, instance.m_id});
       const bool is_working =
-          known != summaries.end() && IsServing(view, instance) &&
-          !instance.m_suspect && IsWorking(known->second.m_summary);
+          known != siblings.end() && IsServing(view, instance) &&
+          !instance.m_suspect && IsWorking(known->second.m_summary.m_summary);
       statuses.push_back({.m_run = {.m_instance = instance.m_id,
                                     .m_incarnation = instance.m_incarnation},
                           .m_replayed = view.m_entry->m_config_version,
--- a/libs/node/src/ejection_keeper_p.h
+++ b/libs/node/src/ejection_keeper_p.h
@@ -14,9 +14,13 @@
 
 namespace sequoiastage {
 
-// Newest summaries of instances, by service.
-using SiblingSummaries =
-    std::map<std::pair<ServiceId, InstanceId>, SiblingSummary>;
+// The newest that is known of an instance of an own service.
+struct Sibling {
+  SiblingSummary m_summary;
+  InstanceLoad m_load;
+};
+
+using Siblings = std::map<std::pair<ServiceId, InstanceId>, Sibling>;
 
 // Turns verdicts of the own egress into ejection grants and readmissions on the
 // log, and says which ejections this node heeds. Owned by the control thread.
@@ -28,7 +32,7 @@
   // Asks for what the judges of the own instances want, each at most once in
   // kAskInterval.
   void OnReports(const std::vector<InstanceReport>& reports,
-                 const SiblingSummaries& summaries,
+                 const Siblings& siblings,
                  TimePoint now);
 
   // To be called when members or ejections have changed.
@@ -38,13 +42,11 @@
   bool IsEjected(InstanceId instance, Incarnation incarnation) const;
 
  private:
-  void AskForEjection(const InstanceReport& report,
-                      const SiblingSummaries& summaries);
+  void AskForEjection(const InstanceReport& report, const Siblings& siblings);
   void AskForReadmission(const InstanceReport& report);
   RecordHeader MakeHeader(const char* kind, const InstanceReport& report);
-  std::vector<InstanceStatus> StatusesOf(
-      ServiceId service,
-      const SiblingSummaries& summaries) const;
+  std::vector<InstanceStatus> StatusesOf(ServiceId service,
+                                         const Siblings& siblings) const;
   const std::string* NameOf(ServiceId service) const;
 
   const Membership* m_membership;
--- a/libs/node/src/group_report.cc
+++ b/libs/node/src/group_report.cc
@@ -11,7 +11,9 @@
 
 template <class Archive>
 void serialize(Archive& archive, InstanceNews& news) {
-  archive(news.m_instance, news.m_summary);
+  InstanceLoad& load = news.m_load;
+  archive(load.m_instance, load.m_slots, load.m_in_use, load.m_queued,
+          load.m_is_suspect, news.m_summary);
 }
 
 std::vector<uint8_t> EncodeGroupReport(const std::vector<InstanceNews>& news) {
--- a/libs/node/src/group_report_p.h
+++ b/libs/node/src/group_report_p.h
@@ -6,14 +6,14 @@
 #include <span>
 #include <vector>
 
-#include "sequoiastage/base/ids.h"
 #include "sequoiastage/health/instance_summary.h"
+#include "sequoiastage/wire/messages.h"
 
 namespace sequoiastage {
 
 // What one egress tells the other egresses of a service of one instance.
 struct InstanceNews {
-  InstanceId m_instance;
+  InstanceLoad m_load;
   InstanceSummary m_summary;
 };
 
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -139,6 +139,13 @@
                 m_egress.SetBaseline(instance, baseline);
               });
             },
+        .m_on_siblings =
+            [this](ServiceId service, std::vector<InstanceLoad> loads) {
+              asio::post(m_egress_io,
+                         [this, service, loads = std::move(loads)]() mutable {
+                           m_egress.SetSiblings(service, std::move(loads));
+                         });
+            },
         .m_on_superseded = [this](Incarnation other) { OnSuperseded(other); },
         .m_look_up_key =
             [this](const std::string& key,
--- /dev/null
+++ b/libs/node/tests/egress_test.cc
@@ -0,0 +1,77 @@
+#include "../src/egress_p.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+namespace sequoiastage {
+namespace {
+
+constexpr Incarnation kOwn{7};
+constexpr ServiceId kService{1};
+
+InstanceId At(uint16_t port) {
+  return InstanceId(Endpoint{.m_ip = 0x7f000001, .m_port = port});
+}
+
+class EgressTest : public testing::Test {
+ protected:
+  EgressTest() : m_egress(m_io, kOwn) {
+    m_egress.SetInstances({{.m_id = At(9),
+                            .m_service = kService,
+                            .m_incarnation = Incarnation(1),
+                            .m_slots = 1,
+                            .m_queue_length = 0}});
+  }
+
+  // Result of a dispatch that is refused at once; empty when it is not.
+  std::optional<ResultMessage> Dispatch(uint64_t counter) {
+    std::optional<ResultMessage> result;
+    const auto deadline = WallNow() + std::chrono::seconds(5);
+    m_egress.Dispatch(
+        {.m_attempt = {.m_incarnation = Incarnation(1), .m_counter = counter},
+         .m_egress_incarnation = kOwn,
+         .m_service = kService,
+         .m_instance = At(9),
+         .m_is_repeatable = true,
+         .m_deadline_ms = deadline.time_since_epoch().count(),
+         .m_request = {.m_method = "GET", .m_target = "/"}},
+        [&result](ResultMessage got) { result = std::move(got); });
+    return result;
+  }
+
+  asio::io_context m_io;
+  Egress m_egress;
+};
+
+TEST_F(EgressTest, ARefusalNamesTheBestInstancesElsewhere) {
+  m_egress.SetSiblings(
+      kService,
+      {{.m_instance = At(1), .m_slots = 3, .m_in_use = 3},
+       {.m_instance = At(2), .m_slots = 3, .m_is_suspect = true},
+       {.m_instance = At(3), .m_slots = 3, .m_in_use = 1},
+       {.m_instance = At(4), .m_slots = 3},
+       {.m_instance = At(5), .m_slots = 3, .m_in_use = 3, .m_queued = 2}});
+  ASSERT_FALSE(Dispatch(1).has_value());
+  const auto refused = Dispatch(2);
+  ASSERT_TRUE(refused.has_value());
+  EXPECT_EQ(refused->m_result, AttemptResult::kNotStarted);
+  EXPECT_EQ(refused->m_reason, AttemptReason::kBusy);
+  std::vector<InstanceId> named;
+  for (const InstanceLoad& load : refused->m_loads) {
+    named.push_back(load.m_instance);
+  }
+  EXPECT_EQ(named, (std::vector<InstanceId>{At(9), At(4), At(3), At(1)}));
+}
+
+TEST_F(EgressTest, NothingNewIsStartedWhileDraining) {
+  m_egress.SetDraining(true);
+  const auto refused = Dispatch(1);
+  ASSERT_TRUE(refused.has_value());
+  EXPECT_EQ(refused->m_result, AttemptResult::kNotStarted);
+  EXPECT_EQ(refused->m_reason, AttemptReason::kDraining);
+  EXPECT_EQ(m_egress.InFlight(), 0U);
+}
+
+}  // namespace
+}  // namespace sequoiastage
