Charge the retry budget only when there is a target

A retry that found no instance took a token all the same, and a changed share did not reach a budget that was there.

--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -146,11 +146,9 @@
 void RequestRunner::SendAttempt(RunId run, Execution& execution) {
   const bool is_late = WallNow() >= execution.m_request.m_deadline;
   const Target choice =
-      !is_late && MayTryAgain(execution) && TakeRetry(execution)
-          ? Pick(execution)
-          : Target{};
+      !is_late && MayTryAgain(execution) ? Pick(execution) : Target{};
   const InstanceView* target = choice.m_instance;
-  if (target == nullptr) {
+  if (target == nullptr || !TakeRetry(execution)) {
     Follow(run, execution.m_tracker.OnNoTarget());
     return;
   }
@@ -397,16 +395,28 @@
 bool RequestRunner::TakeRetry(const Execution& execution) {
   const RunRequest& request = execution.m_request;
   const TimePoint now = Now();
-  const auto [budget, is_new] = m_budgets.try_emplace(
-      request.m_service, RetryBudgetOptions{.m_share = request.m_retry_share},
-      now);
+  RetryBudget& budget = BudgetOf(request, now);
   if (execution.m_sent.empty()) {
-    budget->second.OnRequest(now);
+    budget.OnRequest(now);
     return true;
   }
   const bool is_first_refusal =
       execution.m_sent.size() == 1 && !execution.m_sent.front().m_may_have_run;
-  return is_first_refusal || budget->second.TryRetry(now);
+  return is_first_refusal || budget.TryRetry(now);
+}
+
+RetryBudget& RequestRunner::BudgetOf(const RunRequest& request, TimePoint now) {
+  const auto [it, is_new] = m_budgets.try_emplace(
+      request.m_service,
+      ServiceBudget{
+          .m_share = request.m_retry_share,
+          .m_budget = RetryBudget({.m_share = request.m_retry_share}, now)});
+  ServiceBudget& known = it->second;
+  if (known.m_share != request.m_retry_share) {
+    known.m_share = request.m_retry_share;
+    known.m_budget = RetryBudget({.m_share = request.m_retry_share}, now);
+  }
+  return known.m_budget;
 }
 
 std::vector<NodeId> RequestRunner::OnTick() {
--- a/libs/node/src/request_runner_p.h
+++ b/libs/node/src/request_runner_p.h
@@ -93,6 +93,11 @@
  private:
   using RunId = uint64_t;
 
+  struct ServiceBudget {
+    double m_share = 0;
+    RetryBudget m_budget;
+  };
+
   struct SentAttempt {
     AttemptId m_id;
     InstanceId m_instance;
@@ -136,6 +141,8 @@
   OutcomeStep StepForAnswer(Execution& execution, ResultMessage& result);
   Target Pick(const Execution& execution);
   bool TakeRetry(const Execution& execution);
+  // The service's budget, started anew when its share has changed.
+  RetryBudget& BudgetOf(const RunRequest& request, TimePoint now);
   void GiveUpOnSuspectPaths();
   void Close(SentAttempt& sent);
   SentAttempt* FindSent(Execution& execution, const AttemptId& attempt);
@@ -144,7 +151,7 @@
   Options m_options;
   Transport& m_transport;
   TargetPicker m_picker;
-  std::unordered_map<ServiceId, RetryBudget> m_budgets;
+  std::unordered_map<ServiceId, ServiceBudget> m_budgets;
   RetryAfter m_retry_after;
   RunId m_last_run = 0;
   uint64_t m_last_counter = 0;
