--- a/apps/sequoiactl/node_api.cc
+++ b/apps/sequoiactl/node_api.cc
@@ -36,7 +36,7 @@
   const HttpCallOptions options = {
       .m_server = m_admin,
       .m_timeout = kCallTimeout,
-      .m_is_repeatable = request.m_method == "GET"};
+      .m_is_idempotent = request.m_method == "GET"};
   const HttpCallResult call = m_transport.Call(options, std::move(request));
   if (call.m_error != HttpCallError::kNone) {
     return {.m_reason = call.m_reason};
--- a/bench/capacity_bench/routing_section.cc
+++ b/bench/capacity_bench/routing_section.cc
@@ -33,7 +33,7 @@
     }
     const Selector selector;
     order.Add(count, 1e6 * SecondsPerCall([&] {
-                       selector.Order(candidates, {.m_repeatable = true},
+                       selector.Order(candidates, {.m_idempotent = true},
                                       random);
                      }));
   }
--- a/bench/decision_bench/overload_fake.h
+++ b/bench/decision_bench/overload_fake.h
@@ -74,7 +74,7 @@
 
   struct Request {
     AccountId m_account;
-    bool m_is_repeatable = false;
+    bool m_is_idempotent = false;
     bool m_is_answered = false;
     double m_criticality = 0;
     TimePoint m_arrived;
@@ -116,7 +116,7 @@
     const bool is_small = Uniform() < m_options.m_small_account_share;
     const auto request = std::make_shared<Request>();
     request->m_account = AccountId(is_small ? 1 : 2);
-    request->m_is_repeatable = Uniform() < m_options.m_repeatable_share;
+    request->m_is_idempotent = Uniform() < m_options.m_idempotent_share;
     request->m_criticality = kCriticalities[m_next_order % 3];
     request->m_arrived = m_now;
     request->m_deadline = m_now + m_options.m_deadline;
@@ -143,7 +143,7 @@
 
   // Sends further copies at once, or later while there is no answer.
   void Replicate(const RequestRef& request) {
-    if (!request->m_is_repeatable) {
+    if (!request->m_is_idempotent) {
       return;
     }
     const ReplicationOptions& options = m_options.m_replication;
@@ -215,7 +215,7 @@
       return m_gates[i].Queued() < m_gates[i].QueueLimit();
     };
     std::optional<size_t> chosen;
-    if (request.m_is_repeatable) {
+    if (request.m_is_idempotent) {
       chosen = Choose(request, [&](size_t i) {
         return !is_regular(i) && has_slot(i) &&
                m_policy.TakeProbation(i, m_now);
@@ -354,7 +354,7 @@
       NoteAnswer(*request);
       return;
     }
-    if (request->m_copies.empty() && request->m_is_repeatable &&
+    if (request->m_copies.empty() && request->m_is_idempotent &&
         m_now < request->m_deadline && m_budget.TryRetry(m_now)) {
       Dispatch(request);
     }
--- a/bench/decision_bench/overload_options.h
+++ b/bench/decision_bench/overload_options.h
@@ -19,7 +19,7 @@
   Duration m_service_time = std::chrono::milliseconds(150);
   double m_latency_sigma = 0.4;
   Duration m_deadline = std::chrono::seconds(2);
-  double m_repeatable_share = 0.8;
+  double m_idempotent_share = 0.8;
   /// Share of the requests that come from the small account.
   double m_small_account_share = 0.05;
   /// Load as multiple of what all slots can do.
--- a/bench/decision_bench/replication.cc
+++ b/bench/decision_bench/replication.cc
@@ -118,7 +118,7 @@
                                        {"1 hangs", {GrayFault::kHang}},
                                        {"1 is slow", {GrayFault::kSlow}}};
   fmt::print(
-      "12 instances of 3 slots, 80% of the requests repeatable, 10 h setting,\n"
+      "12 instances of 3 slots, 80% of the requests idempotent, 10 h setting,\n"
       "sums of {} runs.\n"
       "missed: requests without an answer in time, of all and of the third\n"
       "with criticality 1; runs: executions for a request; latency in s.\n\n"
--- a/bench/decision_bench/replication.h
+++ b/bench/decision_bench/replication.h
@@ -9,7 +9,7 @@
 
 enum class ReplicationMode {
   kNone,
-  /// Two copies of each repeatable request.
+  /// Two copies of each idempotent request.
   kAlways,
   /// Copies until the probability of an answer reaches a threshold that grows
   /// with the request's criticality (Quiane-Ruiz, Lamarre, Valduriez, 2011),
@@ -33,7 +33,7 @@
   Duration m_hedge_delay = std::chrono::milliseconds(350);
 };
 
-/// Copies of a repeatable request to send at once.
+/// Copies of an idempotent request to send at once.
 uint32_t CopiesOf(const ReplicationOptions& options,
                   double criticality,
                   double free_share);
--- a/bench/decision_bench/service_fake.h
+++ b/bench/decision_bench/service_fake.h
@@ -20,7 +20,7 @@
   Duration m_median_latency = std::chrono::milliseconds(150);
   double m_latency_sigma = 0.4;
   Duration m_deadline = std::chrono::seconds(5);
-  double m_repeatable_share = 0.8;
+  double m_idempotent_share = 0.8;
   Duration m_tick = std::chrono::milliseconds(100);
   Duration m_exchange = std::chrono::milliseconds(500);
   Duration m_probe_interval = std::chrono::seconds(1);
@@ -277,7 +277,7 @@
   void Arrive() {
     ++m_stats.m_requests;
     std::optional<size_t> chosen;
-    if (Uniform() < m_options.m_repeatable_share) {
+    if (Uniform() < m_options.m_idempotent_share) {
       chosen = ChooseForProbation();
     }
     if (!chosen) {
--- a/bench/load_generator/load_generator.cc
+++ b/bench/load_generator/load_generator.cc
@@ -53,7 +53,7 @@
       std::to_string(m_options.m_seed) + "-" + std::to_string(++m_last_id);
   const bool is_write = std::uniform_real_distribution<double>()(m_random) <
                         m_options.m_write_share;
-  call.m_is_repeatable = !is_write;
+  call.m_is_idempotent = !is_write;
   call.m_started = Now();
   call.m_target = m_last_id % m_options.m_targets.size();
   call.m_request = {
@@ -71,7 +71,7 @@
 void LoadGenerator::Send(Call call) {
   const HttpCallOptions options{.m_server = m_options.m_targets[call.m_target],
                                 .m_timeout = m_options.m_deadline + kSlack,
-                                .m_is_repeatable = call.m_is_repeatable};
+                                .m_is_idempotent = call.m_is_idempotent};
   HttpRequest request = call.m_request;
   m_client.Start(options, std::move(request),
                  [this, call = std::move(call)](const HttpCallResult& result) {
--- a/bench/load_generator/load_generator.h
+++ b/bench/load_generator/load_generator.h
@@ -18,7 +18,7 @@
 struct LoadOptions {
   /// Nodes that callers send to, in turn.
   std::vector<Endpoint> m_targets;
-  /// Host and path of repeatable requests.
+  /// Host and path of idempotent requests.
   std::string m_host;
   std::string m_read_path;
   /// Path of requests that must run at most once.
@@ -63,7 +63,7 @@
   struct Call {
     std::string m_id;
     HttpRequest m_request;
-    bool m_is_repeatable = true;
+    bool m_is_idempotent = true;
     TimePoint m_started;
     int m_resends = 0;
     size_t m_target = 0;
--- a/bench/load_generator/main.cc
+++ b/bench/load_generator/main.cc
@@ -17,7 +17,7 @@
           {},
           "Callers' addresses of nodes, IP:PORT,IP:PORT,...");
 ABSL_FLAG(std::string, host, "localhost", "Host of the requests.");
-ABSL_FLAG(std::string, read_path, "/status", "Path of repeatable requests.");
+ABSL_FLAG(std::string, read_path, "/status", "Path of idempotent requests.");
 ABSL_FLAG(std::string, write_path, "/approvals", "Path of the others.");
 ABSL_FLAG(double, write_share, 0.2, "Share of requests to --write_path.");
 ABSL_FLAG(double, rate, 200, "Requests a second.");
--- a/libs/config/include/sequoiastage/config/config.h
+++ b/libs/config/include/sequoiastage/config/config.h
@@ -79,12 +79,12 @@
   /// Methods served; every method when empty.
   std::vector<std::string> m_methods{};
   /// Methods whose requests may run more than once.
-  std::vector<std::string> m_repeatable{"GET", "HEAD"};
+  std::vector<std::string> m_idempotent{"GET", "HEAD"};
   /// Weight of a late answer, 0 to 1.
   double m_criticality = 0.5;
 
   bool Allows(std::string_view method) const;
-  bool IsRepeatable(std::string_view method) const;
+  bool IsIdempotent(std::string_view method) const;
 
   friend bool operator==(const Route&, const Route&) = default;
 };
--- a/libs/config/include/sequoiastage/config/config_parse.h
+++ b/libs/config/include/sequoiastage/config/config_parse.h
@@ -33,7 +33,7 @@
 ///         "path": "/approvals",
 ///         "service": "approvals",
 ///         "methods": ["GET", "POST"],
-///         "repeatable": ["GET"],
+///         "idempotent": ["GET"],
 ///         "criticality": 0.9
 ///       }
 ///     },
--- a/libs/config/src/config.cc
+++ b/libs/config/src/config.cc
@@ -24,8 +24,8 @@
   return m_methods.empty() || Contains(m_methods, method);
 }
 
-bool Route::IsRepeatable(std::string_view method) const {
-  return Contains(m_repeatable, method);
+bool Route::IsIdempotent(std::string_view method) const {
+  return Contains(m_idempotent, method);
 }
 
 const Service* Config::FindService(ServiceId id) const {
--- a/libs/config/tests/config_parse_test.cc
+++ b/libs/config/tests/config_parse_test.cc
@@ -22,7 +22,7 @@
   "routes": {
     "approve": {"host": "filing.example", "path": "/approvals",
                 "service": "approvals", "methods": ["POST"],
-                "repeatable": [], "criticality": 0.9},
+                "idempotent": [], "criticality": 0.9},
     "search": {"host": "filing.example", "path": "/archive/",
                "service": "archive"}
   },
@@ -60,11 +60,11 @@
   EXPECT_EQ(*approvals, expected);
   ASSERT_EQ(config->m_routes.size(), 2U);
   const Route& approve = config->m_routes[0];
-  EXPECT_FALSE(approve.IsRepeatable("POST"));
+  EXPECT_FALSE(approve.IsIdempotent("POST"));
   EXPECT_FALSE(approve.Allows("GET"));
   const Route& search = config->m_routes[1];
-  EXPECT_TRUE(search.IsRepeatable("GET"));
-  EXPECT_FALSE(search.IsRepeatable("POST"));
+  EXPECT_TRUE(search.IsIdempotent("GET"));
+  EXPECT_FALSE(search.IsIdempotent("POST"));
   EXPECT_TRUE(search.Allows("POST"));
   ASSERT_NE(config->FindAccount(AccountIdOf("growers")), nullptr);
   EXPECT_EQ(config->FindAccount(AccountIdOf("growers"))->m_share, 2);
--- a/libs/config/tests/examples_test.cc
+++ b/libs/config/tests/examples_test.cc
@@ -49,7 +49,7 @@
   const RouteTable routes(fleet->FindSite("mikulov")->m_routes);
   const Route* fees = routes.Find("office.znojmo.example", "/fees/17");
   ASSERT_NE(fees, nullptr);
-  EXPECT_FALSE(fees->IsRepeatable("POST"));
+  EXPECT_FALSE(fees->IsIdempotent("POST"));
   EXPECT_EQ(fees->m_service, ServiceIdOf("approvals"));
 }
 
--- a/libs/execution/include/sequoiastage/execution/key_ledger.h
+++ b/libs/execution/include/sequoiastage/execution/key_ledger.h
@@ -72,7 +72,7 @@
 };
 
 /// Ledger of the keys that one run of a node issued. It decides alone whether a
-/// non-repeatable request is run:
+/// non-idempotent request is run:
 ///
 ///   unused -> running -> answered | unknown
 ///                     -> not-run, which may be dispatched again
--- a/libs/execution/include/sequoiastage/execution/outcome_tracker.h
+++ b/libs/execution/include/sequoiastage/execution/outcome_tracker.h
@@ -33,7 +33,7 @@
 
 struct OutcomeOptions {
   /// Idempotent: may be sent again even where it may have run.
-  bool m_is_repeatable = false;
+  bool m_is_idempotent = false;
   uint32_t m_max_attempts = 3;
 };
 
@@ -74,7 +74,7 @@
   OutcomeStep OnRunning(const AttemptId& attempt);
 
   /// The connection that the attempt or a query about it was sent on broke, or
-  /// the egress is held to be unreachable. Repeatable work is then tried
+  /// the egress is held to be unreachable. Idempotent work is then tried
   /// elsewhere; for other work the egress is asked until the deadline. Where a
   /// newer incarnation of the egress is seen, call OnMayHaveRun() instead.
   OutcomeStep OnLinkBroken(const AttemptId& attempt);
--- a/libs/execution/src/outcome_tracker.cc
+++ b/libs/execution/src/outcome_tracker.cc
@@ -46,7 +46,7 @@
     return {};
   }
   const bool was_queried = found->m_was_queried;
-  if (m_options.m_is_repeatable && (was_queried || !IsLastAttempt())) {
+  if (m_options.m_is_idempotent && (was_queried || !IsLastAttempt())) {
     return Close(attempt, State::kMayHaveRun);
   }
   found->m_was_queried = true;
@@ -101,7 +101,7 @@
   if (HasState(State::kOpen)) {
     return false;
   }
-  if (!m_options.m_is_repeatable && HasState(State::kMayHaveRun)) {
+  if (!m_options.m_is_idempotent && HasState(State::kMayHaveRun)) {
     return false;
   }
   return !IsLastAttempt();
--- a/libs/execution/tests/fake_fleet.h
+++ b/libs/execution/tests/fake_fleet.h
@@ -38,7 +38,7 @@
 template <class Tracker, class Keys>
 class FakeFleet {
  public:
-  explicit FakeFleet(bool is_repeatable) : m_is_repeatable(is_repeatable) {
+  explicit FakeFleet(bool is_idempotent) : m_is_idempotent(is_idempotent) {
     for (int i = 0; i < kRequests; ++i) {
       m_keys.push_back(m_issuer.Issue(Now()));
     }
@@ -107,7 +107,7 @@
 
   /// First broken promise, or an empty text.
   std::string BrokenPromise() const {
-    for (int request = 0; request < kRequests && !m_is_repeatable; ++request) {
+    for (int request = 0; request < kRequests && !m_is_idempotent; ++request) {
       if (m_executions[request] > 1) {
         return "executed more than once";
       }
@@ -129,8 +129,8 @@
 
   // One dispatch of a request, from its start to the outcome.
   struct Round {
-    explicit Round(bool is_repeatable)
-        : m_tracker({.m_is_repeatable = is_repeatable, .m_max_attempts = 2}) {}
+    explicit Round(bool is_idempotent)
+        : m_tracker({.m_is_idempotent = is_idempotent, .m_max_attempts = 2}) {}
     Tracker m_tracker;
     int m_request = 0;
     IdempotencyKey m_key;
@@ -153,7 +153,7 @@
 
   // A caller shows the key of a request, for the first time or again.
   void Show(int request) {
-    if (!m_is_repeatable) {
+    if (!m_is_idempotent) {
       const KeyDecision decision = m_key_ledger.Present(
           m_issuer, m_keys[request], Fingerprint(request), KeyWaiter(0), Now());
       if (decision.m_answer != nullptr) {
@@ -163,7 +163,7 @@
         return;
       }
     }
-    Round round(m_is_repeatable);
+    Round round(m_is_idempotent);
     round.m_request = request;
     round.m_key = m_keys[request];
     round.m_deadline = Now() + std::chrono::milliseconds(20);
@@ -217,7 +217,7 @@
         m_told_not_run.insert(id);
       }
     }
-    if (!m_is_repeatable) {
+    if (!m_is_idempotent) {
       m_key_ledger.Resolve(
           round.m_key, outcome,
           std::make_shared<const std::string>(std::to_string(round.m_request)));
@@ -323,7 +323,7 @@
     m_rounds.clear();
   }
 
-  bool m_is_repeatable;
+  bool m_is_idempotent;
   bool m_has_target = true;
   int64_t m_now_ms = 0;
   uint64_t m_next_counter = 0;
--- a/libs/execution/tests/outcome_tracker_test.cc
+++ b/libs/execution/tests/outcome_tracker_test.cc
@@ -74,11 +74,11 @@
 constexpr int kSchedulesPerCase = 10;
 
 template <class Tracker, class Keys>
-void KeepsPromises(bool is_repeatable, int schedules) {
+void KeepsPromises(bool is_idempotent, int schedules) {
   int answered = 0;
   int not_run = 0;
   for (int i = 0; i < schedules; ++i) {
-    FakeFleet<Tracker, Keys> fleet(is_repeatable);
+    FakeFleet<Tracker, Keys> fleet(is_idempotent);
     for (const FleetStep& step : Schedule()) {
       fleet.Do(step);
     }
@@ -92,26 +92,26 @@
 }
 
 RC_GTEST_PROP(OutcomeTrackerTest, NothingRunsTwiceAndNotRunIsTrue, ()) {
-  KeepsPromises<OutcomeTracker, KeyLedger>(/*is_repeatable=*/false,
+  KeepsPromises<OutcomeTracker, KeyLedger>(/*is_idempotent=*/false,
                                            kSchedulesPerCase);
 }
 
-RC_GTEST_PROP(OutcomeTrackerTest, NotRunIsTrueForRepeatableWork, ()) {
-  KeepsPromises<OutcomeTracker, KeyLedger>(/*is_repeatable=*/true,
+RC_GTEST_PROP(OutcomeTrackerTest, NotRunIsTrueForIdempotentWork, ()) {
+  KeepsPromises<OutcomeTracker, KeyLedger>(/*is_idempotent=*/true,
                                            kSchedulesPerCase);
 }
 
 TEST(OutcomeTrackerTest, NaiveVersionsBreakThePromises) {
   EXPECT_FALSE(rc::check("retry on a broken link, expected to fail", [] {
-    KeepsPromises<RetryOnBrokenLink, KeyLedger>(/*is_repeatable=*/false,
+    KeepsPromises<RetryOnBrokenLink, KeyLedger>(/*is_idempotent=*/false,
                                                 /*schedules=*/1);
   }));
   EXPECT_FALSE(rc::check("not-run on a timeout, expected to fail", [] {
-    KeepsPromises<NotRunOnTimeout, KeyLedger>(/*is_repeatable=*/false,
+    KeepsPromises<NotRunOnTimeout, KeyLedger>(/*is_idempotent=*/false,
                                               /*schedules=*/1);
   }));
   EXPECT_FALSE(rc::check("keys of any run, expected to fail", [] {
-    KeepsPromises<OutcomeTracker, KeysOfAnyRun>(/*is_repeatable=*/false,
+    KeepsPromises<OutcomeTracker, KeysOfAnyRun>(/*is_idempotent=*/false,
                                                 /*schedules=*/1);
   }));
 }
@@ -158,8 +158,8 @@
   EXPECT_FALSE(tracker.MaySend(Id(2)));
 }
 
-TEST(OutcomeTrackerTest, RepeatableWorkGoesElsewhereAndTakesALateAnswer) {
-  OutcomeTracker tracker({.m_is_repeatable = true});
+TEST(OutcomeTrackerTest, IdempotentWorkGoesElsewhereAndTakesALateAnswer) {
+  OutcomeTracker tracker({.m_is_idempotent = true});
   ASSERT_TRUE(tracker.MaySend(Id(1)));
   EXPECT_EQ(tracker.OnLinkBroken(Id(1)).m_next, NextStep::kSend);
   ASSERT_TRUE(tracker.MaySend(Id(2)));
@@ -167,8 +167,8 @@
   EXPECT_EQ(tracker.OnDeadline().m_next, NextStep::kWait);
 }
 
-TEST(OutcomeTrackerTest, RepeatableWorkThatFailedEverywhereIsUnknown) {
-  OutcomeTracker tracker({.m_is_repeatable = true, .m_max_attempts = 2});
+TEST(OutcomeTrackerTest, IdempotentWorkThatFailedEverywhereIsUnknown) {
+  OutcomeTracker tracker({.m_is_idempotent = true, .m_max_attempts = 2});
   ASSERT_TRUE(tracker.MaySend(Id(1)));
   EXPECT_EQ(tracker.OnMayHaveRun(Id(1)).m_next, NextStep::kSend);
   ASSERT_TRUE(tracker.MaySend(Id(2)));
--- a/libs/health/include/sequoiastage/health/instance_judge.h
+++ b/libs/health/include/sequoiastage/health/instance_judge.h
@@ -70,7 +70,7 @@
   void OnEjected(TimePoint now);
   void OnReadmitted(TimePoint now);
 
-  /// Whether a suspect may be given one repeatable request now to prove
+  /// Whether a suspect may be given one idempotent request now to prove
   /// itself. True at most once for each probation interval and never while
   /// slow work is in flight; always true for a healthy instance and never for
   /// an ejected one.
--- a/libs/http/include/sequoiastage/http/http_client.h
+++ b/libs/http/include/sequoiastage/http/http_client.h
@@ -12,7 +12,7 @@
 #include "sequoiastage/base/time.h"
 
 /// HTTP/1.1 client on one io_context that one thread runs. It never sends a
-/// request twice by itself unless `m_is_repeatable` allows it.
+/// request twice by itself unless `m_is_idempotent` allows it.
 namespace sequoiastage {
 
 struct HttpCallOptions {
@@ -24,9 +24,9 @@
   /// Answers with a larger body fail as kIncomplete.
   size_t m_max_body_bytes = size_t{8} << 20;
   /// The HTTP library sends a request again when a connection that it kept
-  /// alive turns out closed. So other than repeatable requests always get a
+  /// alive turns out closed. So other than idempotent requests always get a
   /// new connection.
-  bool m_is_repeatable = false;
+  bool m_is_idempotent = false;
 };
 
 enum class HttpCallError : uint8_t {
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -147,7 +147,7 @@
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, Millis(options.m_timeout));
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      Millis(options.m_connect_timeout));
-    if (!options.m_is_repeatable) {
+    if (!options.m_is_idempotent) {
       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
--- a/libs/http/tests/http_test.cc
+++ b/libs/http/tests/http_test.cc
@@ -32,9 +32,9 @@
  protected:
   HttpTest() : m_client(m_io), m_server_at(FreeEndpoint(m_io)) {}
 
-  HttpCallResult Call(HttpRequest request, bool is_repeatable = true) {
+  HttpCallResult Call(HttpRequest request, bool is_idempotent = true) {
     std::optional<HttpCallResult> result;
-    m_client.Start({.m_server = m_server_at, .m_is_repeatable = is_repeatable},
+    m_client.Start({.m_server = m_server_at, .m_is_idempotent = is_idempotent},
                    std::move(request),
                    [&result](HttpCallResult got) { result = std::move(got); });
     RunUntil(m_io, result);
--- a/libs/node/src/caller_request.cc
+++ b/libs/node/src/caller_request.cc
@@ -126,7 +126,7 @@
   }
   checked.m_run.m_service = route->m_service;
   checked.m_run.m_account = AccountIdOf(checked.m_account);
-  checked.m_run.m_is_repeatable = route->IsRepeatable(request.m_method);
+  checked.m_run.m_is_idempotent = route->IsIdempotent(request.m_method);
   checked.m_run.m_deadline = now + deadline;
   if (service != nullptr) {
     checked.m_run.m_max_attempts = service->m_retries.m_max_attempts;
--- a/libs/node/src/config_feed.cc
+++ b/libs/node/src/config_feed.cc
@@ -125,7 +125,7 @@
   m_is_polling = true;
   m_client.Start({.m_server = m_options.m_log,
                   .m_timeout = kReadTimeout,
-                  .m_is_repeatable = true},
+                  .m_is_idempotent = true},
                  MakeReadRequest(m_replay.NextOffset(), kPageRecords),
                  [this](const HttpCallResult& result) {
                    m_is_polling = false;
--- a/libs/node/src/egress.cc
+++ b/libs/node/src/egress.cc
@@ -169,7 +169,7 @@
       message.m_accept_suspect) {
     return true;
   }
-  return message.m_is_repeatable && instance.m_judge.TakeProbationTurn(Now());
+  return message.m_is_idempotent && instance.m_judge.TakeProbationTurn(Now());
 }
 
 void Egress::Refuse(const DispatchMessage& message,
@@ -232,8 +232,8 @@
   const auto left = DeadlineOf(attempt.m_message.m_deadline_ms) - WallNow();
   HttpCallOptions options{.m_server = instance.m_local.m_id.Get(),
                           .m_timeout = left,
-                          .m_is_repeatable = attempt.m_message.m_is_repeatable};
-  if (!attempt.m_message.m_is_repeatable) {
+                          .m_is_idempotent = attempt.m_message.m_is_idempotent};
+  if (!attempt.m_message.m_is_idempotent) {
     options.m_timeout += kLateAnswerTime;
   }
   HttpRequest request = std::move(attempt.m_message.m_request);
@@ -270,7 +270,7 @@
   if (result.m_result == AttemptResult::kAnswered) {
     ++m_stats.m_answered;
     m_ledger.MarkAnswered(
-        id, attempt.m_message.m_is_repeatable ? nullptr : StoreMessage(result));
+        id, attempt.m_message.m_is_idempotent ? nullptr : StoreMessage(result));
   } else {
     ++m_stats.m_failed;
     m_ledger.MarkFailed(id);
--- a/libs/node/src/ingress.cc
+++ b/libs/node/src/ingress.cc
@@ -189,7 +189,7 @@
     Refuse(key_text, std::move(problem), call);
     return;
   }
-  if (!checked->m_run.m_is_repeatable) {
+  if (!checked->m_run.m_is_idempotent) {
     RunKeyed(std::move(*checked), call);
     return;
   }
--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -31,7 +31,7 @@
                                     Done done)
     : m_request(std::move(request)),
       m_done(std::move(done)),
-      m_tracker({.m_is_repeatable = m_request.m_is_repeatable,
+      m_tracker({.m_is_idempotent = m_request.m_is_idempotent,
                  .m_max_attempts = m_request.m_max_attempts + kMaxRefusals}),
       m_timer(io) {}
 
@@ -168,7 +168,7 @@
   m_run_of[id] = run;
   m_picker.OnSent(target->m_id, target->m_node, Now());
   const WallTime now = WallNow();
-  if (request.m_is_repeatable) {
+  if (request.m_is_idempotent) {
     const auto attempts_left = static_cast<int>(
         request.m_max_attempts - std::min<size_t>(request.m_max_attempts - 1,
                                                   execution.m_sent.size() - 1));
@@ -183,7 +183,7 @@
           .m_service = request.m_service,
           .m_instance = target->m_id,
           .m_account = request.m_account,
-          .m_is_repeatable = request.m_is_repeatable,
+          .m_is_idempotent = request.m_is_idempotent,
           .m_accept_suspect = choice.m_accept_suspect,
           .m_completeness_field = request.m_completeness_field,
           .m_deadline_ms = request.m_deadline.time_since_epoch().count(),
@@ -232,7 +232,7 @@
     result.m_outcome = RequestOutcome::kAnswered;
     result.m_answer = std::move(*execution->m_error_answer);
   }
-  if (execution->m_request.m_is_repeatable) {
+  if (execution->m_request.m_is_idempotent) {
     CancelOpen(*execution);
   }
   for (SentAttempt& sent : execution->m_sent) {
@@ -368,7 +368,7 @@
                                          ResultMessage& result) {
   const bool is_error = result.m_reason == AttemptReason::kBackendError ||
                         result.m_reason == AttemptReason::kShed;
-  if (is_error && execution.m_request.m_is_repeatable) {
+  if (is_error && execution.m_request.m_is_idempotent) {
     execution.m_error_answer = std::move(result.m_answer);
     return execution.m_tracker.OnMayHaveRun(result.m_attempt);
   }
@@ -384,7 +384,7 @@
   }
   const RunRequest& request = execution.m_request;
   return m_picker.Pick(request.m_service,
-                       {.m_repeatable = request.m_is_repeatable,
+                       {.m_idempotent = request.m_is_idempotent,
                         .m_time_left = request.m_deadline - WallNow(),
                         .m_tried = tried},
                        Now());
@@ -427,11 +427,11 @@
   return probes;
 }
 
-// Repeatable work on a path that has gone silent is tried elsewhere.
+// Idempotent work on a path that has gone silent is tried elsewhere.
 void RequestRunner::GiveUpOnSuspectPaths() {
   std::vector<std::pair<RunId, AttemptId>> affected;
   for (const auto& [run, execution] : m_runs) {
-    if (!execution->m_request.m_is_repeatable || execution->m_sent.empty()) {
+    if (!execution->m_request.m_is_idempotent || execution->m_sent.empty()) {
       continue;
     }
     SentAttempt& last = execution->m_sent.back();
--- a/libs/node/src/request_runner_p.h
+++ b/libs/node/src/request_runner_p.h
@@ -26,7 +26,7 @@
   ServiceId m_service;
   AccountId m_account;
   std::string m_completeness_field;
-  bool m_is_repeatable = false;
+  bool m_is_idempotent = false;
   uint32_t m_max_attempts = 2;
   // Retries as a share of the service's requests.
   double m_retry_share = 0.1;
@@ -123,7 +123,7 @@
     AttemptReason m_reason = AttemptReason::kNone;
     // When work that has not started is cancelled; empty once that is done.
     std::optional<WallTime> m_cancel_at;
-    // When the open attempt of a repeatable request is given up for another.
+    // When the open attempt of an idempotent request is given up for another.
     std::optional<WallTime> m_attempt_until;
     std::optional<AttemptId> m_query_next;
   };
--- a/libs/node/tests/egress_test.cc
+++ b/libs/node/tests/egress_test.cc
@@ -33,7 +33,7 @@
          .m_egress_incarnation = kOwn,
          .m_service = kService,
          .m_instance = At(9),
-         .m_is_repeatable = true,
+         .m_is_idempotent = true,
          .m_deadline_ms = deadline.time_since_epoch().count(),
          .m_request = {.m_method = "GET", .m_target = "/"}},
         [&result](ResultMessage got) { result = std::move(got); });
--- a/libs/platform/include/sequoiastage/platform/log_client.h
+++ b/libs/platform/include/sequoiastage/platform/log_client.h
@@ -130,11 +130,11 @@
   const std::string& LastReason() const { return m_last_reason; }
 
  private:
-  HttpCallOptions CallOptions(bool is_repeatable) const {
+  HttpCallOptions CallOptions(bool is_idempotent) const {
     return {.m_server = m_options.m_service,
             .m_timeout = m_options.m_timeout,
             .m_connect_timeout = m_options.m_connect_timeout,
-            .m_is_repeatable = is_repeatable};
+            .m_is_idempotent = is_idempotent};
   }
 
   LogClientOptions m_options;
--- a/libs/routing/include/sequoiastage/routing/selector.h
+++ b/libs/routing/include/sequoiastage/routing/selector.h
@@ -53,7 +53,7 @@
 
 struct SelectionRequest {
   /// Running the request twice does no harm.
-  bool m_repeatable = false;
+  bool m_idempotent = false;
   /// Time until the caller's deadline.
   Duration m_time_left = std::chrono::seconds(30);
   /// Instances that had an attempt of this request.
@@ -63,7 +63,7 @@
 enum class ChoiceReason : uint8_t {
   /// Healthy, reachable and with a free slot.
   kHealthy,
-  /// Suspect, given a share of repeatable work to prove itself.
+  /// Suspect, given a share of idempotent work to prove itself.
   kProving,
   /// Suspect, because every healthy slot is busy.
   kSpillOver,
@@ -84,7 +84,7 @@
 };
 
 struct SelectorOptions {
-  /// Repeatable work a suspect gets to prove itself, as a share of what it
+  /// Idempotent work a suspect gets to prove itself, as a share of what it
   /// would get as a healthy instance.
   double m_proving_share = 0.05;
   /// Share of a healthy instance's slots that one in warm-up gets first.
--- a/libs/routing/src/selector.cc
+++ b/libs/routing/src/selector.cc
@@ -120,7 +120,7 @@
     OrderGroup(std::span(ranked).subspan(begin, end - begin), random);
     begin = end;
   }
-  if (request.m_repeatable && request.m_tried.empty()) {
+  if (request.m_idempotent && request.m_tried.empty()) {
     PlaceProving(ranked, m_options.m_proving_share, random);
   }
   std::vector<Choice> order;
--- a/libs/routing/tests/selector_test.cc
+++ b/libs/routing/tests/selector_test.cc
@@ -36,9 +36,9 @@
 /// Ours: the first of the order that has a free slot.
 struct OrderedSelection {
   std::optional<uint32_t> operator()(const std::vector<Candidate>& service,
-                                     bool repeatable,
+                                     bool idempotent,
                                      std::mt19937_64& random) const {
-    const SelectionRequest request{.m_repeatable = repeatable};
+    const SelectionRequest request{.m_idempotent = idempotent};
     for (const Choice& choice : Selector().Order(service, request, random)) {
       if (service[choice.m_index].HasFreeSlot()) {
         return choice.m_index;
@@ -51,7 +51,7 @@
 /// Deliberately naive: any instance that is not excluded.
 struct RandomSelection {
   std::optional<uint32_t> operator()(const std::vector<Candidate>& service,
-                                     bool /*repeatable*/,
+                                     bool /*idempotent*/,
                                      std::mt19937_64& random) const {
     std::vector<uint32_t> usable;
     for (uint32_t i = 0; i < service.size(); ++i) {
@@ -70,7 +70,7 @@
 /// Deliberately naive: suspicion excludes.
 struct FilteringSelection {
   std::optional<uint32_t> operator()(const std::vector<Candidate>& service,
-                                     bool /*repeatable*/,
+                                     bool /*idempotent*/,
                                      std::mt19937_64& /*random*/) const {
     for (uint32_t i = 0; i < service.size(); ++i) {
       if (HasRoom(service[i]) && !service[i].m_unreachable &&
@@ -100,10 +100,10 @@
   }
 }
 
-/// Whether non-repeatable work keeps off suspects while a healthy instance
+/// Whether non-idempotent work keeps off suspects while a healthy instance
 /// that can be reached has room.
 template <class Selection>
-bool KeepsNonRepeatableOffSuspects(uint64_t seed) {
+bool KeepsNonIdempotentOffSuspects(uint64_t seed) {
   std::mt19937_64 random(seed);
   const std::vector<Candidate> service = RandomService(random);
   const bool has_healthy = std::any_of(
@@ -137,23 +137,23 @@
 }
 
 RC_GTEST_PROP(SelectorTest,
-              SuspectGetsNoNonRepeatableWorkWhileAHealthyHasRoom,
+              SuspectGetsNoNonIdempotentWorkWhileAHealthyHasRoom,
               (uint64_t seed)) {
-  RC_ASSERT(KeepsNonRepeatableOffSuspects<OrderedSelection>(seed));
+  RC_ASSERT(KeepsNonIdempotentOffSuspects<OrderedSelection>(seed));
 }
 
-TEST(SelectorTest, RandomSelectionGivesNonRepeatableWorkToSuspects) {
-  EXPECT_GT(Failures(KeepsNonRepeatableOffSuspects<RandomSelection>), 50);
+TEST(SelectorTest, RandomSelectionGivesNonIdempotentWorkToSuspects) {
+  EXPECT_GT(Failures(KeepsNonIdempotentOffSuspects<RandomSelection>), 50);
 }
 
 RC_GTEST_PROP(SelectorTest,
               OrderHoldsAllButDrainingAndEjectedOnce,
-              (uint64_t seed, bool repeatable)) {
+              (uint64_t seed, bool idempotent)) {
   std::mt19937_64 random(seed);
   const std::vector<Candidate> service = RandomService(random);
   const std::vector<InstanceId> tried{Instance(0), Instance(3)};
   const auto order = Selector().Order(
-      service, {.m_repeatable = repeatable, .m_tried = tried}, random);
+      service, {.m_idempotent = idempotent, .m_tried = tried}, random);
   std::vector<uint32_t> indexes;
   for (const Choice& choice : order) {
     RC_ASSERT(!service[choice.m_index].IsExcluded());
@@ -172,7 +172,7 @@
               (uint64_t seed)) {
   std::mt19937_64 random(seed);
   const std::vector<Candidate> service = RandomService(random);
-  const auto order = Selector().Order(service, {.m_repeatable = true}, random);
+  const auto order = Selector().Order(service, {.m_idempotent = true}, random);
   const bool has_near = std::any_of(
       service.begin(), service.end(), [](const Candidate& candidate) {
         return HasRoom(candidate) && !candidate.m_unreachable &&
@@ -189,7 +189,7 @@
   const std::vector<Candidate> service = RandomService(random);
   const std::vector<InstanceId> tried{Instance(0), Instance(1)};
   const auto order = Selector().Order(
-      service, {.m_repeatable = true, .m_tried = tried}, random);
+      service, {.m_idempotent = true, .m_tried = tried}, random);
   bool is_tried = false;
   for (const Choice& choice : order) {
     const bool is_now = choice.m_index <= 1;
@@ -208,14 +208,14 @@
   return service;
 }
 
-TEST(SelectorTest, SuspectGetsASmallShareOfRepeatableWork) {
+TEST(SelectorTest, SuspectGetsASmallShareOfIdempotentWork) {
   std::mt19937_64 random(1);
   std::vector<Candidate> service = HealthyService(10);
   service[4].m_health = InstanceHealth::kSuspect;
   int proving = 0;
   for (int i = 0; i < 100'000; ++i) {
     const auto order =
-        Selector().Order(service, {.m_repeatable = true}, random);
+        Selector().Order(service, {.m_idempotent = true}, random);
     if (order[0].m_index == 4) {
       ++proving;
       EXPECT_EQ(order[0].m_reason, ChoiceReason::kProving);
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -30,7 +30,7 @@
   ServiceId m_service;
   InstanceId m_instance;
   AccountId m_account;
-  bool m_is_repeatable = false;
+  bool m_is_idempotent = false;
   /// True: run it though the instance is suspect, nothing better has room.
   bool m_accept_suspect = false;
   /// Field that a whole answer must carry; empty when none is asked for.
--- a/standins/backend_server/main.cc
+++ b/standins/backend_server/main.cc
@@ -233,7 +233,7 @@
     m_client.Start(
         {.m_server = *node,
          .m_timeout = std::chrono::seconds(1),
-         .m_is_repeatable = true},
+         .m_is_idempotent = true},
         {.m_method = "POST", .m_target = "/v1/announce", .m_body = body.dump()},
         [](const HttpCallResult&) {});
   }
