Count what crosses regions

Attempts and bytes of requests and answers over links to other regions, as metrics; a process test shows that only work with nothing nearer crosses.

--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -20,6 +20,23 @@
   return request.m_deadline + request.m_linger;
 }
 
+size_t BytesOf(const std::vector<HttpField>& fields) {
+  size_t bytes = 0;
+  for (const HttpField& field : fields) {
+    bytes += field.m_name.size() + field.m_value.size();
+  }
+  return bytes;
+}
+
+size_t BytesOf(const HttpRequest& request) {
+  return request.m_target.size() + BytesOf(request.m_fields) +
+         request.m_body.size();
+}
+
+size_t BytesOf(const HttpAnswer& answer) {
+  return BytesOf(answer.m_fields) + answer.m_body.size();
+}
+
 std::chrono::milliseconds CancelLead(std::chrono::milliseconds total) {
   return std::min(kCancelLead, total / kCancelShare);
 }
@@ -160,11 +177,17 @@
   ++m_stats.m_attempts;
   m_stats.m_retries += execution.m_sent.empty() ? 0 : 1;
   const RunRequest& request = execution.m_request;
+  const bool is_other_region = target->m_distance == Distance::kOtherRegion;
+  if (is_other_region) {
+    ++m_stats.m_other_region_attempts;
+    m_stats.m_other_region_bytes += BytesOf(request.m_request);
+  }
   execution.m_sent.push_back({.m_id = id,
                               .m_instance = target->m_id,
                               .m_node = target->m_node,
                               .m_node_incarnation = target->m_node_incarnation,
-                              .m_deadline = request.m_deadline});
+                              .m_deadline = request.m_deadline,
+                              .m_is_other_region = is_other_region});
   m_run_of[id] = run;
   m_picker.OnSent(target->m_id, target->m_node, Now());
   const WallTime now = WallNow();
@@ -340,6 +363,9 @@
                                    ResultMessage& result) {
   const AttemptId id = result.m_attempt;
   if (SentAttempt* sent = FindSent(execution, id)) {
+    if (sent->m_is_other_region) {
+      m_stats.m_other_region_bytes += BytesOf(result.m_answer);
+    }
     // After a lost link another run of the egress may have started it.
     if (sent->m_may_have_run &&
         result.m_reason == AttemptReason::kWrongIncarnation) {
--- a/libs/node/src/request_runner_p.h
+++ b/libs/node/src/request_runner_p.h
@@ -50,6 +50,10 @@
   uint64_t m_runs = 0;
   uint64_t m_attempts = 0;
   uint64_t m_retries = 0;
+  // Over the links to other regions: attempts, and the bytes of requests and
+  // answers (targets, fields and bodies).
+  uint64_t m_other_region_attempts = 0;
+  uint64_t m_other_region_bytes = 0;
 };
 
 // Has requests executed: picks instances, sends attempts, and tells one of
@@ -107,6 +111,7 @@
     // No final result has come.
     bool m_is_open = true;
     bool m_may_have_run = false;
+    bool m_is_other_region = false;
   };
 
   struct Execution {
--- a/libs/node/src/traffic_stats.cc
+++ b/libs/node/src/traffic_stats.cc
@@ -61,6 +61,12 @@
   AddCounter(metrics, "retries_total",
              "Attempts after the first one of a request.",
              stats.m_runner.m_retries);
+  AddCounter(metrics, "other_region_attempts_total",
+             "Attempts sent to instances in other regions.",
+             stats.m_runner.m_other_region_attempts);
+  AddCounter(metrics, "other_region_bytes_total",
+             "Bytes of requests and answers over links to other regions.",
+             stats.m_runner.m_other_region_bytes);
   AddGauge(metrics, "idempotency_keys",
            "Idempotency keys this node holds a state for.",
            stats.m_keys.m_keys);
--- a/libs/node/tests/traffic_stats_test.cc
+++ b/libs/node/tests/traffic_stats_test.cc
@@ -17,6 +17,7 @@
   TrafficStats traffic{.m_ingress_metrics = latencies.Collect()};
   traffic.m_ingress.m_answered = 5;
   traffic.m_egress.m_refused = 2;
+  traffic.m_ingress.m_runner.m_other_region_bytes = 300;
   const std::string text =
       RenderMetrics(ToMetrics(traffic, {.m_is_log_reachable = true}));
   EXPECT_TRUE(
@@ -24,6 +25,7 @@
   EXPECT_TRUE(HasLine(
       text, "sequoiastage_egress_attempts_total{result=\"refused\"} 2"));
   EXPECT_TRUE(HasLine(text, "sequoiastage_log_reachable 1"));
+  EXPECT_TRUE(HasLine(text, "sequoiastage_other_region_bytes_total 300"));
   EXPECT_TRUE(HasLine(text,
                       "sequoiastage_request_duration_seconds{outcome="
                       "\"answered\",quantile=\"0.5\"} 0.002"))
--- a/tests/end_to_end_test.cc
+++ b/tests/end_to_end_test.cc
@@ -110,6 +110,35 @@
   EXPECT_EQ(m_fleet.Executions()["one"], 1);
 }
 
+// Value of a metric without labels at the node; -1 when it is not there.
+int64_t MetricAt(const Fleet& fleet, int node, const std::string& name) {
+  const CallerAnswer answer =
+      Call({.m_to = fleet.Admin(node), .m_target = "/metrics"});
+  const std::string line = "\nsequoiastage_" + name + " ";
+  const size_t at = answer.m_body.find(line);
+  return at == std::string::npos
+             ? -1
+             : std::stoll(answer.m_body.substr(at + line.size()));
+}
+
+// Nodes 0 and 1 are in one region, node 2 is in another.
+TEST(RegionTest, OnlyWorkWithNothingNearerCrossesRegions) {
+  Fleet fleet({.m_instances_per_node = 1, .m_only_instances_at = 2});
+  ASSERT_EQ(fleet.Start(), "");
+  EXPECT_TRUE(fleet.IsServing(0));
+  EXPECT_TRUE(WaitUntil(std::chrono::seconds(5), [&fleet] {
+    return MetricAt(fleet, 0, "other_region_attempts_total") > 0 &&
+           MetricAt(fleet, 0, "other_region_bytes_total") > 0;
+  }));
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_TRUE(fleet.IsServing(2));
+  }
+  EXPECT_TRUE(WaitUntil(std::chrono::seconds(5), [&fleet] {
+    return MetricAt(fleet, 2, "attempts_total") >= 20;
+  }));
+  EXPECT_EQ(MetricAt(fleet, 2, "other_region_attempts_total"), 0);
+}
+
 // The work outlives the caller's deadline; its answer is there for the caller
 // who asks again.
 TEST(LateAnswerTest, IsGivenToTheCallerWhoShowsTheKeyAgain) {
