--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -14,5 +14,5 @@
 pattern=$(IFS='|'; echo "${folders[*]}")
 run-clang-tidy -quiet -j "${SEQUOIASTAGE_LINT_JOBS:-$(nproc)}" -p build \
   "$(pwd)/(${pattern})/.*" 2>/dev/null >build/lint.txt ||
-  { grep -E 'error|warning' build/lint.txt | sort -u; exit 1; }
+  { grep -aE 'error|warning' build/lint.txt | sort -u; exit 1; }
 echo "lint: clean (${#files[@]} files)"
