--- a/libs/node/src/caller_request.cc
+++ b/libs/node/src/caller_request.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr const char* kDeadlineField = "Sequoiastage-Deadline-Ms";
 constexpr const char* kAccountField = "Sequoiastage-Account";
 constexpr std::chrono::milliseconds kMaxDeadline{600'000};
 constexpr size_t kMaxAccountBytes = 128;
--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -56,8 +56,7 @@
                  const NodeSettings& settings,
                  Incarnation incarnation,
                  Outputs outputs)
-    : m_io(io),
-      m_settings(settings),
+    : m_settings(settings),
       m_outputs(std::move(outputs)),
       m_membership(MakeMembershipOptions(settings, incarnation), Now()),
       m_gossip(io,
@@ -195,7 +194,6 @@
   m_published_change = m_membership.ChangeCount();
   m_is_view_due = false;
   auto view = std::make_shared<NodeView>();
-  view->m_config_version = m_config.Version();
   view->m_config = m_config.InForce();
   view->m_routes = m_config.Routes();
   view->m_instances =
--- a/libs/node/src/control_p.h
+++ b/libs/node/src/control_p.h
@@ -88,7 +88,6 @@
 
   NodeAdminParts MakeAdminParts();
 
-  asio::io_context& m_io;
   const NodeSettings& m_settings;
   Outputs m_outputs;
   Membership m_membership;
--- a/libs/node/src/egress.cc
+++ b/libs/node/src/egress.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "call_verdict_p.h"
+#include "protocol_fields_p.h"
 #include "sequoiastage/logging/log_event.h"
 #include "stored_message_p.h"
 
@@ -18,12 +19,6 @@
 // Instances elsewhere that a refusal names.
 constexpr size_t kMaxHints = 3;
 
-constexpr const char* kDeadlineField = "Sequoiastage-Deadline-Ms";
-
-WallTime DeadlineOf(int64_t deadline_ms) {
-  return WallTime(std::chrono::milliseconds(deadline_ms));
-}
-
 AttemptTicket TicketOf(const DispatchMessage& message) {
   return {.m_id = message.m_attempt,
           .m_egress = message.m_egress_incarnation,
--- a/libs/node/src/ingress.cc
+++ b/libs/node/src/ingress.cc
@@ -180,11 +180,9 @@
 
 void Ingress::Admit(HttpRequest request, const std::shared_ptr<Call>& call) {
   Problem problem;
-  static const NodeView kNoView;
   const std::string key_text = KeyTextOf(request);
-  auto checked =
-      CheckRequest(m_view != nullptr ? *m_view : kNoView, std::move(request),
-                   m_options.m_default_deadline, WallNow(), problem);
+  auto checked = CheckRequest(*m_view, std::move(request),
+                              m_options.m_default_deadline, WallNow(), problem);
   if (!checked) {
     Refuse(key_text, std::move(problem), call);
     return;
@@ -246,8 +244,7 @@
   const AttemptId id = m_runner.NextAttempt();
   auto forward = std::make_unique<Forward>(m_io);
   forward->m_owner = owner;
-  forward->m_deadline =
-      WallTime(std::chrono::milliseconds(message.m_deadline_ms));
+  forward->m_deadline = DeadlineOf(message.m_deadline_ms);
   forward->m_message = std::move(message);
   forward->m_message.m_attempt = id;
   forward->m_done = std::move(done);
@@ -341,17 +338,14 @@
     return;
   }
   Problem problem;
-  static const NodeView kNoView;
-  auto checked = CheckRequest(m_view != nullptr ? *m_view : kNoView,
-                              std::move(message.m_request),
+  auto checked = CheckRequest(*m_view, std::move(message.m_request),
                               m_options.m_default_deadline, WallNow(), problem);
   if (!checked) {
     problem.m_outcome = OutcomeOfRefusal(*key);
     done({.m_outcome = problem.m_outcome, .m_answer = ToAnswer(problem)});
     return;
   }
-  checked->m_run.m_deadline =
-      WallTime(std::chrono::milliseconds(message.m_deadline_ms));
+  checked->m_run.m_deadline = DeadlineOf(message.m_deadline_ms);
   m_key_owner.Present(*key, message.m_account, std::move(checked->m_run), done);
 }
 
--- a/libs/node/src/ingress_p.h
+++ b/libs/node/src/ingress_p.h
@@ -119,7 +119,8 @@
   RequestRunner m_runner;
   KeyOwner m_key_owner;
   HttpServer m_server;
-  NodeViewPtr m_view;
+  // Empty until the control thread has made the first.
+  NodeViewPtr m_view = std::make_shared<const NodeView>();
   std::unordered_map<AttemptId, std::unique_ptr<Forward>> m_forwards;
   size_t m_in_flight = 0;
   bool m_is_draining = false;
--- a/libs/node/src/node_view_p.h
+++ b/libs/node/src/node_view_p.h
@@ -9,23 +9,16 @@
 #include "sequoiastage/base/ids.h"
 #include "sequoiastage/config/config.h"
 #include "sequoiastage/config/route_table.h"
+#include "sequoiastage/routing/selector.h"
 
 namespace sequoiastage {
 
-// How far an instance's host is away.
-enum class Distance : uint8_t {
-  kOwnHost,
-  kOwnFailureDomain,
-  kOwnRegion,
-  kOtherRegion,
-};
-
 // An instance as the ingress selects it.
 struct InstanceView {
   InstanceId m_id;
   NodeId m_node;
   Incarnation m_node_incarnation;
-  Distance m_distance = Distance::kOtherRegion;
+  Locality m_locality = Locality::kOtherRegion;
   uint16_t m_slots = 1;
   bool m_is_suspect = false;
   bool m_is_warming_up = false;
@@ -37,7 +30,6 @@
 // What the control thread knows, handed whole to the traffic threads.
 // Immutable.
 struct NodeView {
-  LogOffset m_config_version;
   std::shared_ptr<const Config> m_config;
   std::shared_ptr<const RouteTable> m_routes;
   std::unordered_map<ServiceId, std::vector<InstanceView>> m_instances;
--- a/libs/node/src/peer_connection_p.h
+++ b/libs/node/src/peer_connection_p.h
@@ -32,7 +32,6 @@
   bool Send(const Message& message);
 
   void Close(const std::string& reason);
-  bool IsOpen() const { return m_is_open; }
 
  private:
   void Read();
--- a/libs/node/src/peer_links.cc
+++ b/libs/node/src/peer_links.cc
@@ -44,13 +44,6 @@
              }) > 0;
 }
 
-void PeerLinks::Drop(NodeId node, const std::string& reason) {
-  const auto it = m_links.find(node);
-  if (it != m_links.end() && it->second.m_connection != nullptr) {
-    it->second.m_connection->Close(reason);
-  }
-}
-
 void PeerLinks::CloseAll() {
   *m_is_alive = false;
   for (auto& [node, link] : m_links) {
--- a/libs/node/src/peer_links_p.h
+++ b/libs/node/src/peer_links_p.h
@@ -46,11 +46,7 @@
   // not sent and never will be.
   bool Withdraw(NodeId node, const AttemptId& attempt);
 
-  // Ends the connection to `node`, if any; reported as lost.
-  void Drop(NodeId node, const std::string& reason);
-
   void CloseAll();
-  size_t Count() const { return m_links.size(); }
 
  private:
   struct Link {
--- a/libs/node/src/problem_p.h
+++ b/libs/node/src/problem_p.h
@@ -5,14 +5,12 @@
 #include <optional>
 #include <string>
 
+#include "protocol_fields_p.h"
 #include "sequoiastage/base/http_message.h"
 #include "sequoiastage/wire/messages.h"
 
 namespace sequoiastage {
 
-inline constexpr const char* kOutcomeField = "Sequoiastage-Outcome";
-inline constexpr const char* kKeyField = "Idempotency-Key";
-
 // An answer that the proxy gives itself.
 struct Problem {
   uint16_t m_status = 500;
--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -177,7 +177,7 @@
   ++m_stats.m_attempts;
   m_stats.m_retries += execution.m_sent.empty() ? 0 : 1;
   const RunRequest& request = execution.m_request;
-  const bool is_other_region = target->m_distance == Distance::kOtherRegion;
+  const bool is_other_region = target->m_locality == Locality::kOtherRegion;
   if (is_other_region) {
     ++m_stats.m_other_region_attempts;
     m_stats.m_other_region_bytes += BytesOf(request.m_request);
--- a/libs/node/src/target_picker.cc
+++ b/libs/node/src/target_picker.cc
@@ -8,20 +8,6 @@
 
 constexpr std::chrono::seconds kSweepInterval{10};
 
-Locality ToLocality(Distance distance) {
-  switch (distance) {
-    case Distance::kOwnHost:
-      return Locality::kOwnHost;
-    case Distance::kOwnFailureDomain:
-      return Locality::kOwnFailureDomain;
-    case Distance::kOwnRegion:
-      return Locality::kOwnRegion;
-    case Distance::kOtherRegion:
-      break;
-  }
-  return Locality::kOtherRegion;
-}
-
 }  // namespace
 
 Target TargetPicker::Pick(ServiceId service,
@@ -56,7 +42,7 @@
   const bool is_suspect = instance.m_is_suspect || load.m_suspect;
   return {.m_instance = instance.m_id,
           .m_node = instance.m_node,
-          .m_locality = ToLocality(instance.m_distance),
+          .m_locality = instance.m_locality,
           .m_health =
               is_suspect ? InstanceHealth::kSuspect : InstanceHealth::kHealthy,
           .m_draining = instance.m_is_excluded,
--- a/libs/node/src/transport_p.h
+++ b/libs/node/src/transport_p.h
@@ -38,10 +38,6 @@
     return node != m_own && m_links.Withdraw(node, attempt);
   }
 
-  void Drop(NodeId node, const std::string& reason) {
-    m_links.Drop(node, reason);
-  }
-
   void CloseAll() { m_links.CloseAll(); }
 
  private:
--- a/libs/node/src/view_builder.cc
+++ b/libs/node/src/view_builder.cc
@@ -4,16 +4,16 @@
 
 namespace {
 
-Distance DistanceOf(const MemberEntry& member, const MemberEntry& own) {
+Locality LocalityOf(const MemberEntry& member, const MemberEntry& own) {
   if (member.m_node.Get().m_ip == own.m_node.Get().m_ip) {
-    return Distance::kOwnHost;
+    return Locality::kOwnHost;
   }
   if (member.m_region != own.m_region) {
-    return Distance::kOtherRegion;
+    return Locality::kOtherRegion;
   }
   return member.m_failure_domain == own.m_failure_domain
-             ? Distance::kOwnFailureDomain
-             : Distance::kOwnRegion;
+             ? Locality::kOwnFailureDomain
+             : Locality::kOwnRegion;
 }
 
 }  // namespace
@@ -35,7 +35,7 @@
           {.m_id = instance.m_id,
            .m_node = member.m_node,
            .m_node_incarnation = member.m_incarnation,
-           .m_distance = DistanceOf(member, own),
+           .m_locality = LocalityOf(member, own),
            .m_slots = instance.m_slots,
            .m_is_suspect = instance.m_suspect,
            .m_is_warming_up = instance.m_warm_up,
--- a/libs/node/tests/key_owner_test.cc
+++ b/libs/node/tests/key_owner_test.cc
@@ -16,7 +16,7 @@
         {.m_id = InstanceId(*ParseEndpoint("127.0.1.1:9001")),
          .m_node = m_node,
          .m_node_incarnation = m_incarnation,
-         .m_distance = Distance::kOwnHost,
+         .m_locality = Locality::kOwnHost,
          .m_slots = 3});
     m_runner.SetView(view);
     m_key = *ParseKey(m_owner.Issue(), nullptr);
