Tell "not started" for work that reached no server, to copies and queries too

Cause: a call for which no connection could be opened was answered "not started" once, but noted in the ledger as failed; a copy or a query that came later (a broken link, the time to cancel) was told it may have run. A connect that hung for 1 s beside a shorter deadline was told only after it. Found on the way: the HTTP client called a refused reconnect "nothing sent" although its library had sent the request on a kept connection before.

Change: AttemptLedger::MarkNotStarted() (running to refused, for good); the egress uses it for kConnectFailed, which counts as the instance's failure and no longer as a service time; a connection must be open in half of the time left; the client counts bytes over all connections of a call.

The ledger's property has the new transition and tells "executed" from "handed over": it is as strict, only a start that was taken back before its first byte may be told not run. The fleet property tells connecting from executing.

--- a/libs/execution/include/sequoiastage/execution/attempt_ledger.h
+++ b/libs/execution/include/sequoiastage/execution/attempt_ledger.h
@@ -29,7 +29,7 @@
 
 /// What the egress knows of an attempt.
 enum class AttemptState : uint8_t {
-  /// Told "refused"; never started.
+  /// Refused, or no byte of it could be sent to the instance; never started.
   kRefused,
   /// Admitted and not yet started.
   kQueued,
@@ -111,6 +111,7 @@
 
 /// Counts since the ledger was made, and its present size.
 struct AttemptLedgerStats {
+  /// Handed to the instance, those of which no byte was sent included.
   uint64_t m_started = 0;
   uint64_t m_duplicates = 0;
   uint64_t m_refused = 0;
@@ -158,6 +159,10 @@
   /// A running attempt ended without a whole answer.
   void MarkFailed(const AttemptId& id);
 
+  /// A running attempt ended before its first byte was sent to the instance: it
+  /// counts as refused, and no copy of it starts.
+  void MarkNotStarted(const AttemptId& id);
+
   /// Cancels a queued or never seen attempt, so that no copy of it starts, and
   /// reports the state afterwards. A running attempt goes on.
   AttemptReport CancelIfNotStarted(const AttemptTicket& ticket);
--- a/libs/execution/src/attempt_ledger.cc
+++ b/libs/execution/src/attempt_ledger.cc
@@ -134,6 +134,14 @@
   }
 }
 
+void AttemptLedger::MarkNotStarted(const AttemptId& id) {
+  Entry* entry = Find(id);
+  if (entry != nullptr && entry->m_state == AttemptState::kRunning) {
+    entry->m_state = AttemptState::kRefused;
+    ++m_stats.m_refused;
+  }
+}
+
 AttemptReport AttemptLedger::CancelIfNotStarted(const AttemptTicket& ticket) {
   if (ticket.m_egress != m_own) {
     return {};
--- a/libs/execution/tests/attempt_ledger_test.cc
+++ b/libs/execution/tests/attempt_ledger_test.cc
@@ -66,6 +66,9 @@
   void MarkFailed(const AttemptId& id) {
     Change(id, AttemptState::kRunning, AttemptState::kFailed);
   }
+  void MarkNotStarted(const AttemptId& id) {
+    Change(id, AttemptState::kRunning, AttemptState::kRefused);
+  }
 
   AttemptReport CancelIfNotStarted(const AttemptTicket& ticket) {
     Change(ticket.m_id, AttemptState::kQueued, AttemptState::kCancelled);
@@ -125,13 +128,15 @@
   Ledger ledger(kOwn, options);
   const auto tickets = AllTickets();
   std::set<AttemptId> started;
+  std::set<AttemptId> may_have_run;
+  std::set<AttemptId> executed;
   std::set<AttemptId> told_not_run;
   int64_t now_ms = 0;
   for (const Step& step : schedule) {
     now_ms += step.m_elapsed_ms % 16;
     const AttemptTicket& ticket = tickets[step.m_ticket % tickets.size()];
     const AttemptId& id = ticket.m_id;
-    switch (step.m_action % 7) {
+    switch (step.m_action % 9) {
       case 0:
       case 1: {
         const Admission admission = ledger.Admit(ticket, At(now_ms));
@@ -145,6 +150,7 @@
         if (!ledger.MarkRunning(id, At(now_ms))) {
           break;
         }
+        may_have_run.insert(id);
         if (!started.insert(id).second) {
           return "started twice: " + ToString(id);
         }
@@ -166,6 +172,19 @@
       case 5:
         ledger.MarkFailed(id);
         break;
+      case 6:
+        // Its connection is open: the first byte is sent.
+        if (may_have_run.count(id) != 0) {
+          executed.insert(id);
+        }
+        break;
+      case 7:
+        // No connection could be opened.
+        if (started.count(id) != 0 && executed.count(id) == 0) {
+          ledger.MarkNotStarted(id);
+          may_have_run.erase(id);
+        }
+        break;
       default: {
         const AttemptReport report = ledger.CancelIfNotStarted(ticket);
         if (report.m_knowledge == AttemptReport::Knowledge::kKnown &&
@@ -174,7 +193,7 @@
         }
       }
     }
-    if (told_not_run.count(id) != 0 && started.count(id) != 0) {
+    if (told_not_run.count(id) != 0 && may_have_run.count(id) != 0) {
       return "told not run, but started: " + ToString(id);
     }
   }
@@ -294,6 +313,29 @@
             RefusalReason::kPastDeadline);
 }
 
+TEST(AttemptLedgerTest, RunningAttemptOfWhichNothingWasSentIsNeverStarted) {
+  AttemptLedger ledger(kOwn);
+  ledger.Admit(Ticket(1), At(0));
+  ASSERT_TRUE(ledger.MarkRunning(Ticket(1).m_id, At(0)));
+  ledger.MarkNotStarted(Ticket(1).m_id);
+  EXPECT_TRUE(IsNeverStarted(ledger.CancelIfNotStarted(Ticket(1)).m_state));
+  const Admission copy = ledger.Admit(Ticket(1), At(0));
+  EXPECT_EQ(copy.m_verdict, Admission::Verdict::kDuplicate);
+  EXPECT_TRUE(IsNeverStarted(copy.m_state));
+  EXPECT_FALSE(ledger.MarkRunning(Ticket(1).m_id, At(0)));
+}
+
+TEST(AttemptLedgerTest, OnlyARunningAttemptBecomesNotStarted) {
+  AttemptLedger ledger(kOwn);
+  ledger.Admit(Ticket(1), At(0));
+  ledger.MarkNotStarted(Ticket(1).m_id);
+  ASSERT_TRUE(ledger.MarkRunning(Ticket(1).m_id, At(0)));
+  ledger.MarkFailed(Ticket(1).m_id);
+  ledger.MarkNotStarted(Ticket(1).m_id);
+  EXPECT_EQ(ledger.CancelIfNotStarted(Ticket(1)).m_state,
+            AttemptState::kFailed);
+}
+
 TEST(AttemptLedgerTest, QueryReturnsTheStoredAnswer) {
   AttemptLedger ledger(kOwn);
   ledger.Admit(Ticket(1), At(0));
--- a/libs/execution/tests/fake_egress.h
+++ b/libs/execution/tests/fake_egress.h
@@ -67,18 +67,38 @@
                                                     : PacketKind::kDone);
   }
 
-  /// What was started, if anything.
-  std::optional<Packet> StartQueued(WallTime now) {
+  /// Hands the attempt that has waited longest to its instance; the connection
+  /// is not open yet.
+  void StartQueued(WallTime now) {
     if (m_queued.empty()) {
-      return std::nullopt;
+      return;
     }
     const Packet packet = m_queued.front();
     m_queued.erase(m_queued.begin());
-    if (!m_ledger->MarkRunning(packet.m_ticket.m_id, now)) {
+    if (m_ledger->MarkRunning(packet.m_ticket.m_id, now)) {
+      m_connecting.push_back(packet);
+    }
+  }
+
+  /// A connection is open and the request sent: what is executed, if anything.
+  std::optional<Packet> Connect() {
+    if (m_connecting.empty()) {
+      return std::nullopt;
+    }
+    m_running.push_back(m_connecting.front());
+    m_connecting.erase(m_connecting.begin());
+    return m_running.back();
+  }
+
+  /// No connection could be opened.
+  std::optional<Packet> FailConnect() {
+    if (m_connecting.empty()) {
       return std::nullopt;
     }
-    m_running.push_back(packet);
-    return packet;
+    const Packet packet = m_connecting.back();
+    m_connecting.pop_back();
+    m_ledger->MarkNotStarted(packet.m_ticket.m_id);
+    return Reply(packet, PacketKind::kNotStarted);
   }
 
   /// There is no slot for the attempt that has waited longest.
@@ -110,6 +130,7 @@
     m_incarnation = Incarnation(m_incarnation.Get() + 1);
     m_ledger = MakeLedger();
     m_queued.clear();
+    m_connecting.clear();
     m_running.clear();
   }
 
@@ -127,6 +148,7 @@
   Incarnation m_incarnation{1};
   std::unique_ptr<AttemptLedger> m_ledger = MakeLedger();
   std::vector<Packet> m_queued;
+  std::vector<Packet> m_connecting;
   std::vector<Packet> m_running;
 };
 
--- a/libs/execution/tests/fake_fleet.h
+++ b/libs/execution/tests/fake_fleet.h
@@ -18,7 +18,7 @@
 
 namespace sequoiastage {
 
-inline constexpr int kFleetActions = 21;
+inline constexpr int kFleetActions = 26;
 
 /// One step of a schedule; the picks are taken modulo what there is.
 struct FleetStep {
@@ -64,7 +64,7 @@
         break;
       case 8:
       case 9:
-        Start(m_egresses[step.m_pick % kEgresses]);
+        m_egresses[step.m_pick % kEgresses].StartQueued(Now());
         break;
       case 10:
       case 11:
@@ -92,6 +92,15 @@
       case 19:
         m_has_target = !m_has_target;
         break;
+      case 21:
+      case 22:
+      case 23:
+        Connect(m_egresses[step.m_pick % kEgresses]);
+        break;
+      case 24:
+      case 25:
+        Post(m_egresses[step.m_pick % kEgresses].FailConnect());
+        break;
       default:
         if (step.m_other_pick % 4 == 0) {
           RestartOwner();
@@ -263,10 +272,10 @@
     }
   }
 
-  void Start(FakeEgress& egress) {
-    if (const auto started = egress.StartQueued(Now())) {
-      ++m_executions[started->m_request];
-      m_started.insert(started->m_ticket.m_id);
+  void Connect(FakeEgress& egress) {
+    if (const auto sent = egress.Connect()) {
+      ++m_executions[sent->m_request];
+      m_started.insert(sent->m_ticket.m_id);
     }
   }
 
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -40,16 +40,20 @@
          FindField(answer.m_fields, "Transfer-Encoding") != nullptr;
 }
 
+// The bytes count over all connections of a call: it may have been sent on one
+// that was kept alive, and sent again on a new one.
 bool NothingWasSent(CURL* easy, CURLcode code) {
+  long request_bytes = 0;
+  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+  if (request_bytes != 0) {
+    return false;
+  }
   if (code == CURLE_COULDNT_CONNECT) {
     return true;
   }
-  long request_bytes = 0;
-  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   curl_off_t connect_time = 0;
   curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_time);
-  return code == CURLE_OPERATION_TIMEDOUT && request_bytes == 0 &&
-         connect_time == 0;
+  return code == CURLE_OPERATION_TIMEDOUT && connect_time == 0;
 }
 
 }  // namespace
--- a/libs/http/tests/http_test.cc
+++ b/libs/http/tests/http_test.cc
@@ -142,6 +142,71 @@
   int m_connections = 0;
 };
 
+// Answers the first request on its only connection; on the second it stops
+// listening and closes the connection without an answer.
+class LeavingServer {
+ public:
+  LeavingServer(asio::io_context& io, Endpoint at)
+      : m_acceptor(io, {asio::ip::address_v4(at.m_ip), at.m_port}),
+        m_socket(io) {
+    m_acceptor.async_accept(m_socket, [this](const asio::error_code& error) {
+      if (!error) {
+        Read();
+      }
+    });
+  }
+
+  int Requests() const { return m_requests; }
+
+ private:
+  void Read() {
+    asio::async_read_until(m_socket, asio::dynamic_buffer(m_head), "\r\n\r\n",
+                           [this](const asio::error_code& error, size_t) {
+                             if (!error) {
+                               OnRequest();
+                             }
+                           });
+  }
+
+  void OnRequest() {
+    m_head.clear();
+    if (++m_requests > 1) {
+      m_acceptor.close();
+      m_socket.close();
+      return;
+    }
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    asio::write(m_socket, asio::buffer(answer));
+    Read();
+  }
+
+  asio::ip::tcp::acceptor m_acceptor;
+  asio::ip::tcp::socket m_socket;
+  std::string m_head;
+  int m_requests = 0;
+};
+
+TEST_F(HttpTest, WhatWasSentOnAnEarlierConnectionCountsAsSent) {
+  LeavingServer server(m_io, m_server_at);
+  ASSERT_EQ(Call({.m_method = "GET", .m_target = "/"}).m_error,
+            HttpCallError::kNone);
+  EXPECT_EQ(Call({.m_method = "GET", .m_target = "/"}).m_error,
+            HttpCallError::kFailed);
+  EXPECT_EQ(server.Requests(), 2);
+}
+
+TEST_F(HttpTest, TellsThatNothingWasSentWhenAConnectTimesOut) {
+  // A full backlog: the kernel drops what comes after.
+  asio::ip::tcp::acceptor acceptor(m_io);
+  acceptor.open(asio::ip::tcp::v4());
+  acceptor.bind({asio::ip::address_v4(m_server_at.m_ip), m_server_at.m_port});
+  acceptor.listen(0);
+  asio::ip::tcp::socket first(m_io);
+  first.connect(acceptor.local_endpoint());
+  EXPECT_EQ(Call({.m_method = "POST", .m_target = "/"}, false).m_error,
+            HttpCallError::kConnectFailed);
+}
+
 TEST_F(HttpTest, AShortAnswerIsIncomplete) {
   RawServer server(m_io, m_server_at,
                    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort");
--- a/libs/node/src/egress.cc
+++ b/libs/node/src/egress.cc
@@ -16,6 +16,10 @@
 // deadline, for a caller that asks again.
 constexpr std::chrono::seconds kLateAnswerTime{5};
 
+// Share of the time left in which a connection must be open, so that work that
+// reaches no server can be tried elsewhere or told not-run in time.
+constexpr int kConnectShare = 2;
+
 // Instances elsewhere that a refusal names.
 constexpr size_t kMaxHints = 3;
 
@@ -228,6 +232,8 @@
   HttpCallOptions options{.m_server = instance.m_local.m_id.Get(),
                           .m_timeout = left,
                           .m_is_idempotent = attempt.m_message.m_is_idempotent};
+  options.m_connect_timeout =
+      std::min<Duration>(options.m_connect_timeout, left / kConnectShare);
   if (!attempt.m_message.m_is_idempotent) {
     options.m_timeout += kLateAnswerTime;
   }
@@ -262,13 +268,18 @@
   const auto it = m_attempts.find(id);
   const Attempt attempt = std::move(it->second);
   m_attempts.erase(it);
+  const bool is_not_started = result.m_result == AttemptResult::kNotStarted;
   if (result.m_result == AttemptResult::kAnswered) {
     ++m_stats.m_answered;
     m_ledger.MarkAnswered(
         id, attempt.m_message.m_is_idempotent ? nullptr : StoreMessage(result));
   } else {
     ++m_stats.m_failed;
-    m_ledger.MarkFailed(id);
+    if (is_not_started) {
+      m_ledger.MarkNotStarted(id);
+    } else {
+      m_ledger.MarkFailed(id);
+    }
   }
   Instance* instance = Find(attempt.m_message.m_instance);
   if (instance == nullptr ||
@@ -277,8 +288,8 @@
     return;
   }
   const TimePoint now = Now();
-  const bool counts =
-      outcome != Outcome::kCancelled && outcome != Outcome::kShed;
+  const bool counts = outcome != Outcome::kCancelled &&
+                      outcome != Outcome::kShed && !is_not_started;
   instance->m_judge.OnFinish(attempt.m_work, now, outcome);
   instance->m_attempts.erase(attempt.m_ticket);
   const GateChanges changes =
--- a/libs/node/tests/egress_test.cc
+++ b/libs/node/tests/egress_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <asio/ip/tcp.hpp>
 #include <optional>
 
 namespace sequoiastage {
@@ -73,5 +74,60 @@
   EXPECT_EQ(m_egress.InFlight(), 0U);
 }
 
+// Work that may not be repeated.
+DispatchMessage NonIdempotent(uint16_t port, std::chrono::milliseconds time) {
+  return {.m_attempt = {.m_incarnation = Incarnation(1), .m_counter = 1},
+          .m_egress_incarnation = kOwn,
+          .m_service = kService,
+          .m_instance = At(port),
+          .m_deadline_ms = (WallNow() + time).time_since_epoch().count(),
+          .m_request = {.m_method = "POST", .m_target = "/"}};
+}
+
+TEST_F(EgressTest, WorkThatReachedNoServerIsNeverStarted) {
+  const DispatchMessage dispatch = NonIdempotent(9, std::chrono::seconds(5));
+  std::vector<ResultMessage> results;
+  const auto keep = [&results](ResultMessage got) {
+    results.push_back(std::move(got));
+  };
+  m_egress.Dispatch(dispatch, keep);
+  while (results.empty() && m_io.run_one_for(std::chrono::seconds(10)) > 0) {
+  }
+  m_egress.Dispatch(dispatch, keep);
+  m_egress.Query({.m_attempt = dispatch.m_attempt,
+                  .m_egress_incarnation = kOwn,
+                  .m_deadline_ms = dispatch.m_deadline_ms},
+                 keep);
+  ASSERT_EQ(results.size(), 3U);
+  EXPECT_EQ(results[0].m_reason, AttemptReason::kConnectFailed);
+  for (const ResultMessage& result : results) {
+    EXPECT_EQ(result.m_result, AttemptResult::kNotStarted);
+  }
+  EXPECT_EQ(m_egress.Reports().front().m_summary.m_failures, 1U);
+}
+
+TEST_F(EgressTest, AConnectThatHangsIsToldNotStartedBeforeTheDeadline) {
+  // A full backlog: the kernel drops what comes after.
+  asio::ip::tcp::acceptor server(m_io);
+  server.open(asio::ip::tcp::v4());
+  server.bind({asio::ip::address_v4::loopback(), 0});
+  server.listen(0);
+  asio::ip::tcp::socket first(m_io);
+  first.connect(server.local_endpoint());
+  const uint16_t port = server.local_endpoint().port();
+  m_egress.SetInstances({{.m_id = At(port),
+                          .m_service = kService,
+                          .m_incarnation = Incarnation(1)}});
+  const DispatchMessage dispatch =
+      NonIdempotent(port, std::chrono::milliseconds(800));
+  std::optional<ResultMessage> result;
+  m_egress.Dispatch(dispatch, [&result](ResultMessage got) { result = got; });
+  while (!result && m_io.run_one_for(std::chrono::seconds(10)) > 0) {
+  }
+  ASSERT_TRUE(result.has_value());
+  EXPECT_EQ(result->m_result, AttemptResult::kNotStarted);
+  EXPECT_LT(WallNow().time_since_epoch().count(), dispatch.m_deadline_ms);
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/standins/backend_server/main.cc
+++ b/standins/backend_server/main.cc
@@ -8,6 +8,7 @@
 /// GET  /health                          always 200, whatever the mode
 /// POST /standin/mode?mode=M&share=S     switches the behavior
 /// POST /standin/drain, /standin/undrain  sets "draining" in announcements
+/// POST /standin/exit                    ends at once, without an answer
 /// GET  /standin/executions              {"total": N, "max_in_use": N,
 ///                                        "last_start_ms": T, "by_id": {...}}
 
@@ -21,6 +22,7 @@
 #include <asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -110,6 +112,9 @@
       Reply(request, restinio::status_ok(), "");
       return;
     }
+    if (path == "/standin/exit") {
+      std::_Exit(0);
+    }
     const nlohmann::json executions = {{"total", m_total},
                                        {"max_in_use", m_max_in_use},
                                        {"last_start_ms", m_last_start_ms},
