Send one copy of idempotent requests that run long

The copy goes to a healthy instance of the own region with a free slot and no attempt of the request, takes from the retry budget and counts as an attempt. The first whole answer wins, the other is cancelled at its egress. A cancelled attempt that ran long counts with the time it ran, else the quantile would go down with each copy that wins. OutcomeTracker::MaySendCopy() allows it once, and the end of one of two waits for the other.

--- a/bench/load_generator/main.cc
+++ b/bench/load_generator/main.cc
@@ -55,9 +55,9 @@
               static_cast<unsigned long long>(report.m_wrong));
   std::vector<Duration> sorted = report.m_latencies;
   std::sort(sorted.begin(), sorted.end());
-  std::printf("latency_ms p50 %.2f p99 %.2f max %.2f\n",
+  std::printf("latency_ms p50 %.2f p99 %.2f max %.2f p999 %.2f\n",
               QuantileMs(sorted, 0.5), QuantileMs(sorted, 0.99),
-              QuantileMs(sorted, 1));
+              QuantileMs(sorted, 1), QuantileMs(sorted, 0.999));
 }
 
 }  // namespace
--- a/libs/config/include/sequoiastage/config/config.h
+++ b/libs/config/include/sequoiastage/config/config.h
@@ -45,6 +45,12 @@
   double m_budget_share = 0.1;
   /// Attempts for one request, the first one included.
   uint32_t m_max_attempts = 2;
+  /// Idempotent requests that run long get one copy, which counts as a retry
+  /// and as an attempt.
+  bool m_hedge = false;
+  /// A request runs long beyond this quantile of the service's recent
+  /// latencies.
+  double m_hedge_quantile = 0.95;
 
   friend bool operator==(const RetryLimits&, const RetryLimits&) = default;
 };
--- a/libs/config/src/config_reader.cc
+++ b/libs/config/src/config_reader.cc
@@ -15,6 +15,9 @@
 constexpr uint32_t kMaxSlots = 1'024;
 constexpr uint32_t kMaxQueueLength = 10'000;
 constexpr uint32_t kMaxAttempts = 10;
+constexpr double kMinHedgeQuantile = 0.5;
+// Above it the samples that a node keeps don't tell.
+constexpr double kMaxHedgeQuantile = 0.99;
 constexpr double kMaxShare = 1'000;
 constexpr Duration kMinTimeout = std::chrono::milliseconds(1);
 constexpr Duration kMaxTimeout = std::chrono::minutes(10);
@@ -142,6 +145,10 @@
                        {.m_min = 0, .m_max = 1});
     object->ReadInteger<uint32_t>("max_attempts", retries.m_max_attempts,
                                   {.m_min = 1, .m_max = kMaxAttempts});
+    object->ReadBool("hedge", retries.m_hedge);
+    object->ReadNumber(
+        "hedge_quantile", retries.m_hedge_quantile,
+        {.m_min = kMinHedgeQuantile, .m_max = kMaxHedgeQuantile});
     object->RefuseUnknownKeys();
   }
 
--- a/libs/config/tests/config_parse_test.cc
+++ b/libs/config/tests/config_parse_test.cc
@@ -14,7 +14,8 @@
       "instances": 12, "floor": 9,
       "ejection": {"false_ejection_bound": "1000h"},
       "limits": {"slots": 3, "queue_length": 6, "timeout": "2s"},
-      "retries": {"budget_share": 0.2, "max_attempts": 3},
+      "retries": {"budget_share": 0.2, "max_attempts": 3, "hedge": true,
+                  "hedge_quantile": 0.9},
       "completeness_header": "X-Complete"
     },
     "archive": {"instances": 12, "floor": 8}
@@ -55,7 +56,10 @@
       .m_limits = {.m_slots = 3,
                    .m_queue_length = 6,
                    .m_timeout = std::chrono::seconds(2)},
-      .m_retries = {.m_budget_share = 0.2, .m_max_attempts = 3},
+      .m_retries = {.m_budget_share = 0.2,
+                    .m_max_attempts = 3,
+                    .m_hedge = true,
+                    .m_hedge_quantile = 0.9},
       .m_completeness_header = "X-Complete"};
   EXPECT_EQ(*approvals, expected);
   ASSERT_EQ(config->m_routes.size(), 2U);
@@ -119,6 +123,7 @@
       FindingsOf(kBase, R"({"services": {
           "Approvals": {"instances": 1, "floor": 1},
           "archive": {"floor": "eight", "limits": {"timeout": 5, "slots": 0},
+                      "retries": {"hedge": "yes", "hedge_quantile": 1},
                       "ejection": {"false_ejection_bound": "10 days"}}},
           "routes": {"search": {"methods": ["get"], "criticality": 2,
                                 "host": "A.example:80", "path": "archive"}}})"),
@@ -132,6 +137,10 @@
       "of 1\n"
       "mikulov.json: /services/archive/limits/timeout: is no string but "
       "number\n"
+      "mikulov.json: /services/archive/retries/hedge: is no boolean but "
+      "string\n"
+      "mikulov.json: /services/archive/retries/hedge_quantile: is 1.0, above "
+      "the maximum of 0.99\n"
       "mikulov.json: /routes/search/host: is no lower-case host name without "
       "port and no \"*\"\n"
       "mikulov.json: /routes/search/path: is no path that starts with \"/\", "
--- a/libs/execution/include/sequoiastage/execution/outcome_tracker.h
+++ b/libs/execution/include/sequoiastage/execution/outcome_tracker.h
@@ -44,7 +44,8 @@
 ///   started by its egress.
 /// - Work that may not be repeated is never sent again unless each earlier
 ///   attempt was proved not started.
-/// - At most one attempt is open at a time; a whole answer to any attempt of
+/// - At most one attempt is open at a time, and beside it at most one copy in
+///   the whole life of an idempotent request; a whole answer to any attempt of
 ///   the request ends it.
 ///
 /// Events of unknown attempts, and all after the end, change nothing.
@@ -60,6 +61,11 @@
   /// connection; on true it counts as sent. On false it must not be sent.
   bool MaySend(const AttemptId& attempt);
 
+  /// As MaySend(), for a copy beside the one open attempt of an idempotent
+  /// request. True once for a request at most. What follows the end of either
+  /// waits for the other one.
+  bool MaySendCopy(const AttemptId& attempt);
+
   /// The egress answered that it did not start the attempt and never will.
   OutcomeStep OnNotStarted(const AttemptId& attempt);
 
@@ -114,6 +120,7 @@
 
   OutcomeOptions m_options;
   std::vector<Attempt> m_attempts;
+  bool m_has_copy = false;
   bool m_is_finished = false;
 };
 
--- a/libs/execution/src/outcome_tracker.cc
+++ b/libs/execution/src/outcome_tracker.cc
@@ -16,6 +16,16 @@
   return true;
 }
 
+bool OutcomeTracker::MaySendCopy(const AttemptId& attempt) {
+  if (m_is_finished || m_has_copy || !m_options.m_is_idempotent ||
+      IsLastAttempt() || Find(attempt) != nullptr || FindOpen() == nullptr) {
+    return false;
+  }
+  m_has_copy = true;
+  m_attempts.push_back({.m_id = attempt});
+  return true;
+}
+
 OutcomeStep OutcomeTracker::OnNotStarted(const AttemptId& attempt) {
   return Close(attempt, State::kNotStarted);
 }
@@ -117,6 +127,9 @@
     return {};
   }
   attempt->m_state = state;
+  if (HasState(State::kOpen)) {
+    return {};
+  }
   if (CanSendAgain()) {
     return {.m_next = NextStep::kSend, .m_attempt = {}};
   }
--- a/libs/execution/tests/fake_fleet.h
+++ b/libs/execution/tests/fake_fleet.h
@@ -18,7 +18,7 @@
 
 namespace sequoiastage {
 
-inline constexpr int kFleetActions = 26;
+inline constexpr int kFleetActions = 28;
 
 /// One step of a schedule; the picks are taken modulo what there is.
 struct FleetStep {
@@ -101,6 +101,10 @@
       case 25:
         Post(m_egresses[step.m_pick % kEgresses].FailConnect());
         break;
+      case 26:
+      case 27:
+        SendCopy(step.m_pick);
+        break;
       default:
         if (step.m_other_pick % 4 == 0) {
           RestartOwner();
@@ -126,6 +130,11 @@
         return "told not-run, but executed: " + ToString(id);
       }
     }
+    for (const Round& round : m_rounds) {
+      if (round.m_copies > (m_is_idempotent ? 1 : 0)) {
+        return "a copy too many";
+      }
+    }
     return m_wrong_answer ? "answer of another request" : "";
   }
 
@@ -145,6 +154,7 @@
     IdempotencyKey m_key;
     WallTime m_deadline;
     std::map<AttemptId, std::pair<int, AttemptTicket>> m_sent;
+    int m_copies = 0;
   };
 
   WallTime Now() const { return WallTime(std::chrono::milliseconds(m_now_ms)); }
@@ -204,16 +214,36 @@
     if (!m_has_target) {
       return Follow(at, round.m_tracker.OnNoTarget());
     }
-    const int egress = static_cast<int>(m_next_counter % kEgresses);
-    const AttemptTicket ticket{
-        .m_id = {.m_ingress = m_issuer.Owner(),
-                 .m_incarnation = m_issuer.OwnIncarnation(),
-                 .m_counter = ++m_next_counter},
-        .m_egress = m_egresses[egress].OwnIncarnation(),
-        .m_deadline = round.m_deadline};
-    if (!round.m_tracker.MaySend(ticket.m_id)) {
+    const auto [egress, ticket] = MakeAttempt(round);
+    if (round.m_tracker.MaySend(ticket.m_id)) {
+      Dispatch(round, egress, ticket);
+    }
+  }
+
+  // A request has run long.
+  void SendCopy(uint8_t pick) {
+    if (m_rounds.empty()) {
       return;
     }
+    Round& round = m_rounds[pick % m_rounds.size()];
+    const auto [egress, ticket] = MakeAttempt(round);
+    if (round.m_tracker.MaySendCopy(ticket.m_id)) {
+      ++round.m_copies;
+      Dispatch(round, egress, ticket);
+    }
+  }
+
+  std::pair<int, AttemptTicket> MakeAttempt(const Round& round) {
+    const int egress = static_cast<int>(m_next_counter % kEgresses);
+    return {egress,
+            {.m_id = {.m_ingress = m_issuer.Owner(),
+                      .m_incarnation = m_issuer.OwnIncarnation(),
+                      .m_counter = ++m_next_counter},
+             .m_egress = m_egresses[egress].OwnIncarnation(),
+             .m_deadline = round.m_deadline}};
+  }
+
+  void Dispatch(Round& round, int egress, const AttemptTicket& ticket) {
     round.m_sent.emplace(ticket.m_id, std::make_pair(egress, ticket));
     m_network.push_back(
         {PacketKind::kDispatch, egress, ticket, round.m_request});
--- a/libs/execution/tests/outcome_tracker_test.cc
+++ b/libs/execution/tests/outcome_tracker_test.cc
@@ -167,6 +167,25 @@
   EXPECT_EQ(tracker.OnDeadline().m_next, NextStep::kWait);
 }
 
+TEST(OutcomeTrackerTest, IdempotentWorkGetsOneCopyAndWaitsForBoth) {
+  OutcomeTracker tracker({.m_is_idempotent = true, .m_max_attempts = 4});
+  EXPECT_FALSE(tracker.MaySendCopy(Id(1)));
+  ASSERT_TRUE(tracker.MaySend(Id(1)));
+  ASSERT_TRUE(tracker.MaySendCopy(Id(2)));
+  EXPECT_FALSE(tracker.MaySendCopy(Id(3)));
+  EXPECT_EQ(tracker.OnMayHaveRun(Id(1)).m_next, NextStep::kWait);
+  EXPECT_EQ(tracker.OnNotStarted(Id(2)).m_next, NextStep::kSend);
+  ASSERT_TRUE(tracker.MaySend(Id(4)));
+  EXPECT_FALSE(tracker.MaySendCopy(Id(5)));
+  EXPECT_EQ(tracker.OnAnswered(Id(4)).m_outcome, RequestOutcome::kAnswered);
+}
+
+TEST(OutcomeTrackerTest, OtherWorkGetsNoCopy) {
+  OutcomeTracker tracker({});
+  ASSERT_TRUE(tracker.MaySend(Id(1)));
+  EXPECT_FALSE(tracker.MaySendCopy(Id(2)));
+}
+
 TEST(OutcomeTrackerTest, IdempotentWorkThatFailedEverywhereIsUnknown) {
   OutcomeTracker tracker({.m_is_idempotent = true, .m_max_attempts = 2});
   ASSERT_TRUE(tracker.MaySend(Id(1)));
--- a/libs/node/src/caller_request.cc
+++ b/libs/node/src/caller_request.cc
@@ -130,6 +130,9 @@
   if (service != nullptr) {
     checked.m_run.m_max_attempts = service->m_retries.m_max_attempts;
     checked.m_run.m_retry_share = service->m_retries.m_budget_share;
+    if (service->m_retries.m_hedge) {
+      checked.m_run.m_hedge_quantile = service->m_retries.m_hedge_quantile;
+    }
     checked.m_run.m_completeness_field =
         service->m_completeness_header.value_or("");
   }
--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -162,10 +162,10 @@
 
 void RequestRunner::SendAttempt(RunId run, Execution& execution) {
   const bool is_late = WallNow() >= execution.m_request.m_deadline;
-  const Target choice =
-      !is_late && MayTryAgain(execution) ? Pick(execution) : Target{};
-  const InstanceView* target = choice.m_instance;
-  if (target == nullptr || !TakeRetry(execution)) {
+  const Target target = !is_late && MayTryAgain(execution)
+                            ? Pick(execution, /*is_copy=*/false)
+                            : Target{};
+  if (target.m_instance == nullptr || !TakeRetry(execution)) {
     Follow(run, execution.m_tracker.OnNoTarget());
     return;
   }
@@ -174,40 +174,67 @@
     Follow(run, execution.m_tracker.OnNoTarget());
     return;
   }
-  ++m_stats.m_attempts;
   m_stats.m_retries += execution.m_sent.empty() ? 0 : 1;
+  Dispatch(run, execution, id, target, /*is_copy=*/false);
+}
+
+void RequestRunner::SendCopy(RunId run, Execution& execution) {
+  const RunRequest& request = execution.m_request;
+  const auto counted = std::count_if(
+      execution.m_sent.begin(), execution.m_sent.end(),
+      [](const SentAttempt& s) { return s.m_is_open || s.m_may_have_run; });
+  const bool has_attempts_left = counted < request.m_max_attempts;
+  const Target target =
+      has_attempts_left ? Pick(execution, /*is_copy=*/true) : Target{};
+  const TimePoint now = Now();
+  if (target.m_instance == nullptr ||
+      !StateOf(request, now).m_budget.TryRetry(now)) {
+    ArmTimer(run, execution);
+    return;
+  }
+  const AttemptId id = NextAttempt();
+  if (!execution.m_tracker.MaySendCopy(id)) {
+    ArmTimer(run, execution);
+    return;
+  }
+  ++m_stats.m_hedges;
+  Dispatch(run, execution, id, target, /*is_copy=*/true);
+}
+
+void RequestRunner::Dispatch(RunId run,
+                             Execution& execution,
+                             const AttemptId& id,
+                             const Target& target,
+                             bool is_copy) {
+  ++m_stats.m_attempts;
   const RunRequest& request = execution.m_request;
-  const bool is_other_region = target->m_locality == Locality::kOtherRegion;
+  const InstanceView& instance = *target.m_instance;
+  const bool is_other_region = instance.m_locality == Locality::kOtherRegion;
   if (is_other_region) {
     ++m_stats.m_other_region_attempts;
     m_stats.m_other_region_bytes += BytesOf(request.m_request);
   }
   execution.m_sent.push_back({.m_id = id,
-                              .m_instance = target->m_id,
-                              .m_node = target->m_node,
-                              .m_node_incarnation = target->m_node_incarnation,
+                              .m_instance = instance.m_id,
+                              .m_node = instance.m_node,
+                              .m_node_incarnation = instance.m_node_incarnation,
                               .m_deadline = request.m_deadline,
-                              .m_is_other_region = is_other_region});
+                              .m_sent_at = Now(),
+                              .m_is_other_region = is_other_region,
+                              .m_is_copy = is_copy});
   m_run_of[id] = run;
-  m_picker.OnSent(target->m_id, target->m_node, Now());
-  const WallTime now = WallNow();
-  if (request.m_is_idempotent) {
-    const auto attempts_left = static_cast<int>(
-        request.m_max_attempts - std::min<size_t>(request.m_max_attempts - 1,
-                                                  execution.m_sent.size() - 1));
-    execution.m_attempt_until =
-        now + (request.m_deadline - now) / attempts_left;
-  }
+  m_picker.OnSent(instance.m_id, instance.m_node, Now());
+  SetAttemptLimits(execution);
   const bool was_queued = m_transport.Send(
-      target->m_node,
+      instance.m_node,
       DispatchMessage{
           .m_attempt = id,
-          .m_egress_incarnation = target->m_node_incarnation,
+          .m_egress_incarnation = instance.m_node_incarnation,
           .m_service = request.m_service,
-          .m_instance = target->m_id,
+          .m_instance = instance.m_id,
           .m_account = request.m_account,
           .m_is_idempotent = request.m_is_idempotent,
-          .m_accept_suspect = choice.m_accept_suspect,
+          .m_accept_suspect = target.m_accept_suspect,
           .m_completeness_field = request.m_completeness_field,
           .m_deadline_ms = request.m_deadline.time_since_epoch().count(),
           .m_request = request.m_request});
@@ -220,6 +247,36 @@
   ArmTimer(run, execution);
 }
 
+bool RequestRunner::HasCopy(const Execution& execution) {
+  return std::any_of(execution.m_sent.begin(), execution.m_sent.end(),
+                     [](const SentAttempt& sent) { return sent.m_is_copy; });
+}
+
+// Until when the attempt that was just sent may run: alone, and at all before
+// another one is made.
+void RequestRunner::SetAttemptLimits(Execution& execution) {
+  const RunRequest& request = execution.m_request;
+  if (!request.m_is_idempotent) {
+    return;
+  }
+  const WallTime now = WallNow();
+  const auto attempts_left = static_cast<int>(
+      request.m_max_attempts - std::min<size_t>(request.m_max_attempts - 1,
+                                                execution.m_sent.size() - 1));
+  execution.m_attempt_until = now + (request.m_deadline - now) / attempts_left;
+  execution.m_hedge_at.reset();
+  if (!request.m_hedge_quantile || HasCopy(execution)) {
+    return;
+  }
+  const TimePoint start = Now();
+  const auto delay = StateOf(request, start)
+                         .m_latency.Quantile(*request.m_hedge_quantile, start);
+  if (delay) {
+    execution.m_hedge_at =
+        now + std::chrono::ceil<std::chrono::milliseconds>(*delay);
+  }
+}
+
 void RequestRunner::SendQuery(Execution& execution, const AttemptId& attempt) {
   const SentAttempt* sent = FindSent(execution, attempt);
   if (sent == nullptr) {
@@ -256,6 +313,7 @@
     result.m_answer = std::move(*execution->m_error_answer);
   }
   if (execution->m_request.m_is_idempotent) {
+    KeepLatencyOfOpen(*execution);
     CancelOpen(*execution);
   }
   for (SentAttempt& sent : execution->m_sent) {
@@ -273,6 +331,9 @@
   if (execution.m_attempt_until) {
     due = std::min(due, *execution.m_attempt_until);
   }
+  if (execution.m_hedge_at) {
+    due = std::min(due, *execution.m_hedge_at);
+  }
   if (execution.m_query_next) {
     due = std::min(due, now + kQueryPause);
   }
@@ -302,23 +363,52 @@
     SendQuery(execution, *std::exchange(execution.m_query_next, std::nullopt));
   }
   if (execution.m_attempt_until && now >= *execution.m_attempt_until) {
-    execution.m_attempt_until.reset();
-    SentAttempt& last = execution.m_sent.back();
-    last.m_may_have_run = true;
-    execution.m_reason = AttemptReason::kTimeout;
-    Follow(run, execution.m_tracker.OnMayHaveRun(last.m_id));
+    GiveUpOpen(run, execution);
     return;
   }
   if (execution.m_cancel_at && now >= *execution.m_cancel_at) {
-    execution.m_cancel_at.reset();
-    if (!Withdraw(run, execution)) {
-      Follow(run, execution.m_tracker.OnCancelTime());
-    }
+    OnCancelTime(run, execution);
+    return;
+  }
+  if (execution.m_hedge_at && now >= *execution.m_hedge_at) {
+    execution.m_hedge_at.reset();
+    SendCopy(run, execution);
     return;
   }
   ArmTimer(run, execution);
 }
 
+// Another attempt is made in place of the open ones. Their answers still count.
+void RequestRunner::GiveUpOpen(RunId run, Execution& execution) {
+  execution.m_attempt_until.reset();
+  execution.m_hedge_at.reset();
+  execution.m_reason = AttemptReason::kTimeout;
+  OutcomeStep next;
+  for (SentAttempt& sent : execution.m_sent) {
+    if (!sent.m_is_open) {
+      continue;
+    }
+    sent.m_may_have_run = true;
+    const OutcomeStep step = execution.m_tracker.OnMayHaveRun(sent.m_id);
+    next = step.m_next == NextStep::kWait ? next : step;
+  }
+  Follow(run, next);
+}
+
+// The tracker asks about one open attempt; a copy beside it is asked about too.
+void RequestRunner::OnCancelTime(RunId run, Execution& execution) {
+  execution.m_cancel_at.reset();
+  execution.m_hedge_at.reset();
+  for (const SentAttempt& sent : execution.m_sent) {
+    if (sent.m_is_open && sent.m_is_copy) {
+      SendQuery(execution, sent.m_id);
+    }
+  }
+  if (!Withdraw(run, execution)) {
+    Follow(run, execution.m_tracker.OnCancelTime());
+  }
+}
+
 // Takes an attempt back that still waits for a connection. True when there was
 // one; its step is followed then.
 bool RequestRunner::Withdraw(RunId run, Execution& execution) {
@@ -371,6 +461,10 @@
         result.m_reason == AttemptReason::kWrongIncarnation) {
       result.m_result = AttemptResult::kCannotTell;
     }
+    if (result.m_result == AttemptResult::kAnswered &&
+        result.m_reason == AttemptReason::kNone && sent->m_is_open) {
+      KeepLatency(execution.m_request, *sent);
+    }
     if (result.m_result != AttemptResult::kRunning) {
       Close(*sent);
     }
@@ -398,30 +492,32 @@
     execution.m_error_answer = std::move(result.m_answer);
     return execution.m_tracker.OnMayHaveRun(result.m_attempt);
   }
+  const SentAttempt* sent = FindSent(execution, result.m_attempt);
+  m_stats.m_hedges_won += sent != nullptr && sent->m_is_copy ? 1 : 0;
   execution.m_answer = std::move(result.m_answer);
   return execution.m_tracker.OnAnswered(result.m_attempt);
 }
 
-Target RequestRunner::Pick(const Execution& execution) {
+Target RequestRunner::Pick(const Execution& execution, bool is_copy) {
   std::vector<InstanceId> tried;
   tried.reserve(execution.m_sent.size());
   for (const SentAttempt& sent : execution.m_sent) {
     tried.push_back(sent.m_instance);
   }
   const RunRequest& request = execution.m_request;
-  return m_picker.Pick(request.m_service,
-                       {.m_idempotent = request.m_is_idempotent,
-                        .m_time_left = request.m_deadline - WallNow(),
-                        .m_tried = tried},
-                       Now());
+  const SelectionRequest selection{
+      .m_idempotent = request.m_is_idempotent,
+      .m_time_left = request.m_deadline - WallNow(),
+      .m_tried = tried};
+  return is_copy ? m_picker.PickCopy(request.m_service, selection, Now())
+                 : m_picker.Pick(request.m_service, selection, Now());
 }
 
 // The first refusal is followed by another try at no charge, for the view of
 // the ingress may be old; any other retry takes from the service's budget.
 bool RequestRunner::TakeRetry(const Execution& execution) {
-  const RunRequest& request = execution.m_request;
   const TimePoint now = Now();
-  RetryBudget& budget = BudgetOf(request, now);
+  RetryBudget& budget = StateOf(execution.m_request, now).m_budget;
   if (execution.m_sent.empty()) {
     budget.OnRequest(now);
     return true;
@@ -431,18 +527,42 @@
   return is_first_refusal || budget.TryRetry(now);
 }
 
-RetryBudget& RequestRunner::BudgetOf(const RunRequest& request, TimePoint now) {
-  const auto [it, is_new] = m_budgets.try_emplace(
+// How long an idempotent attempt took until its answer.
+void RequestRunner::KeepLatency(const RunRequest& request,
+                                const SentAttempt& sent) {
+  if (request.m_is_idempotent) {
+    const TimePoint now = Now();
+    StateOf(request, now).m_latency.Add(now - sent.m_sent_at, now);
+  }
+}
+
+// An attempt that is cancelled would have taken longer than it has run. That
+// says something only of those that ran long; without them the quantile, and
+// with it the delay of copies, would go down with each copy that wins.
+void RequestRunner::KeepLatencyOfOpen(const Execution& execution) {
+  const RunRequest& request = execution.m_request;
+  const bool has_copy = HasCopy(execution);
+  for (const SentAttempt& sent : execution.m_sent) {
+    const bool ran_long = sent.m_may_have_run || (has_copy && !sent.m_is_copy);
+    if (sent.m_is_open && ran_long) {
+      KeepLatency(request, sent);
+    }
+  }
+}
+
+RequestRunner::ServiceState& RequestRunner::StateOf(const RunRequest& request,
+                                                    TimePoint now) {
+  const auto [it, is_new] = m_services.try_emplace(
       request.m_service,
-      ServiceBudget{
+      ServiceState{
           .m_share = request.m_retry_share,
           .m_budget = RetryBudget({.m_share = request.m_retry_share}, now)});
-  ServiceBudget& known = it->second;
+  ServiceState& known = it->second;
   if (known.m_share != request.m_retry_share) {
     known.m_share = request.m_retry_share;
     known.m_budget = RetryBudget({.m_share = request.m_retry_share}, now);
   }
-  return known.m_budget;
+  return known;
 }
 
 std::vector<NodeId> RequestRunner::OnTick() {
@@ -457,15 +577,16 @@
 void RequestRunner::GiveUpOnSuspectPaths() {
   std::vector<std::pair<RunId, AttemptId>> affected;
   for (const auto& [run, execution] : m_runs) {
-    if (!execution->m_request.m_is_idempotent || execution->m_sent.empty()) {
+    if (!execution->m_request.m_is_idempotent) {
       continue;
     }
-    SentAttempt& last = execution->m_sent.back();
-    if (last.m_is_open && !last.m_may_have_run &&
-        m_picker.IsPathSuspect(last.m_node)) {
-      last.m_may_have_run = true;
-      execution->m_reason = AttemptReason::kTimeout;
-      affected.emplace_back(run, last.m_id);
+    for (SentAttempt& sent : execution->m_sent) {
+      if (sent.m_is_open && !sent.m_may_have_run &&
+          m_picker.IsPathSuspect(sent.m_node)) {
+        sent.m_may_have_run = true;
+        execution->m_reason = AttemptReason::kTimeout;
+        affected.emplace_back(run, sent.m_id);
+      }
     }
   }
   for (const auto& [run, attempt] : affected) {
--- a/libs/node/src/request_runner_p.h
+++ b/libs/node/src/request_runner_p.h
@@ -12,6 +12,7 @@
 
 #include "node_view_p.h"
 #include "sequoiastage/execution/outcome_tracker.h"
+#include "sequoiastage/limits/recent_latency.h"
 #include "sequoiastage/limits/retry_after.h"
 #include "sequoiastage/limits/retry_budget.h"
 #include "sequoiastage/wire/messages.h"
@@ -30,6 +31,9 @@
   uint32_t m_max_attempts = 2;
   // Retries as a share of the service's requests.
   double m_retry_share = 0.1;
+  // An idempotent request that runs longer than this quantile of the service's
+  // recent latencies gets one copy; empty: never.
+  std::optional<double> m_hedge_quantile{};
   // Nothing is started later.
   WallTime m_deadline;
   // How long after the deadline the outcome of started work still counts.
@@ -50,6 +54,9 @@
   uint64_t m_runs = 0;
   uint64_t m_attempts = 0;
   uint64_t m_retries = 0;
+  // Copies of requests that ran long, and answers that came from them.
+  uint64_t m_hedges = 0;
+  uint64_t m_hedges_won = 0;
   // Over the links to other regions: attempts, and the bytes of requests and
   // answers (targets, fields and bodies).
   uint64_t m_other_region_attempts = 0;
@@ -97,9 +104,11 @@
  private:
   using RunId = uint64_t;
 
-  struct ServiceBudget {
+  struct ServiceState {
     double m_share = 0;
     RetryBudget m_budget;
+    // Of idempotent attempts.
+    RecentLatency m_latency{};
   };
 
   struct SentAttempt {
@@ -108,10 +117,13 @@
     NodeId m_node;
     Incarnation m_node_incarnation;
     WallTime m_deadline;
+    TimePoint m_sent_at;
     // No final result has come.
     bool m_is_open = true;
     bool m_may_have_run = false;
     bool m_is_other_region = false;
+    // Sent beside another open attempt.
+    bool m_is_copy = false;
   };
 
   struct Execution {
@@ -130,24 +142,40 @@
     std::optional<WallTime> m_cancel_at;
     // When the open attempt of an idempotent request is given up for another.
     std::optional<WallTime> m_attempt_until;
+    // When the open attempt counts as running long.
+    std::optional<WallTime> m_hedge_at;
     std::optional<AttemptId> m_query_next;
   };
 
   void Follow(RunId run, const OutcomeStep& step);
   void SendAttempt(RunId run, Execution& execution);
+  // Sends a copy beside the open attempt where the rules allow it.
+  void SendCopy(RunId run, Execution& execution);
+  // Sends attempt `id`, which the tracker has let pass.
+  void Dispatch(RunId run,
+                Execution& execution,
+                const AttemptId& id,
+                const Target& target,
+                bool is_copy);
+  static bool HasCopy(const Execution& execution);
+  void SetAttemptLimits(Execution& execution);
   void SendQuery(Execution& execution, const AttemptId& attempt);
   void Finish(RunId run, RequestOutcome outcome);
   void ArmTimer(RunId run, Execution& execution);
   void OnTimer(RunId run);
+  void GiveUpOpen(RunId run, Execution& execution);
+  void OnCancelTime(RunId run, Execution& execution);
   bool Withdraw(RunId run, Execution& execution);
   void CancelOpen(const Execution& execution);
   bool MayTryAgain(const Execution& execution) const;
   OutcomeStep StepFor(Execution& execution, ResultMessage& result);
   OutcomeStep StepForAnswer(Execution& execution, ResultMessage& result);
-  Target Pick(const Execution& execution);
+  Target Pick(const Execution& execution, bool is_copy);
   bool TakeRetry(const Execution& execution);
-  // The service's budget, started anew when its share has changed.
-  RetryBudget& BudgetOf(const RunRequest& request, TimePoint now);
+  void KeepLatency(const RunRequest& request, const SentAttempt& sent);
+  void KeepLatencyOfOpen(const Execution& execution);
+  // The service's state; its budget starts anew when its share has changed.
+  ServiceState& StateOf(const RunRequest& request, TimePoint now);
   void GiveUpOnSuspectPaths();
   void Close(SentAttempt& sent);
   SentAttempt* FindSent(Execution& execution, const AttemptId& attempt);
@@ -156,7 +184,7 @@
   Options m_options;
   Transport& m_transport;
   TargetPicker m_picker;
-  std::unordered_map<ServiceId, ServiceBudget> m_budgets;
+  std::unordered_map<ServiceId, ServiceState> m_services;
   RetryAfter m_retry_after;
   RunId m_last_run = 0;
   uint64_t m_last_counter = 0;
--- a/libs/node/src/target_picker.cc
+++ b/libs/node/src/target_picker.cc
@@ -13,29 +13,58 @@
 Target TargetPicker::Pick(ServiceId service,
                           const SelectionRequest& request,
                           TimePoint now) {
-  if (m_view == nullptr) {
-    return {};
-  }
-  const auto it = m_view->m_instances.find(service);
-  if (it == m_view->m_instances.end()) {
+  const auto* instances = InstancesOf(service);
+  if (instances == nullptr) {
     return {};
   }
-  std::vector<Candidate> candidates;
-  candidates.reserve(it->second.size());
-  for (const InstanceView& instance : it->second) {
-    candidates.push_back(ToCandidate(instance, now));
-  }
-  const std::vector<Choice> order =
-      m_selector.Order(candidates, request, m_random);
+  const std::vector<Choice> order = Order(*instances, request, now);
   if (order.empty() || order.front().m_reason == ChoiceReason::kTried) {
     return {};
   }
   const Choice& choice = order.front();
-  return {.m_instance = &it->second[choice.m_index],
+  return {.m_instance = &(*instances)[choice.m_index],
           .m_accept_suspect = choice.m_reason != ChoiceReason::kHealthy &&
                               choice.m_reason != ChoiceReason::kProving};
 }
 
+Target TargetPicker::PickCopy(ServiceId service,
+                              const SelectionRequest& request,
+                              TimePoint now) {
+  const auto* instances = InstancesOf(service);
+  if (instances == nullptr) {
+    return {};
+  }
+  for (const Choice& choice : Order(*instances, request, now)) {
+    const InstanceView& instance = (*instances)[choice.m_index];
+    if (choice.m_reason == ChoiceReason::kHealthy &&
+        instance.m_locality != Locality::kOtherRegion) {
+      return {.m_instance = &instance};
+    }
+  }
+  return {};
+}
+
+const std::vector<InstanceView>* TargetPicker::InstancesOf(
+    ServiceId service) const {
+  if (m_view == nullptr) {
+    return nullptr;
+  }
+  const auto it = m_view->m_instances.find(service);
+  return it == m_view->m_instances.end() ? nullptr : &it->second;
+}
+
+std::vector<Choice> TargetPicker::Order(
+    const std::vector<InstanceView>& instances,
+    const SelectionRequest& request,
+    TimePoint now) {
+  std::vector<Candidate> candidates;
+  candidates.reserve(instances.size());
+  for (const InstanceView& instance : instances) {
+    candidates.push_back(ToCandidate(instance, now));
+  }
+  return m_selector.Order(candidates, request, m_random);
+}
+
 Candidate TargetPicker::ToCandidate(const InstanceView& instance,
                                     TimePoint now) const {
   const LoadEstimate load = m_loads.Estimate(instance.m_id, now);
--- a/libs/node/src/target_picker_p.h
+++ b/libs/node/src/target_picker_p.h
@@ -36,6 +36,12 @@
               const SelectionRequest& request,
               TimePoint now);
 
+  // As Pick() for a copy of a request that runs long: only a healthy instance
+  // of this region that has a free slot and no attempt of the request.
+  Target PickCopy(ServiceId service,
+                  const SelectionRequest& request,
+                  TimePoint now);
+
   void OnSent(InstanceId instance, NodeId node, TimePoint now);
   void OnEnded(InstanceId instance, NodeId node, TimePoint now);
   void OnLoads(const std::vector<InstanceLoad>& loads, TimePoint now);
@@ -51,6 +57,11 @@
   bool IsPathSuspect(NodeId node) const { return m_paths.IsSuspect(node); }
 
  private:
+  // Null when the service has none.
+  const std::vector<InstanceView>* InstancesOf(ServiceId service) const;
+  std::vector<Choice> Order(const std::vector<InstanceView>& instances,
+                            const SelectionRequest& request,
+                            TimePoint now);
   Candidate ToCandidate(const InstanceView& instance, TimePoint now) const;
 
   // There is no path to the own egress to judge.
--- a/libs/node/src/traffic_stats.cc
+++ b/libs/node/src/traffic_stats.cc
@@ -61,6 +61,11 @@
   AddCounter(metrics, "retries_total",
              "Attempts after the first one of a request.",
              stats.m_runner.m_retries);
+  AddCounter(metrics, "hedges_total",
+             "Copies of idempotent requests that ran long.",
+             stats.m_runner.m_hedges);
+  AddCounter(metrics, "hedges_won_total", "Copies that brought the answer.",
+             stats.m_runner.m_hedges_won);
   AddCounter(metrics, "other_region_attempts_total",
              "Attempts sent to instances in other regions.",
              stats.m_runner.m_other_region_attempts);
