Put a changed queue length and ejection bound in force at running instances

Cause: Egress::Update() followed only a change of slots. The queue length and the bound on false ejections of a service were read when an instance first announced itself; an instance that announced itself before the node had a configuration kept a queue of 0 until its next incarnation, and later changes never took effect.

Ruled out: making the gate and the judge anew, which forgets work in flight, warm-up and evidence.

Change: SlotGate::SetMaxQueued() refuses the newest beyond the new limit; InstanceJudge::SetPolicy() weighs the evidence there is against the new thresholds; Egress::Update() calls both.

Tests: EgressTest.AQueueLengthSetLaterIsInForceAtOnce and AShorterQueueRefusesWhatWaitsBeyondIt failed before, pass now; InstanceJudgeTest.AChangedPolicyWeighsTheEvidenceThereIs is new.

--- a/libs/health/include/sequoiastage/health/instance_judge.h
+++ b/libs/health/include/sequoiastage/health/instance_judge.h
@@ -70,6 +70,9 @@
   void OnEjected(TimePoint now);
   void OnReadmitted(TimePoint now);
 
+  /// The operators changed the policy. What is known of the instance stays.
+  void SetPolicy(TimePoint now, const EjectionPolicy& policy);
+
   /// Whether a suspect may be given one idempotent request now to prove
   /// itself. True at most once for each probation interval and never while
   /// slow work is in flight; always true for a healthy instance and never for
@@ -88,6 +91,7 @@
   };
 
   TimePoint Advance(TimePoint now);
+  void UpdateThresholds();
   void AddRecord(const InFlight& work, TimePoint now, WorkRecord::Kind kind);
   double AgeEvidence(TimePoint at) const;
   bool SpansLongEnough() const;
--- a/libs/health/include/sequoiastage/health/judge_options.h
+++ b/libs/health/include/sequoiastage/health/judge_options.h
@@ -85,6 +85,9 @@
 
 JudgeOptions MakeJudgeOptions(const EjectionPolicy& policy);
 
+/// Sets what the policy says in `options`; the rest stays.
+void ApplyPolicy(const EjectionPolicy& policy, JudgeOptions& options);
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_HEALTH_JUDGE_OPTIONS_H_
--- a/libs/health/src/instance_judge.cc
+++ b/libs/health/src/instance_judge.cc
@@ -88,15 +88,25 @@
   m_baseline_at = now;
   m_has_baseline = true;
   m_evidence = Evidence(m_options, baseline);
-  m_ejection_threshold =
-      EjectionThreshold(m_options, baseline.m_outcomes_per_hour);
-  m_suspect_threshold =
-      SuspectThreshold(m_options, baseline.m_outcomes_per_hour);
+  UpdateThresholds();
   m_trail.Reweigh(m_evidence, m_baseline.m_as_of,
                   kSumCap * m_ejection_threshold);
   UpdateVerdict(now);
 }
 
+void InstanceJudge::SetPolicy(TimePoint now, const EjectionPolicy& policy) {
+  now = Advance(now);
+  ApplyPolicy(policy, m_options);
+  UpdateThresholds();
+  UpdateVerdict(now);
+}
+
+void InstanceJudge::UpdateThresholds() {
+  const double rate = m_baseline.m_outcomes_per_hour;
+  m_ejection_threshold = EjectionThreshold(m_options, rate);
+  m_suspect_threshold = SuspectThreshold(m_options, rate);
+}
+
 void InstanceJudge::OnProbe(TimePoint now, bool is_good) {
   now = Advance(now);
   m_last_probe_failed = !is_good;
--- a/libs/health/src/judge_options.cc
+++ b/libs/health/src/judge_options.cc
@@ -11,12 +11,16 @@
 
 }  // namespace
 
-JudgeOptions MakeJudgeOptions(const EjectionPolicy& policy) {
-  JudgeOptions options;
+void ApplyPolicy(const EjectionPolicy& policy, JudgeOptions& options) {
   options.m_false_ejection_hours =
       std::max(kMinHours, policy.m_false_ejection_hours);
   options.m_detection_weight =
       std::clamp(policy.m_detection_weight, 0.0, kMaxDetectionWeight);
+}
+
+JudgeOptions MakeJudgeOptions(const EjectionPolicy& policy) {
+  JudgeOptions options;
+  ApplyPolicy(policy, options);
   return options;
 }
 
--- a/libs/health/tests/instance_judge_test.cc
+++ b/libs/health/tests/instance_judge_test.cc
@@ -343,5 +343,23 @@
   EXPECT_EQ(judge.Report().m_verdict, Verdict::kHealthy);
 }
 
+// Operators may change the policy of a service while its instances work.
+TEST(InstanceJudgeTest, AChangedPolicyWeighsTheEvidenceThereIs) {
+  InstanceJudge judge(MakeJudgeOptions(kCautiousPolicy), TimePoint());
+  TimePoint now;
+  const auto fail = [&judge, &now] {
+    now += std::chrono::milliseconds(200);
+    judge.OnFinish(judge.OnStart(now), now, Outcome::kError);
+  };
+  fail();
+  fail();
+  ASSERT_EQ(judge.Report().m_verdict, Verdict::kHealthy);
+  const double before = judge.Report().m_suspicion;
+  judge.SetPolicy(now, {.m_false_ejection_hours = 1,
+                        .m_detection_weight = kFastPolicy.m_detection_weight});
+  EXPECT_GT(judge.Report().m_suspicion, before);
+  EXPECT_EQ(judge.Report().m_verdict, Verdict::kSuspect);
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/limits/include/sequoiastage/limits/slot_gate.h
+++ b/libs/limits/include/sequoiastage/limits/slot_gate.h
@@ -91,6 +91,9 @@
   /// Sets the number of slots. Running work keeps its slot.
   GateChanges Resize(uint32_t slots, TimePoint now);
 
+  /// Sets the most pieces of work that wait. The newest beyond it are refused.
+  GateChanges SetMaxQueued(uint32_t max_queued);
+
   uint32_t Slots() const { return m_options.m_slots; }
   size_t Running() const { return m_running.size(); }
   size_t Queued() const { return m_queue.size(); }
--- a/libs/limits/src/slot_gate.cc
+++ b/libs/limits/src/slot_gate.cc
@@ -90,6 +90,17 @@
   return changes;
 }
 
+GateChanges SlotGate::SetMaxQueued(uint32_t max_queued) {
+  GateChanges changes;
+  m_options.m_max_queued = max_queued;
+  while (m_queue.size() > max_queued) {
+    changes.m_refused.push_back(m_queue.back().m_ticket);
+    m_queue.pop_back();
+    ++m_stats.m_refused;
+  }
+  return changes;
+}
+
 // As many as the slots take up in the longest wait, but one for each slot at
 // least.
 size_t SlotGate::QueueLimit() const {
--- a/libs/node/src/egress.cc
+++ b/libs/node/src/egress.cc
@@ -363,11 +363,16 @@
   } else if (!local.m_is_ejected && instance.m_local.m_is_ejected) {
     instance.m_judge.OnReadmitted(now);
   }
-  const bool is_resized = local.m_slots != instance.m_local.m_slots;
-  instance.m_local = local;
-  if (is_resized) {
+  const LocalInstance before = std::exchange(instance.m_local, local);
+  if (local.m_false_ejection_hours != before.m_false_ejection_hours) {
+    instance.m_judge.SetPolicy(now, PolicyFor(local.m_false_ejection_hours));
+  }
+  if (local.m_slots != before.m_slots) {
     Follow(instance, instance.m_gate.Resize(local.m_slots, now));
   }
+  if (local.m_queue_length != before.m_queue_length) {
+    Follow(instance, instance.m_gate.SetMaxQueued(local.m_queue_length));
+  }
 }
 
 void Egress::SetBaseline(InstanceId instance, const PeerBaseline& baseline) {
--- a/libs/node/tests/egress_test.cc
+++ b/libs/node/tests/egress_test.cc
@@ -16,17 +16,25 @@
 
 class EgressTest : public testing::Test {
  protected:
-  EgressTest() : m_egress(m_io, kOwn) {
+  EgressTest() : m_egress(m_io, kOwn) { SetQueueLength(0); }
+
+  void SetQueueLength(uint16_t length) {
     m_egress.SetInstances({{.m_id = At(9),
                             .m_service = kService,
                             .m_incarnation = Incarnation(1),
                             .m_slots = 1,
-                            .m_queue_length = 0}});
+                            .m_queue_length = length}});
   }
 
   // Result of a dispatch that is refused at once; empty when it is not.
   std::optional<ResultMessage> Dispatch(uint64_t counter) {
     std::optional<ResultMessage> result;
+    Dispatch(counter, result);
+    return std::exchange(result, std::nullopt);
+  }
+
+  // The result, whenever it comes, goes to `result`, which has to outlive it.
+  void Dispatch(uint64_t counter, std::optional<ResultMessage>& result) {
     const auto deadline = WallNow() + std::chrono::seconds(5);
     m_egress.Dispatch(
         {.m_attempt = {.m_incarnation = Incarnation(1), .m_counter = counter},
@@ -37,7 +45,6 @@
          .m_deadline_ms = deadline.time_since_epoch().count(),
          .m_request = {.m_method = "GET", .m_target = "/"}},
         [&result](ResultMessage got) { result = std::move(got); });
-    return result;
   }
 
   asio::io_context m_io;
@@ -64,6 +71,29 @@
   EXPECT_EQ(named, (std::vector<InstanceId>{At(9), At(4), At(3), At(1)}));
 }
 
+// An instance may announce itself before the node has a configuration.
+TEST_F(EgressTest, AQueueLengthSetLaterIsInForceAtOnce) {
+  ASSERT_FALSE(Dispatch(1).has_value());
+  ASSERT_TRUE(Dispatch(2).has_value());
+  SetQueueLength(1);
+  EXPECT_FALSE(Dispatch(3).has_value());
+  EXPECT_TRUE(Dispatch(4).has_value());
+}
+
+TEST_F(EgressTest, AShorterQueueRefusesWhatWaitsBeyondIt) {
+  SetQueueLength(2);
+  ASSERT_FALSE(Dispatch(1).has_value());
+  std::optional<ResultMessage> second;
+  std::optional<ResultMessage> third;
+  Dispatch(2, second);
+  Dispatch(3, third);
+  ASSERT_FALSE(third.has_value());
+  SetQueueLength(1);
+  EXPECT_FALSE(second.has_value());
+  ASSERT_TRUE(third.has_value());
+  EXPECT_EQ(third->m_result, AttemptResult::kNotStarted);
+}
+
 TEST_F(EgressTest, NothingNewIsStartedWhileDraining) {
   m_egress.SetDraining(true);
   const auto refused = Dispatch(1);
