Let requests at a node that has just started wait for the first instances

Cause: a node listens before it knows members or configuration.

Ruled out: listening later. A connection that is refused costs the caller the same try, and an address that can't be bound would be found late.

Change: in the first 2 s a request whose service has no instance in the view waits for one, for half of its own time at most; then it is run or gets its final answer. Nothing waits once an instance is known or the 2 s are over.

--- a/libs/node/src/caller_request.cc
+++ b/libs/node/src/caller_request.cc
@@ -54,6 +54,12 @@
 
 }  // namespace
 
+std::optional<std::chrono::milliseconds> AskedDeadline(
+    const HttpRequest& request) {
+  const std::string* text = FindField(request.m_fields, kDeadlineField);
+  return text == nullptr ? std::nullopt : ParseMillis(*text);
+}
+
 void RemoveConnectionFields(std::vector<HttpField>& fields) {
   std::vector<std::string> named;
   if (const std::string* list = FindField(fields, "Connection")) {
@@ -103,8 +109,8 @@
                       ? std::chrono::duration_cast<std::chrono::milliseconds>(
                             service->m_limits.m_timeout)
                       : default_deadline;
-  if (const std::string* text = FindField(request.m_fields, kDeadlineField)) {
-    const auto asked = ParseMillis(*text);
+  if (FindField(request.m_fields, kDeadlineField) != nullptr) {
+    const auto asked = AskedDeadline(request);
     if (!asked) {
       return Refuse(problem, 400, "Bad deadline",
                     "Sequoiastage-Deadline-Ms takes 1 to 600000 "
--- a/libs/node/src/caller_request_p.h
+++ b/libs/node/src/caller_request_p.h
@@ -29,6 +29,11 @@
     WallTime now,
     Problem& problem);
 
+// The time that the caller gives the request; empty when it names none, or
+// none that is allowed.
+std::optional<std::chrono::milliseconds> AskedDeadline(
+    const HttpRequest& request);
+
 // Removes the fields that only hold for one connection (RFC 9110, 7.6.1).
 void RemoveConnectionFields(std::vector<HttpField>& fields);
 
--- a/libs/node/src/ingress.cc
+++ b/libs/node/src/ingress.cc
@@ -11,6 +11,10 @@
 constexpr uint32_t kRetryAfterSeconds = 1;
 // Pause before a request is passed on again to the owner of its key.
 constexpr std::chrono::milliseconds kForwardPause{100};
+// Time after the start in which members and configuration usually arrive.
+constexpr std::chrono::seconds kStartTime{2};
+// An early request waits for this part of its time at most.
+constexpr int kEarlyWaitShare = 2;
 
 Problem Draining() {
   return {.m_status = 503,
@@ -137,6 +141,7 @@
 void Ingress::SetView(NodeViewPtr view) {
   m_view = view;
   m_runner.SetView(std::move(view));
+  AdmitEarly();
 }
 
 void Ingress::OnLocalResult(ResultMessage result) {
@@ -154,7 +159,43 @@
     Refuse(KeyTextOf(request), TooManyInFlight(), call);
     return;
   }
-  Admit(std::move(request), call);
+  if (IsEarly(request)) {
+    KeepEarly(std::move(request), call);
+    return;
+  }
+  Admit(std::move(request), call, WallNow());
+}
+
+bool Ingress::IsEarly(const HttpRequest& request) const {
+  if (m_is_draining || Now() - m_start >= kStartTime) {
+    return false;
+  }
+  if (m_view->m_routes == nullptr) {
+    return true;
+  }
+  const Route* route = m_view->m_routes->Find(request.m_host, request.m_target);
+  return route != nullptr && !HasInstance(*m_view, route->m_service);
+}
+
+void Ingress::KeepEarly(HttpRequest request,
+                        const std::shared_ptr<Call>& call) {
+  const auto time =
+      AskedDeadline(request).value_or(m_options.m_default_deadline);
+  m_early.push_back({.m_request = std::move(request),
+                     .m_call = call,
+                     .m_arrived = WallNow(),
+                     .m_wait_until = Now() + time / kEarlyWaitShare});
+}
+
+void Ingress::AdmitEarly() {
+  const TimePoint now = Now();
+  for (EarlyRequest& early : std::exchange(m_early, {})) {
+    if (now < early.m_wait_until && IsEarly(early.m_request)) {
+      m_early.push_back(std::move(early));
+    } else {
+      Admit(std::move(early.m_request), early.m_call, early.m_arrived);
+    }
+  }
 }
 
 void Ingress::Refuse(const std::string& key_text,
@@ -178,11 +219,13 @@
              : RequestOutcome::kUnknown;
 }
 
-void Ingress::Admit(HttpRequest request, const std::shared_ptr<Call>& call) {
+void Ingress::Admit(HttpRequest request,
+                    const std::shared_ptr<Call>& call,
+                    WallTime arrived) {
   Problem problem;
   const std::string key_text = KeyTextOf(request);
   auto checked = CheckRequest(*m_view, std::move(request),
-                              m_options.m_default_deadline, WallNow(), problem);
+                              m_options.m_default_deadline, arrived, problem);
   if (!checked) {
     Refuse(key_text, std::move(problem), call);
     return;
@@ -304,6 +347,7 @@
 }
 
 void Ingress::OnTick() {
+  AdmitEarly();
   for (const NodeId peer : m_runner.OnTick()) {
     m_transport.Send(peer,
                      HelloMessage{.m_node = m_options.m_node,
--- a/libs/node/src/ingress_p.h
+++ b/libs/node/src/ingress_p.h
@@ -74,8 +74,8 @@
   void LookUpOutcome(const std::string& text,
                      std::function<void(HttpAnswer)> done);
 
-  // Callers' requests that have no answer yet.
-  // Callers' requests, and requests run for callers of other nodes.
+  // Callers' requests without an answer, and requests run for callers of
+  // other nodes.
   size_t InFlight() const { return m_in_flight + m_runner.InFlight(); }
   IngressStats Stats() const;
   std::vector<MetricFamily> Metrics() const { return m_metrics.Collect(); }
@@ -94,13 +94,29 @@
 
   class Call;
 
+  // A request that came before the node knew an instance for it.
+  struct EarlyRequest {
+    HttpRequest m_request;
+    std::shared_ptr<Call> m_call;
+    WallTime m_arrived;
+    // It is run or refused then, whatever is known.
+    TimePoint m_wait_until;
+  };
+
   void OnRequest(HttpRequest request, HttpResponder responder);
   // Answers a request that is not run. `key_text` is empty when it has no key.
   void Refuse(const std::string& key_text,
               Problem problem,
               const std::shared_ptr<Call>& call);
   RequestOutcome OutcomeOfRefusal(const IdempotencyKey& key);
-  void Admit(HttpRequest request, const std::shared_ptr<Call>& call);
+  // True when the node has just started and may yet learn of an instance for
+  // the request.
+  bool IsEarly(const HttpRequest& request) const;
+  void KeepEarly(HttpRequest request, const std::shared_ptr<Call>& call);
+  void AdmitEarly();
+  void Admit(HttpRequest request,
+             const std::shared_ptr<Call>& call,
+             WallTime arrived);
   void RunKeyed(CheckedRequest checked, const std::shared_ptr<Call>& call);
   void AskForKey(const std::shared_ptr<Call>& call);
   void ForwardKeyed(NodeId owner,
@@ -121,6 +137,8 @@
   HttpServer m_server;
   // Empty until the control thread has made the first.
   NodeViewPtr m_view = std::make_shared<const NodeView>();
+  const TimePoint m_start = Now();
+  std::vector<EarlyRequest> m_early;
   std::unordered_map<AttemptId, std::unique_ptr<Forward>> m_forwards;
   size_t m_in_flight = 0;
   bool m_is_draining = false;
--- a/libs/node/src/node_view_p.h
+++ b/libs/node/src/node_view_p.h
@@ -1,6 +1,7 @@
 #ifndef SEQUOIASTAGE_NODE_NODE_VIEW_P_H_
 #define SEQUOIASTAGE_NODE_NODE_VIEW_P_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <unordered_map>
@@ -37,6 +38,16 @@
 
 using NodeViewPtr = std::shared_ptr<const NodeView>;
 
+// True when an instance of the service may get work.
+inline bool HasInstance(const NodeView& view, ServiceId service) {
+  const auto found = view.m_instances.find(service);
+  return found != view.m_instances.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [](const InstanceView& instance) {
+                       return !instance.m_is_excluded;
+                     });
+}
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_NODE_NODE_VIEW_P_H_
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -94,6 +94,24 @@
   EXPECT_EQ(result.m_no_answer, 0);
 }
 
+// A node that starts first hears of instances elsewhere after it listens.
+TEST(RestartTest, FirstRequestAtANodeThatStartsIsServed) {
+  Fleet fleet({.m_nodes = 2, .m_only_instances_at = 1});
+  ASSERT_EQ(fleet.Start(), "");
+  for (int round = 0; round < 5; ++round) {
+    fleet.Node(0).Kill();
+    fleet.StartNode(0);
+    CallerAnswer first;
+    EXPECT_TRUE(WaitUntil(milliseconds(10'000), [&fleet, &first] {
+      first = Call({.m_to = fleet.Caller(0),
+                    .m_target = "/jobs/first",
+                    .m_fields = {{"Host", "move.example"}}});
+      return first.IsWhole();
+    }));
+    EXPECT_EQ(first.m_status, 200) << first.m_body;
+  }
+}
+
 // Reads at the living nodes 0 and 1; the longest one's time. An attempt at a
 // node that does not answer costs a third of the deadline.
 milliseconds LongestRead(const Fleet& fleet, int count) {
