Try instances of a node's ended run last

Cause: after a node's restart the others' views name its earlier run for up to a second.

Change: a refusal for the wrong incarnation marks that run of the node; its instances are ordered with the unreachable ones until the view shows the next run. They stay in the list, so nothing is lost where they are all there is.

--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -375,6 +375,9 @@
       Close(*sent);
     }
     sent->m_may_have_run = result.m_result != AttemptResult::kNotStarted;
+    if (result.m_reason == AttemptReason::kWrongIncarnation) {
+      m_picker.OnNodeReplaced(sent->m_node, sent->m_node_incarnation);
+    }
   }
   switch (result.m_result) {
     case AttemptResult::kAnswered:
--- a/libs/node/src/target_picker.cc
+++ b/libs/node/src/target_picker.cc
@@ -36,6 +36,12 @@
                               choice.m_reason != ChoiceReason::kProving};
 }
 
+bool TargetPicker::IsReplaced(const InstanceView& instance) const {
+  const auto found = m_replaced.find(instance.m_node);
+  return found != m_replaced.end() &&
+         found->second == instance.m_node_incarnation;
+}
+
 Candidate TargetPicker::ToCandidate(const InstanceView& instance,
                                     TimePoint now) const {
   const LoadEstimate load = m_loads.Estimate(instance.m_id, now);
@@ -47,8 +53,9 @@
               is_suspect ? InstanceHealth::kSuspect : InstanceHealth::kHealthy,
           .m_draining = instance.m_is_excluded,
           .m_warm_up = instance.m_is_warming_up,
-          .m_unreachable =
-              instance.m_is_unreachable || m_paths.IsSuspect(instance.m_node),
+          .m_unreachable = instance.m_is_unreachable ||
+                           m_paths.IsSuspect(instance.m_node) ||
+                           IsReplaced(instance),
           .m_slots = instance.m_slots,
           .m_load = load.m_load};
 }
@@ -82,6 +89,7 @@
   if (now >= m_next_sweep) {
     m_next_sweep = now + kSweepInterval;
     m_loads.Sweep(now);
+    m_replaced.clear();
   }
   return m_paths.OnTick(now);
 }
--- a/libs/node/src/target_picker_p.h
+++ b/libs/node/src/target_picker_p.h
@@ -3,6 +3,7 @@
 
 #include <random>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 #include "node_view_p.h"
@@ -44,6 +45,12 @@
     m_paths.OnConnectionFailed(node, now);
   }
 
+  // The run of `node` with `incarnation` is over. Its instances come last
+  // until the view shows the next run.
+  void OnNodeReplaced(NodeId node, Incarnation incarnation) {
+    m_replaced[node] = incarnation;
+  }
+
   // To be called every 50 ms; returns the nodes to probe now.
   std::vector<NodeId> OnTick(TimePoint now);
 
@@ -51,6 +58,7 @@
   bool IsPathSuspect(NodeId node) const { return m_paths.IsSuspect(node); }
 
  private:
+  bool IsReplaced(const InstanceView& instance) const;
   Candidate ToCandidate(const InstanceView& instance, TimePoint now) const;
 
   // There is no path to the own egress to judge.
@@ -59,6 +67,8 @@
   Selector m_selector;
   LoadTable m_loads;
   PathJudge m_paths;
+  // The last run of each node that was found to be over.
+  std::unordered_map<NodeId, Incarnation> m_replaced;
   std::mt19937_64 m_random;
   TimePoint m_next_sweep;
 };
