Start the load of process tests once all nodes know all instances

Ruled out: lost slots or a stuck gate (running and queued followed the load), a full ledger, a link that takes nothing.

Change: Start() waits until every node lists every instance; the reasons of not-run answers are counted and printed. No bound is changed.

--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -115,6 +115,12 @@
     if (!WaitUntil(kStartLimit, is_serving)) {
       return "node " + std::to_string(node) + " does not serve";
     }
+    const auto knows_all = [this, node] {
+      return KnownInstances(node) == InstanceCount();
+    };
+    if (!WaitUntil(kStartLimit, knows_all)) {
+      return "node " + std::to_string(node) + " does not know all instances";
+    }
   }
   return "";
 }
@@ -134,6 +140,23 @@
   return only < 0 || only == node ? m_options.m_instances_per_node : 0;
 }
 
+int Fleet::InstanceCount() const {
+  int count = 0;
+  for (int node = 0; node < m_options.m_nodes; ++node) {
+    count += InstancesAt(node);
+  }
+  return count;
+}
+
+int Fleet::KnownInstances(int node) const {
+  const CallerAnswer answer =
+      Call({.m_to = Admin(node), .m_target = "/v1/instances"});
+  if (!answer.IsWhole() || answer.m_status != 200) {
+    return 0;
+  }
+  return static_cast<int>(Json::parse(answer.m_body).at("instances").size());
+}
+
 void Fleet::StartRelay() {
   std::vector<Relay::Node> nodes;
   nodes.reserve(m_nodes.size());
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -46,8 +46,8 @@
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
 
-  /// Starts all and publishes the configuration. Empty once every node serves;
-  /// else what is missing.
+  /// Starts all and publishes the configuration. Empty once every node serves
+  /// and knows all instances; else what is missing.
   std::string Start();
 
   int NodeCount() const { return m_options.m_nodes; }
@@ -93,6 +93,9 @@
   Endpoint At(int node, uint16_t port) const;
   Endpoint PeerBind(int node) const;
   int InstancesAt(int node) const;
+  int InstanceCount() const;
+  /// Instances that the node lists.
+  int KnownInstances(int node) const;
   void StartRelay();
   std::string Settings(int node) const;
   std::string Configuration(const std::string& extra_path) const;
--- a/tests/load.cc
+++ b/tests/load.cc
@@ -75,6 +75,7 @@
     }
     if (outcome == "not-run") {
       ++m_result.m_not_run;
+      ++m_result.m_not_run_reasons[answer.m_body];
     } else if (outcome == "unknown") {
       ++m_result.m_unknown;
     } else {
@@ -146,6 +147,9 @@
       m_result.m_requests += part.m_requests;
       m_result.m_answered += part.m_answered;
       m_result.m_not_run += part.m_not_run;
+      for (const auto& [reason, count] : part.m_not_run_reasons) {
+        m_result.m_not_run_reasons[reason] += count;
+      }
       m_result.m_unknown += part.m_unknown;
       m_result.m_unsent += part.m_unsent;
       m_result.m_no_answer += part.m_no_answer;
--- a/tests/load.h
+++ b/tests/load.h
@@ -36,6 +36,8 @@
   int m_requests = 0;
   int m_answered = 0;
   int m_not_run = 0;
+  /// The reasons given with not-run, and how often.
+  std::map<std::string, int> m_not_run_reasons;
   int m_unknown = 0;
   /// The connection was refused: nothing was sent.
   int m_unsent = 0;
--- a/tests/outcome_under_faults_test.cc
+++ b/tests/outcome_under_faults_test.cc
@@ -59,6 +59,9 @@
       result.m_unsent, result.m_no_answer, schedule.Faults(),
       result.m_keyed.size(), not_run,
       static_cast<long long>(result.m_longest.count() / 1000));
+  for (const auto& [reason, count] : result.m_not_run_reasons) {
+    std::printf("not-run %d times: %s\n", count, reason.c_str());
+  }
   // The schedule must have reached what the test is about.
   EXPECT_GT(schedule.Faults(), 3);
   EXPECT_GT(result.m_answered, result.m_requests / 2);
