--- a/libs/node/src/target_picker_p.h
+++ b/libs/node/src/target_picker_p.h
@@ -3,6 +3,7 @@
 
 #include <random>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 #include "node_view_p.h"
@@ -50,6 +51,12 @@
     m_paths.OnConnectionFailed(node, now);
   }
 
+  // The run of `node` with `incarnation` is over. Its instances come last
+  // until the view shows the next run.
+  void OnNodeReplaced(NodeId node, Incarnation incarnation) {
+    m_replaced[node] = incarnation;
+  }
+
   // To be called every 50 ms; returns the nodes to probe now.
   std::vector<NodeId> OnTick(TimePoint now);
 
@@ -62,6 +69,7 @@
   std::vector<Choice> Order(const std::vector<InstanceView>& instances,
                             const SelectionRequest& request,
                             TimePoint now);
+  bool IsReplaced(const InstanceView& instance) const;
   Candidate ToCandidate(const InstanceView& instance, TimePoint now) const;
 
   // There is no path to the own egress to judge.
@@ -70,6 +78,8 @@
   Selector m_selector;
   LoadTable m_loads;
   PathJudge m_paths;
+  // The last run of each node that was found to be over.
+  std::unordered_map<NodeId, Incarnation> m_replaced;
   std::mt19937_64 m_random;
   TimePoint m_next_sweep;
 };
