--- a/libs/config/include/sequoiastage/config/config.h
+++ b/libs/config/include/sequoiastage/config/config.h
@@ -50,7 +50,7 @@
   bool m_hedge = false;
   /// A request runs long beyond this quantile of the service's recent
   /// latencies.
-  double m_hedge_quantile = 0.95;
+  double m_hedge_quantile = 0.9;
 
   friend bool operator==(const RetryLimits&, const RetryLimits&) = default;
 };
