Ask the owner of a key before a draining node refuses a request

Cause: a draining node said "unknown" to each request with another node's key, though the owner knows whether it ran.

Change: Ingress::Refuse() sends the owner a query (500 ms at most) while the node drains, and says "not-run" where the owner has the key unused. While a request with the key waits here to be passed on again, it is "unknown" without a question. The other refusals are as before: a node that is too full does not ask.

Test: DrainingQueryTest (processes) fails before the change ("unknown" for an unused key) and passes after; a used key stays "unknown" at the draining node.

Limit: the owner's word is of that moment; a copy that the caller sent through another node may still run up to its deadline, as when the owner itself refuses.

--- a/libs/node/src/ingress.cc
+++ b/libs/node/src/ingress.cc
@@ -1,5 +1,6 @@
 #include "ingress_p.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "sequoiastage/logging/log_event.h"
@@ -11,6 +12,8 @@
 constexpr uint32_t kRetryAfterSeconds = 1;
 // Pause before a request is passed on again to the owner of its key.
 constexpr std::chrono::milliseconds kForwardPause{100};
+// Time the owner of a key has to tell its outcome before a refusal.
+constexpr std::chrono::milliseconds kOwnerQueryTime{500};
 // Time after the start in which members and configuration usually arrive.
 constexpr std::chrono::seconds kStartTime{2};
 // An early request waits for this part of its time at most.
@@ -202,12 +205,49 @@
                      Problem problem,
                      const std::shared_ptr<Call>& call) {
   const auto key = ParseKey(key_text, nullptr);
+  if (key && m_is_draining && key->m_owner != m_options.m_node) {
+    RefuseAfterQuery(key->m_owner, key_text, std::move(problem), call);
+    return;
+  }
   if (key) {
     problem.m_outcome = OutcomeOfRefusal(*key);
   }
   call->Answer(problem);
 }
 
+// Only the owner of a key can tell whether its request ran. Its word comes
+// after all that went to it from here, on one connection; so while a request
+// with the key waits to be passed on again, nothing is asked.
+void Ingress::RefuseAfterQuery(NodeId owner,
+                               const std::string& key_text,
+                               Problem problem,
+                               const std::shared_ptr<Call>& call) {
+  problem.m_outcome = RequestOutcome::kUnknown;
+  if (IsForwarding(key_text)) {
+    call->Answer(problem);
+    return;
+  }
+  const WallTime deadline = WallNow() + kOwnerQueryTime;
+  ForwardKeyed(owner,
+               {.m_key = key_text,
+                .m_deadline_ms = deadline.time_since_epoch().count(),
+                .m_is_query = true},
+               [call, problem](const KeyedAnswer& answer) mutable {
+                 if (answer.m_outcome == RequestOutcome::kNotRun) {
+                   problem.m_outcome = RequestOutcome::kNotRun;
+                 }
+                 call->Answer(problem);
+               });
+}
+
+bool Ingress::IsForwarding(const std::string& key_text) const {
+  return std::any_of(
+      m_forwards.begin(), m_forwards.end(), [&key_text](const auto& item) {
+        const KeyedRequestMessage& message = item.second->m_message;
+        return !message.m_is_query && message.m_key == key_text;
+      });
+}
+
 // A request with a key may have run when it was shown before; only the ledger
 // of its key can tell.
 RequestOutcome Ingress::OutcomeOfRefusal(const IdempotencyKey& key) {
--- a/libs/node/src/ingress_p.h
+++ b/libs/node/src/ingress_p.h
@@ -108,6 +108,13 @@
   void Refuse(const std::string& key_text,
               Problem problem,
               const std::shared_ptr<Call>& call);
+  // As Refuse(), for a key that `owner` holds.
+  void RefuseAfterQuery(NodeId owner,
+                        const std::string& key_text,
+                        Problem problem,
+                        const std::shared_ptr<Call>& call);
+  // A request with the key was passed on and has no answer.
+  bool IsForwarding(const std::string& key_text) const;
   RequestOutcome OutcomeOfRefusal(const IdempotencyKey& key);
   // True when the node has just started and may yet learn of an instance for
   // the request.
