Refuse paths with "." and ".." segments, plain or encoded

Cause: the lookup took such segments as text, so that a backend server that resolves them would serve another path than the one that was routed.

Change: CheckRequest() answers 400, not run, in any mix of plain and encoded dots and slashes, encoded up to three times (more counts as bad), backslashes and parameters after ";".

--- a/libs/node/src/caller_request.cc
+++ b/libs/node/src/caller_request.cc
@@ -13,6 +13,7 @@
 constexpr const char* kAccountField = "Sequoiastage-Account";
 constexpr std::chrono::milliseconds kMaxDeadline{600'000};
 constexpr size_t kMaxAccountBytes = 128;
+constexpr int kMaxDecodings = 4;
 
 constexpr std::array<std::string_view, 10> kConnectionFields = {
     "connection",
@@ -41,6 +42,67 @@
   return std::chrono::milliseconds(millis);
 }
 
+// Hexadecimal digit to its value; -1 when it is none.
+int HexValue(char c) {
+  if (c >= '0' && c <= '9') {
+    return c - '0';
+  }
+  const char lower = static_cast<char>(c | 0x20);
+  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+// `text` with each percent-encoded byte decoded once.
+std::string DecodePercent(std::string_view text) {
+  std::string decoded;
+  decoded.reserve(text.size());
+  for (size_t i = 0; i < text.size(); ++i) {
+    const bool is_encoded = text[i] == '%' && i + 2 < text.size() &&
+                            HexValue(text[i + 1]) >= 0 &&
+                            HexValue(text[i + 2]) >= 0;
+    if (!is_encoded) {
+      decoded += text[i];
+      continue;
+    }
+    decoded +=
+        static_cast<char>(HexValue(text[i + 1]) * 16 + HexValue(text[i + 2]));
+    i += 2;
+  }
+  return decoded;
+}
+
+// Whether a segment is "." or "..", parameters after ";" left out. Backend
+// servers take backslashes for slashes here and there.
+bool HasPlainDotSegment(std::string_view path) {
+  while (!path.empty()) {
+    const size_t end = std::min(path.find_first_of("/\\"), path.size());
+    std::string_view segment = path.substr(0, end);
+    segment = segment.substr(0, segment.find(';'));
+    if (segment == "." || segment == "..") {
+      return true;
+    }
+    path.remove_prefix(std::min(end + 1, path.size()));
+  }
+  return false;
+}
+
+// A backend server that resolves such segments, at once or after decoding,
+// would take the request for another path than the one that was routed. A path
+// that is encoded more often than kMaxDecodings counts as one that has them.
+bool HasDotSegment(std::string_view target) {
+  std::string path(target.substr(0, target.find_first_of("?#")));
+  for (int i = 0; i < kMaxDecodings; ++i) {
+    if (HasPlainDotSegment(path)) {
+      return true;
+    }
+    std::string decoded = DecodePercent(path);
+    if (decoded == path) {
+      return false;
+    }
+    path = std::move(decoded);
+  }
+  return true;
+}
+
 std::optional<CheckedRequest> Refuse(Problem& problem,
                                      uint16_t status,
                                      std::string title,
@@ -95,6 +157,10 @@
     problem.m_retry_after = 1;
     return std::nullopt;
   }
+  if (HasDotSegment(request.m_target)) {
+    return Refuse(problem, 400, "Bad path",
+                  "The path has a segment \".\" or \"..\", plain or encoded.");
+  }
   const Route* route = view.m_routes->Find(request.m_host, request.m_target);
   if (route == nullptr) {
     return Refuse(problem, 404, "Unknown route",
