Put account shares and configured slots in force

Cause: two more accepted settings did nothing, found by looking each key of config.h up in the product: accounts.NAME.share (Config::FindAccount() had no caller) and services.NAME.limits.slots (an announcement had to name slots).

Ruled out: the egress looking accounts up, for which each would need the table of 190,000; the ingress has it and looks one up in 0.33 us (CAPACITY.md).

Change: the ingress sends the account's share with each attempt; SlotGate divides the account's use by it. An announcement may leave `slots` out, then the number of the service holds, and a change of it takes effect at once.

Tests: SlotGateTest.AccountsGetSlotsByTheirShares (shares 1:1 and 3:1 of the slots within 0.05), AccountShareTest, InstanceTableTest. Left: criticality of a route still does nothing.

--- a/libs/limits/include/sequoiastage/limits/slot_gate.h
+++ b/libs/limits/include/sequoiastage/limits/slot_gate.h
@@ -68,14 +68,19 @@
 ///
 /// Work is queued only when the expected wait is short and the work can finish
 /// before its deadline; the expectation follows the measured service time. A
-/// free slot goes to the caller account with the least recent use. When the
-/// queue is full, work of an account with less use displaces the newest work of
-/// the account with the most.
+/// free slot goes to the caller account with the least recent use for its
+/// share. When the queue is full, work of an account with less use displaces
+/// the newest work of the account with the most.
 class SlotGate {
  public:
   explicit SlotGate(const SlotGateOptions& options);
 
-  AdmissionResult Admit(TimePoint now, TimePoint deadline, AccountId account);
+  /// `share`: weight of the account among the others while there is not
+  /// enough for all; one that is not above 0 counts as 1.
+  AdmissionResult Admit(TimePoint now,
+                        TimePoint deadline,
+                        AccountId account,
+                        double share = 1);
 
   /// Work that held a slot has ended. `counts` tells whether its time says
   /// something about the service time (false after a cancellation or a
@@ -109,6 +114,7 @@
   struct Waiting {
     Ticket m_ticket;
     AccountId m_account;
+    double m_share = 1;
     TimePoint m_deadline;
   };
 
@@ -118,8 +124,9 @@
   };
 
   bool HasFreeSlot() const { return m_running.size() < m_options.m_slots; }
-  double UseOf(AccountId account, TimePoint now) const;
-  bool Displace(AccountId account, TimePoint now, GateChanges& changes);
+  double UseOf(const Waiting& work, TimePoint now) const;
+  double ClaimOf(const Waiting& work, TimePoint now) const;
+  bool Displace(const Waiting& arrival, TimePoint now, GateChanges& changes);
   void Start(Ticket ticket, AccountId account, TimePoint now);
   void FillSlots(TimePoint now, GateChanges& changes);
   void RefuseLate(TimePoint now, GateChanges& changes);
--- a/libs/limits/src/slot_gate.cc
+++ b/libs/limits/src/slot_gate.cc
@@ -19,7 +19,8 @@
 
 AdmissionResult SlotGate::Admit(TimePoint now,
                                 TimePoint deadline,
-                                AccountId account) {
+                                AccountId account,
+                                double share) {
   AdmissionResult result{.m_admission = GateVerdict::kRefused,
                          .m_ticket = Ticket(m_next_ticket++),
                          .m_changes = {}};
@@ -34,14 +35,16 @@
     ++m_stats.m_refused;
     return result;
   }
+  const Waiting arrival{.m_ticket = result.m_ticket,
+                        .m_account = account,
+                        .m_share = share > 0 ? share : 1,
+                        .m_deadline = deadline};
   if (m_queue.size() >= QueueLimit() &&
-      !Displace(account, now, result.m_changes)) {
+      !Displace(arrival, now, result.m_changes)) {
     ++m_stats.m_refused;
     return result;
   }
-  m_queue.push_back(Waiting{.m_ticket = result.m_ticket,
-                            .m_account = account,
-                            .m_deadline = deadline});
+  m_queue.push_back(arrival);
   ++m_stats.m_queued;
   result.m_admission = GateVerdict::kQueued;
   return result;
@@ -123,36 +126,38 @@
          static_cast<int64_t>(m_options.m_slots);
 }
 
-// Recent use and the slots held now.
-double SlotGate::UseOf(AccountId account, TimePoint now) const {
-  double use = m_shares.Use(account, now);
-  for (const auto& [ticket, work] : m_running) {
-    if (work.m_account == account) {
-      use += Seconds(std::max(now - work.m_started, m_service_time));
+// Recent use by the account and the slots it holds now, for its share.
+double SlotGate::UseOf(const Waiting& work, TimePoint now) const {
+  double use = m_shares.Use(work.m_account, now);
+  for (const auto& [ticket, running] : m_running) {
+    if (running.m_account == work.m_account) {
+      use += Seconds(std::max(now - running.m_started, m_service_time));
     }
   }
-  return use;
+  return use / work.m_share;
 }
 
-// Makes room in the queue for `account` if another one has more use, counting
-// what each has in the queue.
-bool SlotGate::Displace(AccountId account,
+// The same with what the account has in the queue.
+double SlotGate::ClaimOf(const Waiting& work, TimePoint now) const {
+  const auto queued = std::count_if(
+      m_queue.begin(), m_queue.end(),
+      [&](const Waiting& other) { return other.m_account == work.m_account; });
+  return UseOf(work, now) +
+         static_cast<double>(queued) * Seconds(m_service_time) / work.m_share;
+}
+
+// Makes room in the queue for `arrival` if another account has a greater claim.
+bool SlotGate::Displace(const Waiting& arrival,
                         TimePoint now,
                         GateChanges& changes) {
-  const auto claim = [&](AccountId of) {
-    double sum = UseOf(of, now);
-    for (const Waiting& work : m_queue) {
-      sum += work.m_account == of ? Seconds(m_service_time) : 0;
-    }
-    return sum;
-  };
   auto worst = m_queue.end();
-  double worst_claim = claim(account) + Seconds(m_service_time);
+  double worst_claim =
+      ClaimOf(arrival, now) + Seconds(m_service_time) / arrival.m_share;
   for (auto work = m_queue.begin(); work != m_queue.end(); ++work) {
-    const double work_claim = claim(work->m_account);
-    if (work->m_account != account && work_claim >= worst_claim) {
+    const double claim = ClaimOf(*work, now);
+    if (work->m_account != arrival.m_account && claim >= worst_claim) {
       worst = work;
-      worst_claim = work_claim;
+      worst_claim = claim;
     }
   }
   if (worst == m_queue.end()) {
@@ -172,9 +177,9 @@
 void SlotGate::FillSlots(TimePoint now, GateChanges& changes) {
   while (HasFreeSlot() && !m_queue.empty()) {
     auto next = m_queue.begin();
-    double least = UseOf(next->m_account, now);
+    double least = UseOf(*next, now);
     for (auto work = next + 1; work != m_queue.end(); ++work) {
-      const double use = UseOf(work->m_account, now);
+      const double use = UseOf(*work, now);
       if (use < least) {
         next = work;
         least = use;
--- a/libs/limits/tests/slot_gate_test.cc
+++ b/libs/limits/tests/slot_gate_test.cc
@@ -119,6 +119,49 @@
   EXPECT_EQ(gate.OnFinish(second.m_ticket, kStart).m_started.size(), 1U);
 }
 
+// Slots of an instance that both accounts ask for without end, as taken by
+// kLarge when its share is `share` times that of kSmall.
+double SlotsOfLarge(double share) {
+  SlotGate gate({.m_slots = 3, .m_max_queued = 6});
+  std::unordered_map<Ticket, AccountId> account_of;
+  std::multimap<TimePoint, Ticket> ends;
+  std::unordered_map<AccountId, double> started;
+  const auto start = [&](Ticket ticket, TimePoint now) {
+    ends.emplace(now + milliseconds(100), ticket);
+    started[account_of.at(ticket)] += 1;
+  };
+  const auto ask = [&](AccountId account, double weight, TimePoint now) {
+    const AdmissionResult result =
+        gate.Admit(now, now + seconds(5), account, weight);
+    account_of[result.m_ticket] = account;
+    if (result.m_admission == GateVerdict::kRun) {
+      start(result.m_ticket, now);
+    }
+    for (const Ticket ticket : result.m_changes.m_started) {
+      start(ticket, now);
+    }
+  };
+  for (TimePoint now = kStart; now < kStart + seconds(60);
+       now += milliseconds(10)) {
+    while (!ends.empty() && ends.begin()->first <= now) {
+      const Ticket ended = ends.begin()->second;
+      ends.erase(ends.begin());
+      for (const Ticket ticket : gate.OnFinish(ended, now).m_started) {
+        start(ticket, now);
+      }
+    }
+    ask(kSmall, 1, now);
+    ask(kLarge, share, now);
+  }
+  return started[kLarge] / (started[kLarge] + started[kSmall]);
+}
+
+TEST(SlotGateTest, AccountsGetSlotsByTheirShares) {
+  EXPECT_NEAR(SlotsOfLarge(1), 0.5, 0.05);
+  EXPECT_NEAR(SlotsOfLarge(3), 0.75, 0.05);
+  EXPECT_NEAR(SlotsOfLarge(0), 0.5, 0.05);
+}
+
 struct GoodputShares {
   // Requests answered within their deadline: of what the slots could do, and
   // of what the small account asked for.
--- a/libs/node/src/caller_request.cc
+++ b/libs/node/src/caller_request.cc
@@ -131,6 +131,10 @@
   }
   checked.m_run.m_service = route->m_service;
   checked.m_run.m_account = AccountIdOf(checked.m_account);
+  if (const Account* account =
+          view.m_config->FindAccount(checked.m_run.m_account)) {
+    checked.m_run.m_account_share = account->m_share;
+  }
   checked.m_run.m_is_idempotent = route->IsIdempotent(request.m_method);
   checked.m_run.m_deadline = now + deadline;
   if (service != nullptr) {
--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -178,7 +178,8 @@
 void Control::PublishOwn() {
   const OwnState own{.m_state = m_host_state,
                      .m_config_version = m_config.Version(),
-                     .m_instances = m_instances.ToMemberEntries(Now())};
+                     .m_instances = m_instances.ToMemberEntries(
+                         Now(), m_config.InForce().get())};
   if (!m_membership.SetOwn(own, Now())) {
     LogEvent(LogLevel::kError, "own_entry_refused")
         .Add("reason", m_membership.LastReason());
@@ -212,7 +213,7 @@
         .m_id = id,
         .m_service = ServiceIdOf(announced.m_service),
         .m_incarnation = announced.m_incarnation,
-        .m_slots = announced.m_slots,
+        .m_slots = SlotsOf(announced, m_config.InForce().get()),
         .m_is_draining = entry.m_is_drained || announced.m_is_draining,
         .m_is_ejected = m_ejections.IsEjected(id, announced.m_incarnation)};
     const Service* service =
--- a/libs/node/src/egress.cc
+++ b/libs/node/src/egress.cc
@@ -77,7 +77,7 @@
   Instance& instance = *Find(message.m_instance);
   const AdmissionResult result = instance.m_gate.Admit(
       now, now + (DeadlineOf(message.m_deadline_ms) - WallNow()),
-      message.m_account);
+      message.m_account, message.m_account_share);
   if (result.m_admission == GateVerdict::kRefused) {
     Refuse(message, AttemptReason::kBusy, reply);
     Follow(instance, result.m_changes);
--- a/libs/node/src/instance_table.cc
+++ b/libs/node/src/instance_table.cc
@@ -1,5 +1,7 @@
 #include "instance_table_p.h"
 
+#include <algorithm>
+
 #include "sequoiastage/checkedjson/json_document.h"
 #include "sequoiastage/checkedjson/json_reader.h"
 
@@ -8,6 +10,8 @@
 namespace {
 
 constexpr uint16_t kMaxSlots = 4096;
+// While there is no configuration for the service.
+constexpr uint16_t kSlotsUnconfigured = 1;
 constexpr int64_t kMaxIncarnation = int64_t{1} << 62;
 
 }  // namespace
@@ -27,14 +31,16 @@
   root.ReadInteger<int64_t>("incarnation", incarnation,
                             {.m_min = 1, .m_max = kMaxIncarnation},
                             Presence::kRequired);
-  root.ReadInteger<uint16_t>("slots", announcement.m_slots,
-                             {.m_min = 1, .m_max = kMaxSlots},
-                             Presence::kRequired);
+  uint16_t slots = 0;
+  root.ReadInteger<uint16_t>("slots", slots, {.m_min = 1, .m_max = kMaxSlots});
   root.ReadBool("draining", announcement.m_is_draining);
   root.RefuseUnknownKeys();
   if (!findings.IsEmpty()) {
     return std::nullopt;
   }
+  if (slots > 0) {
+    announcement.m_slots = slots;
+  }
   announcement.m_id = InstanceId(endpoint);
   announcement.m_incarnation = Incarnation(static_cast<uint64_t>(incarnation));
   return announcement;
@@ -93,7 +99,21 @@
   return expired;
 }
 
-std::vector<InstanceEntry> InstanceTable::ToMemberEntries(TimePoint now) const {
+uint16_t SlotsOf(const Announcement& announcement, const Config* config) {
+  if (announcement.m_slots) {
+    return *announcement.m_slots;
+  }
+  const ServiceId id = ServiceIdOf(announcement.m_service);
+  const Service* service =
+      config == nullptr ? nullptr : config->FindService(id);
+  const uint32_t slots =
+      service == nullptr ? kSlotsUnconfigured : service->m_limits.m_slots;
+  return static_cast<uint16_t>(std::min<uint32_t>(slots, kMaxSlots));
+}
+
+std::vector<InstanceEntry> InstanceTable::ToMemberEntries(
+    TimePoint now,
+    const Config* config) const {
   std::vector<InstanceEntry> members;
   members.reserve(m_entries.size());
   for (const auto& [id, entry] : m_entries) {
@@ -102,7 +122,7 @@
     members.push_back({.m_id = id,
                        .m_service = ServiceIdOf(entry.m_announced.m_service),
                        .m_incarnation = entry.m_announced.m_incarnation,
-                       .m_slots = entry.m_announced.m_slots,
+                       .m_slots = SlotsOf(entry.m_announced, config),
                        .m_state = is_draining ? InstanceState::kDraining
                                               : InstanceState::kServing,
                        .m_suspect = entry.m_is_suspect,
--- a/libs/node/src/instance_table_p.h
+++ b/libs/node/src/instance_table_p.h
@@ -10,6 +10,7 @@
 #include "sequoiastage/base/findings.h"
 #include "sequoiastage/base/ids.h"
 #include "sequoiastage/base/time.h"
+#include "sequoiastage/config/config.h"
 #include "sequoiastage/membership/member_entry.h"
 
 namespace sequoiastage {
@@ -18,11 +19,13 @@
 //
 //   {"service": "approvals", "endpoint": "127.0.1.1:9001",
 //    "incarnation": 1733240000000, "slots": 3, "draining": false}
+//
+// Without "slots" the configuration of its service tells them.
 struct Announcement {
   std::string m_service;
   InstanceId m_id;
   Incarnation m_incarnation;
-  uint16_t m_slots = 0;
+  std::optional<uint16_t> m_slots;
   bool m_is_draining = false;
 };
 
@@ -30,6 +33,10 @@
 std::optional<Announcement> ParseAnnouncement(std::string_view text,
                                               Findings& findings);
 
+// Slots of the instance: as announced, else as `config` (may be null) says of
+// its service.
+uint16_t SlotsOf(const Announcement& announcement, const Config* config);
+
 // The instances on this host, as they announced themselves. An instance that
 // stops announcing itself is gone after kAnnouncementTtl.
 class InstanceTable {
@@ -66,7 +73,8 @@
   const std::map<InstanceId, Entry>& Entries() const { return m_entries; }
 
   // The table as this node's member entry has it.
-  std::vector<InstanceEntry> ToMemberEntries(TimePoint now) const;
+  std::vector<InstanceEntry> ToMemberEntries(TimePoint now,
+                                             const Config* config) const;
 
  private:
   std::map<InstanceId, Entry> m_entries;
--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -206,6 +206,7 @@
           .m_service = request.m_service,
           .m_instance = target->m_id,
           .m_account = request.m_account,
+          .m_account_share = request.m_account_share,
           .m_is_idempotent = request.m_is_idempotent,
           .m_accept_suspect = choice.m_accept_suspect,
           .m_completeness_field = request.m_completeness_field,
--- a/libs/node/src/request_runner_p.h
+++ b/libs/node/src/request_runner_p.h
@@ -25,6 +25,7 @@
   HttpRequest m_request;
   ServiceId m_service;
   AccountId m_account;
+  double m_account_share = 1;
   std::string m_completeness_field;
   bool m_is_idempotent = false;
   uint32_t m_max_attempts = 2;
--- /dev/null
+++ b/libs/node/tests/account_share_test.cc
@@ -0,0 +1,40 @@
+#include <gtest/gtest.h>
+
+#include "../src/caller_request_p.h"
+
+namespace sequoiastage {
+namespace {
+
+NodeView View() {
+  auto config = std::make_shared<Config>();
+  config->m_services = {{.m_name = "plans", .m_id = ServiceIdOf("plans")}};
+  config->m_routes = {{.m_name = "plans",
+                       .m_host = "*",
+                       .m_path = "/plans",
+                       .m_service = ServiceIdOf("plans")}};
+  config->m_accounts = {
+      {.m_name = "families", .m_id = AccountIdOf("families"), .m_share = 4}};
+  return {.m_config = config,
+          .m_routes = std::make_shared<const RouteTable>(config->m_routes)};
+}
+
+double ShareOf(const std::string& account) {
+  Problem problem;
+  const auto checked =
+      CheckRequest(View(),
+                   {.m_method = "GET",
+                    .m_host = "move.example",
+                    .m_target = "/plans/1",
+                    .m_fields = {{"Sequoiastage-Account", account}}},
+                   std::chrono::seconds(1), WallNow(), problem);
+  EXPECT_TRUE(checked.has_value()) << problem.m_detail;
+  return checked ? checked->m_run.m_account_share : 0;
+}
+
+TEST(AccountShareTest, ConfiguredShareGoesWithTheRequest) {
+  EXPECT_EQ(ShareOf("families"), 4);
+  EXPECT_EQ(ShareOf("somebody"), 1);
+}
+
+}  // namespace
+}  // namespace sequoiastage
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -30,6 +30,8 @@
   ServiceId m_service;
   InstanceId m_instance;
   AccountId m_account;
+  /// Weight of the account among those of an overloaded instance.
+  double m_account_share = 1;
   bool m_is_idempotent = false;
   /// True: run it though the instance is suspect, nothing better has room.
   bool m_accept_suspect = false;
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -60,8 +60,8 @@
 template <class Archive>
 void serialize(Archive& archive, DispatchMessage& message) {
   archive(message.m_attempt, message.m_egress_incarnation, message.m_service,
-          message.m_instance, message.m_account, message.m_is_idempotent,
-          message.m_accept_suspect);
+          message.m_instance, message.m_account, message.m_account_share,
+          message.m_is_idempotent, message.m_accept_suspect);
   Bounded(archive, message.m_completeness_field);
   archive(message.m_deadline_ms, message.m_request);
 }
