--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -534,7 +534,7 @@
 // How long an idempotent attempt took until its answer.
 void RequestRunner::KeepLatency(const RunRequest& request,
                                 const SentAttempt& sent) {
-  if (request.m_is_idempotent) {
+  if (request.m_is_idempotent && request.m_hedge_quantile) {
     const TimePoint now = Now();
     StateOf(request, now).m_latency.Add(now - sent.m_sent_at, now);
   }
