Tell callers in words why a request was not run

Change: a clause for each reason in the detail; the short text moves to a member of its own, reason, for programs.

--- a/libs/node/src/key_owner.cc
+++ b/libs/node/src/key_owner.cc
@@ -97,7 +97,7 @@
 }  // namespace
 
 HttpAnswer ToAnswer(RunResult result) {
-  const std::string reason(ToString(result.m_reason));
+  const std::string why(Explain(result.m_reason));
   const auto retry_after = static_cast<uint32_t>(result.m_retry_after.count());
   switch (result.m_outcome) {
     case RequestOutcome::kAnswered:
@@ -109,17 +109,19 @@
       return ToAnswer(
           Problem{.m_status = 503,
                   .m_title = "Not run",
-                  .m_detail = "The request was not run (" + reason + ").",
-                  .m_retry_after = retry_after});
+                  .m_detail = "The request was not run: " + why + ".",
+                  .m_retry_after = retry_after,
+                  .m_reason = result.m_reason});
     case RequestOutcome::kUnknown:
       break;
   }
   return ToAnswer(Problem{.m_status = 504,
                           .m_outcome = RequestOutcome::kUnknown,
                           .m_title = "Outcome unknown",
-                          .m_detail = "No whole answer came in time (" +
-                                      reason + "). The request may have run.",
-                          .m_retry_after = retry_after});
+                          .m_detail = "No whole answer came: " + why +
+                                      ". The request may have run.",
+                          .m_retry_after = retry_after,
+                          .m_reason = result.m_reason});
 }
 
 KeyOwner::KeyOwner(asio::io_context& io,
--- a/libs/node/src/problem.cc
+++ b/libs/node/src/problem.cc
@@ -4,11 +4,47 @@
 
 namespace sequoiastage {
 
+std::string_view Explain(AttemptReason reason) {
+  switch (reason) {
+    case AttemptReason::kNone:
+      return "no instance of the service is known to be in service";
+    case AttemptReason::kBusy:
+      return "the instances that were tried have no free slot";
+    case AttemptReason::kDraining:
+      return "the instance takes no new work";
+    case AttemptReason::kUnknownInstance:
+    case AttemptReason::kWrongIncarnation:
+      return "the node beside the instance has started anew";
+    case AttemptReason::kPastDeadline:
+      return "its deadline passed before it could start";
+    case AttemptReason::kDuplicate:
+      return "it is a copy of an earlier attempt";
+    case AttemptReason::kCancelled:
+      return "it was cancelled before it started";
+    case AttemptReason::kConnectFailed:
+      return "no connection could be opened";
+    case AttemptReason::kTimeout:
+      return "no answer came in time";
+    case AttemptReason::kIncompleteAnswer:
+      return "the answer was cut short";
+    case AttemptReason::kBackendError:
+      return "the backend server failed";
+    case AttemptReason::kShed:
+      return "the backend server refused the work";
+    case AttemptReason::kSuspect:
+      return "the instance does not work well";
+  }
+  return "for an unknown reason";
+}
+
 HttpAnswer ToAnswer(const Problem& problem) {
-  const nlohmann::json body = {{"status", problem.m_status},
-                               {"title", problem.m_title},
-                               {"detail", problem.m_detail},
-                               {"outcome", ToString(problem.m_outcome)}};
+  nlohmann::json body = {{"status", problem.m_status},
+                         {"title", problem.m_title},
+                         {"detail", problem.m_detail},
+                         {"outcome", ToString(problem.m_outcome)}};
+  if (problem.m_reason) {
+    body["reason"] = ToString(*problem.m_reason);
+  }
   HttpAnswer answer{
       .m_status = problem.m_status,
       .m_fields = {{"Content-Type", "application/problem+json"},
--- a/libs/node/src/problem_p.h
+++ b/libs/node/src/problem_p.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "protocol_fields_p.h"
 #include "sequoiastage/base/http_message.h"
@@ -21,9 +22,15 @@
   std::string m_detail;
   // When it makes sense to come back, in seconds.
   std::optional<uint32_t> m_retry_after;
+  // Why the last attempt ended without an answer, when there was one to make.
+  std::optional<AttemptReason> m_reason;
 };
 
-// `problem` as application/problem+json (RFC 9457).
+// What `reason` means, as a clause for a person.
+std::string_view Explain(AttemptReason reason);
+
+// `problem` as application/problem+json (RFC 9457), with its outcome and the
+// short text of its reason as further members.
 HttpAnswer ToAnswer(const Problem& problem);
 
 }  // namespace sequoiastage
