Probe paths in use that fall idle

Cause: a path without work has no evidence, so a one-way cut was seen only with the next request on it: at worst 7.4 s, against 3.0 s of three probes.

Ruled out: probing all paths, as a node has thousands of peers and a few hundred bytes a second left; a longer memory of use, for the same reason.

Change: a path that had work in the last 10 s and nothing heard for 1.5 s gets a probe; one of all such paths in 0.5 s, the longest silent first.

--- a/libs/routing/include/sequoiastage/routing/path_judge.h
+++ b/libs/routing/include/sequoiastage/routing/path_judge.h
@@ -17,6 +17,12 @@
   /// Silence after a probe that makes the path suspect. Has to exceed the round
   /// trip to the farthest region.
   Duration m_suspect_after = std::chrono::milliseconds(250);
+  /// A path that had work in the last m_idle_probe_time, but has none now, is
+  /// probed after this silence. At most one of all such paths in each
+  /// m_idle_probe_spacing, the longest silent first.
+  Duration m_idle_probe_after = std::chrono::milliseconds(1500);
+  Duration m_idle_probe_time = std::chrono::seconds(10);
+  Duration m_idle_probe_spacing = std::chrono::milliseconds(500);
   /// Wait between probes of a suspect path, doubled each time.
   Duration m_backoff_min = std::chrono::milliseconds(500);
   Duration m_backoff_max = std::chrono::seconds(30);
@@ -55,6 +61,8 @@
   struct Path {
     State m_state = State::kGood;
     uint32_t m_in_flight = 0;
+    TimePoint m_worked_at{};
+    TimePoint m_heard_at{};
     /// Start of the silence that counts: the last frame, or the first work
     /// sent after a time without any.
     TimePoint m_silent_since{};
@@ -65,9 +73,12 @@
 
   void MakeSuspect(Path& path, TimePoint now);
   bool TickPath(Path& path, TimePoint now);
+  bool IsIdleAndUnheard(const Path& path, TimePoint now) const;
+  void ProbeLongestIdle(TimePoint now, std::vector<NodeId>& probes);
 
   PathJudgeOptions m_options;
   std::unordered_map<NodeId, Path> m_paths;
+  TimePoint m_next_idle_probe{};
 };
 
 }  // namespace sequoiastage
--- a/libs/routing/src/path_judge.cc
+++ b/libs/routing/src/path_judge.cc
@@ -6,6 +6,7 @@
 
 void PathJudge::OnSent(NodeId peer, TimePoint now) {
   Path& path = m_paths[peer];
+  path.m_worked_at = now;
   if (path.m_in_flight++ == 0 && path.m_state == State::kGood) {
     path.m_silent_since = now;
   }
@@ -21,6 +22,7 @@
 void PathJudge::OnFrame(NodeId peer, TimePoint now) {
   Path& path = m_paths[peer];
   path.m_silent_since = now;
+  path.m_heard_at = now;
   if (path.m_state == State::kSuspect) {
     path.m_good_since = now;
   }
@@ -41,6 +43,9 @@
       probes.push_back(peer);
     }
   }
+  if (now >= m_next_idle_probe) {
+    ProbeLongestIdle(now, probes);
+  }
   // A path without work or verdict needs no entry.
   std::erase_if(m_paths, [&](const auto& item) {
     const Path& path = item.second;
@@ -51,6 +56,31 @@
   return probes;
 }
 
+bool PathJudge::IsIdleAndUnheard(const Path& path, TimePoint now) const {
+  return path.m_state == State::kGood && path.m_in_flight == 0 &&
+         now - path.m_worked_at < m_options.m_idle_probe_time &&
+         now - path.m_heard_at >= m_options.m_idle_probe_after;
+}
+
+void PathJudge::ProbeLongestIdle(TimePoint now, std::vector<NodeId>& probes) {
+  const std::pair<const NodeId, Path>* longest = nullptr;
+  for (const auto& item : m_paths) {
+    if (IsIdleAndUnheard(item.second, now) &&
+        (longest == nullptr ||
+         item.second.m_heard_at < longest->second.m_heard_at)) {
+      longest = &item;
+    }
+  }
+  if (longest == nullptr) {
+    return;
+  }
+  Path& path = m_paths[longest->first];
+  path.m_state = State::kProbing;
+  path.m_probed_at = now;
+  probes.push_back(longest->first);
+  m_next_idle_probe = now + m_options.m_idle_probe_spacing;
+}
+
 bool PathJudge::IsSuspect(NodeId peer) const {
   const auto found = m_paths.find(peer);
   return found != m_paths.end() && found->second.m_state == State::kSuspect;
