Hold a new suspect before it may prove itself

Causes found, by trials that changed one part at a time: - Errors: 3 (1000 h) and 2 (10 h) of the 6 and 4 errors that ejection needs come before the suspicion, the rest from probation. It waited 500 ms and then twice as long for each failure, also for failures that were under way when the suspicion came: 0.8 s of 4.3 s. - Hang: three pieces of work in flight never gave more than 13.1 of the 17.4 that the 1000 h setting needs, so ejection waited for the time-outs and for one more request. - Bursts at the 10 h setting: three errors within 300 ms counted 10.2 of 12.8, and one more error in a second burst while the suspect proved itself was enough.

Change: a suspect gets no work for 1 s, then one request each 200 ms and slower after each failure of its probation; none for 2 s after the evidence is enough, while it waits for summaries and grant. A fourth latency level for work in flight (7.9). Towards ejection, errors within 300 ms of the last count half; towards suspicion it stays 50 ms.

Ruled out in trials: a hold of 2 s (ejection 1.0 s later at 100% errors), a span of 2 s in place of 1 s (12 false ejections under bursts), 150 ms in place of 300 ms (2 false ejections), a probation interval of 150 ms (1, and more requests reached).

--- a/bench/decision_bench/detection.cc
+++ b/bench/decision_bench/detection.cc
@@ -102,6 +102,7 @@
                 PolicyKind policy,
                 const DetectionOptions& options) {
   std::vector<double> stopped;
+  std::vector<double> closed;
   std::vector<double> ejected;
   std::vector<double> reached;
   uint64_t false_ejections = 0;
@@ -113,6 +114,9 @@
     if (stats.m_stopped) {
       stopped.push_back(Seconds(*stats.m_stopped));
     }
+    if (stats.m_closed) {
+      closed.push_back(Seconds(*stats.m_closed));
+    }
     if (stats.m_ejected) {
       ejected.push_back(Seconds(*stats.m_ejected));
     }
@@ -121,12 +125,14 @@
     hours += stats.m_healthy_hours;
   }
   const int missed = options.m_trials - static_cast<int>(stopped.size());
+  const int open = options.m_trials - static_cast<int>(closed.size());
   const int kept = options.m_trials - static_cast<int>(ejected.size());
   const Spread requests = SpreadOf(reached);
-  fmt::print("{:<25} {:<16} {} {} {:7.1f} {:6.0f} {:6} {:8.4f}\n",
+  fmt::print("{:<25} {:<16} {} {} {} {:7.1f} {:6.0f} {:6} {:8.4f}\n",
              NameOf(scenario), NameOf(policy), DetectionText(stopped, missed),
-             DetectionText(ejected, kept), requests.m_mean, requests.m_p99,
-             missed, static_cast<double>(false_ejections) / hours);
+             DetectionText(closed, open), DetectionText(ejected, kept),
+             requests.m_mean, requests.m_p99, missed,
+             static_cast<double>(false_ejections) / hours);
 }
 
 void PrintHealthy(Scenario scenario,
@@ -152,16 +158,18 @@
 void RunDetection(const DetectionOptions& options) {
   fmt::print(
       "One instance of 12 fails for 60 s, {} requests/s an instance, {} runs.\n"
-      "stopped: s until regular work stops; ejected: s until no work at all;\n"
+      "stop: s until regular work stops; none: s until no work at all, by "
+      "order\n"
+      "or by ejection; eject: s until ejection;\n"
       "reached: requests that the failing instance got while failing;\n"
       "! some runs never (left out of the mean); false/h: false ejections of\n"
       "the others in an instance-hour.\n\n",
       options.m_instance_rate, options.m_trials);
   fmt::print(
-      "{:<25} {:<16} {:>6} {:>6} {:>8} {:>6} {:>6} {:>8} {:>7} {:>6} {:>6} "
-      "{:>8}\n",
-      "scenario", "judge", "stop", "p99", "worst", "eject", "p99", "worst",
-      "reached", "p99", "missed", "false/h");
+      "{:<25} {:<16} {:>6} {:>6} {:>8} {:>6} {:>6} {:>8} {:>6} {:>6} {:>8} "
+      "{:>7} {:>6} {:>6} {:>8}\n",
+      "scenario", "judge", "stop", "p99", "worst", "none", "p99", "worst",
+      "eject", "p99", "worst", "reached", "p99", "missed", "false/h");
   for (const Scenario scenario : kFaultScenarios) {
     for (const PolicyKind policy : kPolicies) {
       PrintFault(scenario, policy, options);
--- a/bench/decision_bench/policies.h
+++ b/bench/decision_bench/policies.h
@@ -21,6 +21,9 @@
   { policy.IsRegular(i, now) } -> std::same_as<bool>;
   { policy.TakeProbation(i, now) } -> std::same_as<bool>;
   { policy.IsEjected(i, now) } -> std::same_as<bool>;
+  // Gets no work while instances with regular work have room, though a grant
+  // may be missing.
+  { policy.IsHeld(i, now) } -> std::same_as<bool>;
   { policy.OnStart(i, now) } -> std::same_as<WorkHandle>;
   policy.OnFinish(i, handle, now, outcome);
   policy.OnProbe(i, now, flag);
@@ -48,6 +51,9 @@
   bool IsEjected(size_t i, TimePoint /*now*/) const {
     return m_judges[i].Report().m_is_ejected;
   }
+  bool IsHeld(size_t i, TimePoint /*now*/) const {
+    return m_judges[i].Report().m_is_held;
+  }
   WorkHandle OnStart(size_t i, TimePoint now) {
     return m_judges[i].OnStart(now);
   }
@@ -112,6 +118,7 @@
 /// What both naive policies have in common: an instance works or is ejected.
 class NaivePolicy {
  public:
+  bool IsHeld(size_t /*i*/, TimePoint /*now*/) const { return false; }
   bool TakeProbation(size_t /*i*/, TimePoint /*now*/) { return false; }
   WorkHandle OnStart(size_t /*i*/, TimePoint /*now*/) {
     return WorkHandle(m_next_handle++);
--- a/bench/decision_bench/service_fake.h
+++ b/bench/decision_bench/service_fake.h
@@ -38,9 +38,11 @@
 };
 
 struct ServiceStats {
-  /// From the fault to the first moment without regular work, and to the first
-  /// ejection, of the failing instance.
+  /// From the fault to the first moment without regular work, to the first one
+  /// without any work (held or ejected), and to the first ejection, of the
+  /// failing instance.
   std::optional<Duration> m_stopped;
+  std::optional<Duration> m_closed;
   std::optional<Duration> m_ejected;
   /// Requests that the failing instance got while it failed.
   uint64_t m_reached = 0;
@@ -129,6 +131,7 @@
     bool m_has_restarted = false;
     bool m_was_regular = true;
     bool m_was_ejected = false;
+    bool m_was_closed = false;
   };
 
   bool HasFault() const { return m_options.m_scenario < Scenario::kHealthy; }
@@ -342,13 +345,18 @@
       const bool is_ejected = m_policy.IsEjected(i, m_now);
       const bool newly_stopped = instance.m_was_regular && !is_regular;
       const bool newly_ejected = !instance.m_was_ejected && is_ejected;
+      const bool is_closed = is_ejected || m_policy.IsHeld(i, m_now);
+      const bool newly_closed = !instance.m_was_closed && is_closed;
+      instance.m_was_closed = is_closed;
       instance.m_was_regular = is_regular;
       instance.m_was_ejected = is_ejected;
-      if (m_now < m_fault || (!newly_stopped && !newly_ejected)) {
+      if (m_now < m_fault) {
         continue;
       }
       if (HasFault() && i == 0) {
-        NoteDetection(newly_stopped, newly_ejected);
+        Note(newly_stopped, m_stats.m_stopped);
+        Note(newly_closed, m_stats.m_closed);
+        Note(newly_ejected, m_stats.m_ejected);
         continue;
       }
       m_stats.m_false_suspicions += newly_stopped ? 1 : 0;
@@ -356,12 +364,10 @@
     }
   }
 
-  void NoteDetection(bool newly_stopped, bool newly_ejected) {
-    if (newly_stopped && !m_stats.m_stopped) {
-      m_stats.m_stopped = m_now - m_fault;
-    }
-    if (newly_ejected && !m_stats.m_ejected) {
-      m_stats.m_ejected = m_now - m_fault;
+  // Notes the time of the first event.
+  void Note(bool happens, std::optional<Duration>& first) const {
+    if (happens && !first) {
+      first = m_now - m_fault;
     }
   }
 
--- a/libs/health/include/sequoiastage/health/evidence.h
+++ b/libs/health/include/sequoiastage/health/evidence.h
@@ -32,7 +32,7 @@
   Duration SlowLatency() const { return m_levels.front(); }
 
  private:
-  static constexpr size_t kLevels = 3;
+  static constexpr size_t kLevels = 4;
 
   size_t LevelsCrossed(Duration latency) const;
 
--- a/libs/health/include/sequoiastage/health/evidence_trail.h
+++ b/libs/health/include/sequoiastage/health/evidence_trail.h
@@ -43,8 +43,10 @@
   /// Forgets the work and goes on from `sums`.
   void Restart(const EvidenceSums& sums);
 
-  /// Of all work, and of the confirmed work alone.
+  /// Of all work, towards suspicion.
   const EvidenceSums& Provisional() const { return m_provisional; }
+  /// Towards ejection: of all work, and of the confirmed work alone.
+  const EvidenceSums& Unconfirmed() const { return m_unconfirmed; }
   const EvidenceSums& Confirmed() const { return m_confirmed; }
 
   /// Time from the first to the last work that spoke against the instance
@@ -54,11 +56,14 @@
  private:
   struct Weighed {
     WorkRecord m_record;
-    double m_weight;
+    // Of evidence against the instance, towards suspicion and ejection.
+    double m_weight = 1;
+    double m_ejection_weight = 1;
   };
 
   bool IsAdverse(const WorkRecord& record) const;
-  void Apply(const Weighed& weighed, EvidenceSums& sums) const;
+  void Apply(const WorkRecord& record, double weight, EvidenceSums& sums) const;
+  void Fold();
 
   JudgeOptions m_options;
   Evidence m_evidence;
@@ -67,7 +72,9 @@
   std::deque<Weighed> m_kept;
   // Of work no longer kept.
   EvidenceSums m_folded;
+  EvidenceSums m_folded_confirmed;
   EvidenceSums m_provisional;
+  EvidenceSums m_unconfirmed;
   EvidenceSums m_confirmed;
   TimePoint m_first_adverse;
   TimePoint m_last_adverse;
--- a/libs/health/include/sequoiastage/health/instance_judge.h
+++ b/libs/health/include/sequoiastage/health/instance_judge.h
@@ -24,6 +24,8 @@
   /// Share (0 to 1) of an equal part of the service's work that the instance
   /// should get while healthy instances have room.
   double m_share = 1;
+  /// Suspect for so short a time that it gets no work to prove itself yet.
+  bool m_is_held = false;
   /// Set while ejected, once the hold time is over.
   bool m_wants_readmission = false;
   bool m_is_ejected = false;
@@ -96,6 +98,7 @@
   void ForgetWhenIdle(TimePoint now);
   void AdaptProbation(TimePoint now, bool is_adverse);
   void UpdateVerdict(TimePoint now);
+  void HoldForConfirmation(TimePoint now);
   void UpdateSuspect(TimePoint now, double provisional);
   bool IsEjectionConfirmed(TimePoint now) const;
   void UpdateEjected(TimePoint now);
@@ -129,6 +132,8 @@
   EvidenceSums m_at_ejection;
   // Readmitted and not healthy since.
   bool m_is_on_trial = false;
+  bool m_is_evidence_enough = false;
+  TimePoint m_held_until;
   TimePoint m_next_turn;
   Duration m_turn_interval;
   JudgeReport m_report;
--- a/libs/health/include/sequoiastage/health/judge_options.h
+++ b/libs/health/include/sequoiastage/health/judge_options.h
@@ -39,6 +39,8 @@
   /// burst; the later ones count with m_burst_weight.
   Duration m_burst_window = std::chrono::milliseconds(50);
   double m_burst_weight = 0.5;
+  /// The same for what counts towards ejection.
+  Duration m_ejection_burst_window = std::chrono::milliseconds(300);
   /// Ejection is wanted only when what speaks for it spans this time.
   Duration m_min_fault_span = std::chrono::seconds(1);
   /// Work that hangs at the same time may have one common cause: the n-th
@@ -71,9 +73,13 @@
   /// forgotten for each such time without suspicion.
   Duration m_flap_memory = std::chrono::minutes(5);
 
+  /// A new suspect gets no request to prove itself for this long, nor one
+  /// whose evidence has just reached what ejection needs.
+  Duration m_probation_delay = std::chrono::seconds(1);
+  Duration m_confirmation_time = std::chrono::seconds(2);
   /// Interval between requests that let a suspect prove itself: the first, and
   /// the bounds. Doubles with each failure.
-  Duration m_probation_interval = std::chrono::milliseconds(500);
+  Duration m_probation_interval = std::chrono::milliseconds(200);
   Duration m_min_probation_interval = std::chrono::milliseconds(200);
   Duration m_max_probation_interval = std::chrono::seconds(5);
   /// Each success multiplies the interval by this.
--- a/libs/health/src/evidence.cc
+++ b/libs/health/src/evidence.cc
@@ -7,16 +7,16 @@
 
 namespace {
 
-constexpr size_t kLevelCount = 3;
+constexpr size_t kLevelCount = 4;
 
 // Share of answers beyond each latency level.
-constexpr std::array<double, kLevelCount> kHealthyBeyond = {0.05, 0.005,
-                                                            0.0005};
-constexpr std::array<double, kLevelCount> kSickBeyond = {0.6, 0.35, 0.2};
+constexpr std::array<double, kLevelCount> kHealthyBeyond = {0.05, 0.005, 0.0005,
+                                                            0.00005};
+constexpr std::array<double, kLevelCount> kSickBeyond = {0.6, 0.35, 0.2, 0.15};
 
 constexpr double kP95Margin = 1.2;
 constexpr double kP99Margin = 1.5;
-constexpr double kLevelRatio = 2;
+constexpr int kLevelRatio = 2;
 constexpr uint64_t kMinLatencySamples = 20;
 constexpr double kMaxHealthyFailureShare = 0.98;
 
@@ -37,8 +37,8 @@
                                            const PeerBaseline& baseline) {
   if (baseline.m_latency_samples < kMinLatencySamples) {
     const Duration slow = options.m_default_slow_latency;
-    return {slow, Scaled(slow, kLevelRatio),
-            Scaled(slow, kLevelRatio * kLevelRatio)};
+    return {slow, kLevelRatio * slow, kLevelRatio * kLevelRatio * slow,
+            kLevelRatio * kLevelRatio * kLevelRatio * slow};
   }
   const Duration first =
       std::max({Scaled(baseline.m_latency_p95, kP95Margin),
@@ -46,7 +46,8 @@
                 options.m_min_slow_latency});
   const Duration second = std::max(Scaled(baseline.m_latency_p99, kP99Margin),
                                    Scaled(first, kP99Margin));
-  return {first, second, Scaled(second, kLevelRatio)};
+  return {first, second, kLevelRatio * second,
+          kLevelRatio * kLevelRatio * second};
 }
 
 }  // namespace
--- a/libs/health/src/evidence_trail.cc
+++ b/libs/health/src/evidence_trail.cc
@@ -17,12 +17,16 @@
       m_cap(EjectionThreshold(options, 0)) {}
 
 bool EvidenceTrail::Add(const WorkRecord& record) {
-  Weighed weighed{.m_record = record, .m_weight = 1};
+  Weighed weighed{.m_record = record};
   const bool is_adverse = IsAdverse(record);
   if (is_adverse) {
-    if (record.m_ended - m_last_adverse < m_options.m_burst_window) {
+    const Duration gap = record.m_ended - m_last_adverse;
+    if (gap < m_options.m_burst_window) {
       weighed.m_weight = m_options.m_burst_weight;
     }
+    if (gap < m_options.m_ejection_burst_window) {
+      weighed.m_ejection_weight = m_options.m_burst_weight;
+    }
     if (m_provisional.m_failing == 0 && m_provisional.m_slow == 0) {
       const TimePoint slow_from = record.m_started + m_evidence.SlowLatency();
       m_first_adverse = std::min(record.m_ended, slow_from);
@@ -30,10 +34,10 @@
     m_last_adverse = record.m_ended;
   }
   m_kept.push_back(weighed);
-  Apply(weighed, m_provisional);
+  Apply(record, weighed.m_weight, m_provisional);
+  Apply(record, weighed.m_ejection_weight, m_unconfirmed);
   if (m_kept.size() > kMaxKept) {
-    Apply(m_kept.front(), m_folded);
-    m_kept.pop_front();
+    Fold();
   }
   return is_adverse;
 }
@@ -46,23 +50,34 @@
   m_cap = cap;
   const TimePoint keep_from = as_of - m_options.m_reweigh_time;
   while (!m_kept.empty() && m_kept.front().m_record.m_ended < keep_from) {
-    Apply(m_kept.front(), m_folded);
-    m_kept.pop_front();
+    Fold();
   }
   m_provisional = m_folded;
-  m_confirmed = m_folded;
+  m_unconfirmed = m_folded_confirmed;
+  m_confirmed = m_folded_confirmed;
   for (const Weighed& weighed : m_kept) {
-    Apply(weighed, m_provisional);
+    Apply(weighed.m_record, weighed.m_weight, m_provisional);
+    Apply(weighed.m_record, weighed.m_ejection_weight, m_unconfirmed);
     if (weighed.m_record.m_ended <= m_as_of) {
-      Apply(weighed, m_confirmed);
+      Apply(weighed.m_record, weighed.m_ejection_weight, m_confirmed);
     }
   }
 }
 
+// The oldest kept work won't be weighed again.
+void EvidenceTrail::Fold() {
+  const Weighed& oldest = m_kept.front();
+  Apply(oldest.m_record, oldest.m_weight, m_folded);
+  Apply(oldest.m_record, oldest.m_ejection_weight, m_folded_confirmed);
+  m_kept.pop_front();
+}
+
 void EvidenceTrail::Restart(const EvidenceSums& sums) {
   m_kept.clear();
   m_folded = sums;
+  m_folded_confirmed = sums;
   m_provisional = sums;
+  m_unconfirmed = sums;
   m_confirmed = sums;
 }
 
@@ -75,12 +90,13 @@
 }
 
 // Adds the evidence to both sums.
-void EvidenceTrail::Apply(const Weighed& weighed, EvidenceSums& sums) const {
+void EvidenceTrail::Apply(const WorkRecord& record,
+                          double weight,
+                          EvidenceSums& sums) const {
   const auto add = [&](double& sum, double evidence) {
-    const double weight = evidence > 0 ? weighed.m_weight : 1;
-    sum = std::clamp(sum + weight * evidence, 0.0, m_cap);
+    const double weighed = evidence > 0 ? weight * evidence : evidence;
+    sum = std::clamp(sum + weighed, 0.0, m_cap);
   };
-  const WorkRecord& record = weighed.m_record;
   const bool is_success = record.m_kind == WorkRecord::Kind::kSuccess;
   if (is_success) {
     add(sums.m_failing, m_evidence.OfSuccess());
--- a/libs/health/src/instance_judge.cc
+++ b/libs/health/src/instance_judge.cc
@@ -236,7 +236,7 @@
 }
 
 void InstanceJudge::AdaptProbation(TimePoint now, bool is_adverse) {
-  if (m_report.m_verdict == Verdict::kHealthy) {
+  if (m_report.m_verdict == Verdict::kHealthy || now < m_held_until) {
     return;
   }
   const double factor =
@@ -261,8 +261,23 @@
   if (m_report.m_verdict != Verdict::kHealthy) {
     UpdateSuspect(now, provisional);
   }
+  HoldForConfirmation(now);
   m_report.m_suspicion = provisional / m_ejection_threshold;
   m_report.m_share = ShareNow(now);
+  m_report.m_is_held = m_report.m_verdict != Verdict::kHealthy &&
+                       !m_report.m_is_ejected && now < m_held_until;
+}
+
+// Once there is evidence enough, more is no use while it waits for the peers'
+// summaries and the grant.
+void InstanceJudge::HoldForConfirmation(TimePoint now) {
+  const bool was_enough = m_is_evidence_enough;
+  m_is_evidence_enough =
+      Worst(m_trail.Unconfirmed(), now) >= m_ejection_threshold;
+  if (m_is_evidence_enough && !was_enough) {
+    m_held_until = std::max(m_held_until, now + m_options.m_confirmation_time);
+    m_next_turn = std::max(m_next_turn, m_held_until);
+  }
 }
 
 // Moves between suspect, ejection wanted and healthy again.
@@ -302,7 +317,8 @@
   m_last_suspicion = now;
   m_hold_until = now + HoldFor(m_options.m_suspect_hold);
   m_turn_interval = m_options.m_probation_interval;
-  m_next_turn = now + m_turn_interval;
+  m_held_until = now + m_options.m_probation_delay;
+  m_next_turn = m_held_until;
 }
 
 void InstanceJudge::CountFlap() {
--- a/libs/health/tests/instance_judge_test.cc
+++ b/libs/health/tests/instance_judge_test.cc
@@ -197,6 +197,55 @@
   EXPECT_EQ(judge.Report().m_verdict, Verdict::kSuspect);
 }
 
+// Errors of two bursts: three within 300 ms, and one more just after the hold.
+TEST(InstanceJudgeTest, TwoShortBurstsOfErrorsDoNotWantEjection) {
+  InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
+  judge.OnBaseline(kWarm, GoodPeers(kWarm));
+  for (const int ms : {0, 120, 240, 1500}) {
+    const TimePoint now =
+        RunOne(judge, kWarm + milliseconds(ms), Outcome::kError);
+    judge.OnBaseline(now, GoodPeers(now));
+    EXPECT_NE(judge.Report().m_verdict, Verdict::kEjectionWanted);
+  }
+}
+
+TEST(InstanceJudgeTest, ANewSuspectIsHeldBeforeItsFirstTurn) {
+  const JudgeOptions options = MakeJudgeOptions(kFastPolicy);
+  InstanceJudge judge(options, kStart);
+  judge.OnBaseline(kWarm, GoodPeers(kWarm));
+  TimePoint now = kWarm;
+  while (judge.Report().m_verdict == Verdict::kHealthy) {
+    now = RunOne(judge, now + milliseconds(200), Outcome::kError);
+  }
+  const TimePoint suspected = now;
+  EXPECT_TRUE(judge.Report().m_is_held);
+  // Work that was under way neither shortens nor lengthens the hold.
+  now = RunOne(judge, now, Outcome::kError);
+  now = RunOne(judge, now, Outcome::kSuccess);
+  const TimePoint end = suspected + options.m_probation_delay;
+  EXPECT_FALSE(judge.TakeProbationTurn(end - milliseconds(1)));
+  judge.OnTick(end);
+  EXPECT_FALSE(judge.Report().m_is_held);
+  EXPECT_TRUE(judge.TakeProbationTurn(end));
+}
+
+TEST(InstanceJudgeTest, EvidenceEnoughIsNotAddedToUntilTheGrantIsOverdue) {
+  const JudgeOptions options = MakeJudgeOptions(kFastPolicy);
+  InstanceJudge judge(options, kStart);
+  judge.OnBaseline(kWarm, GoodPeers(kWarm));
+  TimePoint now = kWarm;
+  for (int i = 0; i < 4; ++i) {
+    now = RunOne(judge, now + milliseconds(400), Outcome::kError);
+  }
+  // Past the hold of a new suspect.
+  EXPECT_TRUE(judge.Report().m_is_held);
+  const TimePoint end = now + options.m_confirmation_time;
+  EXPECT_FALSE(judge.TakeProbationTurn(end - milliseconds(1)));
+  judge.OnTick(end);
+  EXPECT_FALSE(judge.Report().m_is_held);
+  EXPECT_TRUE(judge.TakeProbationTurn(end));
+}
+
 TEST(InstanceJudgeTest, SheddingIsNoEvidence) {
   InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
   const TimePoint now = FailUntilWanted(judge, kWarm);
@@ -236,6 +285,17 @@
   }
 }
 
+// No request may be needed after the hang's time-outs to want ejection.
+TEST(InstanceJudgeTest, AHangOfAllSlotsWantsEjectionBeforeItsTimeouts) {
+  InstanceJudge judge(MakeJudgeOptions(kCautiousPolicy), kStart);
+  for (int slot = 0; slot < 3; ++slot) {
+    judge.OnStart(kWarm + milliseconds(200 * slot));
+  }
+  const TimePoint now = kWarm + milliseconds(4500);
+  judge.OnBaseline(now, GoodPeers(now));
+  EXPECT_EQ(judge.Report().m_verdict, Verdict::kEjectionWanted);
+}
+
 TEST(InstanceJudgeTest, SlowAnswersOfAColdStartDoNotCount) {
   InstanceJudge judge(MakeJudgeOptions(kFastPolicy), kStart);
   for (TimePoint now = kStart; now < kStart + seconds(29);) {
