Probe ejected instances and carry their ejection over a restart

Found on the way: an egress that sees an instance first while its ejection holds, as after a restart of the node, did not tell the judge, so that readmission was never asked for.

Change: an announcement may name a health_path; the egress asks it once a second, only while the instance is ejected, with a time-out of 1 s. A path has to begin with /, since it stands behind the address. A new judge of an ejected instance starts ejected.

Ruled out: probes of all instances, as no verdict in service rests on them; a path from the service's configuration, as the instance knows its own.

--- a/libs/health/include/sequoiastage/health/instance_judge.h
+++ b/libs/health/include/sequoiastage/health/instance_judge.h
@@ -29,6 +29,8 @@
   /// Set while ejected, once the hold time is over.
   bool m_wants_readmission = false;
   bool m_is_ejected = false;
+  /// The last health probe failed.
+  bool m_has_failed_probe = false;
   /// Evidence as share of what ejection needs; 1 or more wants ejection once
   /// the peers' summaries confirm it.
   double m_suspicion = 0;
@@ -127,7 +129,6 @@
   TimePoint m_hold_until;
   TimePoint m_last_suspicion;
   bool m_was_suspect = false;
-  bool m_last_probe_failed = false;
   TimePoint m_ejected_at;
   EvidenceSums m_at_ejection;
   // Readmitted and not healthy since.
--- a/libs/health/src/instance_judge.cc
+++ b/libs/health/src/instance_judge.cc
@@ -99,7 +99,7 @@
 
 void InstanceJudge::OnProbe(TimePoint now, bool is_good) {
   now = Advance(now);
-  m_last_probe_failed = !is_good;
+  m_report.m_has_failed_probe = !is_good;
   UpdateVerdict(now);
 }
 
@@ -303,7 +303,7 @@
 
 void InstanceJudge::UpdateEjected(TimePoint now) {
   const bool probe_forbids =
-      m_last_probe_failed && now - m_ejected_at < m_options.m_max_hold;
+      m_report.m_has_failed_probe && now - m_ejected_at < m_options.m_max_hold;
   m_report.m_wants_readmission = now >= m_hold_until && !probe_forbids;
   m_report.m_share = 0;
 }
--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -214,7 +214,8 @@
         .m_incarnation = announced.m_incarnation,
         .m_slots = announced.m_slots,
         .m_is_draining = entry.m_is_drained || announced.m_is_draining,
-        .m_is_ejected = m_ejections.IsEjected(id, announced.m_incarnation)};
+        .m_is_ejected = m_ejections.IsEjected(id, announced.m_incarnation),
+        .m_health_path = announced.m_health_path};
     const Service* service =
         m_config.InForce() == nullptr
             ? nullptr
--- a/libs/node/src/egress.cc
+++ b/libs/node/src/egress.cc
@@ -16,6 +16,11 @@
 // deadline, for a caller that asks again.
 constexpr std::chrono::seconds kLateAnswerTime{5};
 
+// Of the health probes of an ejected instance.
+constexpr std::chrono::seconds kProbeInterval{1};
+constexpr std::chrono::seconds kProbeTimeout{1};
+constexpr size_t kMaxProbeBytes = size_t{64} << 10;
+
 // Instances elsewhere that a refusal names.
 constexpr size_t kMaxHints = 3;
 
@@ -38,6 +43,14 @@
   }
 }
 
+bool IsHealthy(const HttpCallResult& probe) {
+  constexpr uint16_t kFirstSuccess = 200;
+  constexpr uint16_t kFirstRedirect = 300;
+  return probe.m_error == HttpCallError::kNone &&
+         probe.m_answer.m_status >= kFirstSuccess &&
+         probe.m_answer.m_status < kFirstRedirect;
+}
+
 // Where false ejections may be more frequent, detection time weighs more.
 EjectionPolicy PolicyFor(double false_ejection_hours) {
   EjectionPolicy policy =
@@ -349,11 +362,17 @@
 }
 
 Egress::Instance Egress::MakeInstance(const LocalInstance& local) {
-  return {.m_local = local,
-          .m_judge = InstanceJudge(
-              MakeJudgeOptions(PolicyFor(local.m_false_ejection_hours)), Now()),
-          .m_gate = SlotGate({.m_slots = local.m_slots,
-                              .m_max_queued = local.m_queue_length})};
+  const TimePoint now = Now();
+  Instance instance{
+      .m_local = local,
+      .m_judge = InstanceJudge(
+          MakeJudgeOptions(PolicyFor(local.m_false_ejection_hours)), now),
+      .m_gate = SlotGate(
+          {.m_slots = local.m_slots, .m_max_queued = local.m_queue_length})};
+  if (local.m_is_ejected) {
+    instance.m_judge.OnEjected(now);
+  }
+  return instance;
 }
 
 void Egress::Update(Instance& instance, const LocalInstance& local) {
@@ -402,10 +421,38 @@
   const TimePoint now = Now();
   for (auto& [id, instance] : m_instances) {
     instance.m_judge.OnTick(now);
+    ProbeIfEjected(instance, now);
     Follow(instance, instance.m_gate.OnTick(now));
   }
 }
 
+void Egress::ProbeIfEjected(Instance& instance, TimePoint now) {
+  const LocalInstance& local = instance.m_local;
+  if (!local.m_is_ejected || local.m_health_path.empty() ||
+      now < instance.m_next_probe) {
+    return;
+  }
+  instance.m_next_probe = now + kProbeInterval;
+  m_client.Start(
+      {.m_server = local.m_id.Get(),
+       .m_timeout = kProbeTimeout,
+       .m_max_body_bytes = kMaxProbeBytes,
+       .m_is_idempotent = true},
+      {.m_method = "GET", .m_target = local.m_health_path},
+      [this, id = local.m_id, incarnation = local.m_incarnation](
+          HttpCallResult result) { OnProbeEnd(id, incarnation, result); });
+}
+
+void Egress::OnProbeEnd(InstanceId id,
+                        Incarnation incarnation,
+                        const HttpCallResult& result) {
+  Instance* instance = Find(id);
+  if (instance == nullptr || instance->m_local.m_incarnation != incarnation) {
+    return;
+  }
+  instance->m_judge.OnProbe(Now(), IsHealthy(result));
+}
+
 std::vector<InstanceReport> Egress::Reports() const {
   const TimePoint now = Now();
   std::vector<InstanceReport> reports;
--- a/libs/node/src/egress_p.h
+++ b/libs/node/src/egress_p.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -28,6 +29,8 @@
   bool m_is_draining = false;
   bool m_is_ejected = false;
   double m_false_ejection_hours = 1000;
+  // Target of health probes while it is ejected; empty for none.
+  std::string m_health_path;
 
   friend bool operator==(const LocalInstance&, const LocalInstance&) = default;
 };
@@ -92,6 +95,7 @@
     InstanceJudge m_judge;
     SlotGate m_gate;
     std::unordered_map<Ticket, AttemptId> m_attempts;
+    TimePoint m_next_probe;
   };
 
   // An attempt that is queued or running.
@@ -134,6 +138,11 @@
   std::vector<InstanceLoad> HintsFor(ServiceId service) const;
   static Instance MakeInstance(const LocalInstance& local);
   void Update(Instance& instance, const LocalInstance& local);
+  // A probe that fails puts readmission off; work alone shows more.
+  void ProbeIfEjected(Instance& instance, TimePoint now);
+  void OnProbeEnd(InstanceId id,
+                  Incarnation incarnation,
+                  const HttpCallResult& result);
   Instance* Find(InstanceId id);
 
   HttpClient m_client;
--- a/libs/node/src/instance_table.cc
+++ b/libs/node/src/instance_table.cc
@@ -31,6 +31,10 @@
                              {.m_min = 1, .m_max = kMaxSlots},
                              Presence::kRequired);
   root.ReadBool("draining", announcement.m_is_draining);
+  if (root.ReadString("health_path", announcement.m_health_path) &&
+      announcement.m_health_path.front() != '/') {
+    root.ReportAt("health_path", "has to begin with /");
+  }
   root.RefuseUnknownKeys();
   if (!findings.IsEmpty()) {
     return std::nullopt;
--- a/libs/node/src/instance_table_p.h
+++ b/libs/node/src/instance_table_p.h
@@ -17,13 +17,16 @@
 // What an instance says of itself, in JSON:
 //
 //   {"service": "approvals", "endpoint": "127.0.1.1:9001",
-//    "incarnation": 1733240000000, "slots": 3, "draining": false}
+//    "incarnation": 1733240000000, "slots": 3, "draining": false,
+//    "health_path": "/health"}
 struct Announcement {
   std::string m_service;
   InstanceId m_id;
   Incarnation m_incarnation;
   uint16_t m_slots = 0;
   bool m_is_draining = false;
+  // Target of a GET that answers 2xx while the instance is well. May be empty.
+  std::string m_health_path;
 };
 
 // Reads an announcement; faults go to `findings`.
--- a/libs/node/tests/egress_test.cc
+++ b/libs/node/tests/egress_test.cc
@@ -2,8 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <asio/ip/tcp.hpp>
 #include <optional>
 
+#include "sequoiastage/http/http_server.h"
+
 namespace sequoiastage {
 namespace {
 
@@ -73,5 +76,102 @@
   EXPECT_EQ(m_egress.InFlight(), 0U);
 }
 
+// An instance with a health path, and its server.
+class EgressProbeTest : public testing::Test {
+ protected:
+  EgressProbeTest()
+      : m_egress(m_io, kOwn),
+        m_server_at(FreeEndpoint()),
+        m_server(m_io,
+                 {.m_listen = m_server_at},
+                 [this](const HttpRequest& request, HttpResponder responder) {
+                   EXPECT_EQ(request.m_method, "GET");
+                   EXPECT_EQ(request.m_target, "/health");
+                   ++m_probes;
+                   responder.Send({.m_status = m_status});
+                 }) {}
+
+  void SetUp() override {
+    ASSERT_TRUE(m_server.Start()) << m_server.LastReason();
+  }
+  void TearDown() override { m_server.Stop(); }
+
+  void SetInstance(bool is_ejected) {
+    m_egress.SetInstances({{.m_id = InstanceId(m_server_at),
+                            .m_service = kService,
+                            .m_incarnation = Incarnation(1),
+                            .m_is_ejected = is_ejected,
+                            .m_health_path = "/health"}});
+  }
+
+  bool HasFailedProbe() const {
+    return m_egress.Reports().front().m_judge.m_has_failed_probe;
+  }
+
+  // Ticks until the judge's view of the last probe is `has_failed`.
+  bool TickUntil(bool has_failed) {
+    const TimePoint end = Now() + std::chrono::seconds(10);
+    while (HasFailedProbe() != has_failed && Now() < end) {
+      m_egress.Tick();
+      m_io.run_one_for(std::chrono::milliseconds(100));
+    }
+    return HasFailedProbe() == has_failed;
+  }
+
+  asio::io_context m_io;
+  Egress m_egress;
+  Endpoint m_server_at;
+  HttpServer m_server;
+  uint16_t m_status = 200;
+  int m_probes = 0;
+
+ private:
+  // A port that was free a moment ago.
+  Endpoint FreeEndpoint() {
+    const uint32_t loopback = 0x7f000001;
+    asio::ip::tcp::acceptor acceptor(m_io, {asio::ip::address_v4(loopback), 0});
+    return {.m_ip = loopback, .m_port = acceptor.local_endpoint().port()};
+  }
+};
+
+TEST_F(EgressProbeTest, ProbesOfAnEjectedInstanceReachItsJudge) {
+  SetInstance(false);
+  SetInstance(true);
+  m_status = 500;
+  ASSERT_TRUE(TickUntil(true));
+  m_status = 200;
+  EXPECT_TRUE(TickUntil(false));
+}
+
+// As after a restart of this node while the ejection holds: without the wish
+// for readmission the instance would stay out for good.
+TEST_F(EgressProbeTest, AnInstanceEjectedWhenFirstSeenCanBeReadmitted) {
+  SetInstance(true);
+  EXPECT_TRUE(m_egress.Reports().front().m_judge.m_is_ejected);
+  SetInstance(false);
+  EXPECT_FALSE(m_egress.Reports().front().m_judge.m_is_ejected);
+}
+
+TEST_F(EgressProbeTest, AServerThatIsGoneFailsItsProbe) {
+  SetInstance(true);
+  m_server.Stop();
+  EXPECT_TRUE(TickUntil(true));
+}
+
+TEST_F(EgressProbeTest, AnInstanceInServiceIsNotProbed) {
+  SetInstance(false);
+  m_egress.Tick();
+  // A probe would have been sent before this call of the test's own.
+  HttpClient client(m_io);
+  bool has_ended = false;
+  client.Start({.m_server = m_server_at},
+               {.m_method = "GET", .m_target = "/health"},
+               [&has_ended](const HttpCallResult&) { has_ended = true; });
+  while (!has_ended && m_io.run_one_for(std::chrono::seconds(10)) > 0) {
+  }
+  ASSERT_TRUE(has_ended);
+  EXPECT_EQ(m_probes, 1);
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/standins/backend_server/main.cc
+++ b/standins/backend_server/main.cc
@@ -229,7 +229,8 @@
                                  {"endpoint", ToString(m_listen)},
                                  {"incarnation", m_incarnation},
                                  {"slots", absl::GetFlag(FLAGS_slots)},
-                                 {"draining", m_is_draining}};
+                                 {"draining", m_is_draining},
+                                 {"health_path", "/health"}};
     m_client.Start(
         {.m_server = *node,
          .m_timeout = std::chrono::seconds(1),
