Give a suspect one request at a time

Cause: a turn was due after an interval, also while the request of the turn before was still running, so that two or three reached a failing instance at once.

--- a/libs/health/include/sequoiastage/health/instance_judge.h
+++ b/libs/health/include/sequoiastage/health/instance_judge.h
@@ -79,7 +79,7 @@
 
   /// Whether a suspect may be given one idempotent request now to prove
   /// itself. True at most once for each probation interval and never while
-  /// slow work is in flight; always true for a healthy instance and never for
+  /// work is in flight; always true for a healthy instance and never for
   /// an ejected one.
   bool TakeProbationTurn(TimePoint now);
 
--- a/libs/health/src/instance_judge.cc
+++ b/libs/health/src/instance_judge.cc
@@ -161,7 +161,7 @@
   if (m_report.m_verdict == Verdict::kHealthy) {
     return true;
   }
-  if (now < m_next_turn || AgeEvidence(now) > 0) {
+  if (now < m_next_turn || !m_in_flight.empty()) {
     return false;
   }
   m_next_turn = now + m_turn_interval;
--- a/libs/health/tests/instance_judge_test.cc
+++ b/libs/health/tests/instance_judge_test.cc
@@ -229,6 +229,24 @@
   EXPECT_TRUE(judge.TakeProbationTurn(end));
 }
 
+TEST(InstanceJudgeTest, ASuspectProvesItselfWithOneRequestAtATime) {
+  const JudgeOptions options = MakeJudgeOptions(kFastPolicy);
+  InstanceJudge judge(options, kStart);
+  judge.OnBaseline(kWarm, GoodPeers(kWarm));
+  TimePoint now = kWarm;
+  while (judge.Report().m_verdict == Verdict::kHealthy) {
+    now = RunOne(judge, now + milliseconds(200), Outcome::kError);
+  }
+  now += options.m_probation_delay;
+  ASSERT_TRUE(judge.TakeProbationTurn(now));
+  const WorkHandle handle = judge.OnStart(now);
+  // Slower than usual, but not slow yet.
+  now += options.m_probation_interval;
+  EXPECT_FALSE(judge.TakeProbationTurn(now));
+  judge.OnFinish(handle, now, Outcome::kSuccess);
+  EXPECT_TRUE(judge.TakeProbationTurn(now + options.m_probation_interval));
+}
+
 TEST(InstanceJudgeTest, EvidenceEnoughIsNotAddedToUntilTheGrantIsOverdue) {
   const JudgeOptions options = MakeJudgeOptions(kFastPolicy);
   InstanceJudge judge(options, kStart);
