--- a/libs/health/tests/instance_judge_test.cc
+++ b/libs/health/tests/instance_judge_test.cc
@@ -46,6 +46,16 @@
   return now;
 }
 
+// Fails work until the judge suspects.
+TimePoint FailUntilSuspect(InstanceJudge& judge) {
+  judge.OnBaseline(kWarm, GoodPeers(kWarm));
+  TimePoint now = kWarm;
+  while (judge.Report().m_verdict == Verdict::kHealthy) {
+    now = RunOne(judge, now + milliseconds(200), Outcome::kError);
+  }
+  return now;
+}
+
 TimePoint SucceedUntilHealthy(InstanceJudge& judge, TimePoint now) {
   for (int i = 0; i < 100'000; ++i) {
     if (judge.Report().m_verdict == Verdict::kHealthy) {
@@ -212,11 +222,7 @@
 TEST(InstanceJudgeTest, ANewSuspectIsHeldBeforeItsFirstTurn) {
   const JudgeOptions options = MakeJudgeOptions(kFastPolicy);
   InstanceJudge judge(options, kStart);
-  judge.OnBaseline(kWarm, GoodPeers(kWarm));
-  TimePoint now = kWarm;
-  while (judge.Report().m_verdict == Verdict::kHealthy) {
-    now = RunOne(judge, now + milliseconds(200), Outcome::kError);
-  }
+  TimePoint now = FailUntilSuspect(judge);
   const TimePoint suspected = now;
   EXPECT_TRUE(judge.Report().m_is_held);
   // Work that was under way neither shortens nor lengthens the hold.
@@ -232,11 +238,7 @@
 TEST(InstanceJudgeTest, ASuspectProvesItselfWithOneRequestAtATime) {
   const JudgeOptions options = MakeJudgeOptions(kFastPolicy);
   InstanceJudge judge(options, kStart);
-  judge.OnBaseline(kWarm, GoodPeers(kWarm));
-  TimePoint now = kWarm;
-  while (judge.Report().m_verdict == Verdict::kHealthy) {
-    now = RunOne(judge, now + milliseconds(200), Outcome::kError);
-  }
+  TimePoint now = FailUntilSuspect(judge);
   now += options.m_probation_delay;
   ASSERT_TRUE(judge.TakeProbationTurn(now));
   const WorkHandle handle = judge.OnStart(now);
--- a/libs/node/src/egress.cc
+++ b/libs/node/src/egress.cc
@@ -438,14 +438,15 @@
     return;
   }
   instance.m_next_probe = now + kProbeInterval;
-  m_client.Start(
-      {.m_server = local.m_id.Get(),
-       .m_timeout = kProbeTimeout,
-       .m_max_body_bytes = kMaxProbeBytes,
-       .m_is_idempotent = true},
-      {.m_method = "GET", .m_target = local.m_health_path},
-      [this, id = local.m_id, incarnation = local.m_incarnation](
-          HttpCallResult result) { OnProbeEnd(id, incarnation, result); });
+  m_client.Start({.m_server = local.m_id.Get(),
+                  .m_timeout = kProbeTimeout,
+                  .m_max_body_bytes = kMaxProbeBytes,
+                  .m_is_idempotent = true},
+                 {.m_method = "GET", .m_target = local.m_health_path},
+                 [this, id = local.m_id, incarnation = local.m_incarnation](
+                     const HttpCallResult& result) {
+                   OnProbeEnd(id, incarnation, result);
+                 });
 }
 
 void Egress::OnProbeEnd(InstanceId id,
