--- a/libs/health/include/sequoiastage/health/instance_judge.h
+++ b/libs/health/include/sequoiastage/health/instance_judge.h
@@ -24,9 +24,13 @@
   /// Share (0 to 1) of an equal part of the service's work that the instance
   /// should get while healthy instances have room.
   double m_share = 1;
+  /// Suspect for so short a time that it gets no work to prove itself yet.
+  bool m_is_held = false;
   /// Set while ejected, once the hold time is over.
   bool m_wants_readmission = false;
   bool m_is_ejected = false;
+  /// The last health probe failed.
+  bool m_has_failed_probe = false;
   /// Evidence as share of what ejection needs; 1 or more wants ejection once
   /// the peers' summaries confirm it.
   double m_suspicion = 0;
@@ -75,7 +79,7 @@
 
   /// Whether a suspect may be given one idempotent request now to prove
   /// itself. True at most once for each probation interval and never while
-  /// slow work is in flight; always true for a healthy instance and never for
+  /// work is in flight; always true for a healthy instance and never for
   /// an ejected one.
   bool TakeProbationTurn(TimePoint now);
 
@@ -100,6 +104,7 @@
   void ForgetWhenIdle(TimePoint now);
   void AdaptProbation(TimePoint now, bool is_adverse);
   void UpdateVerdict(TimePoint now);
+  void HoldForConfirmation(TimePoint now);
   void UpdateSuspect(TimePoint now, double provisional);
   bool IsEjectionConfirmed(TimePoint now) const;
   void UpdateEjected(TimePoint now);
@@ -128,11 +133,12 @@
   TimePoint m_hold_until;
   TimePoint m_last_suspicion;
   bool m_was_suspect = false;
-  bool m_last_probe_failed = false;
   TimePoint m_ejected_at;
   EvidenceSums m_at_ejection;
   // Readmitted and not healthy since.
   bool m_is_on_trial = false;
+  bool m_is_evidence_enough = false;
+  TimePoint m_held_until;
   TimePoint m_next_turn;
   Duration m_turn_interval;
   JudgeReport m_report;
--- a/libs/health/src/instance_judge.cc
+++ b/libs/health/src/instance_judge.cc
@@ -109,7 +109,7 @@
 
 void InstanceJudge::OnProbe(TimePoint now, bool is_good) {
   now = Advance(now);
-  m_last_probe_failed = !is_good;
+  m_report.m_has_failed_probe = !is_good;
   UpdateVerdict(now);
 }
 
@@ -161,7 +161,7 @@
   if (m_report.m_verdict == Verdict::kHealthy) {
     return true;
   }
-  if (now < m_next_turn || AgeEvidence(now) > 0) {
+  if (now < m_next_turn || !m_in_flight.empty()) {
     return false;
   }
   m_next_turn = now + m_turn_interval;
@@ -246,7 +246,7 @@
 }
 
 void InstanceJudge::AdaptProbation(TimePoint now, bool is_adverse) {
-  if (m_report.m_verdict == Verdict::kHealthy) {
+  if (m_report.m_verdict == Verdict::kHealthy || now < m_held_until) {
     return;
   }
   const double factor =
@@ -271,8 +271,23 @@
   if (m_report.m_verdict != Verdict::kHealthy) {
     UpdateSuspect(now, provisional);
   }
+  HoldForConfirmation(now);
   m_report.m_suspicion = provisional / m_ejection_threshold;
   m_report.m_share = ShareNow(now);
+  m_report.m_is_held = m_report.m_verdict != Verdict::kHealthy &&
+                       !m_report.m_is_ejected && now < m_held_until;
+}
+
+// Once there is evidence enough, more is no use while it waits for the peers'
+// summaries and the grant.
+void InstanceJudge::HoldForConfirmation(TimePoint now) {
+  const bool was_enough = m_is_evidence_enough;
+  m_is_evidence_enough =
+      Worst(m_trail.Unconfirmed(), now) >= m_ejection_threshold;
+  if (m_is_evidence_enough && !was_enough) {
+    m_held_until = std::max(m_held_until, now + m_options.m_confirmation_time);
+    m_next_turn = std::max(m_next_turn, m_held_until);
+  }
 }
 
 // Moves between suspect, ejection wanted and healthy again.
@@ -298,7 +313,7 @@
 
 void InstanceJudge::UpdateEjected(TimePoint now) {
   const bool probe_forbids =
-      m_last_probe_failed && now - m_ejected_at < m_options.m_max_hold;
+      m_report.m_has_failed_probe && now - m_ejected_at < m_options.m_max_hold;
   m_report.m_wants_readmission = now >= m_hold_until && !probe_forbids;
   m_report.m_share = 0;
 }
@@ -312,7 +327,8 @@
   m_last_suspicion = now;
   m_hold_until = now + HoldFor(m_options.m_suspect_hold);
   m_turn_interval = m_options.m_probation_interval;
-  m_next_turn = now + m_turn_interval;
+  m_held_until = now + m_options.m_probation_delay;
+  m_next_turn = m_held_until;
 }
 
 void InstanceJudge::CountFlap() {
--- a/libs/node/src/instance_table_p.h
+++ b/libs/node/src/instance_table_p.h
@@ -18,7 +18,8 @@
 // What an instance says of itself, in JSON:
 //
 //   {"service": "approvals", "endpoint": "127.0.1.1:9001",
-//    "incarnation": 1733240000000, "slots": 3, "draining": false}
+//    "incarnation": 1733240000000, "slots": 3, "draining": false,
+//    "health_path": "/health"}
 //
 // Without "slots" the configuration of its service tells them.
 struct Announcement {
@@ -27,6 +28,8 @@
   Incarnation m_incarnation;
   std::optional<uint16_t> m_slots;
   bool m_is_draining = false;
+  // Target of a GET that answers 2xx while the instance is well. May be empty.
+  std::string m_health_path;
 };
 
 // Reads an announcement; faults go to `findings`.
