Prefer a subset of large services and close idle links between nodes

Cause: the daemon ordered all instances of a service for each request and kept every connection to another node until that node went. Change: views mark the subset of services with more than 36 instances, chosen among what can take work; the first try prefers it, and the whole service is ordered when it has no healthy near instance with room, and for second tries. PeerLinks closes a connection that carried nothing for 60 s and has no request without a final reply (at most 60 s past its deadline); the peer sees an end of file, and the close is no evidence against the path. Subsets do not lower the connections; locality and the idle timeout do. The bench section domains now loses a real failure domain, one of six.

--- a/bench/capacity_bench/fleet_section.cc
+++ b/bench/capacity_bench/fleet_section.cc
@@ -200,17 +200,30 @@
   }
 }
 
-/// A seventh of the nodes is lost at once.
+/// Failure domains of a FakeNetwork with its default options.
+constexpr uint32_t kDomains = 6;
+
+/// Nodes of a fleet that is to lose its first failure domain.
+std::vector<uint32_t> LostNodes(uint32_t nodes) {
+  std::vector<uint32_t> lost;
+  for (uint32_t i = 0; i < nodes; i += kDomains) {
+    lost.push_back(i);
+  }
+  return lost;
+}
+
+/// One failure domain of six is lost at once.
 void MeasureDomainLoss(const std::vector<uint32_t>& sizes, uint64_t seed) {
   Series first("seconds until the first lost node is hinted everywhere",
                "nodes");
   Series last("seconds until all lost nodes are hinted everywhere", "nodes");
   Series rate("bytes a second of a node meanwhile", "nodes");
+  Series after("bytes a second of a node in the 30 s after", "nodes");
   for (const uint32_t nodes : sizes) {
     Fleet fleet(nodes, seed);
     FakeNetwork& network = fleet.Network();
-    const uint32_t lost = nodes / 7;
-    for (uint32_t i = nodes - lost; i < nodes; ++i) {
+    const std::vector<uint32_t> lost = LostNodes(nodes);
+    for (const uint32_t i : lost) {
       network.Kill(i);
     }
     network.TakeTraffic();
@@ -219,8 +232,8 @@
     bool is_all_hinted = false;
     while (!is_all_hinted && network.Time() - start < seconds(600)) {
       network.Run(milliseconds(500));
-      uint32_t hinted = 0;
-      for (uint32_t i = nodes - lost; i < nodes; ++i) {
+      std::size_t hinted = 0;
+      for (const uint32_t i : lost) {
         const NodeId node = FakeNetwork::Id(i);
         hinted += network.AllUp([node](Membership& at) {
           const auto view = at.Find(node);
@@ -233,13 +246,17 @@
         first_seconds = elapsed;
         first.Add(nodes, elapsed);
       }
-      is_all_hinted = hinted == lost;
+      is_all_hinted = hinted == lost.size();
     }
     const double elapsed =
         std::chrono::duration<double>(network.Time() - start).count();
+    const auto left = static_cast<double>(nodes - lost.size());
     last.Add(nodes, elapsed);
-    rate.Add(nodes, static_cast<double>(network.TakeTraffic().m_bytes) /
-                        (nodes - lost) / elapsed);
+    rate.Add(nodes, static_cast<double>(network.TakeTraffic().m_bytes) / left /
+                        elapsed);
+    network.Run(seconds(30));
+    after.Add(nodes,
+              static_cast<double>(network.TakeTraffic().m_bytes) / left / 30);
   }
 }
 
@@ -251,8 +268,11 @@
   PrintHeading("fleets: changes of entries");
   MeasureChanges(250, seed);
   MeasureChanges(500, seed);
-  PrintHeading("fleets: loss of a seventh of the nodes");
-  MeasureDomainLoss({125, 250, 500}, seed);
+}
+
+void MeasureDomains(uint64_t seed) {
+  PrintHeading("domains: loss of one failure domain of six");
+  MeasureDomainLoss({125, 250, 500, 1000}, seed);
 }
 
 void MeasureVersions(uint64_t seed) {
--- a/bench/capacity_bench/main.cc
+++ b/bench/capacity_bench/main.cc
@@ -11,8 +11,8 @@
 ABSL_FLAG(std::string,
           section,
           "all",
-          "What to measure: all, fleets, versions, members, config, replay or "
-          "routing.");
+          "What to measure: all, fleets, domains, versions, members, config, "
+          "replay, routing or connections.");
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
@@ -34,7 +34,9 @@
   run("replay", sequoiastage::MeasureReplay);
   run("routing", sequoiastage::MeasureRouting);
   run("versions", sequoiastage::MeasureVersions);
+  run("connections", sequoiastage::MeasureConnections);
   run("fleets", sequoiastage::MeasureFleets);
+  run("domains", sequoiastage::MeasureDomains);
   if (!is_known) {
     std::fprintf(stderr, "unknown section \"%s\"\n", section.c_str());
     return 2;
--- a/bench/capacity_bench/sections.h
+++ b/bench/capacity_bench/sections.h
@@ -9,6 +9,10 @@
 /// time until a change or a loss is known everywhere.
 void MeasureFleets(uint64_t seed);
 
+/// Whole fleets that lose a failure domain: time until all know, bytes of a
+/// node.
+void MeasureDomains(uint64_t seed);
+
 /// Whole fleets in which configurations come in force: bytes of a node.
 void MeasureVersions(uint64_t seed);
 
@@ -22,6 +26,9 @@
 /// Log replay: configuration changes, ejection grants, snapshots.
 void MeasureReplay(uint64_t seed);
 
+/// An ingress before a fleet of the full size: connections, spread of its work.
+void MeasureConnections(uint64_t seed);
+
 /// Selection, subsets, load and paths.
 void MeasureRouting(uint64_t seed);
 
--- a/libs/node/src/node_view_p.h
+++ b/libs/node/src/node_view_p.h
@@ -25,6 +25,8 @@
   bool m_is_unreachable = false;
   // Draining, gone or ejected: gets no new work.
   bool m_is_excluded = false;
+  // One of those that this ingress keeps connections to.
+  bool m_is_in_subset = true;
 };
 
 // What the control thread knows, handed whole to the traffic threads.
--- a/libs/node/src/peer_links.cc
+++ b/libs/node/src/peer_links.cc
@@ -1,11 +1,45 @@
 #include "peer_links_p.h"
 
+#include <optional>
 #include <utility>
 
+#include "protocol_fields_p.h"
+
 namespace sequoiastage {
 
 namespace {
 
+// Part of the idle timeout after which connections are looked at again.
+constexpr int kIdleLooks = 4;
+
+// Request that `message` asks a final reply to, with its deadline.
+std::optional<std::pair<AttemptId, WallTime>> RequestIn(
+    const Message& message) {
+  if (const auto* dispatch = std::get_if<DispatchMessage>(&message)) {
+    return std::pair(dispatch->m_attempt, DeadlineOf(dispatch->m_deadline_ms));
+  }
+  if (const auto* query = std::get_if<QueryMessage>(&message)) {
+    return std::pair(query->m_attempt, DeadlineOf(query->m_deadline_ms));
+  }
+  if (const auto* keyed = std::get_if<KeyedRequestMessage>(&message)) {
+    return std::pair(keyed->m_attempt, DeadlineOf(keyed->m_deadline_ms));
+  }
+  return std::nullopt;
+}
+
+// Request that `message` is the final reply to.
+std::optional<AttemptId> FinalReplyIn(const Message& message) {
+  if (const auto* result = std::get_if<ResultMessage>(&message)) {
+    return result->m_result == AttemptResult::kRunning
+               ? std::nullopt
+               : std::optional(result->m_attempt);
+  }
+  if (const auto* reply = std::get_if<KeyedReplyMessage>(&message)) {
+    return reply->m_attempt;
+  }
+  return std::nullopt;
+}
+
 // One try to open a connection, bounded in time.
 struct ConnectTry {
   explicit ConnectTry(asio::io_context& io) : m_socket(io), m_timer(io) {}
@@ -17,11 +51,15 @@
 }  // namespace
 
 PeerLinks::PeerLinks(asio::io_context& io, Options options, Handlers handlers)
-    : m_io(io), m_options(options), m_handlers(std::move(handlers)) {}
+    : m_io(io),
+      m_options(options),
+      m_handlers(std::move(handlers)),
+      m_idle_timer(io) {}
 
 bool PeerLinks::Send(NodeId node, Message message) {
   auto [it, is_new] = m_links.try_emplace(node);
   Link& link = it->second;
+  NoteSent(link, message);
   if (link.m_connection != nullptr) {
     return link.m_connection->Send(message);
   }
@@ -32,16 +70,30 @@
   return true;
 }
 
+void PeerLinks::NoteSent(Link& link, const Message& message) const {
+  link.m_used_at = Now();
+  if (const auto request = RequestIn(message)) {
+    const auto [attempt, deadline] = *request;
+    link.m_open[attempt] =
+        deadline + std::chrono::duration_cast<std::chrono::milliseconds>(
+                       m_options.m_idle_timeout);
+  }
+}
+
 bool PeerLinks::Withdraw(NodeId node, const AttemptId& attempt) {
   const auto it = m_links.find(node);
   if (it == m_links.end()) {
     return false;
   }
-  return std::erase_if(
-             it->second.m_waiting, [&attempt](const Message& message) {
-               const auto* dispatch = std::get_if<DispatchMessage>(&message);
-               return dispatch != nullptr && dispatch->m_attempt == attempt;
-             }) > 0;
+  const bool is_withdrawn =
+      std::erase_if(it->second.m_waiting, [&attempt](const Message& message) {
+        const auto* dispatch = std::get_if<DispatchMessage>(&message);
+        return dispatch != nullptr && dispatch->m_attempt == attempt;
+      }) > 0;
+  if (is_withdrawn) {
+    it->second.m_open.erase(attempt);
+  }
+  return is_withdrawn;
 }
 
 void PeerLinks::CloseAll() {
@@ -52,6 +104,45 @@
     }
   }
   m_links.clear();
+  m_idle_timer.cancel();
+}
+
+void PeerLinks::ArmIdleTimer() {
+  if (m_is_idle_timer_armed) {
+    return;
+  }
+  m_is_idle_timer_armed = true;
+  m_idle_timer.expires_after(m_options.m_idle_timeout / kIdleLooks);
+  m_idle_timer.async_wait(
+      [this, alive = m_is_alive](const asio::error_code& error) {
+        if (error || !*alive) {
+          return;
+        }
+        m_is_idle_timer_armed = false;
+        CloseIdle();
+        if (!m_links.empty()) {
+          ArmIdleTimer();
+        }
+      });
+}
+
+void PeerLinks::CloseIdle() {
+  const TimePoint used_before = Now() - m_options.m_idle_timeout;
+  const WallTime now = WallNow();
+  for (auto it = m_links.begin(); it != m_links.end();) {
+    Link& link = it->second;
+    std::erase_if(link.m_open,
+                  [now](const auto& item) { return item.second <= now; });
+    const bool is_idle = link.m_connection != nullptr && link.m_open.empty() &&
+                         link.m_used_at <= used_before;
+    if (!is_idle) {
+      ++it;
+      continue;
+    }
+    const auto connection = link.m_connection;
+    it = m_links.erase(it);
+    connection->Close("idle");
+  }
 }
 
 void PeerLinks::Connect(NodeId node) {
@@ -86,22 +177,23 @@
 
 void PeerLinks::OnConnected(NodeId node, asio::ip::tcp::socket socket) {
   Link& link = m_links[node];
+  link.m_used_at = Now();
+  ArmIdleTimer();
   const auto connection = std::make_shared<PeerConnection>(std::move(socket));
   link.m_connection = connection;
-  connection->Start(
-      {.m_on_message =
-           [this, node, alive = m_is_alive](Message message) {
-             if (*alive) {
-               m_handlers.m_on_message(node, std::move(message));
-             }
-           },
-       .m_on_closed =
-           [this, node, alive = m_is_alive](const std::string& reason) {
-             if (*alive) {
-               m_links.erase(node);
-               m_handlers.m_on_lost(node, reason);
-             }
-           }});
+  connection->Start({.m_on_message =
+                         [this, node, alive = m_is_alive](Message message) {
+                           if (*alive) {
+                             OnMessage(node, std::move(message));
+                           }
+                         },
+                     .m_on_closed =
+                         [this, node, key = connection.get(),
+                          alive = m_is_alive](const std::string& reason) {
+                           if (*alive) {
+                             OnClosed(node, key, reason);
+                           }
+                         }});
   connection->Send(HelloMessage{.m_node = m_options.m_own,
                                 .m_incarnation = m_options.m_incarnation});
   const std::vector<Message> waiting = std::exchange(link.m_waiting, {});
@@ -110,6 +202,29 @@
   }
 }
 
+void PeerLinks::OnMessage(NodeId node, Message message) {
+  const auto it = m_links.find(node);
+  if (it != m_links.end()) {
+    it->second.m_used_at = Now();
+    if (const auto replied = FinalReplyIn(message)) {
+      it->second.m_open.erase(*replied);
+    }
+  }
+  m_handlers.m_on_message(node, std::move(message));
+}
+
+void PeerLinks::OnClosed(NodeId node,
+                         const PeerConnection* connection,
+                         const std::string& reason) {
+  const auto it = m_links.find(node);
+  // One that was closed when idle is no longer here.
+  if (it == m_links.end() || it->second.m_connection.get() != connection) {
+    return;
+  }
+  m_links.erase(it);
+  m_handlers.m_on_lost(node, reason);
+}
+
 void PeerLinks::OnConnectFailed(NodeId node) {
   const std::vector<Message> waiting = std::move(m_links[node].m_waiting);
   m_links.erase(node);
--- a/libs/node/src/peer_links_p.h
+++ b/libs/node/src/peer_links_p.h
@@ -34,6 +34,9 @@
     // Source address of the connections.
     uint32_t m_bind_ip = 0;
     Duration m_connect_timeout = std::chrono::milliseconds(500);
+    // A connection that carried nothing for so long and has no request
+    // without a final reply is closed.
+    Duration m_idle_timeout = std::chrono::seconds(60);
   };
 
   PeerLinks(asio::io_context& io, Options options, Handlers handlers);
@@ -46,6 +49,9 @@
   // not sent and never will be.
   bool Withdraw(NodeId node, const AttemptId& attempt);
 
+  // Connections that are open or being opened.
+  size_t Count() const { return m_links.size(); }
+
   void CloseAll();
 
  private:
@@ -53,8 +59,21 @@
     std::shared_ptr<PeerConnection> m_connection;
     // Messages that wait for the connection to open.
     std::vector<Message> m_waiting;
+    // Last message either way.
+    TimePoint m_used_at;
+    // Requests without a final reply, each with the time after which none is
+    // waited for.
+    std::unordered_map<AttemptId, WallTime> m_open;
   };
 
+  void NoteSent(Link& link, const Message& message) const;
+  void OnMessage(NodeId node, Message message);
+  void OnClosed(NodeId node,
+                const PeerConnection* connection,
+                const std::string& reason);
+  void ArmIdleTimer();
+  void CloseIdle();
+
   void Connect(NodeId node);
   void OnConnected(NodeId node, asio::ip::tcp::socket socket);
   void OnConnectFailed(NodeId node);
@@ -63,6 +82,8 @@
   Options m_options;
   Handlers m_handlers;
   std::unordered_map<NodeId, Link> m_links;
+  asio::steady_timer m_idle_timer;
+  bool m_is_idle_timer_armed = false;
   std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
 };
 
--- a/libs/node/src/target_picker.cc
+++ b/libs/node/src/target_picker.cc
@@ -20,20 +20,49 @@
   if (it == m_view->m_instances.end()) {
     return {};
   }
+  const std::vector<InstanceView>& all = it->second;
+  if (!request.m_tried.empty()) {
+    // What this node knew of the subset was wrong for this request.
+    return ToTarget(First(all, Among::kAll, request, now));
+  }
+  const Best best = First(all, Among::kSubset, request, now);
+  if (best.m_is_of_all || (best.HasRoom() && best.IsNear())) {
+    return ToTarget(best);
+  }
+  const Best best_of_all = First(all, Among::kAll, request, now);
+  const bool is_subset_as_good = best.HasRoom() && !best_of_all.IsNear();
+  return ToTarget(is_subset_as_good ? best : best_of_all);
+}
+
+TargetPicker::Best TargetPicker::First(
+    const std::vector<InstanceView>& instances,
+    Among among,
+    const SelectionRequest& request,
+    TimePoint now) {
   std::vector<Candidate> candidates;
-  candidates.reserve(it->second.size());
-  for (const InstanceView& instance : it->second) {
-    candidates.push_back(ToCandidate(instance, now));
+  std::vector<const InstanceView*> views;
+  candidates.reserve(instances.size());
+  views.reserve(instances.size());
+  for (const InstanceView& instance : instances) {
+    if (among == Among::kAll || instance.m_is_in_subset) {
+      candidates.push_back(ToCandidate(instance, now));
+      views.push_back(&instance);
+    }
   }
   const std::vector<Choice> order =
       m_selector.Order(candidates, request, m_random);
+  const bool is_of_all = candidates.size() == instances.size();
   if (order.empty() || order.front().m_reason == ChoiceReason::kTried) {
-    return {};
+    return {.m_is_of_all = is_of_all};
   }
-  const Choice& choice = order.front();
-  return {.m_instance = &it->second[choice.m_index],
-          .m_accept_suspect = choice.m_reason != ChoiceReason::kHealthy &&
-                              choice.m_reason != ChoiceReason::kProving};
+  return {.m_instance = views[order.front().m_index],
+          .m_reason = order.front().m_reason,
+          .m_is_of_all = is_of_all};
+}
+
+Target TargetPicker::ToTarget(const Best& best) {
+  return {.m_instance = best.m_instance,
+          .m_accept_suspect = best.m_instance != nullptr && !best.HasRoom()};
 }
 
 Candidate TargetPicker::ToCandidate(const InstanceView& instance,
--- a/libs/node/src/target_picker_p.h
+++ b/libs/node/src/target_picker_p.h
@@ -31,7 +31,8 @@
   const NodeViewPtr& View() const { return m_view; }
 
   // Next instance to try; m_instance is null when none is left. Valid until
-  // the next SetView().
+  // the next SetView(). The first try prefers the subset while a healthy
+  // instance of it has room; in other regions, while none nearer has.
   Target Pick(ServiceId service,
               const SelectionRequest& request,
               TimePoint now);
@@ -51,6 +52,30 @@
   bool IsPathSuspect(NodeId node) const { return m_paths.IsSuspect(node); }
 
  private:
+  enum class Among : uint8_t { kSubset, kAll };
+
+  // First of an order; m_instance is null when there is none to try.
+  struct Best {
+    const InstanceView* m_instance = nullptr;
+    ChoiceReason m_reason = ChoiceReason::kTried;
+    // No instance of the service was left out of the order.
+    bool m_is_of_all = false;
+
+    bool HasRoom() const {
+      return m_reason == ChoiceReason::kHealthy ||
+             m_reason == ChoiceReason::kProving;
+    }
+    bool IsNear() const {
+      return m_instance != nullptr &&
+             m_instance->m_locality != Locality::kOtherRegion;
+    }
+  };
+
+  Best First(const std::vector<InstanceView>& instances,
+             Among among,
+             const SelectionRequest& request,
+             TimePoint now);
+  static Target ToTarget(const Best& best);
   Candidate ToCandidate(const InstanceView& instance, TimePoint now) const;
 
   // There is no path to the own egress to judge.
--- a/libs/node/src/view_builder.cc
+++ b/libs/node/src/view_builder.cc
@@ -1,9 +1,17 @@
 #include "view_builder_p.h"
 
+#include <string_view>
+
+#include "sequoiastage/routing/subset.h"
+
 namespace sequoiastage {
 
 namespace {
 
+// A subset of a service with no more instances would save hardly a connection:
+// nearer ones go first anyway.
+constexpr size_t kWholeService = 36;
+
 Locality LocalityOf(const MemberEntry& member, const MemberEntry& own) {
   if (member.m_node.Get().m_ip == own.m_node.Get().m_ip) {
     return Locality::kOwnHost;
@@ -16,13 +24,45 @@
              : Locality::kOwnRegion;
 }
 
+using InstanceViews = std::unordered_map<ServiceId, std::vector<InstanceView>>;
+using RegionsOfInstances =
+    std::unordered_map<ServiceId, std::vector<std::string_view>>;
+
+// Marks the subset of `service`, chosen among what can take work. `regions`
+// are those of `instances`.
+void MarkSubset(ServiceId service,
+                const std::vector<std::string_view>& regions,
+                const MemberEntry& own,
+                std::vector<InstanceView>& instances) {
+  if (instances.size() <= kWholeService) {
+    return;
+  }
+  std::vector<SubsetCandidate> candidates;
+  std::vector<size_t> indexes;
+  for (size_t i = 0; i < instances.size(); ++i) {
+    InstanceView& instance = instances[i];
+    // No connection leads to the own host.
+    instance.m_is_in_subset = instance.m_locality == Locality::kOwnHost;
+    if (!instance.m_is_excluded && !instance.m_is_unreachable) {
+      candidates.push_back(
+          {.m_instance = instance.m_id, .m_region = regions[i]});
+      indexes.push_back(i);
+    }
+  }
+  for (const uint32_t chosen :
+       ChooseSubset(candidates, own.m_node, service, own.m_region)) {
+    instances[indexes[chosen]].m_is_in_subset = true;
+  }
+}
+
 }  // namespace
 
 std::unordered_map<ServiceId, std::vector<InstanceView>> BuildInstanceViews(
     const std::vector<MemberView>& members,
     const MemberEntry& own,
     const IsEjected& is_ejected) {
-  std::unordered_map<ServiceId, std::vector<InstanceView>> views;
+  InstanceViews views;
+  RegionsOfInstances regions;
   for (const MemberView& view : members) {
     const MemberEntry& member = *view.m_entry;
     if (member.m_state == HostState::kLeft) {
@@ -31,6 +71,7 @@
     for (const InstanceEntry& instance : member.m_instances) {
       const bool is_serving = member.m_state == HostState::kLive &&
                               instance.m_state == InstanceState::kServing;
+      regions[instance.m_service].push_back(member.m_region);
       views[instance.m_service].push_back(
           {.m_id = instance.m_id,
            .m_node = member.m_node,
@@ -44,6 +85,9 @@
                             is_ejected(instance.m_id, instance.m_incarnation)});
     }
   }
+  for (auto& [service, instances] : views) {
+    MarkSubset(service, regions[service], own, instances);
+  }
   return views;
 }
 
