Send group reports without their zeros and spread them over time

Cause: a report wrote out 24 counts of 2 B of which most are zero, 74 B for one instance (the 56 B of the capacity page left the load out). Nodes that start together also went through their sorted siblings in step, so that a node heard all of them at once and nobody for the rest of a round. Change: numbers of 16 bits take as many bytes as they need, the histogram is a bit for each bucket and the counts of those that are not empty; a node starts its round of siblings at a place of its own. Ruled out: leaving the ceiling at 2,000 B/s (8.6 siblings, but 6.2 KB/s, worked out). Failed first: GroupReportsOfNodesStartedTogetherComeSpreadOverTime (0 reports in three of five windows of 3 s).

--- a/bench/capacity_bench/fleet_section.cc
+++ b/bench/capacity_bench/fleet_section.cc
@@ -2,9 +2,13 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
+#include <string>
+#include <tuple>
 
 #include "report.h"
 #include "sections.h"
+#include "src/group_report_p.h"
 #include "tests/fake_network.h"
 
 namespace sequoiastage {
@@ -15,8 +19,8 @@
 
 constexpr uint32_t kInstancesPerNode = 9;
 constexpr uint32_t kInstancesPerService = 28;
-/// Size of an encoded summary of one instance.
-constexpr std::size_t kReportBytes = 56;
+/// Size of the report of one instance with all counts written out.
+constexpr std::size_t kLongReportBytes = 74;
 
 OwnState StateOf(uint32_t node, uint32_t nodes, uint16_t slots) {
   const uint32_t services =
@@ -112,7 +116,6 @@
   Series cpu("share of a core of a node at rest, in %", "nodes");
   Series regions("share of bytes between regions, in %", "nodes");
   Series spread("seconds until a change is known everywhere", "nodes");
-  Series groups("bytes a second of a node with group reports", "nodes");
   for (const uint32_t nodes : sizes) {
     Fleet fleet(nodes, seed);
     const double start = CpuSeconds();
@@ -124,15 +127,62 @@
       sum += fleet.SecondsToKnow(fleet.Change());
     }
     spread.Add(nodes, sum / 5);
+  }
+}
+
+/// Report of an instance that gave 83 answers in 10 s.
+std::vector<uint8_t> OrdinaryReport(uint64_t seed) {
+  std::mt19937_64 random(seed);
+  std::lognormal_distribution<double> latency_ms(3, 0.5);
+  InstanceNews news{.m_load = {.m_slots = 3, .m_in_use = 1},
+                    .m_summary = {.m_recent_outcomes = 12, .m_outcomes = 83}};
+  for (int i = 0; i < 83; ++i) {
+    news.m_summary.m_latencies.Add(
+        milliseconds(static_cast<int>(latency_ms(random))));
+  }
+  return EncodeGroupReport({news});
+}
+
+/// Nodes exchange `report` for each of their services.
+void MeasureGroupReports(const std::vector<uint32_t>& sizes,
+                         const std::vector<uint8_t>& report,
+                         uint64_t seed) {
+  const std::string name = fmt::format("reports of {} B: ", report.size());
+  Series rate(name + "bytes a second of a node", "nodes");
+  Series interval(name + "seconds between two of a sibling", "nodes");
+  Series fresh(name + "siblings of a service heard in 3 s", "nodes");
+  constexpr uint32_t kWatched = 50;
+  for (const uint32_t nodes : sizes) {
+    Fleet fleet(nodes, seed);
     FakeNetwork& network = fleet.Network();
     for (uint32_t i = 0; i < nodes; ++i) {
       for (const InstanceEntry& instance : network.At(i).Own().m_instances) {
-        network.At(i).SetGroupReport(instance.m_service,
-                                     std::vector<uint8_t>(kReportBytes));
+        network.At(i).SetGroupReport(instance.m_service, report);
       }
     }
     network.Run(seconds(10));
-    groups.Add(nodes, fleet.BytesPerNodeSecond(seconds(20)));
+    for (uint32_t i = 0; i < kWatched; ++i) {
+      network.At(i).TakeGroupReports();
+    }
+    rate.Add(nodes, fleet.BytesPerNodeSecond(seconds(60)));
+    double heard = 0;
+    std::set<std::tuple<uint32_t, NodeId, ServiceId>> pairs;
+    for (uint32_t i = 0; i < kWatched; ++i) {
+      for (const GroupReport& got : network.At(i).TakeGroupReports()) {
+        pairs.insert({i, got.m_from, got.m_service});
+        ++heard;
+      }
+    }
+    interval.Add(nodes, 60 * static_cast<double>(pairs.size()) / heard);
+    network.Run(seconds(3));
+    pairs.clear();
+    for (uint32_t i = 0; i < kWatched; ++i) {
+      for (const GroupReport& got : network.At(i).TakeGroupReports()) {
+        pairs.insert({i, got.m_from, got.m_service});
+      }
+    }
+    fresh.Add(nodes,
+              static_cast<double>(pairs.size()) / kWatched / kInstancesPerNode);
   }
 }
 
@@ -270,6 +320,13 @@
   MeasureChanges(500, seed);
 }
 
+void MeasureGroups(uint64_t seed) {
+  PrintHeading("groups: reports between the nodes of a service");
+  const std::vector<uint32_t> sizes{125, 250, 500};
+  MeasureGroupReports(sizes, std::vector<uint8_t>(kLongReportBytes), seed);
+  MeasureGroupReports(sizes, OrdinaryReport(seed), seed);
+}
+
 void MeasureDomains(uint64_t seed) {
   PrintHeading("domains: loss of one failure domain of six");
   MeasureDomainLoss({125, 250, 500, 1000}, seed);
--- a/bench/capacity_bench/main.cc
+++ b/bench/capacity_bench/main.cc
@@ -8,11 +8,12 @@
 #include "sections.h"
 
 ABSL_FLAG(uint64_t, seed, 1, "Seed of all random choices.");
-ABSL_FLAG(std::string,
-          section,
-          "all",
-          "What to measure: all, fleets, domains, versions, members, config, "
-          "replay, routing or connections.");
+ABSL_FLAG(
+    std::string,
+    section,
+    "all",
+    "What to measure: all, fleets, groups, domains, versions, members, config, "
+    "replay, routing or connections.");
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
@@ -36,6 +37,7 @@
   run("versions", sequoiastage::MeasureVersions);
   run("connections", sequoiastage::MeasureConnections);
   run("fleets", sequoiastage::MeasureFleets);
+  run("groups", sequoiastage::MeasureGroups);
   run("domains", sequoiastage::MeasureDomains);
   if (!is_known) {
     std::fprintf(stderr, "unknown section \"%s\"\n", section.c_str());
--- a/bench/capacity_bench/sections.h
+++ b/bench/capacity_bench/sections.h
@@ -9,6 +9,10 @@
 /// time until a change or a loss is known everywhere.
 void MeasureFleets(uint64_t seed);
 
+/// Whole fleets that exchange group reports: bytes of a node, how often and of
+/// how many siblings it hears.
+void MeasureGroups(uint64_t seed);
+
 /// Whole fleets that lose a failure domain: time until all know, bytes of a
 /// node.
 void MeasureDomains(uint64_t seed);
--- a/libs/health/include/sequoiastage/health/instance_summary.h
+++ b/libs/health/include/sequoiastage/health/instance_summary.h
@@ -23,12 +23,6 @@
   /// usual is included with its age, so that a hang of all instances shows.
   LatencyHistogram m_latencies;
 
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(m_recent_outcomes, m_recent_failures, m_outcomes, m_failures,
-            m_latencies);
-  }
-
   friend bool operator==(const InstanceSummary&,
                          const InstanceSummary&) = default;
 };
--- a/libs/health/include/sequoiastage/health/latency_histogram.h
+++ b/libs/health/include/sequoiastage/health/latency_histogram.h
@@ -17,6 +17,10 @@
 class LatencyHistogram {
  public:
   static constexpr size_t kBuckets = 24;
+  using Counts = std::array<uint16_t, kBuckets>;
+
+  LatencyHistogram() = default;
+  explicit LatencyHistogram(const Counts& counts) : m_counts(counts) {}
 
   void Add(Duration latency);
   void Merge(const LatencyHistogram& other);
@@ -27,16 +31,13 @@
   /// inside the bucket. Zero when there are no samples.
   Duration Quantile(double share) const;
 
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(m_counts);
-  }
+  const Counts& BucketCounts() const { return m_counts; }
 
   friend bool operator==(const LatencyHistogram&,
                          const LatencyHistogram&) = default;
 
  private:
-  std::array<uint16_t, kBuckets> m_counts{};
+  Counts m_counts{};
 };
 
 }  // namespace sequoiastage
--- a/libs/membership/include/sequoiastage/membership/membership.h
+++ b/libs/membership/include/sequoiastage/membership/membership.h
@@ -63,7 +63,7 @@
   /// Time between two group reports to the same peer, stretched so that the
   /// reports stay below the ceiling in bytes a second.
   Duration m_group_interval = std::chrono::seconds(1);
-  uint32_t m_group_bytes_per_second = 2000;
+  uint32_t m_group_bytes_per_second = 1700;
 };
 
 /// What this node says of itself; location and incarnation are options.
--- a/libs/membership/src/group_exchange.cc
+++ b/libs/membership/src/group_exchange.cc
@@ -27,7 +27,10 @@
 GroupExchange::GroupExchange(NodeId own,
                              Duration interval,
                              uint32_t bytes_per_second)
-    : m_own(own), m_interval(interval), m_bytes_per_second(bytes_per_second) {}
+    : m_own(own),
+      m_interval(interval),
+      m_bytes_per_second(bytes_per_second),
+      m_next(std::hash<NodeId>()(own)) {}
 
 void GroupExchange::SetReport(ServiceId service, std::vector<uint8_t> bytes) {
   m_reports_changed |= !m_reports.contains(service);
--- a/libs/membership/src/group_exchange_p.h
+++ b/libs/membership/src/group_exchange_p.h
@@ -48,7 +48,9 @@
   TimePoint m_pairs_found_at;
   TimePoint m_last_tick;
   double m_due = 0;
-  std::size_t m_next = 0;
+  /// Starts elsewhere at each node: else nodes that start together would all
+  /// report to the same one at a time.
+  std::size_t m_next;
 };
 
 }  // namespace sequoiastage
--- a/libs/membership/tests/membership_test.cc
+++ b/libs/membership/tests/membership_test.cc
@@ -283,6 +283,25 @@
   EXPECT_TRUE(node.Own().m_instances.empty());
 }
 
+TEST(MembershipTest, GroupReportsOfNodesStartedTogetherComeSpreadOverTime) {
+  FakeNetwork network({.m_nodes = 60});
+  network.Run(seconds(20));
+  for (uint32_t i = 0; i < 60; ++i) {
+    network.At(i).SetOwn(WithInstance(3), network.Time());
+  }
+  network.Run(seconds(10));
+  for (uint32_t i = 0; i < 60; ++i) {
+    network.At(i).SetGroupReport(ServiceId(1), std::vector<uint8_t>(400));
+  }
+  // Less than 4 reports a second to 59 siblings: a round takes 16 s.
+  network.Run(seconds(18));
+  for (int window = 0; window < 5; ++window) {
+    network.At(0).TakeGroupReports();
+    network.Run(seconds(3));
+    EXPECT_GE(network.At(0).TakeGroupReports().size(), 5U);
+  }
+}
+
 TEST(MembershipTest, GroupReportsReachTheHostsOfTheServiceAlone) {
   FakeNetwork network({});
   for (uint32_t i = 0; i < 6; ++i) {
--- a/libs/wire/include/sequoiastage/wire/bytes.h
+++ b/libs/wire/include/sequoiastage/wire/bytes.h
@@ -38,6 +38,35 @@
   archive(cereal::binary_data(text.data(), text.size()));
 }
 
+/// Saves a number in as few bytes as it needs: 7 bits of it in each, the low
+/// ones first.
+template <class Archive>
+void SaveVarint(Archive& archive, uint16_t value) {
+  constexpr uint16_t kMore = 0x80;
+  for (; value >= kMore; value >>= 7) {
+    archive(static_cast<uint8_t>(value | kMore));
+  }
+  archive(static_cast<uint8_t>(value));
+}
+
+/// Loads what SaveVarint() saved. Throws cereal::Exception when it is no number
+/// of 16 bits.
+template <class Archive>
+void LoadVarint(Archive& archive, uint16_t& value) {
+  constexpr uint32_t kMore = 0x80;
+  uint32_t sum = 0;
+  for (int shift = 0; shift <= 14; shift += 7) {
+    uint8_t byte = 0;
+    archive(byte);
+    sum |= (byte & (kMore - 1)) << shift;
+    if ((byte & kMore) == 0 && sum <= UINT16_MAX) {
+      value = static_cast<uint16_t>(sum);
+      return;
+    }
+  }
+  throw cereal::Exception("number is too large");
+}
+
 /// Loads a counted list item by item; like LoadBytes() it only grows as far
 /// as input is there. Throws above kMaxListItems.
 template <class Archive, class Item>
