--- a/bench/capacity_bench/connection_section.cc
+++ b/bench/capacity_bench/connection_section.cc
@@ -168,6 +168,7 @@
          .m_slots = 3});
   }
   std::vector<MemberView> views;
+  views.reserve(members.size());
   for (const MemberEntry& member : members) {
     views.push_back({.m_entry = &member});
   }
--- a/libs/membership/src/domain_loss.cc
+++ b/libs/membership/src/domain_loss.cc
@@ -7,17 +7,17 @@
 namespace {
 
 /// In smaller failure domains hints are few enough.
-constexpr uint32_t kFewestMembers = 8;
+constexpr int64_t kFewestMembers = 8;
 /// Hinted members out of 4 with which a domain is taken for lost.
-constexpr uint32_t kHintedQuarters = 3;
+constexpr int64_t kHintedQuarters = 3;
 /// A domain with a member that was heard, here or by others, in this time is
 /// not taken for lost.
 constexpr Duration kSilence = std::chrono::seconds(3);
 
 struct DomainCount {
-  uint32_t m_members = 0;
+  int64_t m_members = 0;
   /// Hinted without a loss that covers them.
-  uint32_t m_hinted = 0;
+  int64_t m_hinted = 0;
   uint16_t m_newest_loss = 0;
   bool m_is_heard = false;
 };
