--- a/libs/node/src/target_picker.cc
+++ b/libs/node/src/target_picker.cc
@@ -17,14 +17,17 @@
   if (instances == nullptr) {
     return {};
   }
-  const std::vector<Choice> order = Order(*instances, request, now);
-  if (order.empty() || order.front().m_reason == ChoiceReason::kTried) {
-    return {};
+  if (!request.m_tried.empty()) {
+    // What this node knew of the subset was wrong for this request.
+    return ToTarget(First(*instances, Among::kAll, request, now));
+  }
+  const Best best = First(*instances, Among::kSubset, request, now);
+  if (best.m_is_of_all || (best.HasRoom() && best.IsNear())) {
+    return ToTarget(best);
   }
-  const Choice& choice = order.front();
-  return {.m_instance = &(*instances)[choice.m_index],
-          .m_accept_suspect = choice.m_reason != ChoiceReason::kHealthy &&
-                              choice.m_reason != ChoiceReason::kProving};
+  const Best best_of_all = First(*instances, Among::kAll, request, now);
+  const bool is_subset_as_good = best.HasRoom() && !best_of_all.IsNear();
+  return ToTarget(is_subset_as_good ? best : best_of_all);
 }
 
 Target TargetPicker::PickCopy(ServiceId service,
@@ -34,8 +37,9 @@
   if (instances == nullptr) {
     return {};
   }
-  for (const Choice& choice : Order(*instances, request, now)) {
-    const InstanceView& instance = (*instances)[choice.m_index];
+  const Ordered ordered = Order(*instances, Among::kAll, request, now);
+  for (const Choice& choice : ordered.m_choices) {
+    const InstanceView& instance = *ordered.m_instances[choice.m_index];
     if (choice.m_reason == ChoiceReason::kHealthy &&
         instance.m_locality != Locality::kOtherRegion) {
       return {.m_instance = &instance};
@@ -53,16 +57,44 @@
   return it == m_view->m_instances.end() ? nullptr : &it->second;
 }
 
-std::vector<Choice> TargetPicker::Order(
+TargetPicker::Ordered TargetPicker::Order(
     const std::vector<InstanceView>& instances,
+    Among among,
     const SelectionRequest& request,
     TimePoint now) {
+  Ordered ordered;
   std::vector<Candidate> candidates;
   candidates.reserve(instances.size());
+  ordered.m_instances.reserve(instances.size());
   for (const InstanceView& instance : instances) {
-    candidates.push_back(ToCandidate(instance, now));
+    if (among == Among::kAll || instance.m_is_in_subset) {
+      candidates.push_back(ToCandidate(instance, now));
+      ordered.m_instances.push_back(&instance);
+    }
   }
-  return m_selector.Order(candidates, request, m_random);
+  ordered.m_choices = m_selector.Order(candidates, request, m_random);
+  return ordered;
+}
+
+TargetPicker::Best TargetPicker::First(
+    const std::vector<InstanceView>& instances,
+    Among among,
+    const SelectionRequest& request,
+    TimePoint now) {
+  const Ordered ordered = Order(instances, among, request, now);
+  const bool is_of_all = ordered.m_instances.size() == instances.size();
+  const std::vector<Choice>& choices = ordered.m_choices;
+  if (choices.empty() || choices.front().m_reason == ChoiceReason::kTried) {
+    return {.m_is_of_all = is_of_all};
+  }
+  return {.m_instance = ordered.m_instances[choices.front().m_index],
+          .m_reason = choices.front().m_reason,
+          .m_is_of_all = is_of_all};
+}
+
+Target TargetPicker::ToTarget(const Best& best) {
+  return {.m_instance = best.m_instance,
+          .m_accept_suspect = best.m_instance != nullptr && !best.HasRoom()};
 }
 
 bool TargetPicker::IsReplaced(const InstanceView& instance) const {
--- a/libs/node/src/target_picker_p.h
+++ b/libs/node/src/target_picker_p.h
@@ -32,7 +32,8 @@
   const NodeViewPtr& View() const { return m_view; }
 
   // Next instance to try; m_instance is null when none is left. Valid until
-  // the next SetView().
+  // the next SetView(). The first try prefers the subset while a healthy
+  // instance of it has room; in other regions, while none nearer has.
   Target Pick(ServiceId service,
               const SelectionRequest& request,
               TimePoint now);
@@ -66,9 +67,41 @@
  private:
   // Null when the service has none.
   const std::vector<InstanceView>* InstancesOf(ServiceId service) const;
-  std::vector<Choice> Order(const std::vector<InstanceView>& instances,
-                            const SelectionRequest& request,
-                            TimePoint now);
+
+  enum class Among : uint8_t { kSubset, kAll };
+
+  // First of an order; m_instance is null when there is none to try.
+  struct Best {
+    const InstanceView* m_instance = nullptr;
+    ChoiceReason m_reason = ChoiceReason::kTried;
+    // No instance of the service was left out of the order.
+    bool m_is_of_all = false;
+
+    bool HasRoom() const {
+      return m_reason == ChoiceReason::kHealthy ||
+             m_reason == ChoiceReason::kProving;
+    }
+    bool IsNear() const {
+      return m_instance != nullptr &&
+             m_instance->m_locality != Locality::kOtherRegion;
+    }
+  };
+
+  // Choices with the instances that their indexes mean.
+  struct Ordered {
+    std::vector<Choice> m_choices;
+    std::vector<const InstanceView*> m_instances;
+  };
+
+  Ordered Order(const std::vector<InstanceView>& instances,
+                Among among,
+                const SelectionRequest& request,
+                TimePoint now);
+  Best First(const std::vector<InstanceView>& instances,
+             Among among,
+             const SelectionRequest& request,
+             TimePoint now);
+  static Target ToTarget(const Best& best);
   bool IsReplaced(const InstanceView& instance) const;
   Candidate ToCandidate(const InstanceView& instance, TimePoint now) const;
 
