Publish changes as merge patches where they are shorter

A change already holds only where the version it was made from is in force, so that a merge patch against that version has one meaning at every node. The node that takes a document works the patch out; operators and tools go on with whole documents, and whole changes stay valid.

A merge patch can't set null, which overlays use to remove members: such an overlay is published whole. Patches could build a scope up beyond what a record carries, so a patch that leads there is refused.

The race property now also asks that what is in force is the document its author had, with both forms mixed; a version that merges a patch into whatever is in force fails it.

--- a/bench/capacity_bench/replay_section.cc
+++ b/bench/capacity_bench/replay_section.cc
@@ -47,6 +47,14 @@
             .m_content = Document(text)};
   }
 
+  std::string BasePatch(const std::string& text) {
+    return PatchText(BaseChange(text));
+  }
+
+  std::string SitePatch(const std::string& text) {
+    return PatchText(SiteChange(text));
+  }
+
   EjectionGrant Grant(uint32_t service) {
     const std::string name = fmt::format("service-{}", service);
     EjectionGrant grant{
@@ -68,6 +76,11 @@
   const LogReplay& Replay() const { return m_replay; }
 
  private:
+  static std::string PatchText(ConfigChange change) {
+    change.m_form = ChangeForm::kPatch;
+    return ToRecordText(change);
+  }
+
   static InstanceRun Run(uint32_t service, uint32_t instance) {
     const uint32_t ip = 0x0a000000 + service * kInstancesPerService + instance;
     return {.m_instance = InstanceId({.m_ip = ip, .m_port = 80}),
@@ -97,7 +110,12 @@
   PrintHeading("replay: 11.4 routes a service, no accounts");
   Series record("bytes of a record that changes the base", "services");
   Series base("ms to replay a change of the base", "services");
+  Series patch("bytes of a record that patches one service of the base",
+               "services");
+  Series patched("ms to replay a patch of one service of the base", "services");
   Series site("ms to replay a change of one service at a site", "services");
+  Series site_patch("ms to replay a patch of one service at a site",
+                    "services");
   Series grant_bytes("bytes of an ejection grant", "services");
   Series grant("us to replay an ejection grant", "services");
   Series snapshot("bytes of a snapshot record", "services");
@@ -114,11 +132,22 @@
     double start = CpuSeconds();
     holds = log.AppendText(text) && holds;
     base.Add(services, 1e3 * (CpuSeconds() - start));
+    const std::string small =
+        log.BasePatch(R"({"services": {"service-7": {"floor": 20}}})");
+    patch.Add(services, static_cast<double>(small.size()));
+    start = CpuSeconds();
+    holds = log.AppendText(small) && holds;
+    patched.Add(services, 1e3 * (CpuSeconds() - start));
     start = CpuSeconds();
     holds = log.Append(log.SiteChange(
                 R"({"services": {"service-7": {"floor": 22}}})")) &&
             holds;
     site.Add(services, 1e3 * (CpuSeconds() - start));
+    const std::string at_site =
+        log.SitePatch(R"({"services": {"service-8": {"floor": 22}}})");
+    start = CpuSeconds();
+    holds = log.AppendText(at_site) && holds;
+    site_patch.Add(services, 1e3 * (CpuSeconds() - start));
     std::vector<std::string> grants;
     for (uint32_t i = 0; i < 256; ++i) {
       grants.push_back(ToRecordText(log.Grant(i)));
--- a/libs/checkedjson/include/sequoiastage/checkedjson/json_document.h
+++ b/libs/checkedjson/include/sequoiastage/checkedjson/json_document.h
@@ -1,6 +1,7 @@
 #ifndef SEQUOIASTAGE_CHECKEDJSON_JSON_DOCUMENT_H_
 #define SEQUOIASTAGE_CHECKEDJSON_JSON_DOCUMENT_H_
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
@@ -16,6 +17,9 @@
 /// Copies share the parsed values.
 class JsonDocument {
  public:
+  /// Longest text that Parse() takes.
+  static constexpr size_t kMaxTextBytes = 8UL * 1024 * 1024;
+
   /// An empty object from no source.
   JsonDocument();
 
@@ -57,6 +61,13 @@
   std::shared_ptr<const nlohmann::json> m_value;
 };
 
+/// The JSON Merge Patch (RFC 7396) that leads from `before` to `after`:
+/// `before.MergedWith(patch)` is `after`, number types included. Holds only what
+/// differs. Empty when there is none: a merge patch can't set a member to null,
+/// and only objects are patched here.
+std::optional<JsonDocument> MakeMergePatch(const JsonDocument& before,
+                                           const JsonDocument& after);
+
 /// `key` as one reference token of a JSON pointer ("~" and "/" escaped).
 std::string EscapePointerToken(std::string_view key);
 
--- a/libs/checkedjson/src/json_document.cc
+++ b/libs/checkedjson/src/json_document.cc
@@ -1,5 +1,6 @@
 #include "sequoiastage/checkedjson/json_document.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 #include <vector>
@@ -12,8 +13,6 @@
 
 using Json = nlohmann::json;
 
-constexpr size_t kMaxTextBytes = 8UL * 1024 * 1024;
-
 // Applies `patch` to `target` and notes the pointer of each value it sets.
 void MergePatch(Json& target,
                 const Json& patch,
@@ -38,6 +37,60 @@
   }
 }
 
+// Whether a null stands in `value` where a merge patch would take it for a
+// deletion. Arrays are taken as they are.
+bool HasNullMember(const Json& value) {
+  return value.is_null() ||
+         (value.is_object() &&
+          std::any_of(value.begin(), value.end(), HasNullMember));
+}
+
+// Equality that tells 1 from 1.0.
+bool IsSame(const Json& a, const Json& b) {
+  return a == b && a.type() == b.type() &&
+         (a.is_primitive() || a.dump() == b.dump());
+}
+
+// Patch between two objects; the result is no object when there is none.
+Json DiffObjects(const Json& before, const Json& after);
+
+// Adds to `patch` what makes member `key` of a target `value`. Returns whether
+// that is possible.
+bool DiffMember(const Json& before,
+                const std::string& key,
+                const Json& value,
+                Json& patch) {
+  const auto old = before.find(key);
+  if (old != before.end() && old->is_object() && value.is_object()) {
+    Json inner = DiffObjects(*old, value);
+    if (inner.is_object() && !inner.empty()) {
+      patch.emplace(key, std::move(inner));
+      return true;
+    }
+    return inner.is_object();
+  }
+  if (old != before.end() && IsSame(*old, value)) {
+    return true;
+  }
+  patch[key] = value;
+  return !HasNullMember(value);
+}
+
+Json DiffObjects(const Json& before, const Json& after) {
+  Json patch = Json::object();
+  for (const auto& [key, value] : after.items()) {
+    if (!DiffMember(before, key, value, patch)) {
+      return nullptr;
+    }
+  }
+  for (const auto& [key, value] : before.items()) {
+    if (!after.contains(key)) {
+      patch[key] = nullptr;
+    }
+  }
+  return patch;
+}
+
 }  // namespace
 
 JsonDocument::JsonDocument()
@@ -76,7 +129,9 @@
                       std::make_shared<const Json>(std::move(merged)));
   result.m_patched = m_patched;
   for (const std::string& pointer : set_pointers) {
-    result.m_patched[pointer] = patch.m_source;
+    if (result.SourceOf(pointer) != patch.m_source) {
+      result.m_patched[pointer] = patch.m_source;
+    }
   }
   return result;
 }
@@ -99,6 +154,18 @@
   return m_value->dump();
 }
 
+std::optional<JsonDocument> MakeMergePatch(const JsonDocument& before,
+                                           const JsonDocument& after) {
+  if (!before.Value().is_object() || !after.Value().is_object()) {
+    return std::nullopt;
+  }
+  const Json patch = DiffObjects(before.Value(), after.Value());
+  if (!patch.is_object()) {
+    return std::nullopt;
+  }
+  return JsonDocument::FromValue(after.SourceOf(""), patch);
+}
+
 bool JsonDocument::IsEmptyObject() const {
   return m_value->is_object() && m_value->empty();
 }
--- a/libs/checkedjson/tests/json_reader_test.cc
+++ b/libs/checkedjson/tests/json_reader_test.cc
@@ -156,5 +156,74 @@
   RC_ASSERT(document.has_value() == findings.IsEmpty());
 }
 
+std::string PatchText(const std::string& before, const std::string& after) {
+  const auto patch =
+      MakeMergePatch(ParseValid("a", before), ParseValid("a", after));
+  return patch ? patch->ToText() : "none";
+}
+
+TEST(JsonDocumentTest, MakesAMergePatchOfWhatDiffers) {
+  EXPECT_EQ(PatchText(R"({"a": 1, "b": {"c": 2, "d": 3}})",
+                      R"({"b": {"c": 2, "d": 4}, "e": [1]})"),
+            R"({"a":null,"b":{"d":4},"e":[1]})");
+  EXPECT_EQ(PatchText(R"({"a": [1, 2]})", R"({"a": [1, 3]})"),
+            R"({"a":[1,3]})");
+  EXPECT_EQ(PatchText(R"({"a": 1})", R"({"a": 1.0})"), R"({"a":1.0})");
+  EXPECT_EQ(PatchText(R"({"a": {"b": 1}})", R"({"a": {}})"),
+            R"({"a":{"b":null}})");
+  EXPECT_EQ(PatchText(R"({"a": 1})", R"({"a": {}})"), R"({"a":{}})");
+  EXPECT_EQ(PatchText(R"({"a": null})", R"({"a": null, "b": 1})"),
+            R"({"b":1})");
+}
+
+TEST(JsonDocumentTest, KnowsWhatNoMergePatchCanSay) {
+  EXPECT_EQ(PatchText(R"({})", R"({"a": null})"), "none");
+  EXPECT_EQ(PatchText(R"({"a": {"b": 1}})", R"({"a": {"b": null}})"), "none");
+  EXPECT_EQ(PatchText(R"({"a": 1})", R"({"a": {"b": {"c": null}}})"), "none");
+  EXPECT_EQ(PatchText(R"({})", R"({"a": [null]})"), R"({"a":[null]})");
+  EXPECT_EQ(PatchText(R"([1])", R"({"a": 1})"), "none");
+  EXPECT_EQ(PatchText(R"({"a": 1})", R"([1])"), "none");
+}
+
+// Text of a value with few different keys, so that documents overlap.
+std::string RandomValue(int depth, double null_share) {
+  const int kind = *rc::gen::inRange(0, depth == 0 ? 5 : 8);
+  if (kind == 0) {
+    return *rc::gen::inRange(0, 100) < 100 * null_share ? "null" : "true";
+  }
+  if (kind < 5) {
+    const char* const kScalars[] = {"1", "1.0", "\"x\"", "[1,null]"};
+    return kScalars[kind - 1];
+  }
+  std::string text = "{";
+  for (const char* key : {"a", "b", "c/d~"}) {
+    if (*rc::gen::inRange(0, 3) > 0) {
+      text += (text.size() > 1 ? ",\"" : "\"") + std::string(key) +
+              "\":" + RandomValue(depth - 1, null_share);
+    }
+  }
+  return text + "}";
+}
+
+JsonDocument RandomObject(double null_share) {
+  return ParseValid("a", "{\"r\":" + RandomValue(3, null_share) + "}");
+}
+
+RC_GTEST_PROP(JsonDocumentPropertyTest, APatchLeadsToTheDocument, ()) {
+  const JsonDocument before = RandomObject(0.5);
+  const JsonDocument after = RandomObject(0);
+  const auto patch = MakeMergePatch(before, after);
+  RC_ASSERT(patch.has_value());
+  RC_ASSERT(before.MergedWith(*patch).ToText() == after.ToText());
+}
+
+RC_GTEST_PROP(JsonDocumentPropertyTest, APatchIsRightOrNone, ()) {
+  const JsonDocument before = RandomObject(0.5);
+  const JsonDocument after = RandomObject(0.5);
+  const auto patch = MakeMergePatch(before, after);
+  RC_PRE(patch.has_value());
+  RC_ASSERT(before.MergedWith(*patch).ToText() == after.ToText());
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/config/include/sequoiastage/config/log_record.h
+++ b/libs/config/include/sequoiastage/config/log_record.h
@@ -1,6 +1,7 @@
 #ifndef SEQUOIASTAGE_CONFIG_LOG_RECORD_H_
 #define SEQUOIASTAGE_CONFIG_LOG_RECORD_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,7 @@
 ///
 ///   {"type": "config_change", "change_id": "c1", "author": "jana",
 ///    "time_ms": 1700000000000, "scope": "base", "from": 41, "content": {}}
+///   {"type": "config_change", ..., "scope": "base", "from": 41, "patch": {}}
 ///   {"type": "ejection_grant", ..., "service": "approvals", "from": 17,
 ///    "instance": "10.0.0.1:80", "incarnation": 3,
 ///    "remaining": [{"instance": "10.0.0.2:80", "incarnation": 1}]}
@@ -23,7 +25,7 @@
 ///    "instance": "10.0.0.1:80", "incarnation": 3, "grant": 18}
 ///   {"type": "snapshot", ..., "state": {...}}
 ///
-/// "from" is absent where there was no version before.
+/// "from" is absent where there was no version before. A patch has to have one.
 namespace sequoiastage {
 
 /// What every record carries.
@@ -39,6 +41,13 @@
   friend bool operator==(const RecordHeader&, const RecordHeader&) = default;
 };
 
+/// How a change gives the new content.
+enum class ChangeForm : uint8_t {
+  kWhole,
+  /// A JSON Merge Patch (RFC 7396) against the version it was made from.
+  kPatch,
+};
+
 /// New content of one scope.
 struct ConfigChange {
   RecordHeader m_header;
@@ -46,11 +55,17 @@
   std::string m_scope;
   /// Version of the scope that the change was made from.
   std::optional<LogOffset> m_from;
-  /// The base document, or the site's overlay. An empty overlay changes
-  /// nothing.
-  JsonDocument m_content;
+  /// The base document, the site's overlay, or a patch of it. An empty overlay
+  /// changes nothing.
+  JsonDocument m_content{};
+  ChangeForm m_form = ChangeForm::kWhole;
 };
 
+/// The shorter form of `change`, which has whole content and was made from the
+/// version with content `before`: the same change as a patch where there is one
+/// and it is shorter.
+ConfigChange ShortestForm(ConfigChange change, const JsonDocument& before);
+
 /// One run of an instance.
 struct InstanceRun {
   InstanceId m_instance;
--- a/libs/config/include/sequoiastage/config/log_replay.h
+++ b/libs/config/include/sequoiastage/config/log_replay.h
@@ -42,7 +42,9 @@
 ///
 /// A change holds only when it was made from the version that is in force at
 /// its offset, so of racing changes the first one wins and a change that was
-/// appended twice is applied once.
+/// appended twice is applied once. A patch is merged into the content of the
+/// version it was made from, which is then the one in force, so it means the
+/// same everywhere.
 ///
 /// Where records are gone before they were read, replay keeps what it has and
 /// looks for a snapshot on the log whose records after it are all retained. A
@@ -66,13 +68,17 @@
 
   const ReplayState& State() const { return m_state; }
 
+  /// ShortestForm() of `change` against the content in force. The change keeps
+  /// its form when it was made from another version.
+  ConfigChange Shorten(ConfigChange change) const;
+
   /// Configurations in force; null before the first base.
   const std::shared_ptr<const FleetConfig>& InForce() const {
     return m_in_force;
   }
 
   /// Checks `change` as if it were appended now; empty findings when it would
-  /// be accepted.
+  /// be accepted. A patch from another version is not checked any further.
   void CheckChange(const ConfigChange& change, Findings& findings) const;
 
   /// Newest audit entry with this change id that is no duplicate, or null.
@@ -98,7 +104,9 @@
   void Judge(LogOffset offset, const EjectionGrant& grant);
   void Judge(LogOffset offset, const Readmission& readmission);
   std::optional<std::string> FindConflict(const ConfigChange& change) const;
+  JsonDocument NewContent(const ConfigChange& change) const;
   std::optional<FleetConfig> CheckContent(const ConfigChange& change,
+                                          const JsonDocument& content,
                                           Findings& findings) const;
   void TakeInForce(FleetConfig fleet);
   void EnforceFloors(LogOffset offset, AuditEntry& entry);
--- a/libs/config/src/log_record.cc
+++ b/libs/config/src/log_record.cc
@@ -15,6 +15,10 @@
 constexpr size_t kMaxHeaderTextBytes = 128;
 constexpr char kRecordSource[] = "record";
 
+const char* ContentKey(ChangeForm form) {
+  return form == ChangeForm::kPatch ? "patch" : "content";
+}
+
 Json ToJson(const RecordContent& content) {
   Json json;
   if (const auto* change = std::get_if<ConfigChange>(&content)) {
@@ -22,7 +26,7 @@
     json["type"] = "config_change";
     json["scope"] = change->m_scope;
     PutOffset(json, "from", change->m_from);
-    json["content"] = change->m_content.Value();
+    json[ContentKey(change->m_form)] = change->m_content.Value();
   } else if (const auto* grant = std::get_if<EjectionGrant>(&content)) {
     json = HeaderToJson(grant->m_header);
     json["type"] = "ejection_grant";
@@ -57,11 +61,16 @@
   ConfigChange change{.m_header = ReadHeader(object)};
   ReadHeaderText(object, "scope", change.m_scope);
   change.m_from = ReadOffset(object, "from", Presence::kOptional);
-  auto content =
-      object.ReadDocument("content", change.m_scope, Presence::kRequired);
+  const bool is_patch = object.Has(ContentKey(ChangeForm::kPatch));
+  change.m_form = is_patch ? ChangeForm::kPatch : ChangeForm::kWhole;
+  auto content = object.ReadDocument(ContentKey(change.m_form), change.m_scope,
+                                     Presence::kRequired);
   if (content) {
     change.m_content = std::move(*content);
   }
+  if (is_patch && !change.m_from) {
+    object.ReportAt("from", "is missing, but a patch needs it");
+  }
   return change;
 }
 
@@ -94,6 +103,18 @@
 
 }  // namespace
 
+ConfigChange ShortestForm(ConfigChange change, const JsonDocument& before) {
+  if (!change.m_from || change.m_form == ChangeForm::kPatch) {
+    return change;
+  }
+  auto patch = MakeMergePatch(before, change.m_content);
+  if (patch && patch->ToText().size() < change.m_content.ToText().size()) {
+    change.m_content = std::move(*patch);
+    change.m_form = ChangeForm::kPatch;
+  }
+  return change;
+}
+
 std::string ToRecordText(const RecordContent& content) {
   return ToJson(content).dump(-1, ' ', false, Json::error_handler_t::replace);
 }
--- a/libs/config/src/log_replay.cc
+++ b/libs/config/src/log_replay.cc
@@ -13,6 +13,11 @@
 
 constexpr size_t kMaxScopeBytes = 128;
 
+// A scope that patches built up has to fit a record, as whole content does.
+constexpr size_t kMaxRecordHeaderBytes = 4096;
+constexpr size_t kMaxContentBytes =
+    JsonDocument::kMaxTextBytes - kMaxRecordHeaderBytes;
+
 // Base and overlays in force, for the check of a change.
 struct Documents {
   std::optional<JsonDocument> m_base;
@@ -156,7 +161,8 @@
     return;
   }
   Findings findings;
-  auto fleet = CheckContent(change, findings);
+  JsonDocument content = NewContent(change);
+  auto fleet = CheckContent(change, content, findings);
   if (!fleet) {
     entry.m_verdict = AuditVerdict::kInvalid;
     entry.m_reason = SummarizeFindings(findings);
@@ -164,10 +170,10 @@
     return;
   }
   ScopeState& scope = m_state.m_scopes[change.m_scope];
-  entry.m_differences = DescribeDifferences(scope.m_content, change.m_content);
+  entry.m_differences = DescribeDifferences(scope.m_content, content);
   scope = {.m_version = offset,
            .m_header = change.m_header,
-           .m_content = change.m_content};
+           .m_content = std::move(content)};
   TakeInForce(std::move(*fleet));
   EnforceFloors(offset, entry);
   AddAudit(std::move(entry));
@@ -233,16 +239,31 @@
          scope.m_header.m_author + " is in force";
 }
 
+JsonDocument LogReplay::NewContent(const ConfigChange& change) const {
+  const auto found = m_state.m_scopes.find(change.m_scope);
+  if (change.m_form == ChangeForm::kWhole || found == m_state.m_scopes.end()) {
+    return change.m_content;
+  }
+  return found->second.m_content.MergedWith(change.m_content);
+}
+
 std::optional<FleetConfig> LogReplay::CheckContent(const ConfigChange& change,
+                                                   const JsonDocument& content,
                                                    Findings& findings) const {
+  const std::string& scope = change.m_scope;
   const bool is_site =
-      m_in_force != nullptr && m_in_force->FindSite(change.m_scope) != nullptr;
-  if (change.m_scope != kBaseScope && !is_site) {
-    findings.Add(CutText(change.m_scope, kMaxScopeBytes), "", "is no site");
+      m_in_force != nullptr && m_in_force->FindSite(scope) != nullptr;
+  if (scope != kBaseScope && !is_site) {
+    findings.Add(CutText(scope, kMaxScopeBytes), "", "is no site");
+    return std::nullopt;
+  }
+  if (change.m_form == ChangeForm::kPatch &&
+      content.ToText().size() > kMaxContentBytes) {
+    findings.Add(scope, "", "is larger than a record can carry");
     return std::nullopt;
   }
   Documents documents = DocumentsOf(m_state);
-  documents.Put(change.m_scope, change.m_content);
+  documents.Put(scope, content);
   return CheckDocuments(documents, findings);
 }
 
@@ -252,7 +273,18 @@
   if (conflict) {
     findings.Add(change.m_scope, "", std::move(*conflict));
   }
-  CheckContent(change, findings);
+  if (!conflict || change.m_form == ChangeForm::kWhole) {
+    CheckContent(change, NewContent(change), findings);
+  }
+}
+
+ConfigChange LogReplay::Shorten(ConfigChange change) const {
+  const auto found = m_state.m_scopes.find(change.m_scope);
+  if (found == m_state.m_scopes.end() ||
+      change.m_from != found->second.m_version) {
+    return change;
+  }
+  return ShortestForm(std::move(change), found->second.m_content);
 }
 
 void LogReplay::TakeInForce(FleetConfig fleet) {
--- a/libs/config/tests/config_race_test.cc
+++ b/libs/config/tests/config_race_test.cc
@@ -12,6 +12,14 @@
 constexpr size_t kReplicas = 4;
 const std::array<std::string, 3> kScopes = {std::string(kBaseScope), "a", "b"};
 
+// Further members of the service. A null removes what the base has; as whole
+// content of the base it is invalid, and no patch can set it.
+const std::array<std::string, 5> kMore = {
+    "", R"(, "limits": {"slots": 2})",
+    R"(, "limits": {"slots": 5, "timeout": "2s"})",
+    R"(, "retries": {"max_attempts": 3}, "limits": {"slots": 2})",
+    R"(, "limits": null)"};
+
 enum class StepKind : uint8_t {
   kPublish,
   // The answer was lost and the operator appends the change once more.
@@ -65,9 +73,13 @@
       return;
     }
     if (const auto* change = std::get_if<ConfigChange>(&*record)) {
-      m_state.m_scopes[change->m_scope] = {.m_version = offset,
-                                           .m_header = change->m_header,
-                                           .m_content = change->m_content};
+      ScopeState& scope = m_state.m_scopes[change->m_scope];
+      const bool is_patch = change->m_form == ChangeForm::kPatch;
+      scope = {.m_version = offset,
+               .m_header = change->m_header,
+               .m_content = is_patch
+                                ? scope.m_content.MergedWith(change->m_content)
+                                : change->m_content};
     } else if (const auto* snapshot = std::get_if<SnapshotRecord>(&*record)) {
       Merge(ParseReplayState(snapshot->m_state, findings).value());
     }
@@ -87,19 +99,38 @@
   ReplayState m_state;
 };
 
+// Deliberately naive: a patch is merged into whatever is in force.
+class PatchesWhateverIsInForce : public LogReplay {
+ public:
+  ApplyOutcome Apply(LogOffset offset, const std::string& text) {
+    Findings findings;
+    auto record = ParseRecord(text, findings);
+    auto* change = record ? std::get_if<ConfigChange>(&*record) : nullptr;
+    if (change == nullptr || change->m_form == ChangeForm::kWhole) {
+      return LogReplay::Apply(offset, text);
+    }
+    change->m_from = State().VersionOf(change->m_scope);
+    return LogReplay::Apply(offset, ToRecordText(*record));
+  }
+};
+
 // Operators publish from replicas that lag, while records are copied, age out
 // and replicas restart. Notes the first fault in m_fault.
 template <class Replica>
 class Race {
  public:
   Race() : m_replicas(kReplicas) {
-    Append(ChangeText("start", kScopes[0], std::nullopt, BaseWithFloor(6)));
+    m_meant["start"] = BaseWithFloor(6);
+    Append(ChangeText("start", kScopes[0], std::nullopt, m_meant["start"]));
   }
 
   void Run(const std::vector<Step>& steps) {
     for (const Step& step : steps) {
       Do(step);
       CheckVersionsGrow();
+      for (const Replica& replica : m_replicas) {
+        CheckMeaning(replica);
+      }
     }
     for (Replica& replica : m_replicas) {
       CatchUp(m_log, replica);
@@ -157,11 +188,15 @@
   std::string MakeChange(const Step& step) {
     const std::string& scope = kScopes[step.m_choice % kScopes.size()];
     const ReplayState& view = m_replicas[step.m_replica].State();
+    const std::string change_id = "c" + std::to_string(m_log.End());
     // Floors above 12 are invalid.
     const int floor = 1 + step.m_amount % 13;
-    return ChangeText(
-        "c" + std::to_string(m_log.End()), scope, view.VersionOf(scope),
-        scope == kBaseScope ? BaseWithFloor(floor) : OverlayWithFloor(floor));
+    const std::string& more = kMore[step.m_amount / 13 % kMore.size()];
+    m_meant[change_id] = scope == kBaseScope ? BaseWithFloor(floor, more)
+                                             : OverlayWithFloor(floor, more);
+    const bool may_patch = step.m_choice / kScopes.size() % 4 > 0;
+    return ToRecordText(MakeChangeOf(view, change_id, scope, m_meant[change_id],
+                                     may_patch));
   }
 
   // The observer reads every record at once. Each change that comes in force
@@ -175,6 +210,7 @@
                             ? m_observer.State().VersionOf(change->m_scope)
                             : std::nullopt;
     CatchUp(m_log, m_observer);
+    CheckMeaning(m_observer);
     if (change != nullptr &&
         m_observer.State().VersionOf(change->m_scope) == offset &&
         change->m_from != before) {
@@ -195,6 +231,16 @@
     }
   }
 
+  // What is in force has to be the document that the author of the change had,
+  // whichever form the record has.
+  void CheckMeaning(const Replica& replica) {
+    for (const auto& [name, scope] : replica.State().m_scopes) {
+      if (scope.m_content != m_meant[scope.m_header.m_change_id]) {
+        Fault("a document in force is not the one its author had");
+      }
+    }
+  }
+
   void CheckVersionsGrow() {
     for (size_t i = 0; i < kReplicas; ++i) {
       for (const std::string& scope : kScopes) {
@@ -217,6 +263,8 @@
   Replica m_observer;
   std::vector<Replica> m_replicas;
   std::map<size_t, std::map<std::string, std::optional<LogOffset>>> m_seen;
+  // Whole documents by change id.
+  std::map<std::string, JsonDocument> m_meant;
   uint64_t m_covered = 0;
   std::string m_fault;
 };
@@ -241,21 +289,36 @@
   EXPECT_LT(faults[""], 50);
 }
 
+TEST(ConfigRaceTest, PatchingWhateverIsInForceFailsTheSameProperty) {
+  std::map<std::string, int> faults;
+  for (uint64_t seed = 1; seed <= 100; ++seed) {
+    Race<PatchesWhateverIsInForce> race;
+    race.Run(Steps()(rc::Random(seed), 60).value());
+    ++faults[race.FirstFault()];
+  }
+  EXPECT_GT(faults["a document in force is not the one its author had"], 0);
+  EXPECT_GT(
+      faults["a change came in force that was not made from the one before"],
+      0);
+  EXPECT_LT(faults[""], 75);
+}
+
 // A replica that reads the log alone, with no peer to ask, gets there too.
 RC_GTEST_PROP(ConfigRaceTest, AnyStartingPointGivesTheSameState, ()) {
   FakeLog log;
   LogReplay observer;
   uint64_t covered = 0;
-  const auto floors =
-      *rc::gen::container<std::vector<int>>(rc::gen::inRange<int>(-4, 14));
-  for (const int floor : floors) {
-    if (floor < 0) {
+  const auto draws =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange<int>(-40, 140));
+  for (const int draw : draws) {
+    if (draw < 0) {
       covered = std::max(covered, observer.State().m_next.Get());
       log.Append(observer.MakeSnapshot(MakeHeader("s")));
     } else {
-      log.Append(ChangeText("c" + std::to_string(log.End()), kScopes[0],
-                            observer.State().VersionOf(kScopes[0]),
-                            BaseWithFloor(floor)));
+      const std::string& more = kMore[draw / 14 % kMore.size()];
+      log.Append(ToRecordText(MakeChangeOf(
+          observer.State(), "c" + std::to_string(log.End()), kScopes[0],
+          BaseWithFloor(draw % 14, more), draw < 70)));
     }
     CatchUp(log, observer);
   }
--- a/libs/config/tests/log_replay_test.cc
+++ b/libs/config/tests/log_replay_test.cc
@@ -91,6 +91,99 @@
             "service\n");
 }
 
+TEST_F(LogReplayTest, MergesAPatchIntoTheVersionItWasMadeFrom) {
+  Append(ChangeText("c0", kBase, std::nullopt, BaseWithFloor(8)));
+  const std::string patch = ToRecordText(
+      MakeChangeOf(m_replay.State(), "c1", kBase, BaseWithFloor(9), true));
+  EXPECT_NE(patch.find(R"("patch":{"services":{"s":{"floor":9}}})"),
+            std::string::npos);
+  const AuditEntry entry = Append(patch);
+  EXPECT_EQ(entry.m_verdict, AuditVerdict::kAccepted);
+  EXPECT_EQ(entry.m_differences,
+            std::vector<std::string>{"replace /services/s/floor"});
+  EXPECT_EQ(m_replay.State().m_scopes.at(kBase).m_content, BaseWithFloor(9));
+  EXPECT_EQ(m_replay.FloorOf(ServiceIdOf("s")), 9U);
+  EXPECT_EQ(Append(patch).m_verdict, AuditVerdict::kDuplicate);
+  const std::string lost = ToRecordText(
+      ConfigChange{.m_header = MakeHeader("c2"),
+                   .m_scope = kBase,
+                   .m_from = LogOffset(0),
+                   .m_content = MakeDocument(R"({"accounts": {"x": {}}})"),
+                   .m_form = ChangeForm::kPatch});
+  EXPECT_EQ(Append(lost).m_verdict, AuditVerdict::kConflict);
+  EXPECT_EQ(m_replay.State().m_scopes.at(kBase).m_content, BaseWithFloor(9));
+}
+
+TEST_F(LogReplayTest, GivesTheShorterFormOfAChange) {
+  Append(ChangeText("c0", kBase, std::nullopt, BaseWithFloor(8)));
+  Append(ChangeText("c1", "a", std::nullopt, OverlayWithFloor(9)));
+  const auto shorten = [&](const std::string& scope, JsonDocument content) {
+    return m_replay.Shorten({.m_header = MakeHeader("c2"),
+                             .m_scope = scope,
+                             .m_from = m_replay.State().VersionOf(scope),
+                             .m_content = std::move(content)});
+  };
+  EXPECT_EQ(shorten(kBase, BaseWithFloor(9)).m_form, ChangeForm::kPatch);
+  EXPECT_EQ(shorten(kBase, BaseWithFloor(8)).m_content, JsonDocument());
+  EXPECT_EQ(shorten("b", OverlayWithFloor(9)).m_form, ChangeForm::kWhole);
+  EXPECT_EQ(shorten("a", JsonDocument()).m_form, ChangeForm::kWhole);
+  const auto removal = OverlayWithFloor(9, R"(, "limits": null)");
+  EXPECT_EQ(shorten("a", removal).m_form, ChangeForm::kWhole);
+  EXPECT_EQ(shorten("a", removal).m_content, removal);
+  const ConfigChange old =
+      m_replay.Shorten({.m_header = MakeHeader("c2"),
+                        .m_scope = kBase,
+                        .m_from = LogOffset(1),
+                        .m_content = BaseWithFloor(9)});
+  EXPECT_EQ(old.m_form, ChangeForm::kWhole);
+}
+
+TEST_F(LogReplayTest, ChecksTheDocumentThatAPatchLeadsTo) {
+  Append(ChangeText("c0", kBase, std::nullopt, BaseWithFloor(8)));
+  const auto findings_of = [&](LogOffset from, const char* patch) {
+    Findings findings;
+    m_replay.CheckChange({.m_header = MakeHeader("c1"),
+                          .m_scope = kBase,
+                          .m_from = from,
+                          .m_content = MakeDocument(patch),
+                          .m_form = ChangeForm::kPatch},
+                         findings);
+    return findings.ToText();
+  };
+  EXPECT_EQ(findings_of(LogOffset(0), R"({"services": {"s": {"floor": 9}}})"),
+            "");
+  EXPECT_EQ(findings_of(LogOffset(0), R"({"services": null})"),
+            "base: /services: is missing\n");
+  EXPECT_EQ(findings_of(LogOffset(3), R"({"services": null})"),
+            "base: version 0 by jana is in force\n");
+}
+
+TEST_F(LogReplayTest, RefusesAPatchWithoutAVersion) {
+  Append(R"({"type": "config_change", "change_id": "c0", "author": "jana",
+             "time_ms": 1, "scope": "base", "patch": {}})");
+  EXPECT_EQ(m_replay.State().m_audit.back().m_reason,
+            "record: /from: is missing, but a patch needs it");
+  Append(R"({"type": "config_change", "change_id": "c1", "author": "jana",
+             "time_ms": 1, "scope": "base", "from": 0, "patch": {},
+             "content": {}})");
+  EXPECT_EQ(m_replay.State().m_audit.back().m_reason,
+            "record: /content: is an unknown key");
+  EXPECT_EQ(m_replay.State().VersionOf(kBase), std::nullopt);
+}
+
+TEST_F(LogReplayTest, RefusesAPatchThatMakesAScopeTooLargeForARecord) {
+  Append(ChangeText("c0", kBase, std::nullopt, BaseWithFloor(8)));
+  const std::string note(JsonDocument::kMaxTextBytes - 4096, 'x');
+  const AuditEntry& entry = Append(ToRecordText(
+      ConfigChange{.m_header = MakeHeader("c1"),
+                   .m_scope = kBase,
+                   .m_from = LogOffset(0),
+                   .m_content = MakeDocument(R"({"note": ")" + note + "\"}"),
+                   .m_form = ChangeForm::kPatch}));
+  EXPECT_EQ(entry.m_verdict, AuditVerdict::kInvalid);
+  EXPECT_EQ(entry.m_reason, "base: is larger than a record can carry");
+}
+
 TEST_F(LogReplayTest, StartsFromASnapshotWhenRecordsAreGone) {
   Append(ChangeText("c0", kBase, std::nullopt, BaseWithFloor(8)));
   const std::string early = m_replay.MakeSnapshot(MakeHeader("s1"));
@@ -138,6 +231,11 @@
   const std::string records[] = {
       ChangeText("c0", kBase, std::nullopt, BaseWithFloor(1)),
       ChangeText("c1", "a", std::nullopt, OverlayWithFloor(2)),
+      ToRecordText(ConfigChange{.m_header = MakeHeader("c2"),
+                                .m_scope = kBase,
+                                .m_from = LogOffset(0),
+                                .m_content = OverlayWithFloor(3),
+                                .m_form = ChangeForm::kPatch}),
       ToRecordText(EjectionGrant{.m_header = MakeHeader("g"),
                                  .m_service = "s",
                                  .m_from = std::nullopt,
@@ -152,7 +250,7 @@
   log.Append(records[0]);
   const auto count = *rc::gen::inRange<int>(0, 20);
   for (int i = 0; i < count; ++i) {
-    std::string text = records[*rc::gen::inRange<size_t>(0, 4)];
+    std::string text = records[*rc::gen::inRange<size_t>(0, std::size(records))];
     const auto at = *rc::gen::inRange<size_t>(0, text.size());
     text[at] = *rc::gen::arbitrary<char>();
     log.Append(text);
--- a/libs/config/tests/replay_harness.h
+++ b/libs/config/tests/replay_harness.h
@@ -46,17 +46,18 @@
   return JsonDocument::Parse("test", text, findings).value();
 }
 
-// A base with the sites "a" and "b" and one service "s" of 12 instances.
-inline JsonDocument BaseWithFloor(int floor) {
+// A base with the sites "a" and "b" and one service "s" of 12 instances, with
+// further members of the service.
+inline JsonDocument BaseWithFloor(int floor, const std::string& more = "") {
   return MakeDocument(
       R"({"sites": ["a", "b"], "routes": {}, "services": {"s": {"instances": 12,
           "floor": )" +
-      std::to_string(floor) + "}}}");
+      std::to_string(floor) + more + "}}}");
 }
 
-inline JsonDocument OverlayWithFloor(int floor) {
+inline JsonDocument OverlayWithFloor(int floor, const std::string& more = "") {
   return MakeDocument(R"({"services": {"s": {"floor": )" +
-                      std::to_string(floor) + "}}}");
+                      std::to_string(floor) + more + "}}}");
 }
 
 inline std::string ChangeText(const std::string& change_id,
@@ -70,6 +71,24 @@
                                    .m_content = content});
 }
 
+// A change that makes `content` the one of `scope`, made at a node with `view`;
+// a patch if `may_patch` and that is shorter.
+inline ConfigChange MakeChangeOf(const ReplayState& view,
+                                 const std::string& change_id,
+                                 const std::string& scope,
+                                 const JsonDocument& content,
+                                 bool may_patch) {
+  ConfigChange change{.m_header = MakeHeader(change_id),
+                      .m_scope = scope,
+                      .m_from = view.VersionOf(scope),
+                      .m_content = content};
+  const auto found = view.m_scopes.find(scope);
+  if (!may_patch || found == view.m_scopes.end()) {
+    return change;
+  }
+  return ShortestForm(std::move(change), found->second.m_content);
+}
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_CONFIG_TESTS_REPLAY_HARNESS_H_
--- a/libs/node/src/config_feed.cc
+++ b/libs/node/src/config_feed.cc
@@ -306,7 +306,8 @@
           .m_reason = "the document is no JSON object"});
     return;
   }
-  const ConfigChange change = ToChange(request, std::move(*content));
+  const ConfigChange change =
+      m_replay.Shorten(ToChange(request, std::move(*content)));
   const auto in_force = m_replay.State().VersionOf(change.m_scope);
   if (change.m_from != in_force) {
     done(ConflictResult(change.m_scope, "the change was made from " +
