Check and rebuild only what a change of configuration touches

Each change parsed and checked the base and every site again, copied the JSON and compared it whole. Now the members that a patch or an overlay names are merged, read and checked alone, with the same reader; handles, overlapping routes and routes left behind by their service are checked over the new lists. Whatever that can't decide, faults among it, takes the check of the whole, so findings are unchanged. Lists are immutable and shared between versions and sites, the document in force is patched in place, and the route table is built again only for other routes.

A property compares verdict, findings, differences and configurations of random patches with a check of the whole documents. It found one fault: a patch that names an empty section brings back a section that the overlay had as null. That has a test of its own.

--- a/bench/capacity_bench/config_section.cc
+++ b/bench/capacity_bench/config_section.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "config_text.h"
@@ -77,14 +78,16 @@
     const std::vector<std::string> names = AccountNames(count);
     const double before = HeapBytes();
     Config config;
-    config.m_accounts.reserve(count);
+    std::vector<Account> accounts;
+    accounts.reserve(count);
     for (const std::string& name : names) {
-      config.m_accounts.push_back({.m_name = name, .m_id = AccountIdOf(name)});
+      accounts.push_back({.m_name = name, .m_id = AccountIdOf(name)});
     }
-    std::sort(config.m_accounts.begin(), config.m_accounts.end(),
+    std::sort(accounts.begin(), accounts.end(),
               [](const Account& a, const Account& b) {
                 return a.m_id.Get() < b.m_id.Get();
               });
+    config.m_accounts = SharedList<Account>(std::move(accounts));
     heap.Add(count, HeapBytes() - before);
     lookup.Add(count,
                1e6 * SecondsPerCall([&] {
--- a/bench/capacity_bench/replay_section.cc
+++ b/bench/capacity_bench/replay_section.cc
@@ -104,6 +104,83 @@
   }
 }
 
+// Processor time of each of several changes alike, in ms.
+void TimeChanges(Log& log,
+                 Series& series,
+                 uint32_t accounts,
+                 const char* patch,
+                 bool is_base) {
+  constexpr int kChanges = 10;
+  const double start = CpuSeconds();
+  for (int i = 0; i < kChanges; ++i) {
+    const std::string text = fmt::format(fmt::runtime(patch), 1 + i);
+    if (!log.AppendText(is_base ? log.BasePatch(text) : log.SitePatch(text))) {
+      PrintHeading("  a change did not hold: " +
+                   log.Replay().State().m_audit.back().m_reason);
+    }
+  }
+  series.Add(accounts, 1e3 * (CpuSeconds() - start) / kChanges);
+}
+
+// A patch that removes service `i` and its routes, or all but one of them.
+std::string RemovalPatch(uint32_t i, bool has_fault) {
+  std::string text = fmt::format(
+      R"({{"services": {{"service-{}": null}}, "routes": {{"none": null)", i);
+  for (uint32_t route = i; route < 24'000; route += 2'100) {
+    if (!has_fault || route != i) {
+      text += fmt::format(R"(, "route-{}": null)", route);
+    }
+  }
+  return text + "}}";
+}
+
+void MeasureFullSize() {
+  Series heap("bytes of heap of the replayed state", "accounts");
+  Series bytes("bytes of a whole base", "accounts");
+  Series whole("ms to replay a whole base", "accounts");
+  Series service("ms to replay a patch of a service of the base", "accounts");
+  Series site("ms to replay a patch of a service at a site", "accounts");
+  Series route("ms to replay a patch of a route of the base", "accounts");
+  Series account("ms to replay a patch of an account of the base", "accounts");
+  Series removal("ms to replay a patch that removes a service", "accounts");
+  Series fault("ms to replay a patch with a fault", "accounts");
+  for (const uint32_t accounts : {47'500U, 95'000U, 190'000U}) {
+    const double before = HeapBytes();
+    Log log;
+    {
+      const std::string text =
+          ToRecordText(log.BaseChange(BaseText(2'100, 24'000, accounts)));
+      bytes.Add(accounts, static_cast<double>(text.size()));
+      const double start = CpuSeconds();
+      if (!log.AppendText(text)) {
+        PrintHeading("  the base did not hold");
+      }
+      whole.Add(accounts, 1e3 * (CpuSeconds() - start));
+    }
+    heap.Add(accounts, HeapBytes() - before);
+    log.Append(log.SiteChange(R"({"services": {"service-7": {"floor": 9}}})"));
+    TimeChanges(log, service, accounts,
+                R"({{"services": {{"service-8": {{"floor": {}}}}}}})", true);
+    TimeChanges(log, site, accounts,
+                R"({{"services": {{"service-7": {{"floor": {}}}}}}})", false);
+    TimeChanges(log, route, accounts,
+                R"({{"routes": {{"route-7": {{"path": "/moved/{}"}}}}}})",
+                true);
+    TimeChanges(log, account, accounts,
+                R"({{"accounts": {{"account-7": {{"share": {}}}}}}})", true);
+    double start = CpuSeconds();
+    if (!log.AppendText(log.BasePatch(RemovalPatch(300, false)))) {
+      PrintHeading("  a removal did not hold");
+    }
+    removal.Add(accounts, 1e3 * (CpuSeconds() - start));
+    start = CpuSeconds();
+    if (log.AppendText(log.BasePatch(RemovalPatch(301, true)))) {
+      PrintHeading("  a faulty removal held");
+    }
+    fault.Add(accounts, 1e3 * (CpuSeconds() - start));
+  }
+}
+
 }  // namespace
 
 void MeasureReplay(uint64_t /*seed*/) {
@@ -168,6 +245,8 @@
   }
   PrintHeading("replay: accounts");
   MeasureAccountState();
+  PrintHeading("replay: 2,100 services, 24,000 routes, accounts");
+  MeasureFullSize();
 }
 
 }  // namespace sequoiastage
--- a/libs/checkedjson/include/sequoiastage/checkedjson/json_document.h
+++ b/libs/checkedjson/include/sequoiastage/checkedjson/json_document.h
@@ -13,7 +13,7 @@
 
 namespace sequoiastage {
 
-/// A parsed, immutable JSON text that knows which source each value came from.
+/// A parsed JSON text that knows which source each value came from.
 /// Copies share the parsed values.
 class JsonDocument {
  public:
@@ -38,6 +38,10 @@
   /// that the patch sets are reported under the patch's source.
   JsonDocument MergedWith(const JsonDocument& patch) const;
 
+  /// Applies `patch` to this document itself. Copies the values only when other
+  /// documents share them. Not for documents whose copies other threads hold.
+  void Merge(const JsonDocument& patch);
+
   /// Source of the value at JSON pointer `pointer`.
   const std::string& SourceOf(std::string_view pointer) const;
 
@@ -53,18 +57,19 @@
   friend bool operator==(const JsonDocument& a, const JsonDocument& b);
 
  private:
-  JsonDocument(std::string source, std::shared_ptr<const nlohmann::json> value);
+  JsonDocument(std::string source, std::shared_ptr<nlohmann::json> value);
 
   std::string m_source;
   // Source by JSON pointer, for values that a patch set.
   std::map<std::string, std::string, std::less<>> m_patched;
-  std::shared_ptr<const nlohmann::json> m_value;
+  // Copied before a change unless this is the only owner.
+  std::shared_ptr<nlohmann::json> m_value;
 };
 
 /// The JSON Merge Patch (RFC 7396) that leads from `before` to `after`:
-/// `before.MergedWith(patch)` is `after`, number types included. Holds only what
-/// differs. Empty when there is none: a merge patch can't set a member to null,
-/// and only objects are patched here.
+/// `before.MergedWith(patch)` is `after`, number types included. Holds only
+/// what differs. Empty when there is none: a merge patch can't set a member to
+/// null, and only objects are patched here.
 std::optional<JsonDocument> MakeMergePatch(const JsonDocument& before,
                                            const JsonDocument& after);
 
--- a/libs/checkedjson/src/json_document.cc
+++ b/libs/checkedjson/src/json_document.cc
@@ -94,15 +94,15 @@
 }  // namespace
 
 JsonDocument::JsonDocument()
-    : JsonDocument("", std::make_shared<const Json>(Json::object())) {}
+    : JsonDocument("", std::make_shared<Json>(Json::object())) {}
 
 JsonDocument JsonDocument::FromValue(std::string source,
                                      const nlohmann::json& value) {
-  return {std::move(source), std::make_shared<const Json>(value)};
+  return {std::move(source), std::make_shared<Json>(value)};
 }
 
 JsonDocument::JsonDocument(std::string source,
-                           std::shared_ptr<const nlohmann::json> value)
+                           std::shared_ptr<nlohmann::json> value)
     : m_source(std::move(source)), m_value(std::move(value)) {}
 
 std::optional<JsonDocument> JsonDocument::Parse(std::string source,
@@ -118,22 +118,26 @@
     return std::nullopt;
   }
   return JsonDocument(std::move(source),
-                      std::make_shared<const Json>(builder.TakeRoot()));
+                      std::make_shared<Json>(builder.TakeRoot()));
 }
 
 JsonDocument JsonDocument::MergedWith(const JsonDocument& patch) const {
-  Json merged = *m_value;
+  JsonDocument result = *this;
+  result.Merge(patch);
+  return result;
+}
+
+void JsonDocument::Merge(const JsonDocument& patch) {
+  if (m_value.use_count() > 1) {
+    m_value = std::make_shared<Json>(*m_value);
+  }
   std::vector<std::string> set_pointers;
-  MergePatch(merged, *patch.m_value, "", set_pointers);
-  JsonDocument result(m_source,
-                      std::make_shared<const Json>(std::move(merged)));
-  result.m_patched = m_patched;
+  MergePatch(*m_value, *patch.m_value, "", set_pointers);
   for (const std::string& pointer : set_pointers) {
-    if (result.SourceOf(pointer) != patch.m_source) {
-      result.m_patched[pointer] = patch.m_source;
+    if (SourceOf(pointer) != patch.m_source) {
+      m_patched[pointer] = patch.m_source;
     }
   }
-  return result;
 }
 
 const std::string& JsonDocument::SourceOf(std::string_view pointer) const {
--- a/libs/config/include/sequoiastage/config/config.h
+++ b/libs/config/include/sequoiastage/config/config.h
@@ -10,6 +10,7 @@
 #include "sequoiastage/base/ids.h"
 #include "sequoiastage/base/strong.h"
 #include "sequoiastage/base/time.h"
+#include "sequoiastage/config/shared_list.h"
 
 /// The configuration in force at one site, as plain data. See config_parse.h
 /// for its JSON form.
@@ -104,11 +105,11 @@
 struct Config {
   std::string m_site{};
   /// Sorted by m_id.
-  std::vector<Service> m_services{};
+  SharedList<Service> m_services{};
   /// Sorted by name.
-  std::vector<Route> m_routes{};
+  SharedList<Route> m_routes{};
   /// Sorted by m_id.
-  std::vector<Account> m_accounts{};
+  SharedList<Account> m_accounts{};
 
   /// Null when there is no such service.
   const Service* FindService(ServiceId id) const;
--- a/libs/config/include/sequoiastage/config/config_parse.h
+++ b/libs/config/include/sequoiastage/config/config_parse.h
@@ -63,10 +63,14 @@
 
 /// The configurations of all sites.
 struct FleetConfig {
+  /// Of no site: what the base says without overlays.
+  Config m_base;
   std::map<std::string, Config, std::less<>> m_sites;
 
   /// Null when the base names no such site.
   const Config* FindSite(std::string_view site) const;
+
+  friend bool operator==(const FleetConfig&, const FleetConfig&) = default;
 };
 
 /// Parses and checks base and overlays as a whole. Empty when there is any
--- a/libs/config/include/sequoiastage/config/log_replay.h
+++ b/libs/config/include/sequoiastage/config/log_replay.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "sequoiastage/base/findings.h"
 #include "sequoiastage/base/ids.h"
@@ -104,10 +105,21 @@
   void Judge(LogOffset offset, const EjectionGrant& grant);
   void Judge(LogOffset offset, const Readmission& readmission);
   std::optional<std::string> FindConflict(const ConfigChange& change) const;
-  JsonDocument NewContent(const ConfigChange& change) const;
-  std::optional<FleetConfig> CheckContent(const ConfigChange& change,
-                                          const JsonDocument& content,
+  // What a valid change leads to, but for the new content.
+  struct CheckedChange {
+    FleetConfig m_fleet;
+    std::vector<std::string> m_differences{};
+  };
+
+  std::optional<CheckedChange> CheckContent(const ConfigChange& change,
+                                            Findings& findings) const;
+  std::optional<CheckedChange> CheckTouchedParts(
+      const ConfigChange& change) const;
+  std::optional<CheckedChange> CheckWhole(const ConfigChange& change,
                                           Findings& findings) const;
+  const JsonDocument& ContentOf(std::string_view scope) const;
+  bool FitsARecord(const ConfigChange& change) const;
+  void TakeContent(const ConfigChange& change, JsonDocument& content);
   void TakeInForce(FleetConfig fleet);
   void EnforceFloors(LogOffset offset, AuditEntry& entry);
   void AddAudit(AuditEntry entry);
@@ -120,6 +132,8 @@
   std::optional<LogOffset> m_snapshot_reach;
   std::shared_ptr<const FleetConfig> m_in_force;
   std::map<ServiceId, uint32_t> m_floors;
+  // Bytes that the content of a scope has as text, or somewhat more.
+  std::map<std::string, size_t, std::less<>> m_content_bounds;
 };
 
 }  // namespace sequoiastage
--- a/libs/config/include/sequoiastage/config/route_table.h
+++ b/libs/config/include/sequoiastage/config/route_table.h
@@ -17,6 +17,7 @@
  public:
   RouteTable() = default;
   explicit RouteTable(const std::vector<Route>& routes);
+  explicit RouteTable(SharedList<Route> routes);
 
   // The index points into the routes.
   RouteTable(const RouteTable&) = delete;
@@ -43,7 +44,7 @@
 
   const Route* FindPath(std::string_view host, std::string_view path) const;
 
-  std::vector<Route> m_routes;
+  SharedList<Route> m_routes;
   // By host, then by path without a slash at its end.
   TextMap<PathIndex> m_hosts;
 };
--- a/libs/config/src/config.cc
+++ b/libs/config/src/config.cc
@@ -11,7 +11,7 @@
 }
 
 template <class T, class Id>
-const T* FindById(const std::vector<T>& sorted, Id id) {
+const T* FindById(const SharedList<T>& sorted, Id id) {
   const auto found =
       std::lower_bound(sorted.begin(), sorted.end(), id,
                        [](const T& item, Id key) { return item.m_id < key; });
--- a/libs/config/src/config_parse.cc
+++ b/libs/config/src/config_parse.cc
@@ -58,8 +58,27 @@
   }
 }
 
+template <class T>
+void ShareEqualList(const SharedList<T>& base, SharedList<T>& list) {
+  if (list == base) {
+    list = base;
+  }
+}
+
 }  // namespace
 
+Config ConfigOfSite(const std::string& site, const Config& base) {
+  Config config = base;
+  config.m_site = site;
+  return config;
+}
+
+void ShareEqualLists(const Config& base, Config& config) {
+  ShareEqualList(base.m_services, config.m_services);
+  ShareEqualList(base.m_routes, config.m_routes);
+  ShareEqualList(base.m_accounts, config.m_accounts);
+}
+
 const Config* FleetConfig::FindSite(std::string_view site) const {
   const auto found = m_sites.find(site);
   return found == m_sites.end() ? nullptr : &found->second;
@@ -72,19 +91,18 @@
   Findings own;
   const std::set<std::string> sites = ReadSites(base, own);
   CheckOverlays(overlays, sites, own);
-  const Config base_config = ReadConfig("", base, own);
-  FleetConfig fleet;
+  FleetConfig fleet{.m_base = ReadConfig("", base, own)};
   for (const std::string& site : sites) {
     const auto overlay = overlays.find(site);
     if (overlay == overlays.end()) {
-      Config config = base_config;
-      config.m_site = site;
-      fleet.m_sites.emplace(site, std::move(config));
+      fleet.m_sites.emplace(site, ConfigOfSite(site, fleet.m_base));
       continue;
     }
     Findings site_findings;
     const JsonDocument merged = base.MergedWith(overlay->second);
-    fleet.m_sites.emplace(site, ReadConfig(site, merged, site_findings));
+    Config config = ReadConfig(site, merged, site_findings);
+    ShareEqualLists(fleet.m_base, config);
+    fleet.m_sites.emplace(site, std::move(config));
     AddNew(site_findings, own);
   }
   AddNew(own, findings);
--- a/libs/config/src/config_reader.cc
+++ b/libs/config/src/config_reader.cc
@@ -26,8 +26,12 @@
 // Reads one site's document. One object serves one document.
 class ConfigReader {
  public:
-  ConfigReader(const JsonDocument& document, Findings& findings)
-      : m_root(JsonObject::Root(document, findings)) {}
+  // Routes may go to `other_services`, too.
+  ConfigReader(const JsonDocument& document,
+               const std::vector<Service>& other_services,
+               Findings& findings)
+      : m_root(JsonObject::Root(document, findings)),
+        m_other_services(other_services) {}
 
   Config Read(std::string site) {
     m_config.m_site = std::move(site);
@@ -69,6 +73,7 @@
     if (!services) {
       return;
     }
+    std::vector<Service> read;
     for (auto& [name, value] : services->Members()) {
       Service service{.m_name = name, .m_id = ServiceIdOf(name)};
       auto object = value.AsObject();
@@ -76,9 +81,10 @@
         continue;
       }
       ReadService(*object, service);
-      m_config.m_services.push_back(std::move(service));
+      read.push_back(std::move(service));
     }
-    SortById(m_config.m_services);
+    SortById(read);
+    m_config.m_services = SharedList<Service>(std::move(read));
   }
 
   static void ReadService(JsonObject& object, Service& service) {
@@ -150,6 +156,7 @@
     if (!routes) {
       return;
     }
+    std::vector<Route> read;
     for (auto& [name, value] : routes->Members()) {
       if (!IsConfigName(name)) {
         value.Report(std::string(kConfigNameFault));
@@ -160,8 +167,9 @@
       }
       Route route{.m_name = name};
       ReadRoute(*object, route);
-      m_config.m_routes.push_back(std::move(route));
+      read.push_back(std::move(route));
     }
+    m_config.m_routes = SharedList<Route>(std::move(read));
   }
 
   void ReadRoute(JsonObject& object, Route& route) {
@@ -173,8 +181,7 @@
     std::string service;
     if (object.ReadString("service", service, Presence::kRequired)) {
       route.m_service = ServiceIdOf(service);
-      const auto known = m_service_names.find(route.m_service);
-      if (known == m_service_names.end() || known->second != service) {
+      if (!IsKnownService(route.m_service, service)) {
         object.ReportAt("service",
                         "is the unknown service \"" + service + "\"");
       }
@@ -186,6 +193,19 @@
     object.RefuseUnknownKeys();
   }
 
+  bool IsKnownService(ServiceId id, const std::string& name) const {
+    const auto read = m_service_names.find(id);
+    if (read != m_service_names.end()) {
+      return read->second == name;
+    }
+    const auto other =
+        std::lower_bound(m_other_services.begin(), m_other_services.end(), id,
+                         [](const Service& service, ServiceId key) {
+                           return service.m_id < key;
+                         });
+    return other != m_other_services.end() && other->m_name == name;
+  }
+
   static bool ReadHost(JsonObject& object, std::string& host) {
     if (!object.ReadString("host", host, Presence::kRequired)) {
       return false;
@@ -218,12 +238,9 @@
   }
 
   void CheckOverlap(const JsonObject& object, const Route& route) {
-    std::string prefix = route.m_path;
-    if (prefix.back() == '/') {
-      prefix.pop_back();
-    }
     const auto [other, is_new] = m_route_names.emplace(
-        std::pair(route.m_host, std::move(prefix)), route.m_name);
+        std::pair(route.m_host, std::string(RoutePrefix(route.m_path))),
+        route.m_name);
     if (!is_new) {
       object.Report("has the same host and path as route \"" + other->second +
                     "\"");
@@ -256,6 +273,7 @@
     if (!accounts) {
       return;
     }
+    std::vector<Account> read;
     for (auto& [name, value] : accounts->Members()) {
       Account account{.m_name = name, .m_id = AccountIdOf(name)};
       auto object = value.AsObject();
@@ -265,12 +283,14 @@
       object->ReadNumber("share", account.m_share,
                          {.m_min = 1 / kMaxShare, .m_max = kMaxShare});
       object->RefuseUnknownKeys();
-      m_config.m_accounts.push_back(std::move(account));
+      read.push_back(std::move(account));
     }
-    SortById(m_config.m_accounts);
+    SortById(read);
+    m_config.m_accounts = SharedList<Account>(std::move(read));
   }
 
   JsonObject m_root;
+  const std::vector<Service>& m_other_services;
   Config m_config;
   std::map<ServiceId, std::string> m_service_names;
   std::map<AccountId, std::string> m_account_names;
@@ -290,7 +310,21 @@
 Config ReadConfig(std::string site,
                   const JsonDocument& document,
                   Findings& findings) {
-  return ConfigReader(document, findings).Read(std::move(site));
+  return ReadConfigParts(std::move(site), document, {}, findings);
+}
+
+Config ReadConfigParts(std::string site,
+                       const JsonDocument& document,
+                       const std::vector<Service>& other_services,
+                       Findings& findings) {
+  return ConfigReader(document, other_services, findings).Read(std::move(site));
+}
+
+std::string_view RoutePrefix(std::string_view path) {
+  if (!path.empty() && path.back() == '/') {
+    path.remove_suffix(1);
+  }
+  return path;
 }
 
 }  // namespace sequoiastage
--- a/libs/config/src/log_replay.cc
+++ b/libs/config/src/log_replay.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "audit_p.h"
+#include "config_update_p.h"
 #include "sequoiastage/checkedjson/json_reader.h"
 
 namespace sequoiastage {
@@ -143,6 +144,10 @@
   m_state = std::move(state);
   m_read_next = m_state.m_next;
   m_needs_snapshot = m_read_next < m_first_retained;
+  m_content_bounds.clear();
+  for (const auto& [name, scope] : m_state.m_scopes) {
+    m_content_bounds[name] = scope.m_content.ToText().size();
+  }
   if (fleet) {
     TakeInForce(std::move(*fleet));
   }
@@ -161,20 +166,19 @@
     return;
   }
   Findings findings;
-  JsonDocument content = NewContent(change);
-  auto fleet = CheckContent(change, content, findings);
-  if (!fleet) {
+  auto checked = CheckContent(change, findings);
+  if (!checked) {
     entry.m_verdict = AuditVerdict::kInvalid;
     entry.m_reason = SummarizeFindings(findings);
     AddAudit(std::move(entry));
     return;
   }
   ScopeState& scope = m_state.m_scopes[change.m_scope];
-  entry.m_differences = DescribeDifferences(scope.m_content, content);
-  scope = {.m_version = offset,
-           .m_header = change.m_header,
-           .m_content = std::move(content)};
-  TakeInForce(std::move(*fleet));
+  entry.m_differences = std::move(checked->m_differences);
+  scope.m_version = offset;
+  scope.m_header = change.m_header;
+  TakeContent(change, scope.m_content);
+  TakeInForce(std::move(checked->m_fleet));
   EnforceFloors(offset, entry);
   AddAudit(std::move(entry));
 }
@@ -239,32 +243,114 @@
          scope.m_header.m_author + " is in force";
 }
 
-JsonDocument LogReplay::NewContent(const ConfigChange& change) const {
-  const auto found = m_state.m_scopes.find(change.m_scope);
-  if (change.m_form == ChangeForm::kWhole || found == m_state.m_scopes.end()) {
-    return change.m_content;
-  }
-  return found->second.m_content.MergedWith(change.m_content);
+const JsonDocument& LogReplay::ContentOf(std::string_view scope) const {
+  static const JsonDocument kEmpty;
+  const auto found = m_state.m_scopes.find(scope);
+  return found == m_state.m_scopes.end() ? kEmpty : found->second.m_content;
 }
 
-std::optional<FleetConfig> LogReplay::CheckContent(const ConfigChange& change,
-                                                   const JsonDocument& content,
-                                                   Findings& findings) const {
-  const std::string& scope = change.m_scope;
+std::optional<LogReplay::CheckedChange> LogReplay::CheckContent(
+    const ConfigChange& change,
+    Findings& findings) const {
   const bool is_site =
-      m_in_force != nullptr && m_in_force->FindSite(scope) != nullptr;
-  if (scope != kBaseScope && !is_site) {
-    findings.Add(CutText(scope, kMaxScopeBytes), "", "is no site");
+      m_in_force != nullptr && m_in_force->FindSite(change.m_scope) != nullptr;
+  if (change.m_scope != kBaseScope && !is_site) {
+    findings.Add(CutText(change.m_scope, kMaxScopeBytes), "", "is no site");
+    return std::nullopt;
+  }
+  if (!FitsARecord(change)) {
+    findings.Add(change.m_scope, "", "is larger than a record can carry");
+    return std::nullopt;
+  }
+  auto checked = CheckTouchedParts(change);
+  return checked ? std::move(checked) : CheckWhole(change, findings);
+}
+
+std::optional<LogReplay::CheckedChange> LogReplay::CheckTouchedParts(
+    const ConfigChange& change) const {
+  const bool is_patch = change.m_form == ChangeForm::kPatch;
+  const bool is_base = change.m_scope == kBaseScope;
+  if (m_in_force == nullptr || (is_base && !is_patch)) {
     return std::nullopt;
   }
-  if (change.m_form == ChangeForm::kPatch &&
-      content.ToText().size() > kMaxContentBytes) {
-    findings.Add(scope, "", "is larger than a record can carry");
+  const JsonDocument& before = ContentOf(change.m_scope);
+  auto parts = is_patch ? PartsNamedBy({&change.m_content})
+                        : PartsNamedBy({&before, &change.m_content});
+  if (!parts || !HasPlainSections(before)) {
     return std::nullopt;
   }
+  const JsonDocument old_parts = SelectParts(before, *parts);
+  const JsonDocument new_parts =
+      is_patch ? old_parts.MergedWith(change.m_content) : change.m_content;
+  FleetUpdate update{.m_before = *m_in_force, .m_scope = change.m_scope};
+  for (const auto& [name, scope] : m_state.m_scopes) {
+    if (name != kBaseScope && !scope.m_content.IsEmptyObject()) {
+      update.m_overlays[name] = SelectParts(scope.m_content, *parts);
+    }
+  }
+  update.m_base =
+      is_base ? new_parts : SelectParts(ContentOf(kBaseScope), *parts);
+  if (!is_base) {
+    update.m_overlays.insert_or_assign(change.m_scope, new_parts);
+  }
+  update.m_parts = std::move(*parts);
+  auto fleet = UpdateFleetConfig(update);
+  if (!fleet) {
+    return std::nullopt;
+  }
+  return CheckedChange{
+      .m_fleet = std::move(*fleet),
+      .m_differences = DescribeDifferences(old_parts, new_parts)};
+}
+
+std::optional<LogReplay::CheckedChange> LogReplay::CheckWhole(
+    const ConfigChange& change,
+    Findings& findings) const {
+  const JsonDocument& before = ContentOf(change.m_scope);
+  JsonDocument content = before;
+  if (change.m_form == ChangeForm::kPatch) {
+    content.Merge(change.m_content);
+  } else {
+    content = change.m_content;
+  }
   Documents documents = DocumentsOf(m_state);
-  documents.Put(scope, content);
-  return CheckDocuments(documents, findings);
+  documents.Put(change.m_scope, content);
+  auto fleet = CheckDocuments(documents, findings);
+  if (!fleet) {
+    return std::nullopt;
+  }
+  return CheckedChange{.m_fleet = std::move(*fleet),
+                       .m_differences = DescribeDifferences(before, content)};
+}
+
+bool LogReplay::FitsARecord(const ConfigChange& change) const {
+  if (change.m_form == ChangeForm::kWhole) {
+    return true;
+  }
+  // A patch adds at most its own text.
+  const auto bound = m_content_bounds.find(change.m_scope);
+  const size_t added = change.m_content.ToText().size();
+  if (bound != m_content_bounds.end() &&
+      bound->second + added <= kMaxContentBytes) {
+    return true;
+  }
+  const JsonDocument content =
+      ContentOf(change.m_scope).MergedWith(change.m_content);
+  return content.ToText().size() <= kMaxContentBytes;
+}
+
+void LogReplay::TakeContent(const ConfigChange& change, JsonDocument& content) {
+  if (change.m_form == ChangeForm::kWhole) {
+    content = change.m_content;
+    m_content_bounds[change.m_scope] = content.ToText().size();
+    return;
+  }
+  content.Merge(change.m_content);
+  size_t& bound = m_content_bounds[change.m_scope];
+  bound += change.m_content.ToText().size();
+  if (bound > kMaxContentBytes) {
+    bound = content.ToText().size();
+  }
 }
 
 void LogReplay::CheckChange(const ConfigChange& change,
@@ -274,22 +360,27 @@
     findings.Add(change.m_scope, "", std::move(*conflict));
   }
   if (!conflict || change.m_form == ChangeForm::kWhole) {
-    CheckContent(change, NewContent(change), findings);
+    CheckContent(change, findings);
   }
 }
 
 ConfigChange LogReplay::Shorten(ConfigChange change) const {
-  const auto found = m_state.m_scopes.find(change.m_scope);
-  if (found == m_state.m_scopes.end() ||
-      change.m_from != found->second.m_version) {
+  if (change.m_from != m_state.VersionOf(change.m_scope)) {
     return change;
   }
-  return ShortestForm(std::move(change), found->second.m_content);
+  const JsonDocument& before = ContentOf(change.m_scope);
+  return ShortestForm(std::move(change), before);
 }
 
 void LogReplay::TakeInForce(FleetConfig fleet) {
   m_floors.clear();
+  const SharedList<Service>& shared = fleet.m_base.m_services;
+  bool has_shared = false;
   for (const auto& [site, config] : fleet.m_sites) {
+    if (config.m_services.IsSharedWith(shared) && has_shared) {
+      continue;
+    }
+    has_shared = has_shared || config.m_services.IsSharedWith(shared);
     for (const Service& service : config.m_services) {
       uint32_t& floor = m_floors[service.m_id];
       floor = std::max(floor, service.m_floor);
--- a/libs/config/src/route_table.cc
+++ b/libs/config/src/route_table.cc
@@ -1,6 +1,7 @@
 #include "sequoiastage/config/route_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sequoiastage {
 
@@ -24,7 +25,10 @@
 
 }  // namespace
 
-RouteTable::RouteTable(const std::vector<Route>& routes) : m_routes(routes) {
+RouteTable::RouteTable(const std::vector<Route>& routes)
+    : RouteTable(SharedList<Route>(routes)) {}
+
+RouteTable::RouteTable(SharedList<Route> routes) : m_routes(std::move(routes)) {
   for (const Route& route : m_routes) {
     m_hosts[route.m_host][std::string(TrimSlashes(route.m_path))] = &route;
   }
--- a/libs/config/tests/config_race_test.cc
+++ b/libs/config/tests/config_race_test.cc
@@ -195,8 +195,8 @@
     m_meant[change_id] = scope == kBaseScope ? BaseWithFloor(floor, more)
                                              : OverlayWithFloor(floor, more);
     const bool may_patch = step.m_choice / kScopes.size() % 4 > 0;
-    return ToRecordText(MakeChangeOf(view, change_id, scope, m_meant[change_id],
-                                     may_patch));
+    return ToRecordText(
+        MakeChangeOf(view, change_id, scope, m_meant[change_id], may_patch));
   }
 
   // The observer reads every record at once. Each change that comes in force
@@ -316,9 +316,9 @@
       log.Append(observer.MakeSnapshot(MakeHeader("s")));
     } else {
       const std::string& more = kMore[draw / 14 % kMore.size()];
-      log.Append(ToRecordText(MakeChangeOf(
-          observer.State(), "c" + std::to_string(log.End()), kScopes[0],
-          BaseWithFloor(draw % 14, more), draw < 70)));
+      log.Append(ToRecordText(
+          MakeChangeOf(observer.State(), "c" + std::to_string(log.End()),
+                       kScopes[0], BaseWithFloor(draw % 14, more), draw < 70)));
     }
     CatchUp(log, observer);
   }
--- /dev/null
+++ b/libs/config/tests/config_update_test.cc
@@ -0,0 +1,243 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+#include "replay_harness.h"
+
+namespace sequoiastage {
+namespace {
+
+constexpr size_t kMaxReasonBytes = 500;
+
+int Draw(int end) {
+  return *rc::gen::inRange(0, end);
+}
+
+bool IsOneOf(int count) {
+  return Draw(count) == 0;
+}
+
+std::string Pick(const std::vector<std::string>& texts) {
+  return texts[static_cast<size_t>(Draw(static_cast<int>(texts.size())))];
+}
+
+// `members` as an object; of two with the same key the first one stays.
+std::string ObjectText(const std::map<std::string, std::string>& members) {
+  std::string text = "{";
+  for (const auto& [key, value] : members) {
+    text += (text.size() > 1 ? ",\"" : "\"") + key + "\":" + value;
+  }
+  return text + "}";
+}
+
+// Faults are rare, so that most changes hold.
+std::string ServiceText() {
+  std::map<std::string, std::string> members = {
+      {"instances", std::to_string(6 + Draw(3))},
+      {"floor", std::to_string(1 + Draw(IsOneOf(10) ? 9 : 6))}};
+  if (IsOneOf(3)) {
+    members["limits"] = Pick({R"({"slots": 2})", R"({"slots": 3})", "{}"});
+  }
+  if (IsOneOf(30)) {
+    members["unknown"] = "1";
+  }
+  return ObjectText(members);
+}
+
+std::string RouteText() {
+  std::map<std::string, std::string> members = {
+      {"host", Pick({R"("h")", R"("*")"})},
+      {"path", Pick({R"("/")", R"("/a")", R"("/a/")", R"("/b")", R"("/c")",
+                     R"("/d")", R"("/e")"})},
+      {"service", Pick({R"("s0")", R"("s1")"})}};
+  if (IsOneOf(4)) {
+    members["service"] = R"("s2")";
+  }
+  if (IsOneOf(3)) {
+    members["methods"] = Pick({R"(["GET"])", R"(["GET", "POST"])"});
+  }
+  return ObjectText(members);
+}
+
+std::string AccountText() {
+  return Pick({"{}", R"({"share": 2})", R"({"share": 2.0})"});
+}
+
+// Some members of a section; those of a patch may be partial or null.
+std::string SectionText(const std::string& prefix,
+                        int count,
+                        std::string (*member)(),
+                        bool is_patch) {
+  std::map<std::string, std::string> members;
+  for (int i = 0; i < count; ++i) {
+    if (is_patch && !IsOneOf(3)) {
+      continue;
+    }
+    const std::string name = prefix + std::to_string(i);
+    members[name] = member();
+    if (is_patch && IsOneOf(4)) {
+      members[name] = Pick({"null", "{}", R"({"limits": null})",
+                            R"({"floor": 2})", R"({"host": "x"})", "7"});
+    }
+  }
+  if (IsOneOf(40)) {
+    members["Bad name"] = member();
+  }
+  return ObjectText(members);
+}
+
+std::string ContentText(bool is_patch) {
+  std::map<std::string, std::string> sections;
+  if (!is_patch || IsOneOf(2)) {
+    sections["services"] = SectionText("s", 3, ServiceText, is_patch);
+  }
+  if (!is_patch || IsOneOf(2)) {
+    sections["routes"] = SectionText("r", 4, RouteText, is_patch);
+  }
+  if (IsOneOf(2)) {
+    sections["accounts"] = SectionText("a", 3, AccountText, is_patch);
+  }
+  if (!is_patch) {
+    sections["sites"] = R"(["a", "b"])";
+  } else if (IsOneOf(15)) {
+    sections[Pick({"accounts", "services", "other", "sites"})] =
+        Pick({"null", "1", R"(["a"])", R"(["a", "b", "c"])"});
+  }
+  return ObjectText(sections);
+}
+
+JsonDocument Document(const std::string& source, const std::string& text) {
+  Findings findings;
+  return JsonDocument::Parse(source, text, findings).value();
+}
+
+// What a check of all documents says, without any replay.
+struct Reference {
+  std::map<std::string, JsonDocument> m_documents{};
+  std::optional<FleetConfig> m_fleet{};
+  std::string m_reason{};
+
+  void Put(const std::string& scope, const JsonDocument& content) {
+    auto overlays = m_documents;
+    overlays[scope] = content;
+    const JsonDocument base = overlays[std::string(kBaseScope)];
+    overlays.erase(std::string(kBaseScope));
+    std::erase_if(overlays,
+                  [](const auto& item) { return item.second.IsEmptyObject(); });
+    Findings findings;
+    auto fleet = CheckFleetConfig(base, overlays, findings);
+    m_reason = findings.ToText();
+    m_reason = m_reason.substr(0, m_reason.find_last_not_of('\n') + 1);
+    std::replace(m_reason.begin(), m_reason.end(), '\n', ';');
+    m_reason = m_reason.substr(0, kMaxReasonBytes);
+    if (fleet) {
+      m_fleet = std::move(fleet);
+      m_documents[scope] = content;
+    }
+  }
+};
+
+// One replay reads patches, the other one the whole documents they lead to.
+class Comparison {
+ public:
+  void Change(const std::string& scope, JsonDocument content, bool is_patch) {
+    const std::string change_id = "c" + std::to_string(m_log.End());
+    ConfigChange change{.m_header = MakeHeader(change_id),
+                        .m_scope = scope,
+                        .m_from = m_patched.State().VersionOf(scope),
+                        .m_content = std::move(content)};
+    const JsonDocument before = m_reference.m_documents[scope];
+    is_patch = is_patch && change.m_from;
+    change.m_form = is_patch ? ChangeForm::kPatch : ChangeForm::kWhole;
+    m_log.Append(ToRecordText(change));
+    if (is_patch) {
+      change.m_content = before.MergedWith(change.m_content);
+      change.m_form = ChangeForm::kWhole;
+    }
+    m_whole_log.Append(ToRecordText(change));
+    m_reference.Put(scope, change.m_content);
+    CatchUp(m_log, m_patched);
+    CatchUp(m_whole_log, m_whole);
+  }
+
+  bool IsSite(const std::string& scope) const {
+    return m_reference.m_fleet &&
+           m_reference.m_fleet->FindSite(scope) != nullptr;
+  }
+
+  const Config& SiteInForce(const std::string& site) const {
+    return *m_patched.InForce()->FindSite(site);
+  }
+
+  void Check() const {
+    const AuditEntry& entry = m_patched.State().m_audit.back();
+    RC_ASSERT(entry.m_reason == m_reference.m_reason);
+    RC_ASSERT((entry.m_verdict == AuditVerdict::kAccepted) ==
+              m_reference.m_reason.empty());
+    RC_ASSERT(m_patched.State() == m_whole.State());
+    RC_ASSERT((m_patched.InForce() != nullptr) ==
+              m_reference.m_fleet.has_value());
+    if (m_reference.m_fleet) {
+      RC_ASSERT(*m_patched.InForce() == *m_reference.m_fleet);
+      RC_ASSERT(*m_whole.InForce() == *m_reference.m_fleet);
+    }
+  }
+
+ private:
+  FakeLog m_log;
+  FakeLog m_whole_log;
+  LogReplay m_patched;
+  LogReplay m_whole;
+  Reference m_reference;
+};
+
+TEST(ConfigUpdateTest, APatchBringsBackASectionThatAnOverlayRemoved) {
+  const std::string base(kBaseScope);
+  Comparison comparison;
+  comparison.Change(base, Document(base, R"({"sites": ["a"], "services": {},
+                    "routes": {}, "accounts": {"x": {}, "y": {}}})"),
+                    false);
+  comparison.Change("a", Document("a", R"({"accounts": null})"), false);
+  EXPECT_TRUE(comparison.SiteInForce("a").m_accounts.empty());
+  comparison.Change("a", Document("a", R"({"accounts": {}})"), true);
+  EXPECT_EQ(comparison.SiteInForce("a").m_accounts.size(), 2U);
+}
+
+TEST(ConfigUpdateTest, SitesShareWhatIsEqual) {
+  const std::string base(kBaseScope);
+  Comparison comparison;
+  comparison.Change(base, Document(base, R"({"sites": ["a", "b"], "routes": {},
+                    "services": {"s": {"instances": 3, "floor": 1}},
+                    "accounts": {"x": {}}})"),
+                    false);
+  comparison.Change("a", OverlayWithFloor(2), false);
+  comparison.Change(base, Document(base, R"({"accounts": {"y": {}}})"), true);
+  const Config& a = comparison.SiteInForce("a");
+  const Config& b = comparison.SiteInForce("b");
+  EXPECT_EQ(a.m_accounts.size(), 2U);
+  EXPECT_TRUE(a.m_accounts.IsSharedWith(b.m_accounts));
+  EXPECT_TRUE(a.m_routes.IsSharedWith(b.m_routes));
+  EXPECT_FALSE(a.m_services.IsSharedWith(b.m_services));
+}
+
+RC_GTEST_PROP(ConfigUpdateTest, PartsCheckedAloneSayWhatTheWholeSays, ()) {
+  const std::string base(kBaseScope);
+  Comparison comparison;
+  comparison.Change(base, Document(base, ContentText(false)), false);
+  comparison.Check();
+  const int changes = Draw(12);
+  for (int i = 0; i < changes; ++i) {
+    const std::string scope = Pick({base, "a", "b", "c"});
+    if (scope != base && !comparison.IsSite(scope)) {
+      continue;
+    }
+    const bool is_patch = scope == base || !IsOneOf(3);
+    comparison.Change(scope, Document(scope, ContentText(true)), is_patch);
+    comparison.Check();
+  }
+}
+
+}  // namespace
+}  // namespace sequoiastage
--- a/libs/config/tests/log_replay_test.cc
+++ b/libs/config/tests/log_replay_test.cc
@@ -130,11 +130,10 @@
   const auto removal = OverlayWithFloor(9, R"(, "limits": null)");
   EXPECT_EQ(shorten("a", removal).m_form, ChangeForm::kWhole);
   EXPECT_EQ(shorten("a", removal).m_content, removal);
-  const ConfigChange old =
-      m_replay.Shorten({.m_header = MakeHeader("c2"),
-                        .m_scope = kBase,
-                        .m_from = LogOffset(1),
-                        .m_content = BaseWithFloor(9)});
+  const ConfigChange old = m_replay.Shorten({.m_header = MakeHeader("c2"),
+                                             .m_scope = kBase,
+                                             .m_from = LogOffset(1),
+                                             .m_content = BaseWithFloor(9)});
   EXPECT_EQ(old.m_form, ChangeForm::kWhole);
 }
 
@@ -250,7 +249,8 @@
   log.Append(records[0]);
   const auto count = *rc::gen::inRange<int>(0, 20);
   for (int i = 0; i < count; ++i) {
-    std::string text = records[*rc::gen::inRange<size_t>(0, std::size(records))];
+    std::string text =
+        records[*rc::gen::inRange<size_t>(0, std::size(records))];
     const auto at = *rc::gen::inRange<size_t>(0, text.size());
     text[at] = *rc::gen::arbitrary<char>();
     log.Append(text);
--- a/libs/node/src/config_feed.cc
+++ b/libs/node/src/config_feed.cc
@@ -283,14 +283,24 @@
     m_fleet = m_replay.InForce();
     const Config* config =
         m_fleet ? m_fleet->FindSite(m_options.m_site) : nullptr;
+    TakeRoutes(config);
     m_config = std::shared_ptr<const Config>(m_fleet, config);
-    m_routes = config == nullptr
-                   ? nullptr
-                   : std::make_shared<const RouteTable>(config->m_routes);
   }
   m_on_change();
 }
 
+void ConfigFeed::TakeRoutes(const Config* config) {
+  if (config == nullptr) {
+    m_routes = nullptr;
+    return;
+  }
+  const bool is_same = m_routes != nullptr && m_config != nullptr &&
+                       m_config->m_routes.IsSharedWith(config->m_routes);
+  if (!is_same) {
+    m_routes = std::make_shared<const RouteTable>(config->m_routes);
+  }
+}
+
 void ConfigFeed::Publish(const PublishRequest& request, PublishDone done) {
   const AuditEntry* known = m_replay.FindChange(request.m_change_id);
   if (known != nullptr) {
--- a/libs/node/src/config_feed_p.h
+++ b/libs/node/src/config_feed_p.h
@@ -93,6 +93,8 @@
   void AppendSnapshotIfDue(LogOffset first_retained);
   void LogNewAudit(LogOffset before);
   void TakeInForce();
+  // Builds the route table of `config`, unless the routes are the same.
+  void TakeRoutes(const Config* config);
   void OnAppended(const std::string& change_id,
                   const HttpCallResult& result,
                   const PublishDone& done);
