--- a/libs/node/src/caller_request.cc
+++ b/libs/node/src/caller_request.cc
@@ -54,6 +54,12 @@
 
 }  // namespace
 
+std::optional<std::chrono::milliseconds> AskedDeadline(
+    const HttpRequest& request) {
+  const std::string* text = FindField(request.m_fields, kDeadlineField);
+  return text == nullptr ? std::nullopt : ParseMillis(*text);
+}
+
 void RemoveConnectionFields(std::vector<HttpField>& fields) {
   std::vector<std::string> named;
   if (const std::string* list = FindField(fields, "Connection")) {
@@ -103,8 +109,8 @@
                       ? std::chrono::duration_cast<std::chrono::milliseconds>(
                             service->m_limits.m_timeout)
                       : default_deadline;
-  if (const std::string* text = FindField(request.m_fields, kDeadlineField)) {
-    const auto asked = ParseMillis(*text);
+  if (FindField(request.m_fields, kDeadlineField) != nullptr) {
+    const auto asked = AskedDeadline(request);
     if (!asked) {
       return Refuse(problem, 400, "Bad deadline",
                     "Sequoiastage-Deadline-Ms takes 1 to 600000 "
@@ -125,6 +131,10 @@
   }
   checked.m_run.m_service = route->m_service;
   checked.m_run.m_account = AccountIdOf(checked.m_account);
+  if (const Account* account =
+          view.m_config->FindAccount(checked.m_run.m_account)) {
+    checked.m_run.m_account_share = account->m_share;
+  }
   checked.m_run.m_is_idempotent = route->IsIdempotent(request.m_method);
   checked.m_run.m_deadline = now + deadline;
   if (service != nullptr) {
--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -206,6 +206,7 @@
           .m_service = request.m_service,
           .m_instance = target->m_id,
           .m_account = request.m_account,
+          .m_account_share = request.m_account_share,
           .m_is_idempotent = request.m_is_idempotent,
           .m_accept_suspect = choice.m_accept_suspect,
           .m_completeness_field = request.m_completeness_field,
@@ -375,6 +376,9 @@
       Close(*sent);
     }
     sent->m_may_have_run = result.m_result != AttemptResult::kNotStarted;
+    if (result.m_reason == AttemptReason::kWrongIncarnation) {
+      m_picker.OnNodeReplaced(sent->m_node, sent->m_node_incarnation);
+    }
   }
   switch (result.m_result) {
     case AttemptResult::kAnswered:
