--- a/libs/node/tests/instance_table_test.cc
+++ b/libs/node/tests/instance_table_test.cc
@@ -7,8 +7,9 @@
 
 Config ConfigWithSlots(uint32_t slots) {
   Config config;
-  config.m_services = {{.m_name = "plans", .m_id = ServiceIdOf("plans")}};
-  config.m_services.front().m_limits.m_slots = slots;
+  config.m_services = SharedList<Service>({{.m_name = "plans",
+                                            .m_id = ServiceIdOf("plans"),
+                                            .m_limits = {.m_slots = slots}}});
   return config;
 }
 
