--- a/bench/capacity_bench/replay_section.cc
+++ b/bench/capacity_bench/replay_section.cc
@@ -47,6 +47,14 @@
             .m_content = Document(text)};
   }
 
+  std::string BasePatch(const std::string& text) {
+    return PatchText(BaseChange(text));
+  }
+
+  std::string SitePatch(const std::string& text) {
+    return PatchText(SiteChange(text));
+  }
+
   EjectionGrant Grant(uint32_t service) {
     const std::string name = fmt::format("service-{}", service);
     EjectionGrant grant{
@@ -68,6 +76,11 @@
   const LogReplay& Replay() const { return m_replay; }
 
  private:
+  static std::string PatchText(ConfigChange change) {
+    change.m_form = ChangeForm::kPatch;
+    return ToRecordText(change);
+  }
+
   static InstanceRun Run(uint32_t service, uint32_t instance) {
     const uint32_t ip = 0x0a000000 + service * kInstancesPerService + instance;
     return {.m_instance = InstanceId({.m_ip = ip, .m_port = 80}),
@@ -91,13 +104,95 @@
   }
 }
 
+// Processor time of each of several changes alike, in ms.
+void TimeChanges(Log& log,
+                 Series& series,
+                 uint32_t accounts,
+                 const char* patch,
+                 bool is_base) {
+  constexpr int kChanges = 10;
+  const double start = CpuSeconds();
+  for (int i = 0; i < kChanges; ++i) {
+    const std::string text = fmt::format(fmt::runtime(patch), 1 + i);
+    if (!log.AppendText(is_base ? log.BasePatch(text) : log.SitePatch(text))) {
+      PrintHeading("  a change did not hold: " +
+                   log.Replay().State().m_audit.back().m_reason);
+    }
+  }
+  series.Add(accounts, 1e3 * (CpuSeconds() - start) / kChanges);
+}
+
+// A patch that removes service `i` and its routes, or all but one of them.
+std::string RemovalPatch(uint32_t i, bool has_fault) {
+  std::string text = fmt::format(
+      R"({{"services": {{"service-{}": null}}, "routes": {{"none": null)", i);
+  for (uint32_t route = i; route < 24'000; route += 2'100) {
+    if (!has_fault || route != i) {
+      text += fmt::format(R"(, "route-{}": null)", route);
+    }
+  }
+  return text + "}}";
+}
+
+void MeasureFullSize() {
+  Series heap("bytes of heap of the replayed state", "accounts");
+  Series bytes("bytes of a whole base", "accounts");
+  Series whole("ms to replay a whole base", "accounts");
+  Series service("ms to replay a patch of a service of the base", "accounts");
+  Series site("ms to replay a patch of a service at a site", "accounts");
+  Series route("ms to replay a patch of a route of the base", "accounts");
+  Series account("ms to replay a patch of an account of the base", "accounts");
+  Series removal("ms to replay a patch that removes a service", "accounts");
+  Series fault("ms to replay a patch with a fault", "accounts");
+  for (const uint32_t accounts : {47'500U, 95'000U, 190'000U}) {
+    const double before = HeapBytes();
+    Log log;
+    {
+      const std::string text =
+          ToRecordText(log.BaseChange(BaseText(2'100, 24'000, accounts)));
+      bytes.Add(accounts, static_cast<double>(text.size()));
+      const double start = CpuSeconds();
+      if (!log.AppendText(text)) {
+        PrintHeading("  the base did not hold");
+      }
+      whole.Add(accounts, 1e3 * (CpuSeconds() - start));
+    }
+    heap.Add(accounts, HeapBytes() - before);
+    log.Append(log.SiteChange(R"({"services": {"service-7": {"floor": 9}}})"));
+    TimeChanges(log, service, accounts,
+                R"({{"services": {{"service-8": {{"floor": {}}}}}}})", true);
+    TimeChanges(log, site, accounts,
+                R"({{"services": {{"service-7": {{"floor": {}}}}}}})", false);
+    TimeChanges(log, route, accounts,
+                R"({{"routes": {{"route-7": {{"path": "/moved/{}"}}}}}})",
+                true);
+    TimeChanges(log, account, accounts,
+                R"({{"accounts": {{"account-7": {{"share": {}}}}}}})", true);
+    double start = CpuSeconds();
+    if (!log.AppendText(log.BasePatch(RemovalPatch(300, false)))) {
+      PrintHeading("  a removal did not hold");
+    }
+    removal.Add(accounts, 1e3 * (CpuSeconds() - start));
+    start = CpuSeconds();
+    if (log.AppendText(log.BasePatch(RemovalPatch(301, true)))) {
+      PrintHeading("  a faulty removal held");
+    }
+    fault.Add(accounts, 1e3 * (CpuSeconds() - start));
+  }
+}
+
 }  // namespace
 
 void MeasureReplay(uint64_t /*seed*/) {
   PrintHeading("replay: 11.4 routes a service, no accounts");
   Series record("bytes of a record that changes the base", "services");
   Series base("ms to replay a change of the base", "services");
+  Series patch("bytes of a record that patches one service of the base",
+               "services");
+  Series patched("ms to replay a patch of one service of the base", "services");
   Series site("ms to replay a change of one service at a site", "services");
+  Series site_patch("ms to replay a patch of one service at a site",
+                    "services");
   Series grant_bytes("bytes of an ejection grant", "services");
   Series grant("us to replay an ejection grant", "services");
   Series snapshot("bytes of a snapshot record", "services");
@@ -114,11 +209,22 @@
     double start = CpuSeconds();
     holds = log.AppendText(text) && holds;
     base.Add(services, 1e3 * (CpuSeconds() - start));
+    const std::string small =
+        log.BasePatch(R"({"services": {"service-7": {"floor": 20}}})");
+    patch.Add(services, static_cast<double>(small.size()));
+    start = CpuSeconds();
+    holds = log.AppendText(small) && holds;
+    patched.Add(services, 1e3 * (CpuSeconds() - start));
     start = CpuSeconds();
     holds = log.Append(log.SiteChange(
                 R"({"services": {"service-7": {"floor": 22}}})")) &&
             holds;
     site.Add(services, 1e3 * (CpuSeconds() - start));
+    const std::string at_site =
+        log.SitePatch(R"({"services": {"service-8": {"floor": 22}}})");
+    start = CpuSeconds();
+    holds = log.AppendText(at_site) && holds;
+    site_patch.Add(services, 1e3 * (CpuSeconds() - start));
     std::vector<std::string> grants;
     for (uint32_t i = 0; i < 256; ++i) {
       grants.push_back(ToRecordText(log.Grant(i)));
@@ -139,6 +245,8 @@
   }
   PrintHeading("replay: accounts");
   MeasureAccountState();
+  PrintHeading("replay: 2,100 services, 24,000 routes, accounts");
+  MeasureFullSize();
 }
 
 }  // namespace sequoiastage
--- a/libs/config/include/sequoiastage/config/log_replay.h
+++ b/libs/config/include/sequoiastage/config/log_replay.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "sequoiastage/base/findings.h"
 #include "sequoiastage/base/ids.h"
@@ -42,7 +43,9 @@
 ///
 /// A change holds only when it was made from the version that is in force at
 /// its offset, so of racing changes the first one wins and a change that was
-/// appended twice is applied once.
+/// appended twice is applied once. A patch is merged into the content of the
+/// version it was made from, which is then the one in force, so it means the
+/// same everywhere.
 ///
 /// Where records are gone before they were read, replay keeps what it has and
 /// looks for a snapshot on the log whose records after it are all retained. A
@@ -66,13 +69,17 @@
 
   const ReplayState& State() const { return m_state; }
 
+  /// ShortestForm() of `change` against the content in force. The change keeps
+  /// its form when it was made from another version.
+  ConfigChange Shorten(ConfigChange change) const;
+
   /// Configurations in force; null before the first base.
   const std::shared_ptr<const FleetConfig>& InForce() const {
     return m_in_force;
   }
 
   /// Checks `change` as if it were appended now; empty findings when it would
-  /// be accepted.
+  /// be accepted. A patch from another version is not checked any further.
   void CheckChange(const ConfigChange& change, Findings& findings) const;
 
   /// Newest audit entry with this change id that is no duplicate, or null.
@@ -98,8 +105,20 @@
   void Judge(LogOffset offset, const EjectionGrant& grant);
   void Judge(LogOffset offset, const Readmission& readmission);
   std::optional<std::string> FindConflict(const ConfigChange& change) const;
-  std::optional<FleetConfig> CheckContent(const ConfigChange& change,
+  // What a valid change leads to, but for the new content.
+  struct CheckedChange {
+    FleetConfig m_fleet;
+    std::vector<std::string> m_differences{};
+  };
+
+  std::optional<CheckedChange> CheckContent(const ConfigChange& change,
+                                            Findings& findings) const;
+  std::optional<CheckedChange> CheckTouchedParts(
+      const ConfigChange& change) const;
+  std::optional<CheckedChange> CheckWhole(const ConfigChange& change,
                                           Findings& findings) const;
+  const ScopeContent& ContentOf(std::string_view scope) const;
+  bool FitsARecord(const ConfigChange& change) const;
   void TakeInForce(FleetConfig fleet);
   void EnforceFloors(LogOffset offset, AuditEntry& entry);
   void AddAudit(AuditEntry entry);
--- a/libs/config/src/log_replay.cc
+++ b/libs/config/src/log_replay.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "audit_p.h"
+#include "config_update_p.h"
 #include "sequoiastage/checkedjson/json_reader.h"
 
 namespace sequoiastage {
@@ -13,6 +14,11 @@
 
 constexpr size_t kMaxScopeBytes = 128;
 
+// A scope that patches built up has to fit a record, as whole content does.
+constexpr size_t kMaxRecordHeaderBytes = 4096;
+constexpr size_t kMaxContentBytes =
+    JsonDocument::kMaxTextBytes - kMaxRecordHeaderBytes;
+
 // Base and overlays in force, for the check of a change.
 struct Documents {
   std::optional<JsonDocument> m_base;
@@ -32,7 +38,7 @@
 Documents DocumentsOf(const ReplayState& state) {
   Documents documents;
   for (const auto& [name, scope] : state.m_scopes) {
-    documents.Put(name, scope.m_content);
+    documents.Put(name, scope.m_content.ToDocument(name));
   }
   return documents;
 }
@@ -156,19 +162,23 @@
     return;
   }
   Findings findings;
-  auto fleet = CheckContent(change, findings);
-  if (!fleet) {
+  auto checked = CheckContent(change, findings);
+  if (!checked) {
     entry.m_verdict = AuditVerdict::kInvalid;
     entry.m_reason = SummarizeFindings(findings);
     AddAudit(std::move(entry));
     return;
   }
   ScopeState& scope = m_state.m_scopes[change.m_scope];
-  entry.m_differences = DescribeDifferences(scope.m_content, change.m_content);
-  scope = {.m_version = offset,
-           .m_header = change.m_header,
-           .m_content = change.m_content};
-  TakeInForce(std::move(*fleet));
+  entry.m_differences = std::move(checked->m_differences);
+  scope.m_version = offset;
+  scope.m_header = change.m_header;
+  if (change.m_form == ChangeForm::kPatch) {
+    scope.m_content.Merge(change.m_content);
+  } else {
+    scope.m_content = ScopeContent(change.m_content);
+  }
+  TakeInForce(std::move(checked->m_fleet));
   EnforceFloors(offset, entry);
   AddAudit(std::move(entry));
 }
@@ -233,17 +243,111 @@
          scope.m_header.m_author + " is in force";
 }
 
-std::optional<FleetConfig> LogReplay::CheckContent(const ConfigChange& change,
-                                                   Findings& findings) const {
+const ScopeContent& LogReplay::ContentOf(std::string_view scope) const {
+  static const ScopeContent kEmpty;
+  const auto found = m_state.m_scopes.find(scope);
+  return found == m_state.m_scopes.end() ? kEmpty : found->second.m_content;
+}
+
+std::optional<LogReplay::CheckedChange> LogReplay::CheckContent(
+    const ConfigChange& change,
+    Findings& findings) const {
   const bool is_site =
       m_in_force != nullptr && m_in_force->FindSite(change.m_scope) != nullptr;
   if (change.m_scope != kBaseScope && !is_site) {
     findings.Add(CutText(change.m_scope, kMaxScopeBytes), "", "is no site");
     return std::nullopt;
   }
+  if (!FitsARecord(change)) {
+    findings.Add(change.m_scope, "", "is larger than a record can carry");
+    return std::nullopt;
+  }
+  auto checked = CheckTouchedParts(change);
+  return checked ? std::move(checked) : CheckWhole(change, findings);
+}
+
+std::optional<LogReplay::CheckedChange> LogReplay::CheckTouchedParts(
+    const ConfigChange& change) const {
+  const bool is_patch = change.m_form == ChangeForm::kPatch;
+  const bool is_base = change.m_scope == kBaseScope;
+  if (m_in_force == nullptr || (is_base && !is_patch)) {
+    return std::nullopt;
+  }
+  const ScopeContent& content = ContentOf(change.m_scope);
+  std::optional<TouchedParts> parts;
+  if (is_patch) {
+    parts = PartsNamedBy({&change.m_content});
+  } else {
+    const JsonDocument before = content.ToDocument(change.m_scope);
+    parts = PartsNamedBy({&before, &change.m_content});
+  }
+  if (!parts) {
+    return std::nullopt;
+  }
+  const MemberNames names = ToMemberNames(*parts);
+  // A patch brings back a section that is null, which touches all its members.
+  if (!content.AreObjects(names)) {
+    return std::nullopt;
+  }
+  const JsonDocument old_parts = content.Select(change.m_scope, names);
+  const JsonDocument new_parts =
+      is_patch ? old_parts.MergedWith(change.m_content) : change.m_content;
+  FleetUpdate update{.m_before = *m_in_force, .m_scope = change.m_scope};
+  for (const auto& [name, scope] : m_state.m_scopes) {
+    if (name != kBaseScope && !scope.m_content.IsEmptyObject()) {
+      update.m_overlays[name] = scope.m_content.Select(name, names);
+    }
+  }
+  update.m_base =
+      is_base ? new_parts
+              : ContentOf(kBaseScope).Select(std::string(kBaseScope), names);
+  if (!is_base) {
+    update.m_overlays.insert_or_assign(change.m_scope, new_parts);
+  }
+  update.m_parts = std::move(*parts);
+  auto fleet = UpdateFleetConfig(update);
+  if (!fleet) {
+    return std::nullopt;
+  }
+  return CheckedChange{
+      .m_fleet = std::move(*fleet),
+      .m_differences = DescribeDifferences(old_parts, new_parts)};
+}
+
+std::optional<LogReplay::CheckedChange> LogReplay::CheckWhole(
+    const ConfigChange& change,
+    Findings& findings) const {
+  const JsonDocument before =
+      ContentOf(change.m_scope).ToDocument(change.m_scope);
+  JsonDocument content = before;
+  if (change.m_form == ChangeForm::kPatch) {
+    content.Merge(change.m_content);
+  } else {
+    content = change.m_content;
+  }
   Documents documents = DocumentsOf(m_state);
-  documents.Put(change.m_scope, change.m_content);
-  return CheckDocuments(documents, findings);
+  documents.Put(change.m_scope, content);
+  auto fleet = CheckDocuments(documents, findings);
+  if (!fleet) {
+    return std::nullopt;
+  }
+  return CheckedChange{.m_fleet = std::move(*fleet),
+                       .m_differences = DescribeDifferences(before, content)};
+}
+
+bool LogReplay::FitsARecord(const ConfigChange& change) const {
+  if (change.m_form == ChangeForm::kWhole) {
+    return true;
+  }
+  // A patch adds at most its own text.
+  const ScopeContent& before = ContentOf(change.m_scope);
+  const size_t added = change.m_content.ToText().size();
+  if (before.TextBytes() + added <= kMaxContentBytes) {
+    return true;
+  }
+  ScopeContent content = before;
+  content.Merge(change.m_content);
+  return content.TextBytes() <= kMaxContentBytes;
 }
 
 void LogReplay::CheckChange(const ConfigChange& change,
@@ -252,12 +356,29 @@
   if (conflict) {
     findings.Add(change.m_scope, "", std::move(*conflict));
   }
-  CheckContent(change, findings);
+  if (!conflict || change.m_form == ChangeForm::kWhole) {
+    CheckContent(change, findings);
+  }
+}
+
+ConfigChange LogReplay::Shorten(ConfigChange change) const {
+  if (change.m_from != m_state.VersionOf(change.m_scope)) {
+    return change;
+  }
+  const JsonDocument before =
+      ContentOf(change.m_scope).ToDocument(change.m_scope);
+  return ShortestForm(std::move(change), before);
 }
 
 void LogReplay::TakeInForce(FleetConfig fleet) {
   m_floors.clear();
+  const SharedList<Service>& shared = fleet.m_base.m_services;
+  bool has_shared = false;
   for (const auto& [site, config] : fleet.m_sites) {
+    if (config.m_services.IsSharedWith(shared) && has_shared) {
+      continue;
+    }
+    has_shared = has_shared || config.m_services.IsSharedWith(shared);
     for (const Service& service : config.m_services) {
       uint32_t& floor = m_floors[service.m_id];
       floor = std::max(floor, service.m_floor);
--- a/libs/node/src/config_feed.cc
+++ b/libs/node/src/config_feed.cc
@@ -283,14 +283,24 @@
     m_fleet = m_replay.InForce();
     const Config* config =
         m_fleet ? m_fleet->FindSite(m_options.m_site) : nullptr;
+    TakeRoutes(config);
     m_config = std::shared_ptr<const Config>(m_fleet, config);
-    m_routes = config == nullptr
-                   ? nullptr
-                   : std::make_shared<const RouteTable>(config->m_routes);
   }
   m_on_change();
 }
 
+void ConfigFeed::TakeRoutes(const Config* config) {
+  if (config == nullptr) {
+    m_routes = nullptr;
+    return;
+  }
+  const bool is_same = m_routes != nullptr && m_config != nullptr &&
+                       m_config->m_routes.IsSharedWith(config->m_routes);
+  if (!is_same) {
+    m_routes = std::make_shared<const RouteTable>(config->m_routes);
+  }
+}
+
 void ConfigFeed::Publish(const PublishRequest& request, PublishDone done) {
   const AuditEntry* known = m_replay.FindChange(request.m_change_id);
   if (known != nullptr) {
@@ -306,7 +316,8 @@
           .m_reason = "the document is no JSON object"});
     return;
   }
-  const ConfigChange change = ToChange(request, std::move(*content));
+  const ConfigChange change =
+      m_replay.Shorten(ToChange(request, std::move(*content)));
   const auto in_force = m_replay.State().VersionOf(change.m_scope);
   if (change.m_from != in_force) {
     done(ConflictResult(change.m_scope, "the change was made from " +
--- a/libs/node/tests/instance_table_test.cc
+++ b/libs/node/tests/instance_table_test.cc
@@ -15,8 +15,9 @@
 
 Config ConfigWithSlots(uint32_t slots) {
   Config config;
-  config.m_services = {{.m_name = "plans", .m_id = ServiceIdOf("plans")}};
-  config.m_services.front().m_limits.m_slots = slots;
+  config.m_services = SharedList<Service>({{.m_name = "plans",
+                                            .m_id = ServiceIdOf("plans"),
+                                            .m_limits = {.m_slots = slots}}});
   return config;
 }
 
