Prove the floor by processes under cuts and log faults; let ejected instances come back

The nodes log when they take their instance out of service and when it is back, so that a test can go through each moment, not samples: six nodes, two instances failing beside nodes that are cut off from each other (one way, both ways), with the log out, slow or losing answers, then a third failure at the floor.

Fault found by EjectedInstanceComesBackAfterItsNodeWasCutOff: a node that is cut off sees too few instances and puts its ejected one back in service, as it should. Its judge took that for a readmission and the heal for a new ejection, which counts as a flap and doubles the hold: a healthy instance was still out 60 s after a cut of 2 s (test failed after 72 s). An instance that is announced while its ejection stands is now judged ejected as well; before, its judge never asked for its return.

The connections that carry the configuration left from any address; they are bound to peer_bind like the others (the relay took them for node 0's). The relay stands before the log too and refuses connections from no node's address.

Ruled out: the hold in the judge; it restarts only on OnEjected().

--- a/libs/node/src/config_feed_p.h
+++ b/libs/node/src/config_feed_p.h
@@ -69,6 +69,9 @@
 
   // Ejections that may be enforced: none before the log was read to its end.
   const std::map<ServiceId, ServiceEjections>& EnforcedEjections() const;
+  const ServiceEjections& EjectionsOf(ServiceId service) const {
+    return m_replay.EjectionsOf(service);
+  }
 
   // Appends a record once; its fate shows in the replay.
   void Append(const RecordContent& content);
--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -44,6 +44,25 @@
           .m_random_seed = incarnation.Get()};
 }
 
+bool IsExcludedIn(const std::vector<LocalInstance>& instances, InstanceId id) {
+  return std::any_of(instances.begin(), instances.end(),
+                     [id](const LocalInstance& instance) {
+                       return instance.m_id == id && instance.m_is_excluded;
+                     });
+}
+
+// Logs which own instances went out of service, or came back.
+void LogEjections(const std::vector<LocalInstance>& before,
+                  const std::vector<LocalInstance>& after) {
+  for (const LocalInstance& instance : after) {
+    if (instance.m_is_excluded != IsExcludedIn(before, instance.m_id)) {
+      LogEvent(LogLevel::kInfo, instance.m_is_excluded ? "instance_ejected"
+                                                       : "instance_readmitted")
+          .Add("instance", ToString(instance.m_id));
+    }
+  }
+}
+
 HttpAnswer Refusal(uint16_t status, std::string title, std::string detail) {
   return ToAnswer(Problem{.m_status = status,
                           .m_title = std::move(title),
@@ -76,7 +95,9 @@
                  Publish();
                }),
       m_relay(io,
-              {.m_own = NodeId(settings.m_peer), .m_incarnation = incarnation},
+              {.m_own = NodeId(settings.m_peer),
+               .m_incarnation = incarnation,
+               .m_bind_ip = PeerBindOf(settings).m_ip},
               &m_membership,
               &m_config),
       m_ejections(&m_membership, &m_config),
@@ -185,6 +206,7 @@
   }
   std::vector<LocalInstance> instances = MakeLocalInstances();
   if (instances != m_published_instances) {
+    LogEjections(m_published_instances, instances);
     m_published_instances = instances;
     m_outputs.m_on_instances(std::move(instances));
   }
@@ -208,17 +230,21 @@
   std::vector<LocalInstance> locals;
   for (const auto& [id, entry] : m_instances.Entries()) {
     const Announcement& announced = entry.m_announced;
+    const ServiceId service_id = ServiceIdOf(announced.m_service);
     LocalInstance local{
         .m_id = id,
-        .m_service = ServiceIdOf(announced.m_service),
+        .m_service = service_id,
         .m_incarnation = announced.m_incarnation,
         .m_slots = announced.m_slots,
         .m_is_draining = entry.m_is_drained || announced.m_is_draining,
-        .m_is_ejected = m_ejections.IsEjected(id, announced.m_incarnation)};
-    const Service* service =
-        m_config.InForce() == nullptr
-            ? nullptr
-            : m_config.InForce()->FindService(local.m_service);
+        .m_is_ejected =
+            m_config.EjectionsOf(service_id)
+                .IsEjected({.m_instance = id,
+                            .m_incarnation = announced.m_incarnation}),
+        .m_is_excluded = m_ejections.IsEjected(id, announced.m_incarnation)};
+    const Service* service = m_config.InForce() == nullptr
+                                 ? nullptr
+                                 : m_config.InForce()->FindService(service_id);
     if (service != nullptr) {
       local.m_queue_length =
           static_cast<uint16_t>(service->m_limits.m_queue_length);
--- a/libs/node/src/egress.cc
+++ b/libs/node/src/egress.cc
@@ -149,7 +149,7 @@
     return AttemptReason::kUnknownInstance;
   }
   if (m_is_draining || instance->m_local.m_is_draining ||
-      instance->m_local.m_is_ejected) {
+      instance->m_local.m_is_excluded) {
     return AttemptReason::kDraining;
   }
   if (!MayTakeSuspectWork(*instance, message)) {
@@ -349,11 +349,16 @@
 }
 
 Egress::Instance Egress::MakeInstance(const LocalInstance& local) {
-  return {.m_local = local,
-          .m_judge = InstanceJudge(
-              MakeJudgeOptions(PolicyFor(local.m_false_ejection_hours)), Now()),
-          .m_gate = SlotGate({.m_slots = local.m_slots,
-                              .m_max_queued = local.m_queue_length})};
+  Instance instance{
+      .m_local = local,
+      .m_judge = InstanceJudge(
+          MakeJudgeOptions(PolicyFor(local.m_false_ejection_hours)), Now()),
+      .m_gate = SlotGate(
+          {.m_slots = local.m_slots, .m_max_queued = local.m_queue_length})};
+  if (local.m_is_ejected) {
+    instance.m_judge.OnEjected(Now());
+  }
+  return instance;
 }
 
 void Egress::Update(Instance& instance, const LocalInstance& local) {
--- a/libs/node/src/egress_p.h
+++ b/libs/node/src/egress_p.h
@@ -26,7 +26,10 @@
   uint16_t m_slots = 1;
   uint16_t m_queue_length = 0;
   bool m_is_draining = false;
+  // An ejection of it stands on the log.
   bool m_is_ejected = false;
+  // It gets no work. Not so while the floor keeps an ejected one in service.
+  bool m_is_excluded = false;
   double m_false_ejection_hours = 1000;
 
   friend bool operator==(const LocalInstance&, const LocalInstance&) = default;
--- a/libs/node/src/ejection_keeper.cc
+++ b/libs/node/src/ejection_keeper.cc
@@ -58,7 +58,7 @@
       {.m_instance = report.m_id, .m_incarnation = report.m_incarnation},
       StatusesOf(report.m_service, siblings),
       m_feed->Replay().FloorOf(report.m_service),
-      m_feed->Replay().EjectionsOf(report.m_service), &reason);
+      m_feed->EjectionsOf(report.m_service), &reason);
   LogEvent(LogLevel::kInfo, grant ? "ejection_asked" : "ejection_not_possible")
       .Add("instance", ToString(report.m_id))
       .Add("service", *name)
@@ -70,8 +70,7 @@
 
 void EjectionKeeper::AskForReadmission(const InstanceReport& report) {
   const std::string* name = NameOf(report.m_service);
-  const ServiceEjections& ejections =
-      m_feed->Replay().EjectionsOf(report.m_service);
+  const ServiceEjections& ejections = m_feed->EjectionsOf(report.m_service);
   const auto ejection = ejections.m_ejected.find(report.m_id);
   if (name == nullptr || ejection == ejections.m_ejected.end()) {
     return;
--- a/libs/node/tests/egress_test.cc
+++ b/libs/node/tests/egress_test.cc
@@ -14,15 +14,17 @@
   return InstanceId(Endpoint{.m_ip = 0x7f000001, .m_port = port});
 }
 
+const LocalInstance kInstance{.m_id = At(9),
+                              .m_service = kService,
+                              .m_incarnation = Incarnation(1),
+                              .m_slots = 1,
+                              .m_queue_length = 0};
+
 class EgressTest : public testing::Test {
  protected:
-  EgressTest() : m_egress(m_io, kOwn) {
-    m_egress.SetInstances({{.m_id = At(9),
-                            .m_service = kService,
-                            .m_incarnation = Incarnation(1),
-                            .m_slots = 1,
-                            .m_queue_length = 0}});
-  }
+  EgressTest() : m_egress(m_io, kOwn) { m_egress.SetInstances({kInstance}); }
+
+  JudgeReport Judged() const { return m_egress.Reports().front().m_judge; }
 
   // Result of a dispatch that is refused at once; empty when it is not.
   std::optional<ResultMessage> Dispatch(uint64_t counter) {
@@ -73,5 +75,28 @@
   EXPECT_EQ(m_egress.InFlight(), 0U);
 }
 
+// Where too few are left, an ejected instance is in service again; that ends no
+// ejection, and when it is excluded again, that is no new one.
+TEST_F(EgressTest, AnEjectionStandsWhileTheFloorKeepsItsInstanceInService) {
+  LocalInstance instance = kInstance;
+  instance.m_is_ejected = true;
+  instance.m_is_excluded = true;
+  m_egress.SetInstances({instance});
+  EXPECT_TRUE(Judged().m_is_ejected);
+  EXPECT_TRUE(Dispatch(1).has_value());
+  instance.m_is_excluded = false;
+  m_egress.SetInstances({instance});
+  EXPECT_TRUE(Judged().m_is_ejected);
+}
+
+// As after a restart of the node.
+TEST_F(EgressTest, AnInstanceThatComesEjectedIsJudgedEjected) {
+  m_egress.SetInstances({});
+  LocalInstance instance = kInstance;
+  instance.m_is_ejected = true;
+  m_egress.SetInstances({instance});
+  EXPECT_TRUE(Judged().m_is_ejected);
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/tests/ejection_test.cc
+++ b/tests/ejection_test.cc
@@ -19,10 +19,7 @@
   void SetUp() override { ASSERT_EQ(m_fleet.Start(), ""); }
 
   bool SetMode(int node, int index, const std::string& mode) {
-    return Call({.m_to = m_fleet.Instance(node, index),
-                 .m_method = "POST",
-                 .m_target = "/standin/mode?mode=" + mode})
-               .m_status == 200;
+    return m_fleet.SetMode(node, index, mode);
   }
 
   // Standing of the instance as the API of node 0 shows it.
--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -138,10 +138,11 @@
   std::vector<Relay::Node> nodes;
   nodes.reserve(m_nodes.size());
   for (int node = 0; node < m_options.m_nodes; ++node) {
-    nodes.push_back(
-        {.m_known = At(node, kPeerPort), .m_bound = PeerBind(node)});
+    nodes.push_back({.m_known = At(node, kPeerPort),
+                     .m_bound = PeerBind(node),
+                     .m_log = LogAsSeenBy(node)});
   }
-  m_relay = std::make_unique<Relay>(std::move(nodes));
+  m_relay = std::make_unique<Relay>(std::move(nodes), Log());
 }
 
 Endpoint Fleet::Caller(int node) const {
@@ -164,6 +165,17 @@
   return {.m_ip = m_base_ip + 250, .m_port = kLogPort};
 }
 
+Endpoint Fleet::LogAsSeenBy(int node) const {
+  return m_options.m_has_relay ? At(node, kLogPort) : Log();
+}
+
+bool Fleet::SetMode(int node, int index, const std::string& mode) const {
+  return Call({.m_to = Instance(node, index),
+               .m_method = "POST",
+               .m_target = "/standin/mode?mode=" + mode})
+             .m_status == 200;
+}
+
 void Fleet::StartNode(int node) {
   const std::string file = m_folder + "/node" + std::to_string(node) + ".json";
   std::ofstream(file) << Settings(node);
@@ -198,7 +210,7 @@
       {"region", region},
       {"failure_domain", region + "-" + std::to_string(node % 2)},
       {"site", region},
-      {"log", ToJson(Log())},
+      {"log", ToJson(LogAsSeenBy(node))},
       {"seeds", seeds}};
   return settings.dump(2);
 }
@@ -258,15 +270,19 @@
     routes["extra"] = route(extra_path);
   }
   const int instances = m_options.m_nodes * m_options.m_instances_per_node;
-  return Json{{"sites", kRegions},
-              {"services",
-               {{"work",
-                 {{"instances", instances},
-                  {"floor", instances / 2},
-                  {"retries",
-                   {{"max_attempts", 3},
-                    {"budget_share", m_options.m_retry_share}}}}}}},
-              {"routes", routes}}
+  const int floor = m_options.m_floor > 0 ? m_options.m_floor : instances / 2;
+  return Json{
+      {"sites", kRegions},
+      {"services",
+       {{"work",
+         {{"instances", instances},
+          {"floor", floor},
+          {"ejection",
+           {{"false_ejection_bound", m_options.m_false_ejection_bound}}},
+          {"retries",
+           {{"max_attempts", 3},
+            {"budget_share", m_options.m_retry_share}}}}}}},
+      {"routes", routes}}
       .dump();
 }
 
@@ -326,16 +342,15 @@
   return Json::parse(answer.m_body).at("total").get<uint64_t>();
 }
 
+std::vector<NodeEvent> Fleet::Events(int node) const {
+  return ReadNodeEvents(m_folder + "/node" + std::to_string(node) + ".txt");
+}
+
 std::vector<uint64_t> Fleet::Incarnations(int node) const {
-  std::ifstream log(m_folder + "/node" + std::to_string(node) + ".txt");
-  const std::string name = "incarnation=";
   std::vector<uint64_t> incarnations;
-  std::string line;
-  while (std::getline(log, line)) {
-    const size_t at = line.find(name);
-    if (line.find("node_ready") != std::string::npos &&
-        at != std::string::npos) {
-      incarnations.push_back(std::stoull(line.substr(at + name.size())));
+  for (const NodeEvent& event : Events(node)) {
+    if (event.m_name == "node_ready") {
+      incarnations.push_back(std::stoull(event.Value("incarnation")));
     }
   }
   return incarnations;
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -13,6 +13,7 @@
 
 #include "child_process.h"
 #include "http_call.h"
+#include "node_events.h"
 #include "relay.h"
 
 namespace sequoiastage {
@@ -24,9 +25,13 @@
   int m_latency_ms = 5;
   /// Retries as a share of the requests.
   double m_retry_share = 0.1;
+  /// Instances that ejections must leave; 0: half of all.
+  int m_floor = 0;
+  /// The service's bound of false ejections.
+  std::string m_false_ejection_bound = "1000h";
   /// Instances only beside this node; -1: beside every node.
   int m_only_instances_at = -1;
-  /// A relay stands between the nodes, see Fleet::Links().
+  /// A relay stands between the nodes, and before the log, see Fleet::Links().
   bool m_has_relay = false;
 };
 
@@ -57,6 +62,8 @@
   Endpoint Peer(int node) const;
   Endpoint Instance(int node, int index) const;
   Endpoint Log() const;
+  /// Switches the stand-in to `mode`, see standins/backend_server.
+  bool SetMode(int node, int index, const std::string& mode) const;
 
   /// The relay between the nodes.
   Relay& Links() { return *m_relay; }
@@ -82,6 +89,8 @@
   int64_t LastStartMs(int node, int index) const;
   uint64_t TotalStarts(int node, int index) const;
 
+  /// What the node has logged so far.
+  std::vector<NodeEvent> Events(int node) const;
   /// Incarnations of the node's runs, in order, from its log.
   std::vector<uint64_t> Incarnations(int node) const;
 
@@ -92,6 +101,7 @@
  private:
   Endpoint At(int node, uint16_t port) const;
   Endpoint PeerBind(int node) const;
+  Endpoint LogAsSeenBy(int node) const;
   int InstancesAt(int node) const;
   void StartRelay();
   std::string Settings(int node) const;
--- a/tests/relay.cc
+++ b/tests/relay.cc
@@ -1,9 +1,12 @@
 #include "relay.h"
 
+#include <gtest/gtest.h>
+
 #include <array>
 #include <asio.hpp>
 #include <atomic>
 #include <chrono>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -25,10 +28,13 @@
 
 class Relay::Impl {
  public:
-  explicit Impl(std::vector<Node> nodes) : m_nodes(std::move(nodes)) {
+  Impl(std::vector<Node> nodes, const Endpoint& log)
+      : m_nodes(std::move(nodes)), m_log(log) {
     for (const Node& node : m_nodes) {
       m_acceptors.emplace_back(
           m_io, tcp::endpoint(Address(node.m_known), node.m_known.m_port));
+      m_log_acceptors.emplace_back(
+          m_io, tcp::endpoint(Address(node.m_log), node.m_log.m_port));
       m_datagrams.emplace_back(
           m_io, udp::endpoint(Address(node.m_known), node.m_known.m_port));
       m_datagrams.back().non_blocking(true);
@@ -36,6 +42,7 @@
     m_buffers.resize(m_nodes.size());
     for (size_t node = 0; node < m_nodes.size(); ++node) {
       Accept(node);
+      AcceptForLog(node);
       Receive(node);
     }
     m_thread = std::thread([this] { m_io.run(); });
@@ -68,13 +75,13 @@
   using PipePtr = std::shared_ptr<Pipe>;
 
   // The node that is bound at `ip`.
-  size_t NodeAt(uint32_t ip) const {
+  std::optional<size_t> NodeAt(uint32_t ip) const {
     for (size_t node = 0; node < m_nodes.size(); ++node) {
       if (m_nodes[node].m_bound.m_ip == ip) {
         return node;
       }
     }
-    return 0;
+    return std::nullopt;
   }
 
   void Accept(size_t node) {
@@ -82,21 +89,42 @@
     m_acceptors[node].async_accept(
         pipe->m_from, [this, node, pipe](const asio::error_code& error) {
           if (!error) {
-            Connect(node, pipe);
+            ConnectToNode(node, pipe);
           }
           Accept(node);
         });
   }
 
-  void Connect(size_t node, const PipePtr& pipe) {
+  void AcceptForLog(size_t node) {
+    const auto pipe = std::make_shared<Pipe>(m_io);
+    pipe->m_from_node = node;
+    pipe->m_to_node = Size();
+    m_log_acceptors[node].async_accept(
+        pipe->m_from, [this, node, pipe](const asio::error_code& error) {
+          if (!error) {
+            Connect(m_log, pipe);
+          }
+          AcceptForLog(node);
+        });
+  }
+
+  void ConnectToNode(size_t node, const PipePtr& pipe) {
     asio::error_code gone;
     const auto peer = pipe->m_from.remote_endpoint(gone);
     if (gone) {
       return;
     }
-    pipe->m_from_node = NodeAt(peer.address().to_v4().to_uint());
+    const auto from = NodeAt(peer.address().to_v4().to_uint());
+    if (!from) {
+      ADD_FAILURE() << "a connection from no node's address";
+      return;
+    }
+    pipe->m_from_node = *from;
     pipe->m_to_node = node;
-    const Endpoint& to = m_nodes[node].m_bound;
+    Connect(m_nodes[node].m_bound, pipe);
+  }
+
+  void Connect(const Endpoint& to, const PipePtr& pipe) {
     pipe->m_to.async_connect({Address(to), to.m_port},
                              [this, pipe](const asio::error_code& error) {
                                if (error) {
@@ -168,30 +196,38 @@
   // It leaves from the address that others know of its sender.
   void PassDatagram(size_t node, size_t count) {
     const auto& [buffer, sender] = m_buffers[node];
-    const size_t from = NodeAt(sender.address().to_v4().to_uint());
-    if (m_cut[from][node]) {
+    const auto from = NodeAt(sender.address().to_v4().to_uint());
+    if (!from || m_cut[*from][node]) {
       return;
     }
     const Endpoint& to = m_nodes[node].m_bound;
     asio::error_code ignored;
-    m_datagrams[from].send_to(asio::buffer(buffer, count),
-                              {Address(to), to.m_port}, 0, ignored);
+    m_datagrams[*from].send_to(asio::buffer(buffer, count),
+                               {Address(to), to.m_port}, 0, ignored);
   }
 
   std::vector<Node> m_nodes;
+  Endpoint m_log;
   asio::io_context m_io;
   std::vector<tcp::acceptor> m_acceptors;
+  std::vector<tcp::acceptor> m_log_acceptors;
   std::vector<udp::socket> m_datagrams;
   std::vector<std::pair<std::array<char, 65536>, udp::endpoint>> m_buffers;
-  std::array<std::array<std::atomic<bool>, kMaxNodes>, kMaxNodes> m_cut{};
+  // By sender and receiver; the log comes after the nodes.
+  std::array<std::array<std::atomic<bool>, kMaxNodes + 1>, kMaxNodes + 1>
+      m_cut{};
   std::thread m_thread;
 };
 
-Relay::Relay(std::vector<Node> nodes)
-    : m_impl(std::make_unique<Impl>(std::move(nodes))) {}
+Relay::Relay(std::vector<Node> nodes, const Endpoint& log)
+    : m_impl(std::make_unique<Impl>(std::move(nodes), log)) {}
 
 Relay::~Relay() = default;
 
+int Relay::Log() const {
+  return static_cast<int>(m_impl->Size());
+}
+
 void Relay::Cut(int from, int to) {
   m_impl->Set(from, to, true);
 }
@@ -200,10 +236,14 @@
   m_impl->Set(from, to, false);
 }
 
+void Relay::CutBothWays(int one, int other) {
+  Cut(one, other);
+  Cut(other, one);
+}
+
 void Relay::HealAll() {
-  const auto count = static_cast<int>(m_impl->Size());
-  for (int from = 0; from < count; ++from) {
-    for (int to = 0; to < count; ++to) {
+  for (int from = 0; from <= Log(); ++from) {
+    for (int to = 0; to <= Log(); ++to) {
       Heal(from, to);
     }
   }
