--- a/tests/load.cc
+++ b/tests/load.cc
@@ -19,7 +19,8 @@
     while (!m_load.m_is_stopping && (options.m_requests_per_caller == 0 ||
                                      count < options.m_requests_per_caller)) {
       ++count;
-      m_id = "r" + std::to_string(m_number) + "-" + std::to_string(count);
+      m_id = options.m_name + std::to_string(m_number) + "-" +
+             std::to_string(count);
       ++m_result.m_requests;
       if (options.m_keyed_every > 0 && count % options.m_keyed_every == 0) {
         RunKeyed();
@@ -32,8 +33,10 @@
 
  private:
   int NextNode() {
-    m_node = (m_node + 1) % m_load.m_fleet.NodeCount();
-    return m_node;
+    ++m_turn;
+    const std::vector<int>& nodes = m_load.m_options.m_nodes;
+    return nodes.empty() ? m_turn % m_load.m_fleet.NodeCount()
+                         : nodes[m_turn % nodes.size()];
   }
 
   CallerRequest MakeRequest(std::string method, std::string body) {
@@ -132,7 +135,7 @@
 
   Load& m_load;
   int m_number;
-  int m_node = m_number;
+  int m_turn = m_number;
   std::mt19937_64 m_random;
   std::string m_id;
   LoadResult m_result;
--- a/tests/load.h
+++ b/tests/load.h
@@ -14,6 +14,10 @@
 namespace sequoiastage {
 
 struct LoadOptions {
+  /// Starts the requests' ids: one for each load on a fleet.
+  std::string m_name = "r";
+  /// Where callers send their requests; none: to all nodes.
+  std::vector<int> m_nodes = {};
   int m_callers = 8;
   /// Requests of each caller; 0: until Stop().
   int m_requests_per_caller = 0;
--- a/tests/outcome_under_faults_test.cc
+++ b/tests/outcome_under_faults_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include "execution_check.h"
 #include "fault_schedule.h"
 #include "fleet.h"
 #include "load.h"
@@ -11,26 +12,6 @@
 
 constexpr milliseconds kDeadline{1500};
 
-// What each keyed request was told, against the instances' own counts. Returns
-// how many were told not-run for good.
-int CheckExecutions(const LoadResult& result,
-                    const std::map<std::string, int>& executions) {
-  int not_run = 0;
-  for (const auto& [id, record] : result.m_keyed) {
-    const auto found = executions.find(id);
-    const int count = found == executions.end() ? 0 : found->second;
-    EXPECT_LE(count, 1) << id << " ran more than once";
-    if (record.m_was_answered) {
-      EXPECT_EQ(count, 1) << id << " was answered";
-    }
-    if (record.m_is_not_run) {
-      ++not_run;
-      EXPECT_EQ(count, 0) << id << " was told not-run";
-    }
-  }
-  return not_run;
-}
-
 // Callers with unique bodies at all nodes while faults go on.
 void KeepsPromisesUnder(const std::vector<Fault>& faults,
                         bool has_relay,
