--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -73,6 +73,7 @@
       (std::filesystem::temp_directory_path() / "sequoiastage-XXXXXX").string();
   m_folder = mkdtemp(folder.data());
   m_nodes.resize(m_options.m_nodes);
+  m_instances.resize(m_options.m_nodes);
 }
 
 Fleet::~Fleet() {
@@ -95,10 +96,8 @@
     StartRelay();
   }
   for (int node = 0; node < m_options.m_nodes; ++node) {
-    StartNode(node);
-    for (int i = 0; i < InstancesAt(node); ++i) {
-      StartInstance(node, i);
-    }
+    m_instances[node].resize(InstancesAt(node));
+    StartHost(node);
   }
   if (!WaitUntil(kStartLimit, [this] { return Publish(); })) {
     return "the log service takes no configuration";
@@ -208,14 +207,33 @@
 }
 
 void Fleet::StartInstance(int node, int index) {
-  m_instances.emplace_back(
+  m_instances[node][index].emplace(
       "backend_server",
       std::vector<std::string>{
           "--listen=" + ToString(Instance(node, index)),
           "--announce=" + ToString(At(node, kAnnouncePort)), "--service=work",
           "--slots=" + std::to_string(m_options.m_slots),
           "--latency_ms=" + std::to_string(m_options.m_latency_ms)},
-      m_folder + "/instance" + std::to_string(m_instances.size()) + ".txt");
+      m_folder + "/instance" + std::to_string(node) + "-" +
+          std::to_string(index) + ".txt");
+}
+
+void Fleet::StartHost(int node) {
+  StartNode(node);
+  for (int i = 0; i < InstancesAt(node); ++i) {
+    StartInstance(node, i);
+  }
+}
+
+void Fleet::KillHost(int node) {
+  m_nodes[node]->Signal(SIGKILL);
+  for (auto& instance : m_instances[node]) {
+    instance->Signal(SIGKILL);
+  }
+  m_nodes[node]->Wait();
+  for (auto& instance : m_instances[node]) {
+    instance->Wait();
+  }
 }
 
 std::string Fleet::Settings(int node) const {
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -62,6 +62,9 @@
   Endpoint Peer(int node) const;
   Endpoint Instance(int node, int index) const;
   Endpoint Log() const;
+  int InstanceCount() const;
+  /// Instances that the node lists.
+  int KnownInstances(int node) const;
   /// Switches the stand-in to `mode`, see standins/backend_server.
   bool SetMode(int node, int index, const std::string& mode) const;
 
@@ -69,6 +72,12 @@
   Relay& Links() { return *m_relay; }
 
   void StartNode(int node);
+  void StartInstance(int node, int index);
+  /// The node and the instances beside it, at the same time, as when the host
+  /// loses its power.
+  void KillHost(int node);
+  /// The node and the instances beside it.
+  void StartHost(int node);
   ChildProcess& Node(int node) { return *m_nodes[node]; }
 
   /// True when the node serves the route that every configuration has.
@@ -103,14 +112,10 @@
   Endpoint PeerBind(int node) const;
   Endpoint LogAsSeenBy(int node) const;
   int InstancesAt(int node) const;
-  int InstanceCount() const;
-  /// Instances that the node lists.
-  int KnownInstances(int node) const;
   void StartRelay();
   std::string Settings(int node) const;
   std::string Configuration(const std::string& extra_path) const;
   bool Append(const std::string& record) const;
-  void StartInstance(int node, int index);
 
   FleetOptions m_options;
   uint32_t m_base_ip;
@@ -119,7 +124,7 @@
   std::unique_ptr<Relay> m_relay;
   std::optional<ChildProcess> m_log;
   std::vector<std::optional<ChildProcess>> m_nodes;
-  std::vector<ChildProcess> m_instances;
+  std::vector<std::vector<std::optional<ChildProcess>>> m_instances;
 };
 
 }  // namespace sequoiastage
