Check the outcomes with two faults at a time; end fault tests by goals

The tests of outcomes under faults ended after a number of requests and then expected more than three faults: on a fast machine the load could end before the fourth. They go on until both the answers and the faults are reached; the bounds are the same (at least as many answers as requests before, at least 4 faults).

--- a/tests/fault_schedule.cc
+++ b/tests/fault_schedule.cc
@@ -2,19 +2,40 @@
 
 #include <signal.h>
 
+#include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace sequoiastage {
 
-FaultSchedule::FaultSchedule(Fleet& fleet,
-                             std::vector<Fault> kinds,
-                             uint64_t seed)
-    : m_fleet(fleet), m_kinds(std::move(kinds)), m_random(seed) {}
+FaultSchedule::FaultSchedule(Fleet& fleet, FaultScheduleOptions options)
+    : m_fleet(fleet),
+      m_options(std::move(options)),
+      m_random(m_options.m_seed) {}
 
 void FaultSchedule::Run(const Condition& is_done) {
   while (!WaitUntil(Between(100, 400), is_done)) {
-    ++m_faults;
-    Inject(m_kinds[m_random() % m_kinds.size()], is_done);
+    std::vector<Active> group;
+    for (const int node : AnyNodes(m_options.m_at_once)) {
+      const Fault fault =
+          m_options.m_kinds[m_random() % m_options.m_kinds.size()];
+      const int step =
+          1 + static_cast<int>(m_random() % (m_fleet.NodeCount() - 1));
+      group.push_back({.m_fault = fault,
+                       .m_node = node,
+                       .m_to = (node + step) % m_fleet.NodeCount()});
+    }
+    for (const Active& active : group) {
+      ++m_faults;
+      Begin(active);
+      if (group.size() > 1) {
+        WaitUntil(Between(0, 200), is_done);
+      }
+    }
+    for (const Active& active : group) {
+      WaitUntil(LengthOf(active.m_fault), is_done);
+      End(active);
+    }
   }
 }
 
@@ -23,40 +44,46 @@
       std::uniform_int_distribution<int64_t>(low, high)(m_random));
 }
 
-int FaultSchedule::AnyNode() {
-  return std::uniform_int_distribution<int>(0,
-                                            m_fleet.NodeCount() - 1)(m_random);
-}
-
-void FaultSchedule::Inject(Fault fault, const Condition& is_done) {
+std::chrono::milliseconds FaultSchedule::LengthOf(Fault fault) {
   switch (fault) {
     case Fault::kKill:
-      return KillAndRestart(AnyNode(), is_done);
+      return Between(0, 600);
     case Fault::kFreeze:
-      return FreezeAndThaw(AnyNode(), is_done);
+      return Between(50, 2500);
     case Fault::kCutOneWay:
-      return CutAndHeal(AnyNode(), is_done);
+      break;
   }
+  return Between(200, 3000);
 }
 
-void FaultSchedule::KillAndRestart(int node, const Condition& is_done) {
-  m_fleet.Node(node).Kill();
-  WaitUntil(Between(0, 600), is_done);
-  m_fleet.StartNode(node);
+std::vector<int> FaultSchedule::AnyNodes(int count) {
+  std::vector<int> nodes(m_fleet.NodeCount());
+  std::iota(nodes.begin(), nodes.end(), 0);
+  std::shuffle(nodes.begin(), nodes.end(), m_random);
+  nodes.resize(std::min<size_t>(nodes.size(), count));
+  return nodes;
 }
 
-void FaultSchedule::FreezeAndThaw(int node, const Condition& is_done) {
-  m_fleet.Node(node).Signal(SIGSTOP);
-  WaitUntil(Between(50, 2500), is_done);
-  m_fleet.Node(node).Signal(SIGCONT);
+void FaultSchedule::Begin(const Active& active) {
+  switch (active.m_fault) {
+    case Fault::kKill:
+      return m_fleet.Node(active.m_node).Kill();
+    case Fault::kFreeze:
+      return m_fleet.Node(active.m_node).Signal(SIGSTOP);
+    case Fault::kCutOneWay:
+      return m_fleet.Links().Cut(active.m_node, active.m_to);
+  }
 }
 
-void FaultSchedule::CutAndHeal(int from, const Condition& is_done) {
-  const int to =
-      (from + 1 + AnyNode() % (m_fleet.NodeCount() - 1)) % m_fleet.NodeCount();
-  m_fleet.Links().Cut(from, to);
-  WaitUntil(Between(200, 3000), is_done);
-  m_fleet.Links().Heal(from, to);
+void FaultSchedule::End(const Active& active) {
+  switch (active.m_fault) {
+    case Fault::kKill:
+      return m_fleet.StartNode(active.m_node);
+    case Fault::kFreeze:
+      return m_fleet.Node(active.m_node).Signal(SIGCONT);
+    case Fault::kCutOneWay:
+      return m_fleet.Links().Heal(active.m_node, active.m_to);
+  }
 }
 
 }  // namespace sequoiastage
--- a/tests/fault_schedule.h
+++ b/tests/fault_schedule.h
@@ -19,10 +19,17 @@
   kCutOneWay,
 };
 
-/// Injects faults of the given kinds, one after the other, from a seed.
+struct FaultScheduleOptions {
+  std::vector<Fault> m_kinds;
+  uint64_t m_seed = 1;
+  /// Faults that overlap, each at a node of its own.
+  int m_at_once = 1;
+};
+
+/// Injects faults of the given kinds, one group after the other, from a seed.
 class FaultSchedule {
  public:
-  FaultSchedule(Fleet& fleet, std::vector<Fault> kinds, uint64_t seed);
+  FaultSchedule(Fleet& fleet, FaultScheduleOptions options);
 
   /// Goes on until `is_done`; afterwards all nodes run and no link is cut.
   void Run(const std::function<bool()>& is_done);
@@ -32,15 +39,21 @@
  private:
   using Condition = std::function<bool()>;
 
+  struct Active {
+    Fault m_fault;
+    int m_node = 0;
+    /// Where the way from the node is cut to.
+    int m_to = 0;
+  };
+
   std::chrono::milliseconds Between(int64_t low, int64_t high);
-  int AnyNode();
-  void Inject(Fault fault, const Condition& is_done);
-  void KillAndRestart(int node, const Condition& is_done);
-  void FreezeAndThaw(int node, const Condition& is_done);
-  void CutAndHeal(int from, const Condition& is_done);
+  std::chrono::milliseconds LengthOf(Fault fault);
+  std::vector<int> AnyNodes(int count);
+  void Begin(const Active& active);
+  void End(const Active& active);
 
   Fleet& m_fleet;
-  std::vector<Fault> m_kinds;
+  FaultScheduleOptions m_options;
   std::mt19937_64 m_random;
   int m_faults = 0;
 };
--- a/tests/load.cc
+++ b/tests/load.cc
@@ -16,8 +16,7 @@
   LoadResult Run() {
     const LoadOptions& options = m_load.m_options;
     int count = 0;
-    while (!m_load.m_is_stopping && (options.m_requests_per_caller == 0 ||
-                                     count < options.m_requests_per_caller)) {
+    while (!m_load.m_is_stopping) {
       ++count;
       m_id = options.m_name + std::to_string(m_number) + "-" +
              std::to_string(count);
@@ -142,7 +141,7 @@
 };
 
 Load::Load(const Fleet& fleet, const LoadOptions& options)
-    : m_fleet(fleet), m_options(options), m_running(options.m_callers) {
+    : m_fleet(fleet), m_options(options) {
   for (int number = 0; number < options.m_callers; ++number) {
     m_threads.emplace_back([this, number] {
       LoadResult part = Caller(*this, number).Run();
@@ -162,7 +161,6 @@
       }
       m_result.m_longest = std::max(m_result.m_longest, part.m_longest);
       m_result.m_keyed.merge(part.m_keyed);
-      --m_running;
     });
   }
 }
--- a/tests/load.h
+++ b/tests/load.h
@@ -19,8 +19,6 @@
   /// Where callers send their requests; none: to all nodes.
   std::vector<int> m_nodes = {};
   int m_callers = 8;
-  /// Requests of each caller; 0: until Stop().
-  int m_requests_per_caller = 0;
   /// One request in so many may not be repeated; 0: none.
   int m_keyed_every = 5;
   /// How often a caller shows one request, each time at the next node.
@@ -64,7 +62,6 @@
 
   /// Requests answered so far.
   int Answered() const { return m_answered; }
-  bool IsDone() const { return m_running == 0; }
 
   /// Lets each caller end its request, then ends them. Call once.
   LoadResult Stop();
@@ -76,7 +73,6 @@
   LoadOptions m_options;
   std::atomic<bool> m_is_stopping{false};
   std::atomic<int> m_answered{0};
-  std::atomic<int> m_running{0};
   std::mutex m_mutex;
   LoadResult m_result;
   std::vector<std::thread> m_threads;
--- a/tests/outcome_under_faults_test.cc
+++ b/tests/outcome_under_faults_test.cc
@@ -11,21 +11,28 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kDeadline{1500};
+// What shows that the schedule has reached what a test is about.
+struct Goal {
+  int m_answers = 0;
+  int m_faults = 4;
+};
 
-// Callers with unique bodies at all nodes while faults go on.
-void KeepsPromisesUnder(const std::vector<Fault>& faults,
-                        bool has_relay,
-                        int requests_per_caller) {
-  const uint64_t seed = ScheduleSeed();
-  Fleet fleet({.m_has_relay = has_relay});
+// Callers with unique bodies at all nodes while faults go on, until
+// the goal is reached.
+void KeepsPromisesUnder(const FleetOptions& options,
+                        const FaultScheduleOptions& faults,
+                        const Goal& goal) {
+  Fleet fleet(options);
   ASSERT_EQ(fleet.Start(), "");
   Load load(fleet, {.m_callers = 16,
-                    .m_requests_per_caller = requests_per_caller,
                     .m_keyed_every = 4,
                     .m_deadline = kDeadline,
-                    .m_seed = seed});
-  FaultSchedule schedule(fleet, faults, seed);
-  schedule.Run([&load] { return load.IsDone(); });
+                    .m_seed = faults.m_seed});
+  FaultSchedule schedule(fleet, faults);
+  schedule.Run([&] {
+    return load.Answered() >= goal.m_answers &&
+           schedule.Faults() >= goal.m_faults;
+  });
   const LoadResult result = load.Stop();
   // Nothing starts after the last caller's deadline: then the counts stand.
   const auto end = std::chrono::steady_clock::now() + kDeadline;
@@ -43,8 +50,7 @@
   for (const auto& [reason, count] : result.m_not_run_reasons) {
     std::printf("not-run %d times: %s\n", count, reason.c_str());
   }
-  // The schedule must have reached what the test is about.
-  EXPECT_GT(schedule.Faults(), 3);
+  EXPECT_GE(schedule.Faults(), goal.m_faults);
   EXPECT_GT(result.m_answered, result.m_requests / 2);
   for (int node = 0; node < fleet.NodeCount(); ++node) {
     const auto is_serving = [&fleet, node] { return fleet.IsServing(node); };
@@ -53,16 +59,32 @@
 }
 
 TEST(OutcomeUnderFaultsTest, AnswersAreOwnNotRunIsTrueAndNothingRunsTwice) {
-  KeepsPromisesUnder({Fault::kKill, Fault::kFreeze}, /*has_relay=*/false, 625);
+  KeepsPromisesUnder(
+      {}, {.m_kinds = {Fault::kKill, Fault::kFreeze}, .m_seed = ScheduleSeed()},
+      {.m_answers = 10'000});
 }
 
 TEST(OutcomeUnderFaultsTest, TheSameUnderOneWayCuts) {
-  KeepsPromisesUnder({Fault::kCutOneWay}, /*has_relay=*/true, 400);
+  KeepsPromisesUnder({.m_has_relay = true},
+                     {.m_kinds = {Fault::kCutOneWay}, .m_seed = ScheduleSeed()},
+                     {.m_answers = 6'400});
 }
 
 TEST(OutcomeUnderFaultsTest, TheSameUnderAllFaultsTogether) {
-  KeepsPromisesUnder({Fault::kCutOneWay, Fault::kKill, Fault::kFreeze},
-                     /*has_relay=*/true, 400);
+  KeepsPromisesUnder(
+      {.m_has_relay = true},
+      {.m_kinds = {Fault::kCutOneWay, Fault::kKill, Fault::kFreeze},
+       .m_seed = ScheduleSeed()},
+      {.m_answers = 6'400});
+}
+
+TEST(OutcomeUnderFaultsTest, TheSameUnderTwoFaultsAtATime) {
+  KeepsPromisesUnder(
+      {.m_nodes = 6, .m_instances_per_node = 1, .m_has_relay = true},
+      {.m_kinds = {Fault::kCutOneWay, Fault::kKill, Fault::kFreeze},
+       .m_seed = ScheduleSeed(),
+       .m_at_once = 2},
+      {.m_answers = 2'000, .m_faults = 12});
 }
 
 }  // namespace
