--- a/libs/node/src/egress.cc
+++ b/libs/node/src/egress.cc
@@ -166,7 +166,7 @@
     return AttemptReason::kUnknownInstance;
   }
   if (m_is_draining || instance->m_local.m_is_draining ||
-      instance->m_local.m_is_ejected) {
+      instance->m_local.m_is_excluded) {
     return AttemptReason::kDraining;
   }
   if (!MayTakeSuspectWork(*instance, message)) {
--- a/tests/load.cc
+++ b/tests/load.cc
@@ -16,10 +16,10 @@
   LoadResult Run() {
     const LoadOptions& options = m_load.m_options;
     int count = 0;
-    while (!m_load.m_is_stopping && (options.m_requests_per_caller == 0 ||
-                                     count < options.m_requests_per_caller)) {
+    while (!m_load.m_is_stopping) {
       ++count;
-      m_id = "r" + std::to_string(m_number) + "-" + std::to_string(count);
+      m_id = options.m_name + std::to_string(m_number) + "-" +
+             std::to_string(count);
       ++m_result.m_requests;
       if (options.m_keyed_every > 0 && count % options.m_keyed_every == 0) {
         RunKeyed();
@@ -32,8 +32,10 @@
 
  private:
   int NextNode() {
-    m_node = (m_node + 1) % m_load.m_fleet.NodeCount();
-    return m_node;
+    ++m_turn;
+    const std::vector<int>& nodes = m_load.m_options.m_nodes;
+    return nodes.empty() ? m_turn % m_load.m_fleet.NodeCount()
+                         : nodes[m_turn % nodes.size()];
   }
 
   CallerRequest MakeRequest(std::string method, std::string body) {
@@ -132,14 +134,14 @@
 
   Load& m_load;
   int m_number;
-  int m_node = m_number;
+  int m_turn = m_number;
   std::mt19937_64 m_random;
   std::string m_id;
   LoadResult m_result;
 };
 
 Load::Load(const Fleet& fleet, const LoadOptions& options)
-    : m_fleet(fleet), m_options(options), m_running(options.m_callers) {
+    : m_fleet(fleet), m_options(options) {
   for (int number = 0; number < options.m_callers; ++number) {
     m_threads.emplace_back([this, number] {
       LoadResult part = Caller(*this, number).Run();
@@ -159,7 +161,6 @@
       }
       m_result.m_longest = std::max(m_result.m_longest, part.m_longest);
       m_result.m_keyed.merge(part.m_keyed);
-      --m_running;
     });
   }
 }
