Take the criticality of routes out of the configuration

Cause: the key was accepted and did nothing.

Change: the key is refused as unknown; the examples no longer have it.

--- a/libs/config/include/sequoiastage/config/config.h
+++ b/libs/config/include/sequoiastage/config/config.h
@@ -87,8 +87,6 @@
   std::vector<std::string> m_methods{};
   /// Methods whose requests may run more than once.
   std::vector<std::string> m_idempotent{"GET", "HEAD"};
-  /// Weight of a late answer, 0 to 1.
-  double m_criticality = 0.5;
 
   bool Allows(std::string_view method) const;
   bool IsIdempotent(std::string_view method) const;
--- a/libs/config/include/sequoiastage/config/config_parse.h
+++ b/libs/config/include/sequoiastage/config/config_parse.h
@@ -33,8 +33,7 @@
 ///         "path": "/approvals",
 ///         "service": "approvals",
 ///         "methods": ["GET", "POST"],
-///         "idempotent": ["GET"],
-///         "criticality": 0.9
+///         "idempotent": ["GET"]
 ///       }
 ///     },
 ///     "accounts": {"mikulov-growers": {"share": 2}}
--- a/libs/config/src/config_reader.cc
+++ b/libs/config/src/config_reader.cc
@@ -195,8 +195,6 @@
     }
     ReadMethods(object, "methods", route.m_methods);
     ReadMethods(object, "idempotent", route.m_idempotent);
-    object.ReadNumber("criticality", route.m_criticality,
-                      {.m_min = 0, .m_max = 1});
     object.RefuseUnknownKeys();
   }
 
