Part a request's state from the runner that sends its attempts

Change: RunExecution with its attempts has files of its own. No behaviour is changed; node_test passes. Two lint findings in process tests are mended: names bound in a structured binding and used in a lambda, and a missing reserve().

--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -13,13 +13,6 @@
 // Share of the time left that stays for the cancellation of short requests.
 constexpr int kCancelShare = 4;
 constexpr std::chrono::milliseconds kQueryPause{100};
-// Attempts that an egress refused count apart from those that may have run.
-constexpr uint32_t kMaxRefusals = 6;
-
-WallTime EndOf(const RunRequest& request) {
-  return request.m_deadline + request.m_linger;
-}
-
 size_t BytesOf(const std::vector<HttpField>& fields) {
   size_t bytes = 0;
   for (const HttpField& field : fields) {
@@ -43,15 +36,6 @@
 
 }  // namespace
 
-RequestRunner::Execution::Execution(asio::io_context& io,
-                                    RunRequest request,
-                                    Done done)
-    : m_request(std::move(request)),
-      m_done(std::move(done)),
-      m_tracker({.m_is_idempotent = m_request.m_is_idempotent,
-                 .m_max_attempts = m_request.m_max_attempts + kMaxRefusals}),
-      m_timer(io) {}
-
 RequestRunner::RequestRunner(asio::io_context& io,
                              Options options,
                              Transport& transport)
@@ -162,7 +146,7 @@
 
 void RequestRunner::SendAttempt(RunId run, Execution& execution) {
   const bool is_late = WallNow() >= execution.m_request.m_deadline;
-  const Target target = !is_late && MayTryAgain(execution)
+  const Target target = !is_late && execution.MayTryAgain()
                             ? Pick(execution, /*is_copy=*/false)
                             : Target{};
   if (target.m_instance == nullptr || !TakeRetry(execution)) {
@@ -180,12 +164,9 @@
 
 void RequestRunner::SendCopy(RunId run, Execution& execution) {
   const RunRequest& request = execution.m_request;
-  const auto counted = std::count_if(
-      execution.m_sent.begin(), execution.m_sent.end(),
-      [](const SentAttempt& s) { return s.m_is_open || s.m_may_have_run; });
-  const bool has_attempts_left = counted < request.m_max_attempts;
-  const Target target =
-      has_attempts_left ? Pick(execution, /*is_copy=*/true) : Target{};
+  const Target target = execution.MayTryBesideOpen()
+                            ? Pick(execution, /*is_copy=*/true)
+                            : Target{};
   const TimePoint now = Now();
   if (target.m_instance == nullptr ||
       !StateOf(request, now).m_budget.TryRetry(now)) {
@@ -248,11 +229,6 @@
   ArmTimer(run, execution);
 }
 
-bool RequestRunner::HasCopy(const Execution& execution) {
-  return std::any_of(execution.m_sent.begin(), execution.m_sent.end(),
-                     [](const SentAttempt& sent) { return sent.m_is_copy; });
-}
-
 // Until when the attempt that was just sent may run: alone, and at all before
 // another one is made.
 void RequestRunner::SetAttemptLimits(Execution& execution) {
@@ -266,7 +242,7 @@
                                                 execution.m_sent.size() - 1));
   execution.m_attempt_until = now + (request.m_deadline - now) / attempts_left;
   execution.m_hedge_at.reset();
-  if (!request.m_hedge_quantile || HasCopy(execution)) {
+  if (!request.m_hedge_quantile || execution.HasCopy()) {
     return;
   }
   const TimePoint start = Now();
@@ -279,7 +255,7 @@
 }
 
 void RequestRunner::SendQuery(Execution& execution, const AttemptId& attempt) {
-  const SentAttempt* sent = FindSent(execution, attempt);
+  const SentAttempt* sent = execution.Find(attempt);
   if (sent == nullptr) {
     return;
   }
@@ -325,7 +301,7 @@
 
 void RequestRunner::ArmTimer(RunId run, Execution& execution) {
   const WallTime now = WallNow();
-  WallTime due = EndOf(execution.m_request);
+  WallTime due = execution.End();
   if (execution.m_cancel_at) {
     due = std::min(due, *execution.m_cancel_at);
   }
@@ -354,7 +330,7 @@
   }
   Execution& execution = *it->second;
   const WallTime now = WallNow();
-  if (now >= EndOf(execution.m_request)) {
+  if (now >= execution.End()) {
     if (!Withdraw(run, execution)) {
       Follow(run, execution.m_tracker.OnDeadline());
     }
@@ -443,17 +419,10 @@
   }
 }
 
-bool RequestRunner::MayTryAgain(const Execution& execution) const {
-  const auto may_have_run = std::count_if(
-      execution.m_sent.begin(), execution.m_sent.end(),
-      [](const SentAttempt& sent) { return sent.m_may_have_run; });
-  return may_have_run < execution.m_request.m_max_attempts;
-}
-
 OutcomeStep RequestRunner::StepFor(Execution& execution,
                                    ResultMessage& result) {
   const AttemptId id = result.m_attempt;
-  if (SentAttempt* sent = FindSent(execution, id)) {
+  if (SentAttempt* sent = execution.Find(id)) {
     if (sent->m_is_other_region) {
       m_stats.m_other_region_bytes += BytesOf(result.m_answer);
     }
@@ -496,18 +465,14 @@
     execution.m_error_answer = std::move(result.m_answer);
     return execution.m_tracker.OnMayHaveRun(result.m_attempt);
   }
-  const SentAttempt* sent = FindSent(execution, result.m_attempt);
+  const SentAttempt* sent = execution.Find(result.m_attempt);
   m_stats.m_hedges_won += sent != nullptr && sent->m_is_copy ? 1 : 0;
   execution.m_answer = std::move(result.m_answer);
   return execution.m_tracker.OnAnswered(result.m_attempt);
 }
 
 Target RequestRunner::Pick(const Execution& execution, bool is_copy) {
-  std::vector<InstanceId> tried;
-  tried.reserve(execution.m_sent.size());
-  for (const SentAttempt& sent : execution.m_sent) {
-    tried.push_back(sent.m_instance);
-  }
+  const std::vector<InstanceId> tried = execution.TriedInstances();
   const RunRequest& request = execution.m_request;
   const SelectionRequest selection{
       .m_idempotent = request.m_is_idempotent,
@@ -545,7 +510,7 @@
 // with it the delay of copies, would go down with each copy that wins.
 void RequestRunner::KeepLatencyOfOpen(const Execution& execution) {
   const RunRequest& request = execution.m_request;
-  const bool has_copy = HasCopy(execution);
+  const bool has_copy = execution.HasCopy();
   for (const SentAttempt& sent : execution.m_sent) {
     const bool ran_long = sent.m_may_have_run || (has_copy && !sent.m_is_copy);
     if (sent.m_is_open && ran_long) {
@@ -609,12 +574,4 @@
   }
 }
 
-RequestRunner::SentAttempt* RequestRunner::FindSent(Execution& execution,
-                                                    const AttemptId& attempt) {
-  const auto it = std::find_if(
-      execution.m_sent.begin(), execution.m_sent.end(),
-      [&attempt](const SentAttempt& sent) { return sent.m_id == attempt; });
-  return it == execution.m_sent.end() ? nullptr : &*it;
-}
-
 }  // namespace sequoiastage
--- a/libs/node/src/request_runner_p.h
+++ b/libs/node/src/request_runner_p.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "node_view_p.h"
-#include "sequoiastage/execution/outcome_tracker.h"
+#include "run_execution_p.h"
 #include "sequoiastage/limits/recent_latency.h"
 #include "sequoiastage/limits/retry_after.h"
 #include "sequoiastage/limits/retry_budget.h"
@@ -21,36 +21,6 @@
 
 namespace sequoiastage {
 
-// One request to have executed.
-struct RunRequest {
-  HttpRequest m_request;
-  ServiceId m_service;
-  AccountId m_account;
-  double m_account_share = 1;
-  std::string m_completeness_field;
-  bool m_is_idempotent = false;
-  uint32_t m_max_attempts = 2;
-  // Retries as a share of the service's requests.
-  double m_retry_share = 0.1;
-  // An idempotent request that runs longer than this quantile of the service's
-  // recent latencies gets one copy; empty: never.
-  std::optional<double> m_hedge_quantile{};
-  // Nothing is started later.
-  WallTime m_deadline;
-  // How long after the deadline the outcome of started work still counts.
-  std::chrono::milliseconds m_linger{0};
-};
-
-struct RunResult {
-  RequestOutcome m_outcome = RequestOutcome::kUnknown;
-  // Set when m_outcome is kAnswered.
-  HttpAnswer m_answer;
-  // What the last attempt ended with; kNone when there was none.
-  AttemptReason m_reason = AttemptReason::kNone;
-  // When to come back, unless answered.
-  std::chrono::seconds m_retry_after{1};
-};
-
 struct RunnerStats {
   uint64_t m_runs = 0;
   uint64_t m_attempts = 0;
@@ -68,7 +38,7 @@
 // three outcomes. Owned by the ingress thread.
 class RequestRunner {
  public:
-  using Done = std::function<void(RunResult)>;
+  using Done = RunExecution::Done;
 
   struct Options {
     NodeId m_node;
@@ -104,6 +74,7 @@
 
  private:
   using RunId = uint64_t;
+  using Execution = RunExecution;
 
   struct ServiceState {
     double m_share = 0;
@@ -112,42 +83,6 @@
     RecentLatency m_latency{};
   };
 
-  struct SentAttempt {
-    AttemptId m_id;
-    InstanceId m_instance;
-    NodeId m_node;
-    Incarnation m_node_incarnation;
-    WallTime m_deadline;
-    TimePoint m_sent_at;
-    // No final result has come.
-    bool m_is_open = true;
-    bool m_may_have_run = false;
-    bool m_is_other_region = false;
-    // Sent beside another open attempt.
-    bool m_is_copy = false;
-  };
-
-  struct Execution {
-    Execution(asio::io_context& io, RunRequest request, Done done);
-
-    RunRequest m_request;
-    Done m_done;
-    OutcomeTracker m_tracker;
-    asio::steady_timer m_timer;
-    std::vector<SentAttempt> m_sent;
-    // A whole answer with a server error, kept while others are tried.
-    std::optional<HttpAnswer> m_error_answer;
-    HttpAnswer m_answer;
-    AttemptReason m_reason = AttemptReason::kNone;
-    // When work that has not started is cancelled; empty once that is done.
-    std::optional<WallTime> m_cancel_at;
-    // When the open attempt of an idempotent request is given up for another.
-    std::optional<WallTime> m_attempt_until;
-    // When the open attempt counts as running long.
-    std::optional<WallTime> m_hedge_at;
-    std::optional<AttemptId> m_query_next;
-  };
-
   void Follow(RunId run, const OutcomeStep& step);
   void SendAttempt(RunId run, Execution& execution);
   // Sends a copy beside the open attempt where the rules allow it.
@@ -158,7 +93,6 @@
                 const AttemptId& id,
                 const Target& target,
                 bool is_copy);
-  static bool HasCopy(const Execution& execution);
   void SetAttemptLimits(Execution& execution);
   void SendQuery(Execution& execution, const AttemptId& attempt);
   void Finish(RunId run, RequestOutcome outcome);
@@ -168,7 +102,6 @@
   void OnCancelTime(RunId run, Execution& execution);
   bool Withdraw(RunId run, Execution& execution);
   void CancelOpen(const Execution& execution);
-  bool MayTryAgain(const Execution& execution) const;
   OutcomeStep StepFor(Execution& execution, ResultMessage& result);
   OutcomeStep StepForAnswer(Execution& execution, ResultMessage& result);
   Target Pick(const Execution& execution, bool is_copy);
@@ -179,7 +112,6 @@
   ServiceState& StateOf(const RunRequest& request, TimePoint now);
   void GiveUpOnSuspectPaths();
   void Close(SentAttempt& sent);
-  SentAttempt* FindSent(Execution& execution, const AttemptId& attempt);
 
   asio::io_context& m_io;
   Options m_options;
--- a/tests/floor_test.cc
+++ b/tests/floor_test.cc
@@ -95,7 +95,9 @@
   std::array<int, kNodes> order{};
   std::iota(order.begin(), order.end(), 0);
   std::shuffle(order.begin(), order.end(), random);
-  const auto [first, second, third] = std::array{order[0], order[1], order[2]};
+  const int first = order[0];
+  const int second = order[1];
+  const int third = order[2];
   Load load(m_fleet, {.m_callers = 8, .m_keyed_every = 0});
   ASSERT_TRUE(WaitUntil(milliseconds(10'000), [this] {
     for (int node = 0; node < kNodes; ++node) {
--- a/tests/region_cut_test.cc
+++ b/tests/region_cut_test.cc
@@ -125,6 +125,7 @@
   const int region = static_cast<int>(seed % kRegions);
   VersionWatch watch(m_fleet);
   std::vector<std::unique_ptr<Load>> near;
+  near.reserve(kRegions);
   for (int own = 0; own < kRegions; ++own) {
     near.push_back(std::make_unique<Load>(
         m_fleet, LoadOptions{.m_name = "near" + std::to_string(own) + "-",
