--- a/tests/floor_test.cc
+++ b/tests/floor_test.cc
@@ -56,6 +56,7 @@
 
   std::vector<std::vector<NodeEvent>> AllEvents() {
     std::vector<std::vector<NodeEvent>> events;
+    events.reserve(kNodes);
     for (int node = 0; node < kNodes; ++node) {
       events.push_back(m_fleet.Events(node));
     }
