--- /dev/null
+++ b/tests/child_process.cc
@@ -0,0 +1,86 @@
+#include "child_process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <utility>
+
+namespace sequoiastage {
+
+namespace {
+
+int ToExit(int status) {
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+}  // namespace
+
+ChildProcess::ChildProcess(const std::string& program,
+                           const std::vector<std::string>& arguments,
+                           const std::string& log) {
+  const std::string path = std::string(SEQUOIASTAGE_PROGRAMS) + "/" + program;
+  std::vector<char*> argv = {const_cast<char*>(path.c_str())};
+  for (const std::string& argument : arguments) {
+    argv.push_back(const_cast<char*>(argument.c_str()));
+  }
+  argv.push_back(nullptr);
+  m_pid = fork();
+  if (m_pid != 0) {
+    return;
+  }
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2(file, STDOUT_FILENO);
+  dup2(file, STDERR_FILENO);
+  execv(path.c_str(), argv.data());
+  _exit(127);
+}
+
+ChildProcess::ChildProcess(ChildProcess&& other) noexcept
+    : m_pid(std::exchange(other.m_pid, 0)), m_ended(other.m_ended) {}
+
+ChildProcess& ChildProcess::operator=(ChildProcess&& other) noexcept {
+  std::swap(m_pid, other.m_pid);
+  std::swap(m_ended, other.m_ended);
+  return *this;
+}
+
+ChildProcess::~ChildProcess() {
+  if (m_pid > 0) {
+    Kill();
+  }
+}
+
+void ChildProcess::Signal(int signal) const {
+  if (m_pid > 0 && !m_ended) {
+    kill(m_pid, signal);
+  }
+}
+
+int ChildProcess::Wait() {
+  if (!m_ended) {
+    int status = 0;
+    waitpid(m_pid, &status, 0);
+    m_ended = ToExit(status);
+  }
+  return *m_ended;
+}
+
+void ChildProcess::Kill() {
+  Signal(SIGKILL);
+  Wait();
+}
+
+std::optional<int> ChildProcess::Ended() {
+  int status = 0;
+  if (!m_ended && waitpid(m_pid, &status, WNOHANG) == m_pid) {
+    m_ended = ToExit(status);
+  }
+  return m_ended;
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/tests/end_to_end_test.cc
@@ -0,0 +1,91 @@
+#include <gtest/gtest.h>
+
+#include "fleet.h"
+#include "load.h"
+
+namespace sequoiastage {
+namespace {
+
+class EndToEndTest : public testing::Test {
+ protected:
+  void SetUp() override { ASSERT_EQ(m_fleet.Start(), ""); }
+
+  CallerAnswer Send(int node,
+                    const std::string& method,
+                    const std::string& key = "",
+                    const std::string& body = "pay 10") {
+    CallerRequest request{.m_to = m_fleet.Caller(node),
+                          .m_method = method,
+                          .m_target = "/work/item?n=1",
+                          .m_fields = {{"Host", "move.example"},
+                                       {"X-Request-Id", "one"},
+                                       {"Sequoiastage-Account", "grower"}}};
+    if (method == "POST") {
+      request.m_body = body;
+    }
+    if (!key.empty()) {
+      request.m_fields["Idempotency-Key"] = key;
+    }
+    return Call(request);
+  }
+
+  Fleet m_fleet;
+};
+
+TEST_F(EndToEndTest, ReadIsAnsweredAtEveryNode) {
+  for (int node = 0; node < m_fleet.NodeCount(); ++node) {
+    const CallerAnswer answer = Send(node, "GET");
+    EXPECT_EQ(answer.m_status, 200) << answer.m_body;
+    EXPECT_EQ(answer.Outcome(), "answered");
+    EXPECT_EQ(answer.m_body, "data for /work/item?n=1");
+  }
+}
+
+TEST_F(EndToEndTest, WriteNeedsAKeyAndThenRunsOnceWhereverItIsShown) {
+  const CallerAnswer refused = Send(0, "POST");
+  ASSERT_EQ(refused.m_status, 428) << refused.m_body;
+  EXPECT_EQ(refused.Outcome(), "not-run");
+  EXPECT_EQ(m_fleet.Executions()["one"], 0);
+  const std::string key = refused.Field("idempotency-key");
+  for (const int node : {1, 0, 2, 1}) {
+    const CallerAnswer answer = Send(node, "POST", key);
+    EXPECT_EQ(answer.m_status, 200) << answer.m_body;
+    EXPECT_EQ(answer.Outcome(), "answered");
+    EXPECT_EQ(answer.m_body, "pay 10");
+  }
+  EXPECT_EQ(m_fleet.Executions()["one"], 1);
+}
+
+TEST_F(EndToEndTest, KeyOfAnotherRequestOrOfNobodyIsRefused) {
+  const std::string key = Send(0, "POST").Field("idempotency-key");
+  ASSERT_EQ(Send(0, "POST", key).m_status, 200);
+  const CallerAnswer other = Send(1, "POST", key, "pay 20");
+  EXPECT_EQ(other.m_status, 422) << other.m_body;
+  EXPECT_EQ(other.Outcome(), "not-run");
+  std::string forged = key;
+  forged.back() = forged.back() == '0' ? '1' : '0';
+  EXPECT_EQ(Send(1, "POST", forged).m_status, 422);
+  EXPECT_EQ(Send(0, "POST", "no-key").m_status, 400);
+  EXPECT_EQ(m_fleet.Executions()["one"], 1);
+}
+
+TEST_F(EndToEndTest, CopiesAtTheSameTimeRunOnce) {
+  const std::string key = Send(0, "POST").Field("idempotency-key");
+  std::vector<std::thread> callers;
+  std::vector<CallerAnswer> answers(6);
+  for (size_t i = 0; i < answers.size(); ++i) {
+    callers.emplace_back([this, &answers, &key, i] {
+      answers[i] = Send(static_cast<int>(i % 3), "POST", key);
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  for (const CallerAnswer& answer : answers) {
+    EXPECT_EQ(answer.m_body, "pay 10") << answer.m_error;
+  }
+  EXPECT_EQ(m_fleet.Executions()["one"], 1);
+}
+
+}  // namespace
+}  // namespace sequoiastage
--- /dev/null
+++ b/tests/fleet.cc
@@ -0,0 +1,238 @@
+#include "fleet.h"
+
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+namespace sequoiastage {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr uint16_t kListenPort = 18080;
+constexpr uint16_t kPeerPort = 18081;
+constexpr uint16_t kAdminPort = 18082;
+constexpr uint16_t kAnnouncePort = 18083;
+constexpr uint16_t kInstancePort = 19000;
+constexpr uint16_t kLogPort = 19100;
+constexpr std::chrono::milliseconds kPoll{20};
+constexpr std::chrono::milliseconds kStartLimit{15'000};
+constexpr const char* kRegions[] = {"hobart", "launceston", "burnie"};
+
+// 127.64.0.0 to 127.127.255.0, by the process id: what two tests that run at
+// the same time can't share.
+uint32_t BaseIp() {
+  const auto pid = static_cast<uint32_t>(getpid());
+  return (127u << 24) | ((64 + ((pid >> 8) & 0x3f)) << 16) |
+         ((pid & 0xff) << 8);
+}
+
+Json ToJson(const Endpoint& endpoint) {
+  return {{"ip", IpToString(endpoint.m_ip)}, {"port", endpoint.m_port}};
+}
+
+}  // namespace
+
+bool WaitUntil(std::chrono::milliseconds limit,
+               const std::function<bool()>& condition) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+uint64_t ScheduleSeed() {
+  const char* text = std::getenv("SEQUOIASTAGE_SEED");
+  const uint64_t seed = text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
+  std::printf("schedule seed: SEQUOIASTAGE_SEED=%llu\n",
+              static_cast<unsigned long long>(seed));
+  return seed;
+}
+
+Fleet::Fleet(const FleetOptions& options)
+    : m_options(options), m_base_ip(BaseIp()) {
+  std::string folder =
+      (std::filesystem::temp_directory_path() / "sequoiastage-XXXXXX").string();
+  m_folder = mkdtemp(folder.data());
+  m_nodes.resize(m_options.m_nodes);
+}
+
+Fleet::~Fleet() {
+  m_nodes.clear();
+  m_instances.clear();
+  m_log.reset();
+  if (m_keeps_logs || testing::Test::HasFailure()) {
+    std::printf("logs kept in %s\n", m_folder.c_str());
+    return;
+  }
+  std::error_code ignored;
+  std::filesystem::remove_all(m_folder, ignored);
+}
+
+std::string Fleet::Start() {
+  m_log.emplace("log_service",
+                std::vector<std::string>{"--listen=" + ToString(Log())},
+                m_folder + "/log.txt");
+  for (int node = 0; node < m_options.m_nodes; ++node) {
+    StartNode(node);
+    for (int i = 0; i < m_options.m_instances_per_node; ++i) {
+      StartInstance(node, i);
+    }
+  }
+  if (!WaitUntil(kStartLimit, [this] { return Publish(); })) {
+    return "the log service takes no configuration";
+  }
+  for (int node = 0; node < m_options.m_nodes; ++node) {
+    const auto is_serving = [this, node] { return IsServing(node); };
+    if (!WaitUntil(kStartLimit, is_serving)) {
+      return "node " + std::to_string(node) + " does not serve";
+    }
+  }
+  return "";
+}
+
+Endpoint Fleet::At(int node, uint16_t port) const {
+  return {.m_ip = m_base_ip + 1 + static_cast<uint32_t>(node), .m_port = port};
+}
+
+Endpoint Fleet::Caller(int node) const {
+  return At(node, kListenPort);
+}
+
+Endpoint Fleet::Admin(int node) const {
+  return At(node, kAdminPort);
+}
+
+Endpoint Fleet::Instance(int node, int index) const {
+  return At(node, static_cast<uint16_t>(kInstancePort + index));
+}
+
+Endpoint Fleet::Log() const {
+  return {.m_ip = m_base_ip + 250, .m_port = kLogPort};
+}
+
+void Fleet::StartNode(int node) {
+  const std::string file = m_folder + "/node" + std::to_string(node) + ".json";
+  std::ofstream(file) << Settings(node);
+  m_nodes[node].emplace("sequoiastaged",
+                        std::vector<std::string>{"--settings=" + file},
+                        m_folder + "/node" + std::to_string(node) + ".txt");
+}
+
+void Fleet::StartInstance(int node, int index) {
+  m_instances.emplace_back(
+      "backend_server",
+      std::vector<std::string>{
+          "--listen=" + ToString(Instance(node, index)),
+          "--announce=" + ToString(At(node, kAnnouncePort)), "--service=work",
+          "--slots=" + std::to_string(m_options.m_slots),
+          "--latency_ms=" + std::to_string(m_options.m_latency_ms)},
+      m_folder + "/instance" + std::to_string(m_instances.size()) + ".txt");
+}
+
+std::string Fleet::Settings(int node) const {
+  const std::string region = kRegions[(node / 2) % 3];
+  Json seeds = Json::array();
+  for (int i = 0; i < std::min(2, m_options.m_nodes); ++i) {
+    seeds.push_back(ToJson(At(i, kPeerPort)));
+  }
+  const Json settings = {
+      {"listen", ToJson(At(node, kListenPort))},
+      {"peer", ToJson(At(node, kPeerPort))},
+      {"admin", ToJson(At(node, kAdminPort))},
+      {"announce", ToJson(At(node, kAnnouncePort))},
+      {"region", region},
+      {"failure_domain", region + "-" + std::to_string(node % 2)},
+      {"site", region},
+      {"log", ToJson(Log())},
+      {"seeds", seeds}};
+  return settings.dump(2);
+}
+
+bool Fleet::IsServing(int node) const {
+  return Serves(node, "/work/ready");
+}
+
+bool Fleet::Serves(int node, const std::string& path) const {
+  const CallerAnswer answer =
+      Call({.m_to = Caller(node),
+            .m_target = path,
+            .m_fields = {{"Host", "move.example"}},
+            .m_timeout = std::chrono::milliseconds(2000)});
+  return answer.IsWhole() && answer.m_status == 200;
+}
+
+bool Fleet::Publish(const std::string& extra_path) {
+  const auto route = [](const std::string& path) {
+    return Json{{"host", "move.example"}, {"path", path}, {"service", "work"}};
+  };
+  Json routes = {{"work", route("/work")}};
+  if (!extra_path.empty()) {
+    routes["extra"] = route(extra_path);
+  }
+  const int instances = m_options.m_nodes * m_options.m_instances_per_node;
+  const Json config = {{"sites", kRegions},
+                       {"services",
+                        {{"work",
+                          {{"instances", instances},
+                           {"floor", instances / 2},
+                           {"retries", {{"max_attempts", 3}}}}}}},
+                       {"routes", routes}};
+  const CallerAnswer answer =
+      Call({.m_to = Log(),
+            .m_method = "POST",
+            .m_target = "/records",
+            .m_body = Json{{"record", config.dump()}}.dump()});
+  return answer.IsWhole() && answer.m_status == 200;
+}
+
+bool Fleet::SetLogFaults(const std::string& json) const {
+  const CallerAnswer answer = Call({.m_to = Log(),
+                                    .m_method = "PUT",
+                                    .m_target = "/faults",
+                                    .m_body = json});
+  return answer.IsWhole() && answer.m_status == 200;
+}
+
+std::map<std::string, int> Fleet::Executions() const {
+  std::map<std::string, int> sum;
+  for (int node = 0; node < m_options.m_nodes; ++node) {
+    for (int i = 0; i < m_options.m_instances_per_node; ++i) {
+      const CallerAnswer answer =
+          Call({.m_to = Instance(node, i), .m_target = "/standin/executions"});
+      EXPECT_TRUE(answer.IsWhole()) << answer.m_error;
+      const Json counts = Json::parse(answer.m_body);
+      for (const auto& [id, count] : counts.at("by_id").items()) {
+        sum[id] += count.get<int>();
+      }
+    }
+  }
+  return sum;
+}
+
+int64_t Fleet::LastStartMs(int node, int index) const {
+  const CallerAnswer answer =
+      Call({.m_to = Instance(node, index), .m_target = "/standin/executions"});
+  return Json::parse(answer.m_body).at("last_start_ms").get<int64_t>();
+}
+
+uint64_t Fleet::TotalStarts(int node, int index) const {
+  const CallerAnswer answer =
+      Call({.m_to = Instance(node, index), .m_target = "/standin/executions"});
+  return Json::parse(answer.m_body).at("total").get<uint64_t>();
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/tests/fleet.h
@@ -0,0 +1,91 @@
+#ifndef SEQUOIASTAGE_TESTS_FLEET_H_
+#define SEQUOIASTAGE_TESTS_FLEET_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "child_process.h"
+#include "http_call.h"
+
+namespace sequoiastage {
+
+struct FleetOptions {
+  int m_nodes = 3;
+  int m_instances_per_node = 2;
+  int m_slots = 3;
+  int m_latency_ms = 5;
+};
+
+/// True once `condition` holds; false when it does not within `limit`.
+bool WaitUntil(std::chrono::milliseconds limit,
+               const std::function<bool()>& condition);
+
+/// Seed of the test's fault schedule, printed; SEQUOIASTAGE_SEED sets it.
+uint64_t ScheduleSeed();
+
+/// Log service, nodes and instances as processes on loopback addresses that no
+/// other test at the same time uses.
+class Fleet {
+ public:
+  explicit Fleet(const FleetOptions& options = {});
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  /// Starts all and publishes the configuration. Empty once every node serves;
+  /// else what is missing.
+  std::string Start();
+
+  int NodeCount() const { return m_options.m_nodes; }
+  Endpoint Caller(int node) const;
+  Endpoint Admin(int node) const;
+  Endpoint Instance(int node, int index) const;
+  Endpoint Log() const;
+
+  void StartNode(int node);
+  ChildProcess& Node(int node) { return *m_nodes[node]; }
+
+  /// True when the node answers a read.
+  bool IsServing(int node) const;
+  /// True when a configuration with `marker` as the only allowed path answers.
+  bool Serves(int node, const std::string& path) const;
+
+  /// Appends the configuration with one more route, to /PATH. The offset, or
+  /// empty.
+  bool Publish(const std::string& extra_path = "");
+  bool SetLogFaults(const std::string& json) const;
+
+  /// Executions by X-Request-Id, summed over all instances.
+  std::map<std::string, int> Executions() const;
+  /// When the instance last started work, milliseconds since the epoch.
+  int64_t LastStartMs(int node, int index) const;
+  uint64_t TotalStarts(int node, int index) const;
+
+  /// Removes the logs at the end unless the test failed.
+  void KeepLogs() { m_keeps_logs = true; }
+  const std::string& Folder() const { return m_folder; }
+
+ private:
+  Endpoint At(int node, uint16_t port) const;
+  std::string Settings(int node) const;
+  void StartInstance(int node, int index);
+
+  FleetOptions m_options;
+  uint32_t m_base_ip;
+  std::string m_folder;
+  bool m_keeps_logs = false;
+  std::optional<ChildProcess> m_log;
+  std::vector<std::optional<ChildProcess>> m_nodes;
+  std::vector<ChildProcess> m_instances;
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_TESTS_FLEET_H_
--- /dev/null
+++ b/tests/http_call.cc
@@ -0,0 +1,81 @@
+#include "http_call.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace sequoiastage {
+
+namespace {
+
+struct CurlDeleter {
+  void operator()(CURL* curl) const { curl_easy_cleanup(curl); }
+};
+
+size_t OnBody(char* data, size_t size, size_t count, void* answer) {
+  static_cast<CallerAnswer*>(answer)->m_body.append(data, size * count);
+  return size * count;
+}
+
+size_t OnField(char* data, size_t size, size_t count, void* answer) {
+  const std::string line(data, size * count);
+  const size_t colon = line.find(':');
+  if (colon != std::string::npos) {
+    std::string name = line.substr(0, colon);
+    std::transform(name.begin(), name.end(), name.begin(), ::tolower);
+    const size_t begin = line.find_first_not_of(' ', colon + 1);
+    const size_t end = line.find_last_not_of("\r\n");
+    static_cast<CallerAnswer*>(answer)->m_fields[name] =
+        begin > end ? "" : line.substr(begin, end - begin + 1);
+  }
+  return size * count;
+}
+
+void SetRequest(CURL* curl, const CallerRequest& request) {
+  const std::string url = "http://" + ToString(request.m_to) + request.m_target;
+  curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, request.m_method.c_str());
+  curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(request.m_timeout.count()));
+  curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, 1000L);
+  if (!request.m_body.empty()) {
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDS, request.m_body.c_str());
+    curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE,
+                     static_cast<long>(request.m_body.size()));
+  }
+}
+
+}  // namespace
+
+std::string CallerAnswer::Field(const std::string& name) const {
+  const auto found = m_fields.find(name);
+  return found == m_fields.end() ? "" : found->second;
+}
+
+CallerAnswer Call(const CallerRequest& request) {
+  thread_local const std::unique_ptr<CURL, CurlDeleter> curl(curl_easy_init());
+  CallerAnswer answer;
+  curl_easy_reset(curl.get());
+  SetRequest(curl.get(), request);
+  curl_slist* fields = curl_slist_append(nullptr, "Expect:");
+  for (const auto& [name, value] : request.m_fields) {
+    fields = curl_slist_append(fields, (name + ": " + value).c_str());
+  }
+  curl_easy_setopt(curl.get(), CURLOPT_HTTPHEADER, fields);
+  curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &answer);
+  curl_easy_setopt(curl.get(), CURLOPT_HEADERFUNCTION, OnField);
+  curl_easy_setopt(curl.get(), CURLOPT_HEADERDATA, &answer);
+  const CURLcode code = curl_easy_perform(curl.get());
+  curl_slist_free_all(fields);
+  curl_easy_getinfo(curl.get(), CURLINFO_RESPONSE_CODE, &answer.m_status);
+  if (code != CURLE_OK) {
+    answer.m_error = curl_easy_strerror(code);
+    answer.m_is_unsent = code == CURLE_COULDNT_CONNECT;
+  }
+  return answer;
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/tests/http_call.h
@@ -0,0 +1,42 @@
+#ifndef SEQUOIASTAGE_TESTS_HTTP_CALL_H_
+#define SEQUOIASTAGE_TESTS_HTTP_CALL_H_
+
+#include <chrono>
+#include <map>
+#include <string>
+
+#include "sequoiastage/base/ids.h"
+
+namespace sequoiastage {
+
+struct CallerRequest {
+  Endpoint m_to;
+  std::string m_method = "GET";
+  std::string m_target = "/";
+  std::map<std::string, std::string> m_fields = {};
+  std::string m_body = {};
+  std::chrono::milliseconds m_timeout{5000};
+};
+
+struct CallerAnswer {
+  /// No whole answer came: what it is like for the caller.
+  std::string m_error;
+  /// The connection was never open: nothing was sent.
+  bool m_is_unsent = false;
+  long m_status = 0;
+  /// Names in lower case.
+  std::map<std::string, std::string> m_fields;
+  std::string m_body;
+
+  bool IsWhole() const { return m_error.empty(); }
+  std::string Field(const std::string& name) const;
+  /// "answered", "not-run", "unknown", or empty.
+  std::string Outcome() const { return Field("sequoiastage-outcome"); }
+};
+
+/// One blocking HTTP call on a connection that this thread keeps alive.
+CallerAnswer Call(const CallerRequest& request);
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_TESTS_HTTP_CALL_H_
--- /dev/null
+++ b/tests/load.cc
@@ -0,0 +1,178 @@
+#include "load.h"
+
+#include <utility>
+
+namespace sequoiastage {
+
+// One caller; lives on its thread.
+class Load::Caller {
+ public:
+  Caller(Load& load, int number)
+      : m_load(load),
+        m_number(number),
+        m_random(load.m_options.m_seed * 1000 + static_cast<uint64_t>(number)) {
+  }
+
+  LoadResult Run() {
+    const LoadOptions& options = m_load.m_options;
+    int count = 0;
+    while (!m_load.m_is_stopping && (options.m_requests_per_caller == 0 ||
+                                     count < options.m_requests_per_caller)) {
+      ++count;
+      m_id = "r" + std::to_string(m_number) + "-" + std::to_string(count);
+      ++m_result.m_requests;
+      if (options.m_keyed_every > 0 && count % options.m_keyed_every == 0) {
+        RunKeyed();
+      } else {
+        RunRead();
+      }
+    }
+    return std::move(m_result);
+  }
+
+ private:
+  int NextNode() {
+    m_node = (m_node + 1) % m_load.m_fleet.NodeCount();
+    return m_node;
+  }
+
+  CallerRequest MakeRequest(std::string method, std::string body) {
+    const auto deadline = m_load.m_options.m_deadline;
+    return {.m_to = m_load.m_fleet.Caller(NextNode()),
+            .m_method = std::move(method),
+            .m_target = "/work/" + m_id,
+            .m_fields = {{"Host", "move.example"},
+                         {"X-Request-Id", m_id},
+                         {"Sequoiastage-Deadline-Ms",
+                          std::to_string(deadline.count())}},
+            .m_body = std::move(body),
+            .m_timeout = deadline + std::chrono::milliseconds(1000)};
+  }
+
+  CallerAnswer Send(const CallerRequest& request) {
+    const auto start = std::chrono::steady_clock::now();
+    CallerAnswer answer = Call(request);
+    const auto time = std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::steady_clock::now() - start);
+    m_result.m_longest = std::max(m_result.m_longest, time);
+    return answer;
+  }
+
+  // True when the answer is final for a caller that wants the work done.
+  bool Take(const CallerAnswer& answer, const std::string& expected) {
+    const std::string outcome = answer.Outcome();
+    if (!answer.IsWhole()) {
+      ++m_result.m_no_answer;
+      return false;
+    }
+    if (outcome == "answered" && answer.m_status == 200) {
+      if (answer.m_body != expected) {
+        Wrong("asked for '" + expected + "', got '" + answer.m_body + "'");
+      }
+      ++m_result.m_answered;
+      ++m_load.m_answered;
+      return true;
+    }
+    if (outcome == "not-run") {
+      ++m_result.m_not_run;
+    } else if (outcome == "unknown") {
+      ++m_result.m_unknown;
+    } else {
+      Wrong("status " + std::to_string(answer.m_status) + " outcome '" +
+            outcome + "': " + answer.m_body);
+    }
+    return false;
+  }
+
+  void Wrong(const std::string& what) {
+    if (m_result.m_wrong++ == 0) {
+      m_result.m_first_wrong = m_id + ": " + what;
+    }
+  }
+
+  void RunRead() {
+    const std::string expected = "data for /work/" + m_id;
+    for (int show = 0; show < m_load.m_options.m_shows; ++show) {
+      if (Take(Send(MakeRequest("GET", "")), expected)) {
+        return;
+      }
+    }
+  }
+
+  // A request whose outcome was not-run is now and then given up at once, so
+  // that its promise can be checked; else it is shown again.
+  void RunKeyed() {
+    const std::string body = "body of " + m_id;
+    std::string key;
+    KeyedRecord& record = m_result.m_keyed[m_id];
+    for (int show = 0; show < m_load.m_options.m_shows; ++show) {
+      CallerRequest request = MakeRequest("POST", body);
+      if (!key.empty()) {
+        request.m_fields["Idempotency-Key"] = key;
+      }
+      const CallerAnswer answer = Send(request);
+      if (answer.IsWhole() && answer.m_status == 428) {
+        key = answer.Field("idempotency-key");
+        continue;
+      }
+      if (Take(answer, body)) {
+        record.m_was_answered = true;
+        record.m_is_not_run = false;
+        return;
+      }
+      record.m_is_not_run &=
+          answer.m_is_unsent ||
+          (answer.IsWhole() && answer.Outcome() == "not-run");
+      if (record.m_is_not_run && m_random() % 2 == 0) {
+        return;
+      }
+    }
+  }
+
+  Load& m_load;
+  int m_number;
+  int m_node = m_number;
+  std::mt19937_64 m_random;
+  std::string m_id;
+  LoadResult m_result;
+};
+
+Load::Load(const Fleet& fleet, const LoadOptions& options)
+    : m_fleet(fleet), m_options(options), m_running(options.m_callers) {
+  for (int number = 0; number < options.m_callers; ++number) {
+    m_threads.emplace_back([this, number] {
+      LoadResult part = Caller(*this, number).Run();
+      const std::lock_guard lock(m_mutex);
+      m_result.m_requests += part.m_requests;
+      m_result.m_answered += part.m_answered;
+      m_result.m_not_run += part.m_not_run;
+      m_result.m_unknown += part.m_unknown;
+      m_result.m_no_answer += part.m_no_answer;
+      m_result.m_wrong += part.m_wrong;
+      if (m_result.m_first_wrong.empty()) {
+        m_result.m_first_wrong = part.m_first_wrong;
+      }
+      m_result.m_longest = std::max(m_result.m_longest, part.m_longest);
+      m_result.m_keyed.merge(part.m_keyed);
+      --m_running;
+    });
+  }
+}
+
+Load::~Load() {
+  m_is_stopping = true;
+  for (std::thread& thread : m_threads) {
+    thread.join();
+  }
+}
+
+LoadResult Load::Stop() {
+  m_is_stopping = true;
+  for (std::thread& thread : m_threads) {
+    thread.join();
+  }
+  m_threads.clear();
+  return std::move(m_result);
+}
+
+}  // namespace sequoiastage
