--- /dev/null
+++ b/tests/one_way_cut_test.cc
@@ -0,0 +1,53 @@
+#include <gtest/gtest.h>
+
+#include "fleet.h"
+
+namespace sequoiastage {
+namespace {
+
+using std::chrono::milliseconds;
+
+// All instances are beside node 1; node 0 reaches it, but hears nothing back,
+// or the reverse. Node 2's way to node 1 is whole.
+class OneWayCutTest : public testing::TestWithParam<bool> {
+ protected:
+  void SetUp() override { ASSERT_EQ(m_fleet.Start(), ""); }
+
+  void CutBetween0And1() {
+    if (GetParam()) {
+      m_fleet.Links().Cut(0, 1);
+    } else {
+      m_fleet.Links().Cut(1, 0);
+    }
+  }
+
+  Fleet m_fleet{{.m_only_instances_at = 1, .m_has_relay = true}};
+};
+
+TEST_P(OneWayCutTest, TakesNothingOutOfServiceForOthers) {
+  CutBetween0And1();
+  // Long enough for every suspicion of node 0 to spread.
+  const auto end = std::chrono::steady_clock::now() + milliseconds(8000);
+  int answered = 0;
+  while (std::chrono::steady_clock::now() < end) {
+    const CallerAnswer cut =
+        Call({.m_to = m_fleet.Caller(0),
+              .m_target = "/work/cut",
+              .m_fields = {{"Host", "move.example"},
+                           {"Sequoiastage-Deadline-Ms", "300"}}});
+    EXPECT_TRUE(cut.IsWhole()) << "no final answer: " << cut.m_error;
+    EXPECT_NE(cut.Outcome(), "answered") << "the link is not cut";
+    for (int i = 0; i < 10; ++i) {
+      ASSERT_TRUE(m_fleet.IsServing(2)) << "after " << answered << " answers";
+      ++answered;
+    }
+  }
+  m_fleet.Links().HealAll();
+  EXPECT_TRUE(
+      WaitUntil(milliseconds(10'000), [this] { return m_fleet.IsServing(0); }));
+}
+
+INSTANTIATE_TEST_SUITE_P(BothWays, OneWayCutTest, testing::Bool());
+
+}  // namespace
+}  // namespace sequoiastage
