--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "fleet.h"
 #include "sequoiastage/base/time.h"
 
@@ -58,6 +60,24 @@
   EXPECT_TRUE(TimeUntilServed("/later").has_value());
 }
 
+TEST_F(ConfigTest, RacingOperatorsEndWithOneVersionEverywhere) {
+  std::thread other([this] { EXPECT_TRUE(m_fleet.Publish("/other")); });
+  EXPECT_TRUE(m_fleet.Publish("/one"));
+  other.join();
+  const auto serve = [this](const std::string& path) {
+    int count = 0;
+    for (int node = 0; node < m_fleet.NodeCount(); ++node) {
+      count += m_fleet.Serves(node, path) ? 1 : 0;
+    }
+    return count;
+  };
+  EXPECT_TRUE(WaitUntil(kInForceLimit, [this, &serve] {
+    const int one = serve("/one");
+    const int both = one + serve("/other");
+    return both == m_fleet.NodeCount() && (one == 0 || one == both);
+  }));
+}
+
 TEST_F(ConfigTest, AppendWhoseAnswerIsLostTakesEffect) {
   ASSERT_TRUE(m_fleet.SetLogFaults(R"({"lose_answers": 1})"));
   EXPECT_FALSE(m_fleet.Publish("/added"));
--- a/tests/end_to_end_test.cc
+++ b/tests/end_to_end_test.cc
@@ -19,6 +19,7 @@
                           .m_target = "/work/item?n=1",
                           .m_fields = {{"Host", "move.example"},
                                        {"X-Request-Id", "one"},
+                                       {"Sequoiastage-Deadline-Ms", "1500"},
                                        {"Sequoiastage-Account", "grower"}}};
     if (method == "POST") {
       request.m_body = body;
@@ -87,5 +88,20 @@
   EXPECT_EQ(m_fleet.Executions()["one"], 1);
 }
 
+TEST_F(EndToEndTest, KeyWhoseOwnerIsGoneIsUnknownAndNeverRun) {
+  const std::string key = Send(0, "POST").Field("idempotency-key");
+  m_fleet.Node(0).Kill();
+  const CallerAnswer gone = Send(1, "POST", key);
+  EXPECT_EQ(gone.Outcome(), "unknown") << gone.m_error << gone.m_body;
+  m_fleet.StartNode(0);
+  ASSERT_TRUE(WaitUntil(std::chrono::milliseconds(15'000),
+                        [this] { return m_fleet.IsServing(0); }));
+  for (const int node : {0, 1, 2}) {
+    const CallerAnswer restarted = Send(node, "POST", key);
+    EXPECT_EQ(restarted.Outcome(), "unknown") << restarted.m_body;
+  }
+  EXPECT_EQ(m_fleet.Executions()["one"], 0);
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -135,6 +135,7 @@
 
 void Fleet::StartRelay() {
   std::vector<Relay::Node> nodes;
+  nodes.reserve(m_nodes.size());
   for (int node = 0; node < m_options.m_nodes; ++node) {
     nodes.push_back(
         {.m_known = At(node, kPeerPort), .m_bound = PeerBind(node)});
