--- a/libs/node/src/ingress.cc
+++ b/libs/node/src/ingress.cc
@@ -110,7 +110,7 @@
           io,
           {.m_node = options.m_node, .m_incarnation = options.m_incarnation},
           m_transport),
-      m_key_owner(options.m_node, options.m_incarnation, m_runner),
+      m_key_owner(io, options.m_node, options.m_incarnation, m_runner),
       m_server(io,
                options.m_http,
                [this](HttpRequest request, HttpResponder responder) {
--- a/libs/node/src/key_owner.cc
+++ b/libs/node/src/key_owner.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr uint32_t kRetryAfterSeconds = 1;
+// How long after the caller's deadline the outcome of started work still
+// counts. The egress waits a little less.
+constexpr std::chrono::seconds kLingerTime{6};
 
 StoredAnswer Store(const KeyedAnswer& answer) {
   auto frame = EncodeFrame(KeyedReplyMessage{.m_outcome = answer.m_outcome,
@@ -40,6 +43,17 @@
                       .m_detail = detail});
 }
 
+// Answer at the caller's deadline.
+KeyedAnswer StillRunning() {
+  return FromProblem({.m_status = 504,
+                      .m_outcome = RequestOutcome::kUnknown,
+                      .m_title = "Still running",
+                      .m_detail =
+                          "No answer came in time. Show the same key again to "
+                          "learn the outcome.",
+                      .m_retry_after = kRetryAfterSeconds});
+}
+
 // Answer for a key that is neither run nor waited for.
 KeyedAnswer AnswerFor(KeyVerdict verdict) {
   switch (verdict) {
@@ -114,8 +128,12 @@
                           .m_retry_after = retry_after});
 }
 
-KeyOwner::KeyOwner(NodeId node, Incarnation incarnation, RequestRunner& runner)
-    : m_issuer({.m_owner = node, .m_incarnation = incarnation},
+KeyOwner::KeyOwner(asio::io_context& io,
+                   NodeId node,
+                   Incarnation incarnation,
+                   RequestRunner& runner)
+    : m_io(io),
+      m_issuer({.m_owner = node, .m_incarnation = incarnation},
                KeyIssuer::MakeSecret()),
       m_runner(runner) {}
 
@@ -139,10 +157,11 @@
       m_ledger.Present(m_issuer, key, fingerprint, waiter, WallNow());
   switch (decision.m_verdict) {
     case KeyVerdict::kDispatch:
-      Start(key, std::move(request), done);
+      AddWaiter(waiter, key, request.m_deadline, done);
+      Start(key, std::move(request), waiter);
       return;
     case KeyVerdict::kWait:
-      m_waiters.emplace(waiter, Waiter{.m_done = done});
+      AddWaiter(waiter, key, request.m_deadline, done);
       return;
     case KeyVerdict::kAnswered:
       done(LoadStored(decision.m_answer));
@@ -156,31 +175,53 @@
   return AnswerFor(m_ledger.Look(m_issuer, key, WallNow()).m_verdict);
 }
 
+void KeyOwner::AddWaiter(KeyWaiter waiter,
+                         const IdempotencyKey& key,
+                         WallTime deadline,
+                         const Done& done) {
+  const auto timer = std::make_shared<asio::steady_timer>(m_io);
+  timer->expires_after(deadline - WallNow());
+  timer->async_wait([this, timer, key, waiter](const asio::error_code& error) {
+    if (!error) {
+      m_ledger.Leave(key, waiter);
+      AnswerWaiter(waiter, StillRunning());
+    }
+  });
+  m_waiters.emplace(waiter, Waiter{.m_done = done, .m_timer = timer});
+}
+
+void KeyOwner::AnswerWaiter(KeyWaiter waiter, KeyedAnswer answer) {
+  const auto it = m_waiters.find(waiter);
+  if (it == m_waiters.end()) {
+    return;
+  }
+  const Waiter waiting = std::move(it->second);
+  m_waiters.erase(it);
+  waiting.m_timer->cancel();
+  waiting.m_done(std::move(answer));
+}
+
 void KeyOwner::Start(const IdempotencyKey& key,
                      RunRequest request,
-                     const Done& done) {
-  m_runner.Run(std::move(request), [this, key, done](RunResult result) {
-    OnRun(key, std::move(result), done);
+                     KeyWaiter waiter) {
+  request.m_linger = kLingerTime;
+  m_runner.Run(std::move(request), [this, key, waiter](RunResult result) {
+    OnRun(key, std::move(result), waiter);
   });
 }
 
 void KeyOwner::OnRun(const IdempotencyKey& key,
                      RunResult result,
-                     const Done& done) {
+                     KeyWaiter waiter) {
   KeyedAnswer answer{.m_outcome = result.m_outcome};
   answer.m_answer = ToAnswer(std::move(result));
   const bool is_kept = answer.m_outcome == RequestOutcome::kAnswered;
   const std::vector<KeyWaiter> waiters = m_ledger.Resolve(
       key, answer.m_outcome, is_kept ? Store(answer) : nullptr);
-  for (const KeyWaiter waiter : waiters) {
-    const auto it = m_waiters.find(waiter);
-    if (it != m_waiters.end()) {
-      const Done waiting = std::move(it->second.m_done);
-      m_waiters.erase(it);
-      waiting(answer);
-    }
+  AnswerWaiter(waiter, answer);
+  for (const KeyWaiter other : waiters) {
+    AnswerWaiter(other, answer);
   }
-  done(std::move(answer));
 }
 
 }  // namespace sequoiastage
--- a/libs/node/src/key_owner_p.h
+++ b/libs/node/src/key_owner_p.h
@@ -1,7 +1,10 @@
 #ifndef SEQUOIASTAGE_NODE_KEY_OWNER_P_H_
 #define SEQUOIASTAGE_NODE_KEY_OWNER_P_H_
 
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 #include <unordered_map>
 
@@ -24,12 +27,17 @@
  public:
   using Done = std::function<void(KeyedAnswer)>;
 
-  KeyOwner(NodeId node, Incarnation incarnation, RequestRunner& runner);
+  KeyOwner(asio::io_context& io,
+           NodeId node,
+           Incarnation incarnation,
+           RequestRunner& runner);
 
   // Text of a fresh key.
   std::string Issue();
 
-  // Runs `request` under `key`, or answers what became of it.
+  // Runs `request` under `key`, or answers what became of it. `done` is called
+  // at the request's deadline at the latest; work that may have started goes on
+  // for a while, so that a caller who asks again gets its answer.
   void Present(const IdempotencyKey& key,
                const std::string& account,
                RunRequest request,
@@ -41,13 +49,21 @@
   KeyLedgerStats Stats() const { return m_ledger.Stats(); }
 
  private:
+  // One caller that waits for the outcome of a key.
   struct Waiter {
     Done m_done;
+    std::shared_ptr<asio::steady_timer> m_timer;
   };
 
-  void Start(const IdempotencyKey& key, RunRequest request, const Done& done);
-  void OnRun(const IdempotencyKey& key, RunResult result, const Done& done);
+  void AddWaiter(KeyWaiter waiter,
+                 const IdempotencyKey& key,
+                 WallTime deadline,
+                 const Done& done);
+  void AnswerWaiter(KeyWaiter waiter, KeyedAnswer answer);
+  void Start(const IdempotencyKey& key, RunRequest request, KeyWaiter waiter);
+  void OnRun(const IdempotencyKey& key, RunResult result, KeyWaiter waiter);
 
+  asio::io_context& m_io;
   KeyIssuer m_issuer;
   KeyLedger m_ledger;
   RequestRunner& m_runner;
--- a/libs/node/src/request_runner.cc
+++ b/libs/node/src/request_runner.cc
@@ -16,6 +16,10 @@
 // Attempts that an egress refused count apart from those that may have run.
 constexpr uint32_t kMaxRefusals = 6;
 
+WallTime EndOf(const RunRequest& request) {
+  return request.m_deadline + request.m_linger;
+}
+
 std::chrono::milliseconds CancelLead(std::chrono::milliseconds total) {
   return std::min(kCancelLead, total / kCancelShare);
 }
@@ -140,9 +144,11 @@
 }
 
 void RequestRunner::SendAttempt(RunId run, Execution& execution) {
-  const Target choice = MayTryAgain(execution) && TakeRetry(execution)
-                            ? Pick(execution)
-                            : Target{};
+  const bool is_late = WallNow() >= execution.m_request.m_deadline;
+  const Target choice =
+      !is_late && MayTryAgain(execution) && TakeRetry(execution)
+          ? Pick(execution)
+          : Target{};
   const InstanceView* target = choice.m_instance;
   if (target == nullptr) {
     Follow(run, execution.m_tracker.OnNoTarget());
@@ -239,7 +245,7 @@
 
 void RequestRunner::ArmTimer(RunId run, Execution& execution) {
   const WallTime now = WallNow();
-  WallTime due = execution.m_request.m_deadline;
+  WallTime due = EndOf(execution.m_request);
   if (execution.m_cancel_at) {
     due = std::min(due, *execution.m_cancel_at);
   }
@@ -265,7 +271,7 @@
   }
   Execution& execution = *it->second;
   const WallTime now = WallNow();
-  if (now >= execution.m_request.m_deadline) {
+  if (now >= EndOf(execution.m_request)) {
     if (!Withdraw(run, execution)) {
       Follow(run, execution.m_tracker.OnDeadline());
     }
--- a/libs/node/src/request_runner_p.h
+++ b/libs/node/src/request_runner_p.h
@@ -30,7 +30,10 @@
   uint32_t m_max_attempts = 2;
   // Retries as a share of the service's requests.
   double m_retry_share = 0.1;
+  // Nothing is started later.
   WallTime m_deadline;
+  // How long after the deadline the outcome of started work still counts.
+  std::chrono::milliseconds m_linger{0};
 };
 
 struct RunResult {
@@ -64,7 +67,8 @@
 
   void SetView(NodeViewPtr view) { m_picker.SetView(std::move(view)); }
 
-  // Runs `request`; `done` is called once, at the latest at its deadline.
+  // Runs `request`; `done` is called once, at the latest at its deadline
+  // and the time it lingers.
   void Run(RunRequest request, Done done);
 
   // Messages and events of the transport.
--- a/tests/end_to_end_test.cc
+++ b/tests/end_to_end_test.cc
@@ -88,6 +88,37 @@
   EXPECT_EQ(m_fleet.Executions()["one"], 1);
 }
 
+// The work outlives the caller's deadline; its answer is there for the caller
+// who asks again.
+TEST(LateAnswerTest, IsGivenToTheCallerWhoShowsTheKeyAgain) {
+  Fleet fleet({.m_nodes = 2, .m_instances_per_node = 1, .m_latency_ms = 500});
+  ASSERT_EQ(fleet.Start(), "");
+  for (int node = 0; node < 2; ++node) {
+    ASSERT_EQ(Call({.m_to = fleet.Instance(node, 0),
+                    .m_method = "POST",
+                    .m_target = "/standin/mode?mode=slow"})
+                  .m_status,
+              200);
+  }
+  CallerRequest request{.m_to = fleet.Caller(0),
+                        .m_method = "POST",
+                        .m_target = "/work/item",
+                        .m_fields = {{"Host", "move.example"},
+                                     {"X-Request-Id", "late"},
+                                     {"Sequoiastage-Deadline-Ms", "1000"}},
+                        .m_body = "pay 10"};
+  request.m_fields["Idempotency-Key"] = Call(request).Field("idempotency-key");
+  const CallerAnswer early = Call(request);
+  EXPECT_EQ(early.m_status, 504) << early.m_body;
+  EXPECT_EQ(early.Outcome(), "unknown");
+  request.m_to = fleet.Caller(1);
+  request.m_fields["Sequoiastage-Deadline-Ms"] = "4000";
+  const CallerAnswer late = Call(request);
+  EXPECT_EQ(late.m_status, 200) << late.m_body;
+  EXPECT_EQ(late.m_body, "pay 10");
+  EXPECT_EQ(fleet.Executions()["late"], 1);
+}
+
 TEST_F(EndToEndTest, KeyWhoseOwnerIsGoneIsUnknownAndNeverRun) {
   const std::string key = Send(0, "POST").Field("idempotency-key");
   m_fleet.Node(0).Kill();
