--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -191,7 +191,7 @@
 class HttpServer::Impl {
  public:
   Impl(asio::io_context& io, HttpServerOptions options, HttpHandler handler)
-      : m_options(options),
+      : m_options(std::move(options)),
         m_handler(std::move(handler)),
         m_server(restinio::external_io_context(io), MakeSettings()) {}
 
@@ -224,16 +224,20 @@
     HttpResponder responder(std::make_unique<HttpResponder::Impl>(handle));
     HttpRequest request = ToRequest(handle);
     if (request.m_body.size() > m_options.m_max_body_bytes) {
-      responder.Send(PlainAnswer(413, "the request body is too large\n"), true);
+      responder.Send(Refuse(413, "the request body is too large"), true);
     } else if (HeaderBytes(request) > m_options.m_max_header_bytes) {
-      responder.Send(PlainAnswer(431, "the request header is too large\n"),
-                     true);
+      responder.Send(Refuse(431, "the request header is too large"), true);
     } else {
       m_handler(std::move(request), std::move(responder));
     }
     return restinio::request_accepted();
   }
 
+  HttpAnswer Refuse(uint16_t status, const std::string& detail) const {
+    return m_options.m_refusal ? m_options.m_refusal(status, detail)
+                               : PlainAnswer(status, detail + "\n");
+  }
+
   HttpServerOptions m_options;
   HttpHandler m_handler;
   Server m_server;
@@ -242,7 +246,8 @@
 HttpServer::HttpServer(asio::io_context& io,
                        HttpServerOptions options,
                        HttpHandler handler)
-    : m_impl(std::make_unique<Impl>(io, options, std::move(handler))) {}
+    : m_impl(
+          std::make_unique<Impl>(io, std::move(options), std::move(handler))) {}
 
 HttpServer::~HttpServer() = default;
 
--- a/libs/membership/tests/convergence_test.cc
+++ b/libs/membership/tests/convergence_test.cc
@@ -189,5 +189,27 @@
   EXPECT_LE(*took, seconds(3));
 }
 
+// Twenty seconds after the start of all nodes at once, much of which still has
+// to be passed on.
+TEST(ConvergenceTest, ChangeReachesAThousandNodesInThreeSeconds) {
+  FakeNetwork network(
+      {.m_nodes = 1000, .m_seed = 7, .m_step = milliseconds(50)});
+  const auto all_known = [&] {
+    return network.AllUp(
+        [](Membership& at) { return at.Members().size() == 1000; });
+  };
+  ASSERT_TRUE(network.RunUntil(all_known, seconds(120)));
+  network.Run(seconds(20));
+  network.At(17).SetOwn({.m_state = HostState::kDraining}, network.Time());
+  const auto is_told = [](Membership& at) {
+    return at.Find(FakeNetwork::Id(17))->m_entry->m_state ==
+           HostState::kDraining;
+  };
+  const auto took =
+      network.RunUntil([&] { return network.AllUp(is_told); }, seconds(30));
+  ASSERT_TRUE(took);
+  EXPECT_LE(*took, seconds(3));
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/node/src/config_feed.cc
+++ b/libs/node/src/config_feed.cc
@@ -12,7 +12,7 @@
 constexpr std::chrono::milliseconds kPollInterval{500};
 constexpr std::chrono::milliseconds kPendingPollInterval{50};
 // Poll of a node that gets the changes from others.
-constexpr std::chrono::seconds kFallbackPollInterval{5};
+constexpr std::chrono::seconds kFallbackPollInterval{60};
 // Bytes of records kept for peers.
 constexpr size_t kMaxRecentBytes = size_t{4} << 20;
 constexpr std::chrono::seconds kReadTimeout{2};
--- a/libs/node/src/config_feed_p.h
+++ b/libs/node/src/config_feed_p.h
@@ -50,6 +50,9 @@
   // then: other nodes pass the changes on.
   void SetReader(bool is_reader) { m_is_reader = is_reader; }
 
+  // Reads the log at once: the peers can't be reached.
+  void PollNow() { Poll(); }
+
   // What a peer whose state ends before `have` lacks.
   ConfigReplyMessage AnswerPeer(const ConfigRequestMessage& request) const;
 
--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -14,6 +14,10 @@
 
 constexpr std::chrono::milliseconds kTickInterval{100};
 constexpr std::chrono::seconds kSiblingTtl{10};
+// After a view was made, the next one waits for this multiple of the time it
+// took, so that views take about 1% of a core however large the fleet is.
+constexpr int kViewPause = 100;
+constexpr Duration kMaxViewPause = std::chrono::seconds(1);
 
 std::vector<NodeId> ToNodeIds(const std::vector<Endpoint>& endpoints) {
   std::vector<NodeId> ids;
@@ -141,11 +145,18 @@
 }
 
 void Control::Publish() {
-  if (m_is_view_due || m_membership.ChangeCount() != m_published_change) {
-    m_is_view_due = m_ejections.Refresh() || m_is_view_due;
+  const TimePoint start = Now();
+  const bool is_due =
+      m_is_view_due || m_membership.ChangeCount() != m_published_change;
+  if (!is_due || start < m_next_view) {
+    PublishOwn();
+    return;
   }
+  m_ejections.Refresh();
   PublishOwn();
   PublishView();
+  const Duration took = Now() - start;
+  m_next_view = start + std::min(kViewPause * took, kMaxViewPause);
 }
 
 void Control::PublishOwn() {
@@ -164,11 +175,7 @@
 }
 
 void Control::PublishView() {
-  const uint64_t change = m_membership.ChangeCount();
-  if (change == m_published_change && !m_is_view_due) {
-    return;
-  }
-  m_published_change = change;
+  m_published_change = m_membership.ChangeCount();
   m_is_view_due = false;
   auto view = std::make_shared<NodeView>();
   view->m_config_version = m_config.Version();
--- a/libs/node/src/control_p.h
+++ b/libs/node/src/control_p.h
@@ -98,6 +98,7 @@
   HostState m_host_state = HostState::kLive;
   uint64_t m_published_change = 0;
   bool m_is_view_due = true;
+  TimePoint m_next_view;
   std::vector<LocalInstance> m_published_instances;
   std::string m_last_reason;
 };
--- a/libs/node/src/ejection_keeper.cc
+++ b/libs/node/src/ejection_keeper.cc
@@ -118,7 +118,7 @@
   return statuses;
 }
 
-bool EjectionKeeper::Refresh() {
+void EjectionKeeper::Refresh() {
   std::set<InstanceRun> heeded;
   for (const auto& [service, ejections] : m_feed->EnforcedEjections()) {
     if (ejections.m_ejected.empty()) {
@@ -137,9 +137,7 @@
         HeededEjections(ejections, live, m_feed->Replay().FloorOf(service));
     heeded.insert(runs.begin(), runs.end());
   }
-  const bool has_changed = heeded != m_heeded;
   m_heeded = std::move(heeded);
-  return has_changed;
 }
 
 bool EjectionKeeper::IsEjected(InstanceId instance,
--- a/libs/node/src/ejection_keeper_p.h
+++ b/libs/node/src/ejection_keeper_p.h
@@ -31,9 +31,8 @@
                  const SiblingSummaries& summaries,
                  TimePoint now);
 
-  // To be called when members or ejections have changed. True when other runs
-  // are ejected than before.
-  bool Refresh();
+  // To be called when members or ejections have changed.
+  void Refresh();
 
   // Whether the run gets no work at this node.
   bool IsEjected(InstanceId instance, Incarnation incarnation) const;
--- a/libs/node/src/ingress.cc
+++ b/libs/node/src/ingress.cc
@@ -37,6 +37,18 @@
   return text != nullptr ? *text : "";
 }
 
+// Answer to a request that is too large to be looked at.
+HttpAnswer RefuseTooLarge(uint16_t status, const std::string& detail) {
+  return ToAnswer(Problem{.m_status = status,
+                          .m_title = "Request too large",
+                          .m_detail = "Not run: " + detail + "."});
+}
+
+HttpServerOptions WithRefusal(HttpServerOptions options) {
+  options.m_refusal = RefuseTooLarge;
+  return options;
+}
+
 KeyedAnswer OwnerOutOfReach() {
   const Problem problem{
       .m_status = 504,
@@ -112,7 +124,7 @@
           m_transport),
       m_key_owner(io, options.m_node, options.m_incarnation, m_runner),
       m_server(io,
-               options.m_http,
+               WithRefusal(options.m_http),
                [this](HttpRequest request, HttpResponder responder) {
                  OnRequest(std::move(request), std::move(responder));
                }) {}
--- a/tests/end_to_end_test.cc
+++ b/tests/end_to_end_test.cc
@@ -57,6 +57,28 @@
   EXPECT_EQ(m_fleet.Executions()["one"], 1);
 }
 
+TEST_F(EndToEndTest, BadInputIsToldWhatIsWrongAndNotRun) {
+  const auto status_of =
+      [this](const std::string& target, const std::string& field,
+             const std::string& value, const std::string& body) {
+        CallerRequest request{.m_to = m_fleet.Caller(0),
+                              .m_method = body.empty() ? "GET" : "POST",
+                              .m_target = target,
+                              .m_fields = {{"Host", "move.example"}},
+                              .m_body = body};
+        request.m_fields[field] = value;
+        const CallerAnswer answer = Call(request);
+        EXPECT_EQ(answer.Outcome(), "not-run") << target << answer.m_status;
+        EXPECT_EQ(answer.Field("content-type"), "application/problem+json");
+        return answer.m_status;
+      };
+  EXPECT_EQ(status_of("/nowhere", "X-A", "b", ""), 404);
+  EXPECT_EQ(status_of("/work/x", "Sequoiastage-Deadline-Ms", "soon", ""), 400);
+  EXPECT_EQ(status_of("/work/x", "X-Large", std::string(40'000, 'x'), ""), 431);
+  EXPECT_EQ(status_of("/work/x", "X-A", "b", std::string(5'000'000, 'x')), 413);
+  EXPECT_TRUE(m_fleet.Executions().empty());
+}
+
 TEST_F(EndToEndTest, KeyOfAnotherRequestOrOfNobodyIsRefused) {
   const std::string key = Send(0, "POST").Field("idempotency-key");
   ASSERT_EQ(Send(0, "POST", key).m_status, 200);
