--- /dev/null
+++ b/libs/config/tests/traffic_config_test.cc
@@ -0,0 +1,91 @@
+#include "sequoiastage/config/traffic_config.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace sequoiastage {
+namespace {
+
+TrafficRoute RouteAt(std::string host, std::string prefix) {
+  TrafficRoute route;
+  route.m_name = prefix;
+  route.m_host = std::move(host);
+  route.m_path_prefix = std::move(prefix);
+  route.m_shares = {{.m_service = ServiceIdOf("plans")}};
+  return route;
+}
+
+TrafficConfig ValidConfig() {
+  return {.m_version = ConfigVersion(1),
+          .m_routes = {RouteAt("a", "/x/"), RouteAt("a", "/x/y/")},
+          .m_services = {"plans"}};
+}
+
+std::string FaultsOf(const TrafficConfig& config) {
+  Findings findings;
+  CheckTrafficConfig(config, "test", findings);
+  return findings.ToText();
+}
+
+TEST(PrefixRoutesTest, FindsTheLongestPrefixThatBeginsThePath) {
+  const std::vector<TrafficRoute> routes = {
+      RouteAt("a", "/x/"), RouteAt("a", "/x/y/"), RouteAt("b", "/")};
+  const PrefixRoutes table(routes);
+  EXPECT_EQ(table.Find("a", "/x/y/z")->m_path_prefix, "/x/y/");
+  EXPECT_EQ(table.Find("a", "/x/yz")->m_path_prefix, "/x/");
+  EXPECT_EQ(table.Find("a", "/x/?q=/y/")->m_path_prefix, "/x/");
+  EXPECT_EQ(table.Find("b", "/anything")->m_path_prefix, "/");
+  EXPECT_EQ(table.Find("a", "/x"), nullptr);
+  EXPECT_EQ(table.Find("a", "//x/"), nullptr);
+  EXPECT_EQ(table.Find("c", "/x/"), nullptr);
+}
+
+RC_GTEST_PROP(PrefixRoutesTest, AgreesWithComparingEveryRoute, ()) {
+  const auto path = rc::gen::container<std::string>(rc::gen::element('/', 'a'));
+  std::vector<TrafficRoute> routes;
+  for (const std::string& middle :
+       *rc::gen::container<std::vector<std::string>>(4, path)) {
+    routes.push_back(RouteAt("h", middle.empty() ? "/" : "/" + middle + "/"));
+  }
+  const std::string target = "/" + *path;
+  std::string longest;
+  for (const TrafficRoute& route : routes) {
+    if (target.starts_with(route.m_path_prefix) &&
+        route.m_path_prefix.size() > longest.size()) {
+      longest = route.m_path_prefix;
+    }
+  }
+  const PrefixRoutes table(routes);
+  const TrafficRoute* found = table.Find("h", target);
+  RC_ASSERT((found == nullptr ? "" : found->m_path_prefix) == longest);
+}
+
+TEST(CheckTrafficConfigTest, TakesAValidOne) {
+  EXPECT_EQ(FaultsOf(ValidConfig()), "");
+}
+
+TEST(CheckTrafficConfigTest, NamesEachFaultWithItsPlace) {
+  TrafficConfig config = ValidConfig();
+  config.m_routes[0].m_host.clear();
+  config.m_routes[1].m_shares[0].m_service = ServiceIdOf("other");
+  EXPECT_EQ(FaultsOf(config),
+            "test: /routes/0: no host\ntest: /routes/1: unknown service\n");
+  config = ValidConfig();
+  config.m_routes[0].m_path_prefix = "/x";
+  EXPECT_NE(FaultsOf(config), "");
+  config = ValidConfig();
+  config.m_routes[0].m_timeout = Duration{};
+  EXPECT_NE(FaultsOf(config), "");
+  config = ValidConfig();
+  config.m_routes[0].m_shares.clear();
+  EXPECT_NE(FaultsOf(config), "");
+}
+
+TEST(CheckTrafficConfigTest, TakesAnObjectiveAboveTheTimeout) {
+  TrafficConfig config = ValidConfig();
+  config.m_routes[0].m_target_latency = 2 * config.m_routes[0].m_timeout;
+  EXPECT_EQ(FaultsOf(config), "");
+}
+
+}  // namespace
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/http/include/sequoiastage/http/stream_server.h
@@ -0,0 +1,77 @@
+#ifndef SEQUOIASTAGE_HTTP_STREAM_SERVER_H_
+#define SEQUOIASTAGE_HTTP_STREAM_SERVER_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include "sequoiastage/base/http_message.h"
+#include "sequoiastage/base/ids.h"
+#include "sequoiastage/base/time.h"
+#include "sequoiastage/http/message_parser.h"
+
+namespace sequoiastage {
+
+struct StreamLimits {
+  MessageLimits m_message{};
+  /// From the first byte of a request to the end of its header; its body has
+  /// this time again.
+  Duration m_header_timeout = std::chrono::seconds(3);
+  /// A connection without requests is closed after this.
+  Duration m_idle_timeout = std::chrono::seconds(15);
+  /// Requests of one connection that are answered at the same time; more are
+  /// left unread.
+  size_t m_max_pipelined = 32;
+};
+
+/// Answers one request; called at most once, at any later time.
+using StreamResponder = std::function<void(HttpAnswer)>;
+
+/// Called when the caller has left before its answer. May be empty.
+using CancelHook = std::function<void()>;
+
+/// Serves HTTP/1.1 on one thread. Unlike HttpServer it answers pipelined
+/// requests side by side (the answers go out in order), tells when a caller
+/// leaves, and bounds the time of a header. All calls and handlers on the
+/// thread of the io_context.
+class StreamServer {
+ public:
+  using Handler = std::function<CancelHook(HttpRequest, StreamResponder)>;
+
+  StreamServer(asio::io_context& io, Handler handler);
+  StreamServer(const StreamServer&) = delete;
+  StreamServer& operator=(const StreamServer&) = delete;
+  ~StreamServer();
+
+  /// Listens. False with LastReason() when the address can't be had.
+  bool Start(const Endpoint& listen);
+
+  /// For connections and requests from now on.
+  void SetLimits(const StreamLimits& limits);
+
+  /// Every answer from now on is the last of its connection.
+  void StartDrain();
+
+  /// Closes what is idle, and the rest behind its answers.
+  void Stop();
+
+  size_t ConnectionCount() const;
+  const std::string& LastReason() const { return m_last_reason; }
+
+ private:
+  class Connection;
+  struct Shared;
+
+  void Accept();
+
+  asio::ip::tcp::acceptor m_acceptor;
+  std::shared_ptr<Shared> m_shared;
+  std::string m_last_reason;
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_HTTP_STREAM_SERVER_H_
--- /dev/null
+++ b/libs/http/src/message_parser.cc
@@ -0,0 +1,198 @@
+#include "sequoiastage/http/message_parser.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr uint16_t kBadRequest = 400;
+constexpr uint16_t kBodyTooLarge = 413;
+constexpr uint16_t kHeaderTooLarge = 431;
+// ": " and the end of the line.
+constexpr size_t kFieldSyntaxBytes = 4;
+// Return value of on_headers_complete that announces a message without body.
+constexpr int kNoBody = 1;
+
+std::string HostOf(const std::vector<HttpField>& fields) {
+  const std::string* field = FindField(fields, "host");
+  if (field == nullptr) {
+    return {};
+  }
+  std::string host = field->substr(0, field->rfind(':'));
+  std::transform(host.begin(), host.end(), host.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return host;
+}
+
+}  // namespace
+
+struct MessageParser::Callbacks {
+  static MessageParser& Self(http_parser* parser) {
+    return *static_cast<MessageParser*>(parser->data);
+  }
+
+  static int OnTarget(http_parser* parser, const char* at, size_t length) {
+    Self(parser).m_target.append(at, length);
+    return 0;
+  }
+
+  static int OnFieldName(http_parser* parser, const char* at, size_t length) {
+    MessageParser& self = Self(parser);
+    if (self.m_state == ParseState::kInBody) {
+      return 0;  // Trailers are not passed on.
+    }
+    if (self.m_fields.empty() || self.m_in_value) {
+      self.m_fields.emplace_back();
+      self.m_in_value = false;
+    }
+    self.m_fields.back().m_name.append(at, length);
+    return 0;
+  }
+
+  static int OnFieldValue(http_parser* parser, const char* at, size_t length) {
+    MessageParser& self = Self(parser);
+    if (self.m_state == ParseState::kInBody) {
+      return 0;
+    }
+    self.m_in_value = true;
+    self.m_fields.back().m_value.append(at, length);
+    return 0;
+  }
+
+  static int OnHeadersDone(http_parser* parser) {
+    MessageParser& self = Self(parser);
+    self.m_state = ParseState::kInBody;
+    size_t size = self.m_target.size();
+    for (const HttpField& field : self.m_fields) {
+      size += field.m_name.size() + field.m_value.size() + kFieldSyntaxBytes;
+    }
+    if (size > self.m_limits.m_max_header_bytes) {
+      return self.Fail(kHeaderTooLarge);
+    }
+    // The length is all ones when there is none.
+    if (parser->content_length != UINT64_MAX &&
+        parser->content_length > self.m_limits.m_max_body_bytes &&
+        !self.m_skips_body) {
+      return self.Fail(kBodyTooLarge);
+    }
+    return self.m_skips_body ? kNoBody : 0;
+  }
+
+  static int OnBody(http_parser* parser, const char* at, size_t length) {
+    MessageParser& self = Self(parser);
+    if (self.m_body.size() + length > self.m_limits.m_max_body_bytes) {
+      return self.Fail(kBodyTooLarge);
+    }
+    self.m_body.append(at, length);
+    return 0;
+  }
+
+  static int OnDone(http_parser* parser) {
+    MessageParser& self = Self(parser);
+    self.m_keeps_alive = http_should_keep_alive(parser) != 0;
+    self.m_state = ParseState::kComplete;
+    // Stops http_parser_execute() behind this message.
+    http_parser_pause(parser, 1);
+    return 0;
+  }
+
+  static const http_parser_settings* Settings() {
+    static const http_parser_settings kSettings = [] {
+      http_parser_settings settings;
+      http_parser_settings_init(&settings);
+      settings.on_url = OnTarget;
+      settings.on_header_field = OnFieldName;
+      settings.on_header_value = OnFieldValue;
+      settings.on_headers_complete = OnHeadersDone;
+      settings.on_body = OnBody;
+      settings.on_message_complete = OnDone;
+      return settings;
+    }();
+    return &kSettings;
+  }
+};
+
+MessageParser::MessageParser(http_parser_type type, const MessageLimits& limits)
+    : m_type(type), m_limits(limits) {
+  Reset();
+}
+
+void MessageParser::Reset() {
+  http_parser_init(&m_parser, m_type);
+  m_parser.data = this;
+  m_target.clear();
+  m_fields.clear();
+  m_body.clear();
+  m_state = ParseState::kIdle;
+  m_header_bytes = 0;
+  m_in_value = false;
+  m_skips_body = false;
+}
+
+int MessageParser::Fail(uint16_t status) {
+  m_state = ParseState::kFailed;
+  m_failure_status = status;
+  return -1;
+}
+
+size_t MessageParser::Feed(std::string_view bytes) {
+  if (m_state == ParseState::kComplete || m_state == ParseState::kFailed ||
+      bytes.empty()) {
+    return 0;
+  }
+  if (m_state == ParseState::kIdle) {
+    m_state = ParseState::kInHeaders;
+  }
+  const bool was_in_headers = m_state == ParseState::kInHeaders;
+  const size_t used = http_parser_execute(&m_parser, Callbacks::Settings(),
+                                          bytes.data(), bytes.size());
+  if (m_state == ParseState::kComplete) {
+    http_parser_pause(&m_parser, 0);
+    return used;
+  }
+  if (m_state != ParseState::kFailed && m_parser.http_errno != HPE_OK) {
+    Fail(m_parser.http_errno == HPE_HEADER_OVERFLOW ? kHeaderTooLarge
+                                                    : kBadRequest);
+  }
+  if (was_in_headers && m_state != ParseState::kFailed) {
+    m_header_bytes += m_state == ParseState::kInHeaders ? used : 0;
+    if (m_header_bytes > m_limits.m_max_header_bytes) {
+      Fail(kHeaderTooLarge);
+    }
+  }
+  return used;
+}
+
+void MessageParser::FinishAtEnd() {
+  if (m_state == ParseState::kComplete || m_state == ParseState::kFailed) {
+    return;
+  }
+  http_parser_execute(&m_parser, Callbacks::Settings(), nullptr, 0);
+  if (m_state != ParseState::kComplete) {
+    Fail(kBadRequest);
+  }
+}
+
+HttpRequest RequestParser::Take() {
+  HttpRequest request{
+      .m_method = http_method_str(static_cast<http_method>(m_parser.method)),
+      .m_host = HostOf(m_fields),
+      .m_target = std::move(m_target),
+      .m_fields = std::move(m_fields),
+      .m_body = std::move(m_body)};
+  Reset();
+  return request;
+}
+
+HttpAnswer AnswerParser::Take() {
+  HttpAnswer answer{.m_status = static_cast<uint16_t>(m_parser.status_code),
+                    .m_fields = std::move(m_fields),
+                    .m_body = std::move(m_body)};
+  Reset();
+  return answer;
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/http/tests/message_parser_test.cc
@@ -0,0 +1,116 @@
+#include "sequoiastage/http/message_parser.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+namespace sequoiastage {
+namespace {
+
+constexpr std::string_view kTwoRequests =
+    "POST /a/1?x=2 HTTP/1.1\r\nHost: Move.Example:80\r\n"
+    "Content-Length: 5\r\n\r\nhello"
+    "GET /b/ HTTP/1.1\r\nHost: move.example\r\n\r\n";
+
+TEST(RequestParserTest, ReadsPipelinedRequestsOneByOne) {
+  RequestParser parser(MessageLimits{});
+  const size_t used = parser.Feed(kTwoRequests);
+  ASSERT_EQ(parser.State(), ParseState::kComplete);
+  EXPECT_TRUE(parser.KeepsAlive());
+  const HttpRequest first = parser.Take();
+  EXPECT_EQ(first.m_method, "POST");
+  EXPECT_EQ(first.m_host, "move.example");
+  EXPECT_EQ(first.m_target, "/a/1?x=2");
+  EXPECT_EQ(first.m_body, "hello");
+  const std::string_view rest = kTwoRequests.substr(used);
+  EXPECT_EQ(parser.Feed(rest), rest.size());
+  ASSERT_EQ(parser.State(), ParseState::kComplete);
+  EXPECT_EQ(parser.Take().m_target, "/b/");
+}
+
+RC_GTEST_PROP(RequestParserTest, ReadsTheSameHoweverBytesAreSplit, ()) {
+  RequestParser parser(MessageLimits{});
+  std::vector<std::string> bodies;
+  std::string_view rest = kTwoRequests;
+  while (!rest.empty()) {
+    const auto size = std::min<size_t>(
+        rest.size(), *rc::gen::inRange<size_t>(1, kTwoRequests.size()));
+    std::string_view chunk = rest.substr(0, size);
+    rest.remove_prefix(size);
+    while (!chunk.empty()) {
+      chunk.remove_prefix(parser.Feed(chunk));
+      RC_ASSERT(parser.State() != ParseState::kFailed);
+      if (parser.State() == ParseState::kComplete) {
+        bodies.push_back(parser.Take().m_body);
+      }
+    }
+  }
+  RC_ASSERT(bodies == (std::vector<std::string>{"hello", ""}));
+}
+
+TEST(RequestParserTest, ReadsChunkedBodyAndDropsTrailers) {
+  RequestParser parser(MessageLimits{});
+  parser.Feed(
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2\r\nde\r\n0\r\nLate: 1\r\n\r\n");
+  ASSERT_EQ(parser.State(), ParseState::kComplete);
+  const HttpRequest request = parser.Take();
+  EXPECT_EQ(request.m_body, "abcde");
+  EXPECT_EQ(FindField(request.m_fields, "Late"), nullptr);
+}
+
+TEST(RequestParserTest, RefusesLengthBesideChunks) {
+  RequestParser parser(MessageLimits{});
+  parser.Feed(
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  EXPECT_EQ(parser.State(), ParseState::kFailed);
+  EXPECT_EQ(parser.FailureStatus(), 400);
+}
+
+TEST(RequestParserTest, NamesWhichLimitWasPassed) {
+  RequestParser body({.m_max_header_bytes = 1024, .m_max_body_bytes = 4});
+  body.Feed("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n");
+  EXPECT_EQ(body.FailureStatus(), 413);
+  RequestParser header({.m_max_header_bytes = 64, .m_max_body_bytes = 4});
+  header.Feed("GET / HTTP/1.1\r\nHost: a\r\nPad: " + std::string(100, 'x') +
+              "\r\n\r\n");
+  EXPECT_EQ(header.FailureStatus(), 431);
+}
+
+TEST(AnswerParserTest, CompletesAnAnswerWithoutLengthAtTheEndOnly) {
+  AnswerParser parser(MessageLimits{});
+  parser.Feed("HTTP/1.1 200 OK\r\nX: 1\r\n\r\nabc");
+  EXPECT_EQ(parser.State(), ParseState::kInBody);
+  parser.OnEnd();
+  ASSERT_EQ(parser.State(), ParseState::kComplete);
+  EXPECT_FALSE(parser.KeepsAlive());
+  EXPECT_EQ(parser.Take().m_body, "abc");
+}
+
+TEST(AnswerParserTest, FailsACutAnswer) {
+  AnswerParser parser(MessageLimits{});
+  parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+  parser.OnEnd();
+  EXPECT_EQ(parser.State(), ParseState::kFailed);
+}
+
+TEST(AnswerParserTest, ReadsAnswerToHeadWithoutBody) {
+  AnswerParser parser(MessageLimits{});
+  parser.ExpectNoBody();
+  parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+  ASSERT_EQ(parser.State(), ParseState::kComplete);
+  EXPECT_EQ(parser.Take().m_status, 200);
+}
+
+TEST(AnswerParserTest, LeavesBytesBehindTheAnswer) {
+  AnswerParser parser(MessageLimits{});
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  EXPECT_EQ(parser.Feed(answer + "HTTP/1.1 200"), answer.size());
+  EXPECT_EQ(parser.State(), ParseState::kComplete);
+}
+
+}  // namespace
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/limits/include/sequoiastage/limits/repeat_allowance.h
@@ -0,0 +1,67 @@
+#ifndef SEQUOIASTAGE_LIMITS_REPEAT_ALLOWANCE_H_
+#define SEQUOIASTAGE_LIMITS_REPEAT_ALLOWANCE_H_
+
+#include <array>
+#include <cstdint>
+
+#include "sequoiastage/base/time.h"
+
+namespace sequoiastage {
+
+struct RepeatAllowanceOptions {
+  /// Repeats allowed for each first arrival in the window.
+  double m_ratio = 0.2;
+  /// Repeats that the whole service may have in the window beside these.
+  double m_service_slack = 60;
+  Duration m_window = std::chrono::seconds(10);
+  /// Part of the allowance that is used. The rest covers calls of work that
+  /// itself was a repeat, which nobody can tell from others, and load that is
+  /// spread unevenly.
+  double m_used_part = 0.8;
+};
+
+/// Bounds the repeats that reach one instance, so that the repeats of its
+/// service over the whole fleet stay within their budget without a word
+/// between nodes: each egress has the same part of the service's slack.
+///
+/// Load pattern: many instances fail at once and every ingress wants to send
+/// its requests a second time. An egress sees all that reaches its instance,
+/// and a request it refuses costs nothing of the budget.
+class RepeatAllowance {
+ public:
+  explicit RepeatAllowance(const RepeatAllowanceOptions& options = {})
+      : m_options(options) {}
+
+  /// `instances`: how many the service has.
+  void SetInstances(uint32_t instances) { m_instances = instances; }
+
+  /// A request arrives for the first time.
+  void OnFirst(TimePoint now);
+
+  /// Takes one repeat; false when the allowance is used up.
+  bool TryRepeat(TimePoint now);
+
+  /// Repeats taken in the window that ends now.
+  uint32_t RepeatsInWindow(TimePoint now) const { return Sum(now).m_repeats; }
+
+ private:
+  static constexpr size_t kParts = 10;
+
+  struct Part {
+    int64_t m_number = -1;
+    uint32_t m_firsts = 0;
+    uint32_t m_repeats = 0;
+  };
+
+  Part& PartAt(TimePoint now);
+  Part Sum(TimePoint now) const;
+  int64_t NumberAt(TimePoint now) const;
+
+  RepeatAllowanceOptions m_options;
+  uint32_t m_instances = 1;
+  std::array<Part, kParts> m_parts{};
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_LIMITS_REPEAT_ALLOWANCE_H_
--- a/libs/limits/include/sequoiastage/limits/slot_gate.h
+++ b/libs/limits/include/sequoiastage/limits/slot_gate.h
@@ -71,16 +71,23 @@
 /// free slot goes to the caller account with the least recent use for its
 /// share. When the queue is full, work of an account with less use displaces
 /// the newest work of the account with the most.
+///
+/// More urgent work goes before all that is less urgent, and displaces it from
+/// a full queue. Load pattern: work of several ranks shares the instances of a
+/// service, and the calls that running work waits for must not queue behind
+/// new work.
 class SlotGate {
  public:
   explicit SlotGate(const SlotGateOptions& options);
 
   /// `share`: weight of the account among the others while there is not
-  /// enough for all; one that is not above 0 counts as 1.
+  /// enough for all; one that is not above 0 counts as 1. `urgency`: 0 is the
+  /// most urgent.
   AdmissionResult Admit(TimePoint now,
                         TimePoint deadline,
                         AccountId account,
-                        double share = 1);
+                        double share = 1,
+                        uint8_t urgency = 0);
 
   /// Work that held a slot has ended. `counts` tells whether its time says
   /// something about the service time (false after a cancellation or a
@@ -105,8 +112,8 @@
   size_t QueueLimit() const;
   Duration ServiceTime() const { return m_service_time; }
 
-  /// Expected time until work admitted now would get a slot.
-  Duration ExpectedWait() const;
+  /// Expected time until work of this urgency admitted now would get a slot.
+  Duration ExpectedWait(uint8_t urgency = UINT8_MAX) const;
 
   const SlotGateStats& Stats() const { return m_stats; }
 
@@ -115,6 +122,7 @@
     Ticket m_ticket;
     AccountId m_account;
     double m_share = 1;
+    uint8_t m_urgency = 0;
     TimePoint m_deadline;
   };
 
@@ -126,6 +134,7 @@
   bool HasFreeSlot() const { return m_running.size() < m_options.m_slots; }
   double UseOf(const Waiting& work, TimePoint now) const;
   double ClaimOf(const Waiting& work, TimePoint now) const;
+  bool DisplaceLessUrgent(const Waiting& arrival, GateChanges& changes);
   bool Displace(const Waiting& arrival, TimePoint now, GateChanges& changes);
   void Start(Ticket ticket, AccountId account, TimePoint now);
   void FillSlots(TimePoint now, GateChanges& changes);
--- a/libs/limits/src/slot_gate.cc
+++ b/libs/limits/src/slot_gate.cc
@@ -20,7 +20,8 @@
 AdmissionResult SlotGate::Admit(TimePoint now,
                                 TimePoint deadline,
                                 AccountId account,
-                                double share) {
+                                double share,
+                                uint8_t urgency) {
   AdmissionResult result{.m_admission = GateVerdict::kRefused,
                          .m_ticket = Ticket(m_next_ticket++),
                          .m_changes = {}};
@@ -31,15 +32,17 @@
     result.m_admission = GateVerdict::kRun;
     return result;
   }
-  if (now + ExpectedWait() + m_service_time > deadline) {
+  if (now + ExpectedWait(urgency) + m_service_time > deadline) {
     ++m_stats.m_refused;
     return result;
   }
   const Waiting arrival{.m_ticket = result.m_ticket,
                         .m_account = account,
                         .m_share = share > 0 ? share : 1,
+                        .m_urgency = urgency,
                         .m_deadline = deadline};
   if (m_queue.size() >= QueueLimit() &&
+      !DisplaceLessUrgent(arrival, result.m_changes) &&
       !Displace(arrival, now, result.m_changes)) {
     ++m_stats.m_refused;
     return result;
@@ -115,15 +118,17 @@
                   static_cast<size_t>(m_options.m_max_queued));
 }
 
-Duration SlotGate::ExpectedWait() const {
+Duration SlotGate::ExpectedWait(uint8_t urgency) const {
   if (HasFreeSlot()) {
     return Duration(0);
   }
   if (m_options.m_slots == 0) {
     return Duration::max() / 4;
   }
-  return m_service_time * static_cast<int64_t>(m_queue.size() + 1) /
-         static_cast<int64_t>(m_options.m_slots);
+  const auto ahead = std::count_if(
+      m_queue.begin(), m_queue.end(),
+      [urgency](const Waiting& work) { return work.m_urgency <= urgency; });
+  return m_service_time * (ahead + 1) / static_cast<int64_t>(m_options.m_slots);
 }
 
 // Recent use by the account and the slots it holds now, for its share.
@@ -146,7 +151,25 @@
          static_cast<double>(queued) * Seconds(m_service_time) / work.m_share;
 }
 
-// Makes room in the queue for `arrival` if another account has a greater claim.
+// Makes room in the queue by the newest work of the least urgent rank, if that
+// is below the arrival's.
+bool SlotGate::DisplaceLessUrgent(const Waiting& arrival,
+                                  GateChanges& changes) {
+  const auto worst = std::max_element(m_queue.begin(), m_queue.end(),
+                                      [](const Waiting& a, const Waiting& b) {
+                                        return a.m_urgency <= b.m_urgency;
+                                      });
+  if (worst == m_queue.end() || worst->m_urgency <= arrival.m_urgency) {
+    return false;
+  }
+  changes.m_refused.push_back(worst->m_ticket);
+  m_queue.erase(worst);
+  ++m_stats.m_displaced;
+  return true;
+}
+
+// Makes room in the queue for `arrival` if another account of its rank has a
+// greater claim.
 bool SlotGate::Displace(const Waiting& arrival,
                         TimePoint now,
                         GateChanges& changes) {
@@ -155,7 +178,8 @@
       ClaimOf(arrival, now) + Seconds(m_service_time) / arrival.m_share;
   for (auto work = m_queue.begin(); work != m_queue.end(); ++work) {
     const double claim = ClaimOf(*work, now);
-    if (work->m_account != arrival.m_account && claim >= worst_claim) {
+    if (work->m_account != arrival.m_account &&
+        work->m_urgency == arrival.m_urgency && claim >= worst_claim) {
       worst = work;
       worst_claim = claim;
     }
@@ -180,7 +204,8 @@
     double least = UseOf(*next, now);
     for (auto work = next + 1; work != m_queue.end(); ++work) {
       const double use = UseOf(*work, now);
-      if (use < least) {
+      if (work->m_urgency < next->m_urgency ||
+          (work->m_urgency == next->m_urgency && use < least)) {
         next = work;
         least = use;
       }
--- a/libs/limits/tests/slot_gate_test.cc
+++ b/libs/limits/tests/slot_gate_test.cc
@@ -228,5 +228,21 @@
   RC_ASSERT(naive.m_of_small < 0.2);
 }
 
+TEST(SlotGateTest, UrgentWorkGoesFirstAndDisplacesOther) {
+  SlotGate gate({.m_slots = 1, .m_max_queued = 1});
+  const TimePoint late = kStart + seconds(9);
+  const auto running = gate.Admit(kStart, late, kSmall, 1, 2);
+  const auto waiting = gate.Admit(kStart, late, kSmall, 1, 2);
+  ASSERT_EQ(waiting.m_admission, GateVerdict::kQueued);
+  EXPECT_EQ(gate.Admit(kStart, late, kSmall, 1, 2).m_admission,
+            GateVerdict::kRefused);
+  EXPECT_LT(gate.ExpectedWait(1), gate.ExpectedWait(2));
+  const auto urgent = gate.Admit(kStart, late, kSmall, 1, 1);
+  EXPECT_EQ(urgent.m_admission, GateVerdict::kQueued);
+  EXPECT_EQ(urgent.m_changes.m_refused, std::vector{waiting.m_ticket});
+  const GateChanges changes = gate.OnFinish(running.m_ticket, kStart);
+  EXPECT_EQ(changes.m_started, std::vector{urgent.m_ticket});
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/node/src/peer_connection_p.h
+++ b/libs/link/include/sequoiastage/link/peer_connection.h
@@ -1,5 +1,5 @@
-#ifndef SEQUOIASTAGE_NODE_PEER_CONNECTION_P_H_
-#define SEQUOIASTAGE_NODE_PEER_CONNECTION_P_H_
+#ifndef SEQUOIASTAGE_LINK_PEER_CONNECTION_H_
+#define SEQUOIASTAGE_LINK_PEER_CONNECTION_H_
 
 #include <array>
 #include <asio/ip/tcp.hpp>
@@ -12,23 +12,23 @@
 
 namespace sequoiastage {
 
-// One TCP connection between two nodes, carrying frames both ways. All calls
-// and callbacks on the thread of its io_context.
+/// One TCP connection between two nodes, carrying frames both ways. All calls
+/// and callbacks on the thread of its io_context.
 class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
  public:
   struct Handlers {
     std::function<void(Message)> m_on_message;
-    // Called once, when the connection has ended; with the reason.
+    /// Called once, when the connection has ended; with the reason.
     std::function<void(const std::string&)> m_on_closed;
   };
 
   explicit PeerConnection(asio::ip::tcp::socket socket);
 
-  // Starts reading. Handlers run until the connection has ended.
+  /// Starts reading. Handlers run until the connection has ended.
   void Start(Handlers handlers);
 
-  // Queues `message`. False when the connection has ended, the message is too
-  // large or too much is queued already.
+  /// Queues `message`. False when the connection has ended, the message is too
+  /// large or too much is queued already.
   bool Send(const Message& message);
 
   void Close(const std::string& reason);
@@ -50,4 +50,4 @@
 
 }  // namespace sequoiastage
 
-#endif  // SEQUOIASTAGE_NODE_PEER_CONNECTION_P_H_
+#endif  // SEQUOIASTAGE_LINK_PEER_CONNECTION_H_
--- a/libs/node/src/peer_connection.cc
+++ b/libs/link/src/peer_connection.cc
@@ -1,16 +1,20 @@
-#include "peer_connection_p.h"
+#include "sequoiastage/link/peer_connection.h"
 
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <utility>
 
+#include "sequoiastage/http/exchange_connection.h"
+
 namespace sequoiastage {
 
 namespace {
 
 // A peer that reads slower than this much behind gets no more.
 constexpr size_t kMaxQueuedBytes = size_t{64} << 20;
+// Bytes that a peer does not acknowledge for this long end the connection.
+constexpr Duration kUserTimeout = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -19,8 +23,7 @@
 
 void PeerConnection::Start(Handlers handlers) {
   m_handlers = std::move(handlers);
-  asio::error_code ignored;
-  m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  TuneSocket(m_socket, kUserTimeout);
   Read();
 }
 
--- /dev/null
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -0,0 +1,528 @@
+#ifndef SEQUOIASTAGE_MESH_EGRESS_INL_H_
+#define SEQUOIASTAGE_MESH_EGRESS_INL_H_
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <limits>
+
+#include "sequoiastage/mesh/egress.h"
+
+namespace sequoiastage {
+
+namespace egress_detail {
+
+inline uint16_t ToMs16(Duration duration) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return static_cast<uint16_t>(
+      std::clamp<int64_t>(ms, 0, std::numeric_limits<uint16_t>::max()));
+}
+
+/// Least time that is worth starting a request with.
+inline constexpr Duration kLeastTime = std::chrono::milliseconds(5);
+inline constexpr uint16_t kFirstServerError = 500;
+inline constexpr uint16_t kFirstSuccess = 200;
+inline constexpr uint16_t kFirstRedirect = 300;
+
+}  // namespace egress_detail
+
+template <PlatformCodec Codec>
+Egress<Codec>::Egress(asio::io_context& io,
+                      const EgressOptions& options,
+                      std::function<void()> on_mismatch)
+    : m_io(io),
+      m_options(options),
+      m_on_mismatch(std::move(on_mismatch)),
+      m_gate(options.m_gate),
+      m_hold(options.m_hold),
+      m_repeats(options.m_repeats) {}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::SetInstance(const InstanceAnnouncement* instance) {
+  const bool is_same_run = instance != nullptr && m_instance &&
+                           m_instance->m_name == instance->m_name &&
+                           m_instance->m_born_ms == instance->m_born_ms;
+  if (!is_same_run) {
+    RefuseWaiting(AttemptReason::kDraining);
+    for (IdleConnection& idle : m_idle) {
+      idle.m_connection->Abort();
+    }
+    m_idle.clear();
+    m_hold.Reset();
+  }
+  m_instance.reset();
+  if (instance == nullptr) {
+    return;
+  }
+  m_instance = *instance;
+  m_service = ServiceIdOf(instance->m_service);
+  Apply(m_gate.Resize(std::max<uint32_t>(1, instance->m_slots), BootNow()));
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::StartLeaving() {
+  m_is_leaving = true;
+  RefuseWaiting(AttemptReason::kDraining);
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::RefuseWaiting(AttemptReason reason) {
+  m_is_refusing = true;
+  std::vector<WorkPtr> waiting;
+  for (const auto& [key, work] : m_work) {
+    if (work->m_phase != Phase::kRunning) {
+      waiting.push_back(work);
+    }
+  }
+  for (const WorkPtr& work : waiting) {
+    if (m_work.contains(work->m_key)) {
+      Release(work, false);
+      Refuse(work->m_key, work->m_offer, reason, work->m_reply);
+    }
+  }
+  m_is_refusing = false;
+}
+
+template <PlatformCodec Codec>
+EgressStanding Egress<Codec>::Standing() const {
+  const TimePoint now = BootNow();
+  return {.m_slots = static_cast<uint16_t>(m_gate.Slots()),
+          .m_running = static_cast<uint16_t>(m_gate.Running()),
+          .m_queued = static_cast<uint16_t>(m_gate.Queued()),
+          .m_hold_ms = egress_detail::ToMs16(m_hold.HoldLeft(now)),
+          .m_expected_wait_ms = egress_detail::ToMs16(m_gate.ExpectedWait())};
+}
+
+template <PlatformCodec Codec>
+AttemptReason Egress<Codec>::ReasonToRefuse(const OfferMessage& offer,
+                                            TimePoint now) {
+  if (m_is_leaving) {
+    return AttemptReason::kDraining;
+  }
+  if (!m_instance || m_instance->m_name != offer.m_instance ||
+      m_service != offer.m_service) {
+    return AttemptReason::kUnknownInstance;
+  }
+  if (std::chrono::milliseconds(offer.m_time_left_ms) <
+      egress_detail::kLeastTime) {
+    return AttemptReason::kPastDeadline;
+  }
+  if (!offer.m_accepts_held) {
+    const HoldState state = m_hold.StateAt(now);
+    const bool may_try =
+        offer.m_is_repeatable && !offer.m_is_repeat && m_trials == 0;
+    if (state == HoldState::kHeld || (state == HoldState::kTrial && !may_try)) {
+      return AttemptReason::kSuspect;
+    }
+  }
+  if (!offer.m_may_wait &&
+      (now < m_shed_until ||
+       m_gate.ExpectedWait(offer.m_urgency) > Duration{})) {
+    return AttemptReason::kBusy;
+  }
+  if (offer.m_is_repeat && !m_repeats.TryRepeat(now)) {
+    return AttemptReason::kRetryBudget;
+  }
+  return AttemptReason::kNone;
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::Refuse(const Key& key,
+                           const OfferMessage& offer,
+                           AttemptReason reason,
+                           const MessageSink& reply) {
+  ++m_stats.m_refused;
+  LogEvent(LogLevel::kDebug, "offer_refused")
+      .Add("request", offer.m_request_id)
+      .Add("instance", offer.m_instance)
+      .Add("reason", ToString(reason))
+      .Add("running", static_cast<int64_t>(m_gate.Running()))
+      .Add("queued", static_cast<int64_t>(m_gate.Queued()))
+      .Add("hold_ms", static_cast<int64_t>(Standing().m_hold_ms));
+  reply(OfferReplyMessage{.m_attempt = key.second,
+                          .m_verdict = OfferVerdict::kRefused,
+                          .m_reason = reason,
+                          .m_standing = Standing()});
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::OnOffer(const PeerKey& peer,
+                            OfferMessage offer,
+                            MessageSink reply) {
+  const TimePoint now = BootNow();
+  const Key key(peer, offer.m_attempt);
+  if (const auto reason = ReasonToRefuse(offer, now);
+      reason != AttemptReason::kNone) {
+    Refuse(key, offer, reason, reply);
+    return;
+  }
+  auto work = std::make_shared<Work>(m_io, key, std::move(offer));
+  work->m_reply = std::move(reply);
+  work->m_deadline =
+      now + std::chrono::milliseconds(work->m_offer.m_time_left_ms);
+  work->m_is_trial = m_hold.StateAt(now) == HoldState::kTrial;
+  const AdmissionResult admission = m_gate.Admit(
+      now, work->m_deadline, AccountId(), 1, work->m_offer.m_urgency);
+  work->m_ticket = admission.m_ticket;
+  if (admission.m_admission == GateVerdict::kRefused) {
+    Apply(admission.m_changes);
+    Refuse(key, work->m_offer, AttemptReason::kBusy, work->m_reply);
+    return;
+  }
+  m_work[key] = work;
+  m_by_ticket[work->m_ticket] = work;
+  m_trials += work->m_is_trial ? 1 : 0;
+  Apply(admission.m_changes);
+  if (admission.m_admission == GateVerdict::kRun) {
+    OnSlot(work);
+    return;
+  }
+  work->m_reply(OfferReplyMessage{.m_attempt = key.second,
+                                  .m_verdict = OfferVerdict::kQueued,
+                                  .m_standing = Standing()});
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::OnSlot(const WorkPtr& work) {
+  if (work->m_offer.m_starts_at_once) {
+    work->m_reply(OfferReplyMessage{.m_attempt = work->m_key.second,
+                                    .m_verdict = OfferVerdict::kStarted,
+                                    .m_standing = Standing()});
+    Run(work);
+    return;
+  }
+  work->m_phase = Phase::kReady;
+  work->m_timer.expires_after(m_options.m_ready_timeout);
+  work->m_timer.async_wait(
+      [this, weak = std::weak_ptr(work)](const asio::error_code& error) {
+        const WorkPtr self = weak.lock();
+        if (!error && self && self->m_phase == Phase::kReady &&
+            m_work.contains(self->m_key)) {
+          End(self,
+              {.m_result = AttemptResult::kNotStarted,
+               .m_reason = AttemptReason::kCancelled},
+              WorkEnd::kNoEvidence);
+        }
+      });
+  work->m_reply(OfferReplyMessage{.m_attempt = work->m_key.second,
+                                  .m_verdict = OfferVerdict::kReady,
+                                  .m_standing = Standing()});
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::OnStart(const PeerKey& peer, const StartMessage& start) {
+  const auto found = m_work.find(Key(peer, start.m_attempt));
+  if (found == m_work.end() || found->second->m_phase != Phase::kReady) {
+    return;  // Its refusal is on the way to the ingress.
+  }
+  const WorkPtr work = found->second;
+  work->m_timer.cancel();
+  work->m_deadline =
+      BootNow() + std::chrono::milliseconds(start.m_time_left_ms);
+  Run(work);
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::Run(const WorkPtr& work) {
+  const TimePoint now = BootNow();
+  const Duration left = work->m_deadline - now;
+  work->m_phase = Phase::kRunning;
+  if (left < egress_detail::kLeastTime || !m_instance) {
+    End(work,
+        {.m_result = AttemptResult::kNotStarted,
+         .m_reason = AttemptReason::kPastDeadline},
+        WorkEnd::kNoEvidence);
+    return;
+  }
+  if (!work->m_offer.m_is_repeat) {
+    m_repeats.OnFirst(now);
+  }
+  ++m_stats.m_started;
+  work->m_started = now;
+  m_hold.OnStart(now);
+  HttpRequest& request = work->m_offer.m_request;
+  Codec::PrepareForInstance(request,
+                            {.m_instance = work->m_offer.m_instance,
+                             .m_caller_service = work->m_offer.m_caller_service,
+                             .m_time_left = left});
+  work->m_connection = TakeConnection(*work);
+  work->m_connection->Send(
+      request, left,
+      [id = work->m_offer.m_request_id](const HttpAnswer& answer) {
+        const AnswerFacts facts = Codec::DecodeAnswer(answer);
+        return facts.m_request_id == id ||
+               (facts.m_request_id.empty() &&
+                (facts.m_is_not_run || facts.m_is_other_instance));
+      },
+      [this, work](ExchangeResult result) {
+        OnExchangeEnd(work, std::move(result));
+      });
+}
+
+template <PlatformCodec Codec>
+std::shared_ptr<ExchangeConnection> Egress<Codec>::TakeConnection(Work& work) {
+  const TimePoint now = BootNow();
+  std::erase_if(m_idle, [now](const IdleConnection& idle) {
+    if (idle.m_connection->IsReusable(now)) {
+      return false;
+    }
+    idle.m_connection->Abort();
+    return true;
+  });
+  // The one used last, which the instance is least likely to close.
+  if (!m_idle.empty() &&
+      (work.m_offer.m_is_repeatable ||
+       now - m_idle.back().m_since < m_options.m_fresh_idle)) {
+    auto connection = std::move(m_idle.back().m_connection);
+    work.m_connection_idle = now - m_idle.back().m_since;
+    m_idle.pop_back();
+    return connection;
+  }
+  ++m_stats.m_connections;
+  return std::make_shared<ExchangeConnection>(m_io, m_instance->m_address,
+                                              m_options.m_exchange);
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::OnExchangeEnd(const WorkPtr& work, ExchangeResult result) {
+  if (!m_work.contains(work->m_key)) {
+    return;
+  }
+  OutcomeMessage outcome;
+  WorkEnd end = WorkEnd::kNoEvidence;
+  switch (result.m_end) {
+    case ExchangeEnd::kAnswered:
+      outcome = JudgeAnswer(*work, std::move(result.m_answer), &end);
+      break;
+    case ExchangeEnd::kConnectFailed:
+      outcome.m_result = AttemptResult::kNotStarted;
+      outcome.m_reason = AttemptReason::kConnectFailed;
+      end = WorkEnd::kBroken;
+      break;
+    case ExchangeEnd::kBroken:
+      outcome.m_result = AttemptResult::kFailed;
+      outcome.m_reason = AttemptReason::kIncompleteAnswer;
+      // A connection that was idle for long may have been closed at the other
+      // end meanwhile: that says nothing about the instance.
+      end = work->m_connection_idle > m_options.m_fresh_idle
+                ? WorkEnd::kNoEvidence
+                : WorkEnd::kBroken;
+      break;
+    case ExchangeEnd::kTimeout:
+      outcome.m_result = AttemptResult::kFailed;
+      outcome.m_reason = AttemptReason::kTimeout;
+      end = WorkEnd::kServerError;
+      break;
+  }
+  End(work, std::move(outcome), end);
+}
+
+template <PlatformCodec Codec>
+OutcomeMessage Egress<Codec>::JudgeAnswer(const Work& work,
+                                          HttpAnswer answer,
+                                          WorkEnd* end) {
+  const AnswerFacts facts = Codec::DecodeAnswer(answer);
+  OutcomeMessage outcome;
+  if (facts.m_is_other_instance) {
+    outcome.m_result = AttemptResult::kNotStarted;
+    outcome.m_reason = AttemptReason::kUnknownInstance;
+    if (m_instance && m_instance->m_name == work.m_offer.m_instance) {
+      asio::post(m_io, m_on_mismatch);
+    }
+    return outcome;
+  }
+  if (facts.m_is_not_run) {
+    outcome.m_result = AttemptResult::kNotStarted;
+    outcome.m_reason = AttemptReason::kShed;
+    m_shed_until = BootNow() + m_options.m_shed_pause;
+    return outcome;
+  }
+  const bool is_success = answer.m_status >= egress_detail::kFirstSuccess &&
+                          answer.m_status < egress_detail::kFirstRedirect;
+  if (is_success && (!facts.m_is_attested || facts.m_is_encoded)) {
+    *end = WorkEnd::kBroken;
+    outcome.m_result = AttemptResult::kFailed;
+    outcome.m_reason = AttemptReason::kIncompleteAnswer;
+    return outcome;
+  }
+  *end = answer.m_status >= egress_detail::kFirstServerError
+             ? WorkEnd::kServerError
+             : WorkEnd::kSuccess;
+  RemoveHopFields(answer.m_fields);
+  outcome.m_result = AttemptResult::kAnswered;
+  outcome.m_answer = std::move(answer);
+  return outcome;
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::End(const WorkPtr& work,
+                        OutcomeMessage outcome,
+                        WorkEnd end) {
+  const TimePoint now = BootNow();
+  const HoldState before = m_hold.StateAt(now);
+  if (work->m_connection) {
+    m_hold.OnEnd(end, work->m_started, now);
+    if (work->m_connection->IsReusable(now) && m_instance &&
+        m_instance->m_name == work->m_offer.m_instance) {
+      m_idle.push_back({.m_connection = work->m_connection, .m_since = now});
+    } else {
+      work->m_connection->Abort();
+    }
+  }
+  m_stats.m_broken += end == WorkEnd::kBroken ? 1 : 0;
+  Release(work, end == WorkEnd::kSuccess);
+  LogHold(before, ToString(outcome.m_reason));
+  outcome.m_attempt = work->m_key.second;
+  outcome.m_standing = Standing();
+  if (outcome.m_result != AttemptResult::kAnswered) {
+    LogEvent(LogLevel::kInfo, "attempt_failed")
+        .Add("request", work->m_offer.m_request_id)
+        .Add("instance", work->m_offer.m_instance)
+        .Add("ran", outcome.m_result == AttemptResult::kFailed ? "maybe" : "no")
+        .Add("reason", ToString(outcome.m_reason))
+        .Add("repeatable", work->m_offer.m_is_repeatable ? "yes" : "no")
+        .Add("took_ms", (now - work->m_started).count() / 1000);
+  }
+  work->m_reply(outcome);
+  if (!work->m_offer.m_is_repeatable) {
+    Remember(work->m_key, std::move(outcome));
+  }
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::LogHold(HoldState before, std::string_view cause) {
+  const TimePoint now = BootNow();
+  const HoldState after = m_hold.StateAt(now);
+  if (before == after || !m_instance) {
+    return;
+  }
+  m_stats.m_holds += after == HoldState::kHeld ? 1 : 0;
+  LogEvent(LogLevel::kInfo,
+           after == HoldState::kHeld ? "instance_held" : "instance_open")
+      .Add("instance", m_instance->m_name)
+      .Add("cause", cause)
+      .Add("relapses", static_cast<int64_t>(m_hold.Relapses()))
+      .Add("hold_ms", static_cast<int64_t>(Standing().m_hold_ms));
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::Release(const WorkPtr& work, bool counts) {
+  work->m_timer.cancel();
+  m_work.erase(work->m_key);
+  m_by_ticket.erase(work->m_ticket);
+  m_trials -= work->m_is_trial ? 1 : 0;
+  work->m_is_trial = false;
+  if (!m_gate.CancelQueued(work->m_ticket)) {
+    Apply(m_gate.OnFinish(work->m_ticket, BootNow(), counts));
+  }
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::Apply(const GateChanges& changes) {
+  for (const Ticket ticket : changes.m_refused) {
+    const auto found = m_by_ticket.find(ticket);
+    if (found == m_by_ticket.end()) {
+      continue;
+    }
+    const WorkPtr work = found->second;
+    Release(work, false);
+    Refuse(work->m_key, work->m_offer, AttemptReason::kBusy, work->m_reply);
+  }
+  for (const Ticket ticket : changes.m_started) {
+    const auto found = m_by_ticket.find(ticket);
+    if (found == m_by_ticket.end()) {
+      continue;
+    }
+    const WorkPtr work = found->second;
+    // The instance may have been held back while the work waited.
+    const bool is_held = !work->m_offer.m_accepts_held && !work->m_is_trial &&
+                         m_hold.StateAt(BootNow()) != HoldState::kOpen;
+    if (is_held || m_is_refusing) {
+      Release(work, false);
+      Refuse(work->m_key, work->m_offer,
+             is_held ? AttemptReason::kSuspect : AttemptReason::kDraining,
+             work->m_reply);
+      continue;
+    }
+    OnSlot(work);
+  }
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::OnWithdraw(const PeerKey& peer, AttemptNumber number) {
+  const auto found = m_work.find(Key(peer, number));
+  if (found == m_work.end()) {
+    return;
+  }
+  const WorkPtr work = found->second;
+  if (work->m_connection) {
+    work->m_connection->Abort();
+    m_hold.OnEnd(WorkEnd::kNoEvidence, work->m_started, BootNow());
+  }
+  Release(work, false);
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::OnInquiry(const PeerKey& peer,
+                              AttemptNumber number,
+                              MessageSink reply) {
+  const Key key(peer, number);
+  if (const auto found = m_work.find(key); found != m_work.end()) {
+    const WorkPtr work = found->second;
+    work->m_is_detached = false;
+    work->m_reply = std::move(reply);
+    if (work->m_phase != Phase::kRunning) {
+      // The start was lost with the connection.
+      End(work,
+          {.m_result = AttemptResult::kNotStarted,
+           .m_reason = AttemptReason::kCancelled},
+          WorkEnd::kNoEvidence);
+    }
+    return;
+  }
+  for (const auto& [expiry, ended] : m_ended) {
+    if (ended.first == key) {
+      reply(ended.second);
+      return;
+    }
+  }
+  reply(OutcomeMessage{.m_attempt = number,
+                       .m_result = AttemptResult::kCannotTell,
+                       .m_reason = AttemptReason::kNone,
+                       .m_standing = Standing()});
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::OnPeerLost(const PeerKey& peer) {
+  std::vector<WorkPtr> lost;
+  for (auto it = m_work.lower_bound(Key(peer, AttemptNumber(0)));
+       it != m_work.end() && it->first.first == peer; ++it) {
+    lost.push_back(it->second);
+  }
+  for (const WorkPtr& work : lost) {
+    work->m_is_detached = true;
+    work->m_reply = [](const Message&) {};
+    auto timer =
+        std::make_shared<asio::steady_timer>(m_io, m_options.m_rebind_timeout);
+    timer->async_wait([this, work, timer](const asio::error_code&) {
+      if (work->m_is_detached && m_work.contains(work->m_key)) {
+        OnWithdraw(work->m_key.first, work->m_key.second);
+      }
+    });
+  }
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::Remember(const Key& key, OutcomeMessage outcome) {
+  const TimePoint now = BootNow();
+  while (!m_ended.empty() && (m_ended.front().first < now ||
+                              m_ended.size() >= m_options.m_max_remembered)) {
+    m_ended.pop_front();
+  }
+  m_ended.emplace_back(now + m_options.m_remember,
+                       std::pair(key, std::move(outcome)));
+}
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_MESH_EGRESS_INL_H_
--- /dev/null
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -0,0 +1,576 @@
+#ifndef SEQUOIASTAGE_MESH_INGRESS_INL_H_
+#define SEQUOIASTAGE_MESH_INGRESS_INL_H_
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <utility>
+
+#include "sequoiastage/mesh/ingress.h"
+
+namespace sequoiastage {
+
+template <PlatformCodec Codec>
+Ingress<Codec>::Ingress(asio::io_context& io,
+                        const IngressOptions& options,
+                        std::string own_service,
+                        TargetBook& book,
+                        MeshLinks& links,
+                        LocalOffer local)
+    : m_io(io),
+      m_options(options),
+      m_own_service(std::move(own_service)),
+      m_book(book),
+      m_links(links),
+      m_local(std::move(local)) {}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::SetConfig(std::shared_ptr<const TrafficConfig> config) {
+  m_config = std::move(config);
+  m_routes = PrefixRoutes(m_config->m_routes);
+  m_splits.clear();
+}
+
+template <PlatformCodec Codec>
+HttpAnswer Ingress<Codec>::Plain(uint16_t status, std::string_view text) {
+  return {.m_status = status,
+          .m_fields = {{"Content-Type", "text/plain"}},
+          .m_body = std::string(text)};
+}
+
+template <PlatformCodec Codec>
+uint32_t Ingress<Codec>::ToMs(Duration duration) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return static_cast<uint32_t>(std::clamp<int64_t>(ms, 0, UINT32_MAX));
+}
+
+template <PlatformCodec Codec>
+ServiceId Ingress<Codec>::PickService(const TrafficRoute& route) {
+  if (route.m_shares.size() == 1) {
+    return route.m_shares.front().m_service;
+  }
+  auto split = m_splits.find(route.m_name);
+  if (split == m_splits.end()) {
+    std::vector<double> weights;
+    for (const RouteShare& share : route.m_shares) {
+      weights.push_back(share.m_weight);
+    }
+    split =
+        m_splits
+            .emplace(route.m_name, SplitPicker(std::move(weights), m_random))
+            .first;
+  }
+  return route.m_shares[split->second.Pick()].m_service;
+}
+
+template <PlatformCodec Codec>
+CancelHook Ingress<Codec>::OnRequest(HttpRequest request,
+                                     StreamResponder responder) {
+  const TimePoint now = BootNow();
+  ++m_stats.m_requests;
+  CallerFacts facts = Codec::DecodeCaller(request);
+  const TrafficRoute* route =
+      m_config ? m_routes.Find(request.m_host, request.m_target) : nullptr;
+  if (route == nullptr) {
+    ++m_stats.m_unrouted;
+    LogEvent(LogLevel::kInfo, "request_unrouted")
+        .Add("request", facts.m_request_id)
+        .Add("host", request.m_host)
+        .Add("config", m_config
+                           ? static_cast<int64_t>(m_config->m_version.Get())
+                           : int64_t{-1});
+    responder(m_config ? Plain(404, "no route\n")
+                       : Plain(503, "no configuration yet\n"));
+    return {};
+  }
+  auto run = std::make_shared<Run>(m_io);
+  run->m_id = std::move(facts.m_request_id);
+  run->m_request = std::move(request);
+  RemoveHopFields(run->m_request.m_fields);
+  run->m_responder = std::move(responder);
+  run->m_config = m_config;
+  run->m_route = route;
+  run->m_service = PickService(*route);
+  run->m_placement = Placement(m_options.m_placement);
+  run->m_received = now;
+  run->m_deadline =
+      now +
+      std::min(route->m_timeout, facts.m_time_left.value_or(route->m_timeout));
+  run->m_target = now + route->m_target_latency;
+  ++m_request_count;
+  run->m_deadline_timer.expires_after(run->m_deadline - now);
+  run->m_deadline_timer.async_wait(
+      [this, weak = std::weak_ptr(run)](const asio::error_code& error) {
+        if (const RunPtr self = weak.lock(); !error && self) {
+          OnDeadline(self);
+        }
+      });
+  Step(run);
+  return [this, weak = std::weak_ptr(run)] {
+    if (const RunPtr self = weak.lock()) {
+      Cancel(self);
+    }
+  };
+}
+
+template <PlatformCodec Codec>
+bool Ingress<Codec>::MayRepeat(const Run& run) const {
+  // Offers on their way may be running already.
+  const auto offered = std::count_if(
+      run.m_attempts.begin(), run.m_attempts.end(), [](const auto& entry) {
+        return entry.second.m_phase == Phase::kOffered ||
+               entry.second.m_phase == Phase::kQueued;
+      });
+  return run.m_route->m_is_repeatable &&
+         run.m_started + offered < run.m_route->m_max_attempts;
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::Step(const RunPtr& run) {
+  if (run->m_is_done) {
+    return;
+  }
+  const TimePoint now = BootNow();
+  const auto candidates = m_book.Candidates(
+      run->m_service, now,
+      [this](NodeId node) { return IsOwn(node) || m_links.IsUsable(node); });
+  while (const auto step = run->m_placement.Next(candidates, m_random)) {
+    const NodeId node = NodeOf(step->m_key);
+    if (!IsOwn(node) && !m_links.IsUsable(node)) {
+      run->m_placement.OnRefused(step->m_key, PlacementRefusal::kFinal, {});
+      continue;
+    }
+    Offer(run, *step);
+    return;
+  }
+  if (run->m_attempts.empty()) {
+    GiveUp(run, "no instance takes it");
+  }
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::StepOrGiveUp(const RunPtr& run, std::string_view cause) {
+  if (MayRepeat(*run)) {
+    Step(run);
+  } else if (run->m_attempts.empty()) {
+    GiveUp(run, cause);
+  }
+}
+
+template <PlatformCodec Codec>
+bool Ingress<Codec>::SendTo(NodeId node, const Message& message) {
+  if (IsOwn(node)) {
+    m_local(message);
+    return true;
+  }
+  return m_links.Send(node, message);
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::Offer(const RunPtr& run, const PlacementStep& step) {
+  const TimePoint now = BootNow();
+  const NodeId node = NodeOf(step.m_key);
+  const MemberRecord* member = m_book.Find(node);
+  const AttemptNumber number(m_next_attempt++);
+  const bool is_far = DistanceOf(m_book.Own(), *member) == Distance::kRemote;
+  Attempt& attempt = run->m_attempts[number];
+  attempt.m_number = number;
+  attempt.m_node = node;
+  attempt.m_sent_at = now;
+  // The round trip before the start is dear between regions, and repeatable
+  // work does without the proof that it gives.
+  attempt.m_starts_at_once = is_far && run->m_route->m_is_repeatable;
+  if (const auto known = m_runs.find(node); known != m_runs.end()) {
+    attempt.m_egress_run = known->second;
+  }
+  m_by_attempt[number] = run;
+  m_book.OnSent(node);
+  run->m_placement.OnRefused(step.m_key, PlacementRefusal::kBusy, {});
+  const OfferMessage offer{.m_attempt = number,
+                           .m_service = run->m_service,
+                           .m_instance = member->m_instance,
+                           .m_is_repeatable = run->m_route->m_is_repeatable,
+                           .m_is_repeat = run->m_has_arrived,
+                           .m_starts_at_once = attempt.m_starts_at_once,
+                           .m_may_wait = step.m_may_wait,
+                           .m_accepts_held = step.m_accepts_held,
+                           .m_urgency = run->m_route->m_urgency,
+                           .m_time_left_ms = ToMs(run->m_deadline - now),
+                           .m_target_left_ms = ToMs(run->m_target - now),
+                           .m_caller_service = m_own_service,
+                           .m_request_id = run->m_id,
+                           .m_request = run->m_request};
+  ArmSilence(run, attempt);
+  if (!SendTo(node, offer)) {
+    Drop(run, number);
+    run->m_placement.OnRefused(step.m_key, PlacementRefusal::kFinal, {});
+    asio::post(m_io, [this, run] { Step(run); });
+  }
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::ArmSilence(const RunPtr& run, Attempt& attempt) {
+  if (IsOwn(attempt.m_node)) {
+    return;
+  }
+  const MemberRecord* member = m_book.Find(attempt.m_node);
+  const bool is_far = member != nullptr &&
+                      DistanceOf(m_book.Own(), *member) == Distance::kRemote;
+  attempt.m_silence = std::make_unique<asio::steady_timer>(
+      m_io, is_far ? m_options.m_far_silence : m_options.m_near_silence);
+  attempt.m_silence->async_wait(
+      [this, weak = std::weak_ptr(run),
+       number = attempt.m_number](const asio::error_code& error) {
+        if (const RunPtr self = weak.lock(); !error && self) {
+          OnSilence(self, number);
+        }
+      });
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::OnSilence(const RunPtr& run, AttemptNumber number) {
+  const auto found = run->m_attempts.find(number);
+  if (run->m_is_done || found == run->m_attempts.end() ||
+      found->second.m_phase != Phase::kOffered) {
+    return;
+  }
+  const NodeId node = found->second.m_node;
+  const bool is_heard = m_links.HasHeardSince(node, found->second.m_sent_at);
+  LogEvent(LogLevel::kInfo, "egress_silent")
+      .Add("request", run->m_id)
+      .Add("node", ToString(node))
+      .Add("link", is_heard ? "alive" : "silent");
+  if (!is_heard) {
+    // Takes the attempt, and all others over this link, to OnLinkLost().
+    m_links.Drop(node, "no reply to an offer");
+    return;
+  }
+  if (found->second.m_starts_at_once) {
+    MarkStarted(run, found->second);
+    run->m_may_have_run = true;
+  }
+  run->m_placement.OnRefused(KeyOf(node), PlacementRefusal::kFinal, {});
+  Drop(run, number);
+  SendTo(node, WithdrawMessage{.m_attempt = number});
+  StepOrGiveUp(run, "an egress is silent");
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::OnLinkOpen(NodeId node, Incarnation run) {
+  m_runs[node] = run;
+  std::vector<std::pair<RunPtr, AttemptNumber>> lost;
+  for (const auto& [number, holder] : m_by_attempt) {
+    const auto attempt = holder->m_attempts.find(number);
+    if (attempt == holder->m_attempts.end() || attempt->second.m_node != node) {
+      continue;
+    }
+    if (attempt->second.m_phase == Phase::kLost) {
+      lost.emplace_back(holder, number);
+    } else {
+      attempt->second.m_egress_run = run;
+    }
+  }
+  for (const auto& [holder, number] : lost) {
+    Attempt& attempt = holder->m_attempts.at(number);
+    if (attempt.m_egress_run == run) {
+      m_links.Send(node, InquiryMessage{.m_attempt = number});
+      continue;
+    }
+    OnOutcome(holder, attempt,
+              OutcomeMessage{.m_attempt = number,
+                             .m_result = AttemptResult::kCannotTell,
+                             .m_reason = AttemptReason::kWrongIncarnation});
+  }
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::OnLinkLost(NodeId node) {
+  std::vector<std::pair<RunPtr, AttemptNumber>> lost;
+  for (const auto& [number, holder] : m_by_attempt) {
+    const auto attempt = holder->m_attempts.find(number);
+    if (attempt != holder->m_attempts.end() && attempt->second.m_node == node) {
+      lost.emplace_back(holder, number);
+    }
+  }
+  for (const auto& [run, number] : lost) {
+    const auto found = run->m_attempts.find(number);
+    if (found == run->m_attempts.end()) {
+      continue;
+    }
+    Attempt& attempt = found->second;
+    const CandidateKey key = KeyOf(node);
+    if (attempt.m_phase != Phase::kStarted && !attempt.m_starts_at_once) {
+      // Never started: it has not run and never will.
+      run->m_placement.OnRefused(key, PlacementRefusal::kFinal, {});
+      Drop(run, number);
+      Step(run);
+      continue;
+    }
+    if (attempt.m_starts_at_once && attempt.m_phase != Phase::kStarted) {
+      MarkStarted(run, attempt);
+    }
+    attempt.m_phase = Phase::kLost;
+    if (MayRepeat(*run)) {
+      Step(run);
+    }
+  }
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::OnReply(NodeId node, const Message& message) {
+  const TimePoint now = BootNow();
+  AttemptNumber number;
+  const auto* reply = std::get_if<OfferReplyMessage>(&message);
+  const auto* outcome = std::get_if<OutcomeMessage>(&message);
+  if (reply != nullptr) {
+    m_book.OnStanding(node, reply->m_standing, now);
+    number = reply->m_attempt;
+  } else if (outcome != nullptr) {
+    m_book.OnStanding(node, outcome->m_standing, now);
+    number = outcome->m_attempt;
+  } else {
+    return;
+  }
+  const auto found = m_by_attempt.find(number);
+  if (found == m_by_attempt.end()) {
+    return;  // Withdrawn meanwhile.
+  }
+  const RunPtr run = found->second;
+  const auto attempt = run->m_attempts.find(number);
+  if (attempt == run->m_attempts.end() || attempt->second.m_node != node) {
+    return;
+  }
+  if (reply != nullptr) {
+    OnOfferReply(run, attempt->second, *reply);
+  } else {
+    OnOutcome(run, attempt->second, *outcome);
+  }
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::MarkStarted(const RunPtr& run, const Attempt& attempt) {
+  if (run->m_has_arrived) {
+    ++m_stats.m_repeats;
+  }
+  ++run->m_started;
+  run->m_has_arrived = true;
+  run->m_placement.OnRan(KeyOf(attempt.m_node));
+  ArmHedge(run);
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::OnOfferReply(const RunPtr& run,
+                                  Attempt& attempt,
+                                  const OfferReplyMessage& reply) {
+  attempt.m_silence.reset();
+  const CandidateKey key = KeyOf(attempt.m_node);
+  switch (reply.m_verdict) {
+    case OfferVerdict::kQueued:
+      attempt.m_phase = Phase::kQueued;
+      return;
+    case OfferVerdict::kReady:
+      attempt.m_phase = Phase::kStarted;
+      MarkStarted(run, attempt);
+      SendTo(attempt.m_node,
+             StartMessage{.m_attempt = attempt.m_number,
+                          .m_time_left_ms = ToMs(run->m_deadline - BootNow())});
+      return;
+    case OfferVerdict::kStarted:
+      attempt.m_phase = Phase::kStarted;
+      MarkStarted(run, attempt);
+      return;
+    case OfferVerdict::kRefused:
+      break;
+  }
+  run->m_latest = reply.m_reason;
+  const Duration wait =
+      std::chrono::milliseconds(reply.m_standing.m_expected_wait_ms);
+  const Duration hold = std::chrono::milliseconds(reply.m_standing.m_hold_ms);
+  run->m_shortest_wait = std::min(run->m_shortest_wait, std::max(wait, hold));
+  PlacementRefusal refusal = PlacementRefusal::kFinal;
+  if (reply.m_reason == AttemptReason::kBusy) {
+    refusal = PlacementRefusal::kBusy;
+  } else if (reply.m_reason == AttemptReason::kSuspect) {
+    refusal = PlacementRefusal::kHeld;
+  }
+  run->m_placement.OnRefused(key, refusal, wait);
+  Drop(run, attempt.m_number);
+  Step(run);
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::OnOutcome(const RunPtr& run,
+                               Attempt& attempt,
+                               const OutcomeMessage& outcome) {
+  const NodeId node = attempt.m_node;
+  const AttemptNumber number = attempt.m_number;
+  if (outcome.m_result == AttemptResult::kAnswered) {
+    Drop(run, number);
+    OnAnswer(run, outcome.m_answer, node);
+    return;
+  }
+  run->m_latest = outcome.m_reason;
+  Drop(run, number);
+  run->m_placement.OnRefused(KeyOf(node), PlacementRefusal::kFinal, {});
+  if (outcome.m_result == AttemptResult::kNotStarted) {
+    // Proven not to have run there; it may have reached the instance.
+    run->m_has_arrived |= outcome.m_reason == AttemptReason::kShed ||
+                          outcome.m_reason == AttemptReason::kUnknownInstance;
+    run->m_started -= run->m_started > 0 ? 1 : 0;
+    Step(run);
+    return;
+  }
+  run->m_may_have_run = true;
+  StepOrGiveUp(run, "an instance gave no whole answer");
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::OnAnswer(const RunPtr& run,
+                              HttpAnswer answer,
+                              NodeId node) {
+  constexpr uint16_t kFirstServerError = 500;
+  if (answer.m_status >= kFirstServerError && run->m_route->m_is_repeatable) {
+    // A later attempt may do better; if none does, this is the answer.
+    run->m_fallback = std::move(answer);
+    StepOrGiveUp(run, "every attempt ended with a server error");
+    return;
+  }
+  const TimePoint now = BootNow();
+  LogEvent(LogLevel::kDebug, "request_answered")
+      .Add("request", run->m_id)
+      .Add("node", ToString(node))
+      .Add("status", answer.m_status)
+      .Add("took_ms", (now - run->m_received).count() / 1000);
+  ++m_stats.m_answered;
+  Finish(run, std::move(answer));
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::Drop(const RunPtr& run, AttemptNumber number) {
+  const auto found = run->m_attempts.find(number);
+  if (found == run->m_attempts.end()) {
+    return;
+  }
+  m_book.OnEnded(found->second.m_node);
+  run->m_attempts.erase(found);
+  m_by_attempt.erase(number);
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::ArmHedge(const RunPtr& run) {
+  if (!MayRepeat(*run)) {
+    return;
+  }
+  const auto delay = std::chrono::duration_cast<Duration>(
+      run->m_route->m_target_latency * m_options.m_hedge_share);
+  run->m_hedge.expires_at(std::chrono::steady_clock::now() + delay -
+                          (BootNow() - run->m_received));
+  run->m_hedge.async_wait(
+      [this, weak = std::weak_ptr(run)](const asio::error_code& error) {
+        const RunPtr self = weak.lock();
+        if (!error && self && !self->m_is_done && MayRepeat(*self) &&
+            self->m_attempts.size() == 1) {
+          Step(self);
+        }
+      });
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::OnDeadline(const RunPtr& run) {
+  if (!run->m_is_done) {
+    GiveUp(run, "out of time");
+  }
+}
+
+template <PlatformCodec Codec>
+HttpAnswer Ingress<Codec>::RefusalOf(const Run& run) const {
+  // Not before the shortest queue or hold ends; spread over that time again, so
+  // that callers refused together don't return together.
+  const Duration earliest =
+      std::clamp(run.m_shortest_wait, m_options.m_min_retry_after,
+                 m_options.m_max_retry_after);
+  std::uniform_real_distribution<double> spread(1, 2);
+  const double seconds =
+      std::chrono::duration<double>(earliest).count() * spread(m_random);
+  HttpAnswer answer = Plain(503, "not run\n");
+  answer.m_fields.push_back({"Retry-After", fmt::format("{:.2f}", seconds)});
+  return answer;
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::GiveUp(const RunPtr& run, std::string_view cause) {
+  const bool is_out_of_time = BootNow() >= run->m_deadline;
+  bool may_run = run->m_may_have_run;
+  for (const auto& [number, attempt] : run->m_attempts) {
+    may_run |= attempt.m_phase == Phase::kStarted ||
+               attempt.m_phase == Phase::kLost || attempt.m_starts_at_once;
+  }
+  LogEvent(LogLevel::kInfo, "request_failed")
+      .Add("request", run->m_id)
+      .Add("route", run->m_route->m_name)
+      .Add("config", static_cast<int64_t>(run->m_config->m_version.Get()))
+      .Add("outcome", run->m_fallback ? "server-error"
+                      : may_run       ? "unknown"
+                                      : "not-run")
+      .Add("cause", cause)
+      .Add("latest", ToString(run->m_latest))
+      .Add("started", run->m_started)
+      .Add("took_ms", (BootNow() - run->m_received).count() / 1000);
+  if (run->m_fallback) {
+    ++m_stats.m_answered;
+    Finish(run, *std::exchange(run->m_fallback, std::nullopt));
+    return;
+  }
+  if (may_run) {
+    ++m_stats.m_unknown;
+    Finish(run, is_out_of_time ? Plain(504, "no answer in time\n")
+                               : Plain(502, "may have run\n"));
+    return;
+  }
+  ++m_stats.m_not_run;
+  Finish(run, RefusalOf(*run));
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::WithdrawAll(const RunPtr& run) {
+  while (!run->m_attempts.empty()) {
+    const Attempt& attempt = run->m_attempts.begin()->second;
+    const AttemptNumber number = attempt.m_number;
+    const NodeId node = attempt.m_node;
+    Drop(run, number);
+    SendTo(node, WithdrawMessage{.m_attempt = number});
+  }
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::Finish(const RunPtr& run, HttpAnswer answer) {
+  if (run->m_is_done) {
+    return;
+  }
+  run->m_is_done = true;
+  run->m_deadline_timer.cancel();
+  run->m_hedge.cancel();
+  --m_request_count;
+  WithdrawAll(run);
+  run->m_responder(std::move(answer));
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::Cancel(const RunPtr& run) {
+  if (run->m_is_done) {
+    return;
+  }
+  run->m_is_done = true;
+  run->m_deadline_timer.cancel();
+  run->m_hedge.cancel();
+  --m_request_count;
+  ++m_stats.m_cancelled;
+  LogEvent(LogLevel::kDebug, "caller_left").Add("request", run->m_id);
+  WithdrawAll(run);
+}
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_MESH_INGRESS_INL_H_
--- /dev/null
+++ b/libs/mesh/include/sequoiastage/mesh/node_metrics.h
@@ -0,0 +1,35 @@
+#ifndef SEQUOIASTAGE_MESH_NODE_METRICS_H_
+#define SEQUOIASTAGE_MESH_NODE_METRICS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "sequoiastage/base/time.h"
+#include "sequoiastage/mesh/egress.h"
+#include "sequoiastage/mesh/ingress.h"
+#include "sequoiastage/metrics/metric_family.h"
+
+namespace sequoiastage {
+
+/// All that a mesh node counts, as of now.
+struct NodeMetrics {
+  IngressStats m_ingress;
+  EgressStats m_egress;
+  EgressStanding m_standing;
+  size_t m_requests = 0;
+  size_t m_connections = 0;
+  size_t m_members = 0;
+  uint64_t m_config_version = 0;
+  Duration m_config_age{};
+  Duration m_knowledge_age{};
+  uint64_t m_config_rejects = 0;
+  bool m_is_ready = false;
+};
+
+/// Prometheus text; every name with its help.
+std::string RenderNodeMetrics(const NodeMetrics& metrics);
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_MESH_NODE_METRICS_H_
--- /dev/null
+++ b/libs/mesh/src/member_record.cc
@@ -0,0 +1,51 @@
+#include "sequoiastage/mesh/member_record.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sequoiastage {
+
+std::string EncodeMember(const MemberRecord& record) {
+  nlohmann::json json = {{"node", ToString(record.m_node)},
+                         {"domain", record.m_domain},
+                         {"region", record.m_region}};
+  if (record.m_is_leaving) {
+    json["leaving"] = true;
+  }
+  if (!record.m_instance.empty()) {
+    json["instance"] = record.m_instance;
+    json["service"] = record.m_service.Get();
+    json["slots"] = record.m_slots;
+  }
+  return json.dump();
+}
+
+std::optional<MemberRecord> DecodeMember(std::string_view text) {
+  try {
+    const auto json = nlohmann::json::parse(text);
+    const auto node = ParseEndpoint(json.at("node").get<std::string>());
+    if (!node) {
+      return std::nullopt;
+    }
+    return MemberRecord{.m_node = NodeId(*node),
+                        .m_domain = json.at("domain"),
+                        .m_region = json.at("region"),
+                        .m_is_leaving = json.value("leaving", false),
+                        .m_instance = json.value("instance", ""),
+                        .m_service = ServiceId(json.value("service", 0U)),
+                        .m_slots = json.value("slots", 0U)};
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+Distance DistanceOf(const MemberRecord& a, const MemberRecord& b) {
+  if (a.m_node == b.m_node) {
+    return Distance::kHost;
+  }
+  if (a.m_region != b.m_region) {
+    return Distance::kRemote;
+  }
+  return a.m_domain == b.m_domain ? Distance::kDomain : Distance::kRegion;
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/mesh/src/mesh_links.cc
@@ -0,0 +1,286 @@
+#include "sequoiastage/mesh/mesh_links.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "sequoiastage/base/boot_clock.h"
+#include "sequoiastage/logging/log_event.h"
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr int kListenBacklog = 1024;
+constexpr uint32_t kMaxDoublings = 6;
+// Pause after accept() failed, for instance for want of descriptors.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+
+}  // namespace
+
+MeshLinks::MeshLinks(asio::io_context& io,
+                     PeerKey own,
+                     const MeshLinksOptions& options,
+                     Handlers handlers)
+    : m_io(io),
+      m_own(own),
+      m_options(options),
+      m_handlers(std::move(handlers)),
+      m_acceptor(io) {}
+
+MeshLinks::~MeshLinks() {
+  Stop();
+}
+
+bool MeshLinks::Start(const Endpoint& listen) {
+  const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(listen.m_ip),
+                                         listen.m_port);
+  asio::error_code error;
+  m_acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    m_acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    m_acceptor.listen(kListenBacklog, error);
+  }
+  if (error) {
+    m_last_reason = fmt::format("can't listen on {}: {}", ToString(listen),
+                                error.message());
+    return false;
+  }
+  Accept();
+  return true;
+}
+
+bool MeshLinks::Send(NodeId node, const Message& message) {
+  if (m_is_stopped) {
+    return false;
+  }
+  auto& link = m_links[node];
+  if (!link) {
+    link = std::make_shared<Link>(m_io);
+    Open(node, link);
+  }
+  link->m_last_use = BootNow();
+  if (link->m_state == State::kLost) {
+    return false;
+  }
+  if (link->m_connection) {
+    return link->m_connection->Send(message);
+  }
+  link->m_waiting.push_back(message);
+  return true;
+}
+
+bool MeshLinks::IsUsable(NodeId node) const {
+  const auto found = m_links.find(node);
+  return found == m_links.end() || found->second->m_state != State::kLost;
+}
+
+bool MeshLinks::HasHeardSince(NodeId node, TimePoint time) const {
+  const auto found = m_links.find(node);
+  return found != m_links.end() && found->second->m_last_heard >= time;
+}
+
+void MeshLinks::Open(NodeId node, const LinkPtr& link) {
+  link->m_state = link->m_failures == 0 ? State::kOpening : State::kLost;
+  link->m_socket = std::make_shared<asio::ip::tcp::socket>(m_io);
+  link->m_timer.expires_after(m_options.m_open_timeout);
+  link->m_timer.async_wait(
+      [this, node, weak = std::weak_ptr(link),
+       socket = link->m_socket](const asio::error_code& error) {
+        const LinkPtr self = weak.lock();
+        if (!error && self && self->m_socket == socket) {
+          OnLost(node, self, "the node does not answer");
+        }
+      });
+  const Endpoint& at = node.Get();
+  link->m_socket->async_connect(
+      asio::ip::tcp::endpoint(asio::ip::address_v4(at.m_ip), at.m_port),
+      [this, node, weak = std::weak_ptr(link),
+       socket = link->m_socket](const asio::error_code& error) {
+        const LinkPtr self = weak.lock();
+        if (!self || self->m_socket != socket) {
+          return;
+        }
+        if (error) {
+          OnLost(node, self, error.message());
+        } else {
+          OnConnected(node, self);
+        }
+      });
+}
+
+void MeshLinks::OnConnected(NodeId node, const LinkPtr& link) {
+  auto connection =
+      std::make_shared<PeerConnection>(std::move(*link->m_socket));
+  link->m_connection = connection;
+  const std::weak_ptr<Link> weak = link;
+  connection->Start(
+      {.m_on_message =
+           [this, node, weak, connection](Message message) {
+             const LinkPtr self = weak.lock();
+             if (!self || self->m_connection != connection) {
+               return;
+             }
+             self->m_last_heard = BootNow();
+             if (const auto* hello = std::get_if<HelloMessage>(&message)) {
+               self->m_timer.cancel();
+               self->m_state = State::kOpen;
+               self->m_failures = 0;
+               m_handlers.m_on_open(node, hello->m_incarnation);
+               return;
+             }
+             m_handlers.m_on_reply(node, std::move(message));
+           },
+       .m_on_closed =
+           [this, node, weak, connection](const std::string& reason) {
+             const LinkPtr self = weak.lock();
+             if (self && self->m_connection == connection) {
+               OnLost(node, self, reason);
+             }
+           }});
+  connection->Send(
+      HelloMessage{.m_node = m_own.m_node, .m_incarnation = m_own.m_run});
+  for (const Message& message : std::exchange(link->m_waiting, {})) {
+    connection->Send(message);
+  }
+}
+
+void MeshLinks::OnLost(NodeId node,
+                       const LinkPtr& link,
+                       const std::string& reason) {
+  if (m_is_stopped) {
+    return;
+  }
+  const bool was_usable = link->m_state != State::kLost;
+  link->m_state = State::kLost;
+  link->m_waiting.clear();
+  asio::error_code ignored;
+  if (link->m_socket) {
+    link->m_socket->close(ignored);
+    link->m_socket.reset();
+  }
+  if (auto connection = std::exchange(link->m_connection, {})) {
+    connection->Close(reason);
+  }
+  const auto doublings = std::min(link->m_failures, kMaxDoublings);
+  ++link->m_failures;
+  link->m_timer.expires_after(std::min(
+      m_options.m_longest_pause, m_options.m_first_pause * (1 << doublings)));
+  link->m_timer.async_wait(
+      [this, node, weak = std::weak_ptr(link)](const asio::error_code& error) {
+        const LinkPtr self = weak.lock();
+        if (error || !self) {
+          return;
+        }
+        if (BootNow() - self->m_last_use > m_options.m_retry_for) {
+          m_links.erase(node);
+          return;
+        }
+        Open(node, self);
+      });
+  if (was_usable) {
+    LogEvent(LogLevel::kInfo, "link_lost")
+        .Add("node", ToString(node))
+        .Add("reason", reason);
+    m_handlers.m_on_lost(node, reason);
+  }
+}
+
+void MeshLinks::Drop(NodeId node, const std::string& reason) {
+  const auto found = m_links.find(node);
+  if (found != m_links.end() && found->second->m_state != State::kLost) {
+    OnLost(node, LinkPtr(found->second), reason);
+  }
+}
+
+void MeshLinks::Broadcast(const Message& message) {
+  for (const auto& [node, link] : m_links) {
+    if (link->m_connection) {
+      link->m_connection->Send(message);
+    }
+  }
+  for (const auto& connection : m_accepted) {
+    connection->Send(message);
+  }
+}
+
+void MeshLinks::Accept() {
+  m_acceptor.async_accept(
+      [this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          OnAccepted(std::move(socket));
+          Accept();
+          return;
+        }
+        auto pause = std::make_shared<asio::steady_timer>(m_io, kAcceptPause);
+        pause->async_wait([this, pause](const asio::error_code&) {
+          if (!m_is_stopped) {
+            Accept();
+          }
+        });
+      });
+}
+
+void MeshLinks::OnAccepted(asio::ip::tcp::socket socket) {
+  auto connection = std::make_shared<PeerConnection>(std::move(socket));
+  m_accepted.insert(connection);
+  auto peer = std::make_shared<std::optional<PeerKey>>();
+  const std::weak_ptr<PeerConnection> weak = connection;
+  const MessageSink sink = [weak](const Message& message) {
+    if (const auto self = weak.lock()) {
+      self->Send(message);
+    }
+  };
+  connection->Start(
+      {.m_on_message =
+           [this, peer, sink](Message message) {
+             if (const auto* hello = std::get_if<HelloMessage>(&message)) {
+               *peer = PeerKey{.m_node = hello->m_node,
+                               .m_run = hello->m_incarnation};
+               sink(HelloMessage{.m_node = m_own.m_node,
+                                 .m_incarnation = m_own.m_run});
+               m_handlers.m_on_peer(**peer, sink);
+             } else if (*peer) {
+               m_handlers.m_on_request(**peer, std::move(message), sink);
+             }
+           },
+       .m_on_closed =
+           [this, peer, weak](const std::string&) {
+             if (const auto self = weak.lock()) {
+               m_accepted.erase(self);
+             }
+             if (*peer && !m_is_stopped) {
+               m_handlers.m_on_peer_lost(**peer);
+             }
+           }});
+}
+
+void MeshLinks::Stop() {
+  m_is_stopped = true;
+  asio::error_code ignored;
+  m_acceptor.close(ignored);
+  for (const auto& [node, link] : m_links) {
+    link->m_timer.cancel();
+    if (link->m_connection) {
+      link->m_connection->Close("stopped");
+    }
+    link->m_connection.reset();
+    link->m_socket.reset();
+  }
+  m_links.clear();
+  for (const auto& connection : std::exchange(m_accepted, {})) {
+    connection->Close("stopped");
+  }
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/mesh/src/node_metrics.cc
@@ -0,0 +1,116 @@
+#include "sequoiastage/mesh/node_metrics.h"
+
+#include <utility>
+#include <vector>
+
+namespace sequoiastage {
+
+namespace {
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+class Families {
+ public:
+  void Counter(std::string name, std::string help, uint64_t value) {
+    Add(std::move(name), std::move(help), MetricType::kCounter,
+        static_cast<double>(value), {});
+  }
+
+  void Gauge(std::string name, std::string help, double value) {
+    Add(std::move(name), std::move(help), MetricType::kGauge, value, {});
+  }
+
+  // Further series of the family added last get another label value.
+  void Labelled(std::string name,
+                std::string help,
+                MetricType type,
+                const std::string& label,
+                const std::vector<std::pair<std::string, uint64_t>>& values) {
+    for (const auto& [label_value, value] : values) {
+      Add(name, help, type, static_cast<double>(value),
+          {{.m_name = label, .m_value = label_value}});
+    }
+  }
+
+  std::string Render() const { return RenderMetrics(m_families); }
+
+ private:
+  void Add(std::string name,
+           std::string help,
+           MetricType type,
+           double value,
+           std::vector<MetricLabel> labels) {
+    name.insert(0, "sequoiastage_mesh_");
+    if (m_families.empty() || m_families.back().m_name != name) {
+      m_families.push_back({.m_name = std::move(name),
+                            .m_help = std::move(help),
+                            .m_type = type,
+                            .m_samples = {}});
+    }
+    m_families.back().m_samples.push_back(
+        {.m_labels = std::move(labels), .m_value = value});
+  }
+
+  std::vector<MetricFamily> m_families;
+};
+
+}  // namespace
+
+std::string RenderNodeMetrics(const NodeMetrics& metrics) {
+  const IngressStats& ingress = metrics.m_ingress;
+  const EgressStats& egress = metrics.m_egress;
+  Families families;
+  families.Labelled("requests_total", "Requests of callers by their end.",
+                    MetricType::kCounter, "outcome",
+                    {{"answered", ingress.m_answered},
+                     {"not-run", ingress.m_not_run},
+                     {"unknown", ingress.m_unknown},
+                     {"cancelled", ingress.m_cancelled},
+                     {"unrouted", ingress.m_unrouted}});
+  families.Counter("repeats_total",
+                   "Attempts beyond the first of their request.",
+                   ingress.m_repeats);
+  families.Labelled(
+      "offers_total", "Offers to this node's instance.", MetricType::kCounter,
+      "verdict",
+      {{"started", egress.m_started}, {"refused", egress.m_refused}});
+  families.Counter("broken_answers_total",
+                   "Attempts that ended without a whole answer.",
+                   egress.m_broken);
+  families.Counter("instance_holds_total", "Holds of this node's instance.",
+                   egress.m_holds);
+  families.Counter("instance_connections_total",
+                   "Connections opened to this node's instance.",
+                   egress.m_connections);
+  families.Counter("config_rejects_total",
+                   "Configurations that were not valid.",
+                   metrics.m_config_rejects);
+  families.Gauge("requests", "Requests of callers in flight.",
+                 static_cast<double>(metrics.m_requests));
+  families.Gauge("connections", "Open connections of callers.",
+                 static_cast<double>(metrics.m_connections));
+  families.Gauge("slots", "Slots of this node's instance.",
+                 metrics.m_standing.m_slots);
+  families.Gauge("running", "Slots in use.", metrics.m_standing.m_running);
+  families.Gauge("queued", "Offers waiting for a slot.",
+                 metrics.m_standing.m_queued);
+  families.Gauge(
+      "hold_seconds", "Time until the instance is tried again.",
+      Seconds(std::chrono::milliseconds(metrics.m_standing.m_hold_ms)));
+  families.Gauge("members", "Nodes known.",
+                 static_cast<double>(metrics.m_members));
+  families.Gauge("config_version", "Configuration in force; 0 when none is.",
+                 static_cast<double>(metrics.m_config_version));
+  families.Gauge("config_age_seconds", "Since it came into force here.",
+                 Seconds(metrics.m_config_age));
+  families.Gauge("knowledge_age_seconds",
+                 "Since this node, or its relay, heard from the store.",
+                 Seconds(metrics.m_knowledge_age));
+  families.Gauge("ready", "1 when the node takes new callers.",
+                 metrics.m_is_ready ? 1 : 0);
+  return families.Render();
+}
+
+}  // namespace sequoiastage
--- /dev/null
+++ b/libs/mesh/src/target_book.cc
@@ -0,0 +1,111 @@
+#include "sequoiastage/mesh/target_book.h"
+
+#include <algorithm>
+
+namespace sequoiastage {
+
+namespace {
+
+constexpr int kPortBits = 16;
+
+}  // namespace
+
+CandidateKey KeyOf(NodeId node) {
+  return CandidateKey(uint64_t{node.Get().m_ip} << kPortBits |
+                      node.Get().m_port);
+}
+
+NodeId NodeOf(CandidateKey key) {
+  return NodeId(Endpoint{.m_ip = static_cast<uint32_t>(key.Get() >> kPortBits),
+                         .m_port = static_cast<uint16_t>(key.Get())});
+}
+
+void TargetBook::SetMember(const MemberRecord& member) {
+  Target& target = m_targets[member.m_node];
+  if (target.m_member.m_instance != member.m_instance) {
+    target.m_standing = {};
+  }
+  target.m_member = member;
+}
+
+void TargetBook::SetLeaving(NodeId node) {
+  const auto found = m_targets.find(node);
+  if (found != m_targets.end()) {
+    found->second.m_member.m_is_leaving = true;
+  }
+}
+
+void TargetBook::OnStanding(NodeId node,
+                            const EgressStanding& standing,
+                            TimePoint now) {
+  const auto found = m_targets.find(node);
+  if (found != m_targets.end()) {
+    found->second.m_standing = standing;
+    found->second.m_told_at = now;
+  }
+}
+
+void TargetBook::OnSent(NodeId node) {
+  ++m_targets[node].m_in_flight;
+}
+
+void TargetBook::OnEnded(NodeId node) {
+  const auto found = m_targets.find(node);
+  if (found != m_targets.end() && found->second.m_in_flight > 0) {
+    --found->second.m_in_flight;
+  }
+}
+
+std::vector<PlacementCandidate> TargetBook::Candidates(
+    ServiceId service,
+    TimePoint now,
+    const std::function<bool(NodeId)>& is_usable) const {
+  std::vector<PlacementCandidate> candidates;
+  for (const auto& [node, target] : m_targets) {
+    const MemberRecord& member = target.m_member;
+    if (member.m_service != service || member.m_instance.empty() ||
+        member.m_is_leaving) {
+      continue;
+    }
+    const Duration age = now - target.m_told_at;
+    const Duration hold =
+        std::chrono::milliseconds(target.m_standing.m_hold_ms);
+    const uint32_t told =
+        age < m_options.m_load_valid
+            ? target.m_standing.m_running + uint32_t{target.m_standing.m_queued}
+            : 0;
+    candidates.push_back({.m_key = KeyOf(node),
+                          .m_distance = DistanceOf(m_own, member),
+                          .m_is_path_open = is_usable(node),
+                          .m_hold_left = std::max(Duration{}, hold - age),
+                          .m_busy = std::max(told, target.m_in_flight),
+                          .m_slots = std::max(1U, member.m_slots)});
+  }
+  return candidates;
+}
+
+const MemberRecord* TargetBook::Find(NodeId node) const {
+  const auto found = m_targets.find(node);
+  return found == m_targets.end() ? nullptr : &found->second.m_member;
+}
+
+uint32_t TargetBook::ServiceSize(ServiceId service) const {
+  return static_cast<uint32_t>(std::count_if(
+      m_targets.begin(), m_targets.end(), [service](const auto& entry) {
+        return entry.second.m_member.m_service == service &&
+               !entry.second.m_member.m_instance.empty();
+      }));
+}
+
+std::vector<NodeId> TargetBook::RegionNodes() const {
+  std::vector<NodeId> nodes;
+  for (const auto& [node, target] : m_targets) {
+    if (target.m_member.m_region == m_own.m_region &&
+        !target.m_member.m_is_leaving) {
+      nodes.push_back(node);
+    }
+  }
+  return nodes;
+}
+
+}  // namespace sequoiastage
--- a/libs/node/src/peer_links_p.h
+++ b/libs/node/src/peer_links_p.h
@@ -9,9 +9,9 @@
 #include <unordered_map>
 #include <vector>
 
-#include "peer_connection_p.h"
 #include "sequoiastage/base/ids.h"
 #include "sequoiastage/base/time.h"
+#include "sequoiastage/link/peer_connection.h"
 
 namespace sequoiastage {
 
--- a/libs/node/src/peer_server_p.h
+++ b/libs/node/src/peer_server_p.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <unordered_set>
 
-#include "peer_connection_p.h"
 #include "sequoiastage/base/ids.h"
+#include "sequoiastage/link/peer_connection.h"
 
 namespace sequoiastage {
 
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -76,6 +76,8 @@
   kBackendError = 11,
   kShed = 12,
   kSuspect = 13,
+  /// The retry budget of the service is used up.
+  kRetryBudget = 14,
 };
 
 /// Short text of a reason, as in logs ("busy").
@@ -185,6 +187,156 @@
                          const ConfigReplyMessage&) = default;
 };
 
+/// Number of an attempt, unique within one run of its ingress. The HelloMessage
+/// of the connection names the ingress and its run.
+using AttemptNumber = Strong<struct AttemptNumberTag, uint64_t>;
+
+/// What an egress tells of its instance with every reply.
+struct EgressStanding {
+  uint16_t m_slots = 0;
+  uint16_t m_running = 0;
+  uint16_t m_queued = 0;
+  /// Time until the instance may be tried again; 0 when it is not held back.
+  uint16_t m_hold_ms = 0;
+  /// Expected time until new work would get a slot.
+  uint16_t m_expected_wait_ms = 0;
+
+  friend bool operator==(const EgressStanding&,
+                         const EgressStanding&) = default;
+};
+
+/// Asks an egress to take a request for its instance. Time travels as what is
+/// left of it: clocks of two hosts are never compared.
+struct OfferMessage {
+  AttemptNumber m_attempt;
+  ServiceId m_service;
+  /// Name of the instance that is meant; another one refuses.
+  std::string m_instance;
+  /// May run more than once.
+  bool m_is_repeatable = false;
+  /// An earlier attempt of the same request may have reached an instance.
+  bool m_is_repeat = false;
+  /// True: run it without waiting for a StartMessage.
+  bool m_starts_at_once = false;
+  /// True: wait for a slot where none is free; false: refuse then.
+  bool m_may_wait = false;
+  /// True: run it though the instance is held back.
+  bool m_accepts_held = false;
+  /// Rank of the route, 0 is the most urgent.
+  uint8_t m_urgency = 0;
+  /// Until the caller's deadline.
+  uint32_t m_time_left_ms = 0;
+  /// Until the route's latency objective; 0 when that has passed.
+  uint32_t m_target_left_ms = 0;
+  /// Service that the request comes from.
+  std::string m_caller_service;
+  std::string m_request_id;
+  HttpRequest m_request;
+
+  friend bool operator==(const OfferMessage&, const OfferMessage&) = default;
+};
+
+enum class OfferVerdict : uint8_t {
+  /// Holds a slot; runs when a StartMessage comes.
+  kReady = 0,
+  /// Waits for a slot; kReady, kStarted or kRefused follows.
+  kQueued = 1,
+  /// Runs; an OutcomeMessage follows.
+  kStarted = 2,
+  /// Does not run and never will.
+  kRefused = 3,
+};
+
+struct OfferReplyMessage {
+  AttemptNumber m_attempt;
+  OfferVerdict m_verdict = OfferVerdict::kRefused;
+  /// Set when refused.
+  AttemptReason m_reason = AttemptReason::kNone;
+  EgressStanding m_standing;
+
+  friend bool operator==(const OfferReplyMessage&,
+                         const OfferReplyMessage&) = default;
+};
+
+/// Starts an attempt whose offer was answered kReady.
+struct StartMessage {
+  AttemptNumber m_attempt;
+  uint32_t m_time_left_ms = 0;
+
+  friend bool operator==(const StartMessage&, const StartMessage&) = default;
+};
+
+/// Ends an attempt: it is not started any more, a running one is aborted.
+struct WithdrawMessage {
+  AttemptNumber m_attempt;
+
+  friend bool operator==(const WithdrawMessage&,
+                         const WithdrawMessage&) = default;
+};
+
+/// Asks over a new connection what became of an attempt that was started over
+/// one that is lost. An OutcomeMessage answers, at once when the attempt is
+/// not running.
+struct InquiryMessage {
+  AttemptNumber m_attempt;
+
+  friend bool operator==(const InquiryMessage&,
+                         const InquiryMessage&) = default;
+};
+
+/// End of an attempt that was started.
+struct OutcomeMessage {
+  AttemptNumber m_attempt;
+  AttemptResult m_result = AttemptResult::kFailed;
+  AttemptReason m_reason = AttemptReason::kNone;
+  EgressStanding m_standing;
+  /// Set when answered.
+  HttpAnswer m_answer;
+
+  friend bool operator==(const OutcomeMessage&,
+                         const OutcomeMessage&) = default;
+};
+
+/// Asks a node to pass on what it reads from the store from now on, beginning
+/// with the records at or after these offsets.
+struct RelayRequestMessage {
+  LogOffset m_next_config;
+  LogOffset m_next_member;
+
+  friend bool operator==(const RelayRequestMessage&,
+                         const RelayRequestMessage&) = default;
+};
+
+enum class StoreTopic : uint8_t { kConfig = 0, kMembers = 1 };
+
+/// Newest record of a key, as the store holds it.
+struct StoreRecord {
+  StoreTopic m_topic = StoreTopic::kConfig;
+  LogOffset m_offset;
+  std::string m_key;
+  /// Empty when the key was dropped.
+  std::string m_value;
+
+  friend bool operator==(const StoreRecord&, const StoreRecord&) = default;
+};
+
+/// Records read from the store, and how old that knowledge is. Sent without
+/// records too, as a sign that nothing is new.
+struct RelayMessage {
+  /// Since the sender, or the node it has this from, was in touch with the
+  /// store.
+  uint32_t m_age_ms = 0;
+  std::vector<StoreRecord> m_records;
+
+  friend bool operator==(const RelayMessage&, const RelayMessage&) = default;
+};
+
+/// The sender is shutting down: it takes no new offers.
+struct LeavingMessage {
+  friend bool operator==(const LeavingMessage&,
+                         const LeavingMessage&) = default;
+};
+
 using Message = std::variant<HelloMessage,
                              DispatchMessage,
                              ResultMessage,
@@ -192,7 +344,16 @@
                              KeyedRequestMessage,
                              KeyedReplyMessage,
                              ConfigRequestMessage,
-                             ConfigReplyMessage>;
+                             ConfigReplyMessage,
+                             OfferMessage,
+                             OfferReplyMessage,
+                             StartMessage,
+                             WithdrawMessage,
+                             InquiryMessage,
+                             OutcomeMessage,
+                             RelayRequestMessage,
+                             RelayMessage,
+                             LeavingMessage>;
 
 }  // namespace sequoiastage
 
--- a/libs/wire/src/messages.cc
+++ b/libs/wire/src/messages.cc
@@ -32,6 +32,8 @@
       return "shed";
     case AttemptReason::kSuspect:
       return "suspect";
+    case AttemptReason::kRetryBudget:
+      return "retry-budget";
   }
   return "invalid";
 }
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -110,6 +110,72 @@
   Bounded(archive, message.m_state);
 }
 
+template <class Archive>
+void serialize(Archive& archive, EgressStanding& standing) {
+  archive(standing.m_slots, standing.m_running, standing.m_queued,
+          standing.m_hold_ms, standing.m_expected_wait_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, OfferMessage& message) {
+  archive(message.m_attempt, message.m_service);
+  Bounded(archive, message.m_instance);
+  archive(message.m_is_repeatable, message.m_is_repeat,
+          message.m_starts_at_once, message.m_may_wait, message.m_accepts_held,
+          message.m_urgency, message.m_time_left_ms, message.m_target_left_ms);
+  Bounded(archive, message.m_caller_service);
+  Bounded(archive, message.m_request_id);
+  archive(message.m_request);
+}
+
+template <class Archive>
+void serialize(Archive& archive, OfferReplyMessage& message) {
+  archive(message.m_attempt, message.m_verdict, message.m_reason,
+          message.m_standing);
+}
+
+template <class Archive>
+void serialize(Archive& archive, StartMessage& message) {
+  archive(message.m_attempt, message.m_time_left_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, WithdrawMessage& message) {
+  archive(message.m_attempt);
+}
+
+template <class Archive>
+void serialize(Archive& archive, InquiryMessage& message) {
+  archive(message.m_attempt);
+}
+
+template <class Archive>
+void serialize(Archive& archive, OutcomeMessage& message) {
+  archive(message.m_attempt, message.m_result, message.m_reason,
+          message.m_standing, message.m_answer);
+}
+
+template <class Archive>
+void serialize(Archive& archive, RelayRequestMessage& message) {
+  archive(message.m_next_config, message.m_next_member);
+}
+
+template <class Archive>
+void serialize(Archive& archive, StoreRecord& record) {
+  archive(record.m_topic, record.m_offset);
+  Bounded(archive, record.m_key);
+  Bounded(archive, record.m_value);
+}
+
+template <class Archive>
+void serialize(Archive& archive, RelayMessage& message) {
+  archive(message.m_age_ms);
+  Bounded(archive, message.m_records);
+}
+
+template <class Archive>
+void serialize(Archive&, LeavingMessage&) {}
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_WIRE_SERIALIZE_P_H_
--- a/libs/wire/tests/frame_fault_test.cc
+++ b/libs/wire/tests/frame_fault_test.cc
@@ -24,7 +24,7 @@
                      .m_incarnation = Incarnation(number),
                      .m_counter = number};
   const std::vector<HttpField> fields = {{"name", text}, {text, ""}};
-  switch (*rc::gen::inRange(0, 5)) {
+  switch (*rc::gen::inRange(0, 8)) {
     case 0:
       return DispatchMessage{.m_attempt = id,
                              .m_request = {.m_method = "POST",
@@ -42,6 +42,22 @@
     case 3:
       return KeyedRequestMessage{
           .m_attempt = id, .m_key = text, .m_account = text};
+    case 4:
+      return OfferMessage{
+          .m_attempt = AttemptNumber(number),
+          .m_instance = text,
+          .m_caller_service = text,
+          .m_request = {.m_target = text, .m_fields = fields, .m_body = text}};
+    case 5:
+      return OutcomeMessage{
+          .m_attempt = AttemptNumber(number),
+          .m_answer = {.m_status = 200, .m_fields = fields, .m_body = text}};
+    case 6:
+      return RelayMessage{
+          .m_age_ms = number,
+          .m_records = {StoreRecord{.m_topic = StoreTopic::kMembers,
+                                    .m_key = text,
+                                    .m_value = text}}};
     default:
       return ConfigReplyMessage{.m_attempt = id, .m_state = text};
   }
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 folders=("$@")
 if [ ${#folders[@]} -eq 0 ]; then
-  folders=(libs apps standins bench tests)
+  folders=(libs platform apps standins bench tests)
 fi
 mapfile -t files < <(git ls-files --cached --others --exclude-standard \
   -- "${folders[@]}" | grep -E '\.(cc|h)$')
