Judge instances without errors of their calls; let repeatable work seek trials

Instances whose hold was over also waited long for a trial. Ruled out: leaked slots (running never above 3, queues move). Conclusion: holds need evidence against the instance itself.

--- a/libs/limits/include/sequoiastage/limits/repeat_allowance.h
+++ b/libs/limits/include/sequoiastage/limits/repeat_allowance.h
@@ -17,7 +17,9 @@
   /// Part of the allowance that is used. The rest covers calls of work that
   /// itself was a repeat, which nobody can tell from others, and load that is
   /// spread unevenly.
-  double m_used_part = 0.8;
+  double m_used_part = 0.65;
+  /// Part of it that less urgent work may use.
+  double m_less_urgent_part = 0.6;
 };
 
 /// Bounds the repeats that reach one instance, so that the repeats of its
@@ -26,7 +28,8 @@
 ///
 /// Load pattern: many instances fail at once and every ingress wants to send
 /// its requests a second time. An egress sees all that reaches its instance,
-/// and a request it refuses costs nothing of the budget.
+/// and a request it refuses costs nothing of the budget. While the budget does
+/// not suffice, the calls that other work waits for are repeated first.
 class RepeatAllowance {
  public:
   explicit RepeatAllowance(const RepeatAllowanceOptions& options = {})
@@ -36,10 +39,11 @@
   void SetInstances(uint32_t instances) { m_instances = instances; }
 
   /// A request arrives for the first time.
-  void OnFirst(TimePoint now);
+  void OnFirst(TimePoint now, uint8_t urgency = 0);
 
-  /// Takes one repeat; false when the allowance is used up.
-  bool TryRepeat(TimePoint now);
+  /// Takes one repeat; false when the allowance is used up. Work that is less
+  /// urgent than other work of late leaves a part of it to that.
+  bool TryRepeat(TimePoint now, uint8_t urgency = 0);
 
   /// Repeats taken in the window that ends now.
   uint32_t RepeatsInWindow(TimePoint now) const { return Sum(now).m_repeats; }
@@ -51,6 +55,8 @@
     int64_t m_number = -1;
     uint32_t m_firsts = 0;
     uint32_t m_repeats = 0;
+    // The most urgent that arrived.
+    uint8_t m_urgency = UINT8_MAX;
   };
 
   Part& PartAt(TimePoint now);
--- a/libs/limits/src/repeat_allowance.cc
+++ b/libs/limits/src/repeat_allowance.cc
@@ -4,14 +4,17 @@
 
 namespace sequoiastage {
 
-void RepeatAllowance::OnFirst(TimePoint now) {
-  ++PartAt(now).m_firsts;
+void RepeatAllowance::OnFirst(TimePoint now, uint8_t urgency) {
+  Part& part = PartAt(now);
+  ++part.m_firsts;
+  part.m_urgency = std::min(part.m_urgency, urgency);
 }
 
-bool RepeatAllowance::TryRepeat(TimePoint now) {
+bool RepeatAllowance::TryRepeat(TimePoint now, uint8_t urgency) {
   const Part sum = Sum(now);
   const double allowed =
       m_options.m_used_part *
+      (urgency > sum.m_urgency ? m_options.m_less_urgent_part : 1) *
       (m_options.m_ratio * sum.m_firsts +
        m_options.m_service_slack / std::max<uint32_t>(1, m_instances));
   if (sum.m_repeats + 1 > allowed) {
@@ -42,6 +45,7 @@
         part.m_number <= number) {
       sum.m_firsts += part.m_firsts;
       sum.m_repeats += part.m_repeats;
+      sum.m_urgency = std::min(sum.m_urgency, part.m_urgency);
     }
   }
   return sum;
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -81,6 +81,10 @@
   void OnInquiry(const PeerKey& peer, AttemptNumber number, MessageSink reply);
   void OnPeerLost(const PeerKey& peer);
 
+  /// A request that came in on this host failed. It may have been a call of the
+  /// instance, whose error is then no evidence against the instance.
+  void OnLocalFailure() { m_local_failure_at = BootNow(); }
+
   /// Offers that are not ended.
   size_t WorkCount() const { return m_work.size(); }
   const EgressStats& Stats() const { return m_stats; }
@@ -144,6 +148,7 @@
   InstanceHold m_hold;
   RepeatAllowance m_repeats;
   TimePoint m_shed_until{};
+  TimePoint m_local_failure_at{};
   uint32_t m_trials = 0;
   std::map<Key, WorkPtr> m_work;
   std::unordered_map<Ticket, WorkPtr> m_by_ticket;
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -120,7 +120,7 @@
        m_gate.ExpectedWait(offer.m_urgency) > Duration{})) {
     return AttemptReason::kBusy;
   }
-  if (offer.m_is_repeat && !m_repeats.TryRepeat(now)) {
+  if (offer.m_is_repeat && !m_repeats.TryRepeat(now, offer.m_urgency)) {
     return AttemptReason::kRetryBudget;
   }
   return AttemptReason::kNone;
@@ -235,7 +235,7 @@
     return;
   }
   if (!work->m_offer.m_is_repeat) {
-    m_repeats.OnFirst(now);
+    m_repeats.OnFirst(now, work->m_offer.m_urgency);
   }
   ++m_stats.m_started;
   work->m_started = now;
@@ -360,6 +360,9 @@
                         WorkEnd end) {
   const TimePoint now = BootNow();
   const HoldState before = m_hold.StateAt(now);
+  if (end == WorkEnd::kServerError && m_local_failure_at >= work->m_started) {
+    end = WorkEnd::kNoEvidence;
+  }
   if (work->m_connection) {
     m_hold.OnEnd(end, work->m_started, now);
     if (work->m_connection->IsReusable(now) && m_instance &&
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -53,15 +53,18 @@
 template <PlatformCodec Codec>
 class Ingress {
  public:
-  /// Hands an offer to this host's own egress.
+  /// Hands a message to this host's own egress.
   using LocalOffer = std::function<void(const Message&)>;
 
+  /// `on_failure` is called for each request without a success, before its
+  /// caller hears of it.
   Ingress(asio::io_context& io,
           const IngressOptions& options,
           std::string own_service,
           TargetBook& book,
           MeshLinks& links,
-          LocalOffer local);
+          LocalOffer local,
+          std::function<void()> on_failure);
 
   /// Requests from now on follow `config`.
   void SetConfig(std::shared_ptr<const TrafficConfig> config);
@@ -162,6 +165,7 @@
   TargetBook& m_book;
   MeshLinks& m_links;
   LocalOffer m_local;
+  std::function<void()> m_on_failure;
   std::shared_ptr<const TrafficConfig> m_config;
   PrefixRoutes m_routes;
   std::unordered_map<std::string, SplitPicker> m_splits;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -11,19 +11,27 @@
 
 namespace sequoiastage {
 
+namespace ingress_detail {
+
+inline constexpr uint16_t kFirstServerError = 500;
+
+}  // namespace ingress_detail
+
 template <PlatformCodec Codec>
 Ingress<Codec>::Ingress(asio::io_context& io,
                         const IngressOptions& options,
                         std::string own_service,
                         TargetBook& book,
                         MeshLinks& links,
-                        LocalOffer local)
+                        LocalOffer local,
+                        std::function<void()> on_failure)
     : m_io(io),
       m_options(options),
       m_own_service(std::move(own_service)),
       m_book(book),
       m_links(links),
-      m_local(std::move(local)) {}
+      m_local(std::move(local)),
+      m_on_failure(std::move(on_failure)) {}
 
 template <PlatformCodec Codec>
 void Ingress<Codec>::SetConfig(std::shared_ptr<const TrafficConfig> config) {
@@ -136,7 +144,10 @@
   const auto candidates = m_book.Candidates(
       run->m_service, now,
       [this](NodeId node) { return IsOwn(node) || m_links.IsUsable(node); });
-  while (const auto step = run->m_placement.Next(candidates, m_random)) {
+  const bool may_try = run->m_route->m_is_repeatable && !run->m_has_arrived &&
+                       run->m_route->m_max_attempts > 1;
+  while (const auto step =
+             run->m_placement.Next(candidates, m_random, may_try)) {
     const NodeId node = NodeOf(step->m_key);
     if (!IsOwn(node) && !m_links.IsUsable(node)) {
       run->m_placement.OnRefused(step->m_key, PlacementRefusal::kFinal, {});
@@ -301,14 +312,16 @@
     }
     Attempt& attempt = found->second;
     const CandidateKey key = KeyOf(node);
-    if (attempt.m_phase != Phase::kStarted && !attempt.m_starts_at_once) {
+    const bool is_offer =
+        attempt.m_phase == Phase::kOffered || attempt.m_phase == Phase::kQueued;
+    if (is_offer && !attempt.m_starts_at_once) {
       // Never started: it has not run and never will.
       run->m_placement.OnRefused(key, PlacementRefusal::kFinal, {});
       Drop(run, number);
       Step(run);
       continue;
     }
-    if (attempt.m_starts_at_once && attempt.m_phase != Phase::kStarted) {
+    if (is_offer) {
       MarkStarted(run, attempt);
     }
     attempt.m_phase = Phase::kLost;
@@ -430,8 +443,8 @@
 void Ingress<Codec>::OnAnswer(const RunPtr& run,
                               HttpAnswer answer,
                               NodeId node) {
-  constexpr uint16_t kFirstServerError = 500;
-  if (answer.m_status >= kFirstServerError && run->m_route->m_is_repeatable) {
+  if (answer.m_status >= ingress_detail::kFirstServerError &&
+      run->m_route->m_is_repeatable) {
     // A later attempt may do better; if none does, this is the answer.
     run->m_fallback = std::move(answer);
     StepOrGiveUp(run, "every attempt ended with a server error");
@@ -554,6 +567,9 @@
   run->m_hedge.cancel();
   --m_request_count;
   WithdrawAll(run);
+  if (answer.m_status >= ingress_detail::kFirstServerError) {
+    m_on_failure();
+  }
   run->m_responder(std::move(answer));
 }
 
@@ -568,6 +584,7 @@
   --m_request_count;
   ++m_stats.m_cancelled;
   LogEvent(LogLevel::kDebug, "caller_left").Add("request", run->m_id);
+  m_on_failure();
   WithdrawAll(run);
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/mesh_links.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_links.h
@@ -5,6 +5,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -108,6 +109,8 @@
   asio::ip::tcp::acceptor m_acceptor;
   std::unordered_map<NodeId, LinkPtr> m_links;
   std::unordered_set<std::shared_ptr<PeerConnection>> m_accepted;
+  // The newest connection that each peer has opened.
+  std::map<PeerKey, std::weak_ptr<PeerConnection>> m_latest;
   bool m_is_stopped = false;
   std::string m_last_reason;
 };
--- a/libs/mesh/src/mesh_links.cc
+++ b/libs/mesh/src/mesh_links.cc
@@ -243,10 +243,11 @@
   };
   connection->Start(
       {.m_on_message =
-           [this, peer, sink](Message message) {
+           [this, peer, sink, weak](Message message) {
              if (const auto* hello = std::get_if<HelloMessage>(&message)) {
                *peer = PeerKey{.m_node = hello->m_node,
                                .m_run = hello->m_incarnation};
+               m_latest[**peer] = weak;
                sink(HelloMessage{.m_node = m_own.m_node,
                                  .m_incarnation = m_own.m_run});
                m_handlers.m_on_peer(**peer, sink);
@@ -256,10 +257,18 @@
            },
        .m_on_closed =
            [this, peer, weak](const std::string&) {
-             if (const auto self = weak.lock()) {
+             const auto self = weak.lock();
+             if (self) {
                m_accepted.erase(self);
              }
-             if (*peer && !m_is_stopped) {
+             if (!*peer || m_is_stopped) {
+               return;
+             }
+             // The peer may have opened another connection before the end of
+             // this one was seen.
+             const auto latest = m_latest.find(**peer);
+             if (latest != m_latest.end() && latest->second.lock() == self) {
+               m_latest.erase(latest);
                m_handlers.m_on_peer_lost(**peer);
              }
            }});
--- a/libs/mesh/src/target_book.cc
+++ b/libs/mesh/src/target_book.cc
@@ -78,6 +78,7 @@
                           .m_distance = DistanceOf(m_own, member),
                           .m_is_path_open = is_usable(node),
                           .m_hold_left = std::max(Duration{}, hold - age),
+                          .m_wants_trial = hold > Duration{} && age >= hold,
                           .m_busy = std::max(told, target.m_in_flight),
                           .m_slots = std::max(1U, member.m_slots)});
   }
--- a/libs/routing/include/sequoiastage/routing/placement.h
+++ b/libs/routing/include/sequoiastage/routing/placement.h
@@ -25,6 +25,9 @@
   bool m_is_path_open = true;
   /// Hold of the instance as its egress last told it, less the time since.
   Duration m_hold_left{};
+  /// Its hold was told and is over: repeatable work may find out whether it is
+  /// well again.
+  bool m_wants_trial = false;
   /// Work in slots, as last told, and what this ingress has there; 0 when the
   /// egress has told nothing lately.
   uint32_t m_busy = 0;
@@ -65,6 +68,8 @@
 /// - Part of the instances are held back at any moment, and which ones is only
 ///   known to their egresses. A refusal in the own region costs about a
 ///   millisecond, so all of them are asked before another region is.
+/// - Instances recover unnoticed while the work that is left for them can't be
+///   repeated. Repeatable work seeks them out as soon as their hold is over.
 /// - A zone has more work than slots for some seconds. Work goes to other
 ///   regions while they have free slots and then waits where the queue is
 ///   shortest, and is refused at once where no queue ends in time.
@@ -76,10 +81,12 @@
       : m_options(options) {}
 
   /// The next instance to offer the request to. Empty when there is none left:
-  /// the request is refused.
+  /// the request is refused. With `may_try` an instance of the region that
+  /// wants a trial comes first: the request can be repeated elsewhere.
   std::optional<PlacementStep> Next(
       const std::vector<PlacementCandidate>& candidates,
-      std::mt19937_64& random);
+      std::mt19937_64& random,
+      bool may_try = false);
 
   /// `expected_wait`: as the egress told it, for kBusy.
   void OnRefused(CandidateKey key,
@@ -103,6 +110,7 @@
   const PlacementCandidate* FreeSlot(
       const std::vector<PlacementCandidate>& candidates,
       bool is_far,
+      bool may_try,
       std::mt19937_64& random) const;
   const PlacementCandidate* ShortestQueue(
       const std::vector<PlacementCandidate>& candidates,
--- a/libs/routing/src/placement.cc
+++ b/libs/routing/src/placement.cc
@@ -25,13 +25,14 @@
 
 std::optional<PlacementStep> Placement::Next(
     const std::vector<PlacementCandidate>& candidates,
-    std::mt19937_64& random) {
-  if (const auto* near = FreeSlot(candidates, false, random)) {
+    std::mt19937_64& random,
+    bool may_try) {
+  if (const auto* near = FreeSlot(candidates, false, may_try, random)) {
     return PlacementStep{.m_key = near->m_key};
   }
   const auto* queue = ShortestQueue(candidates, m_options.m_near_wait);
   if (queue == nullptr && m_far < m_options.m_max_far) {
-    if (const auto* far = FreeSlot(candidates, true, random)) {
+    if (const auto* far = FreeSlot(candidates, true, false, random)) {
       ++m_far;
       return PlacementStep{.m_key = far->m_key};
     }
@@ -85,9 +86,10 @@
 const PlacementCandidate* Placement::FreeSlot(
     const std::vector<PlacementCandidate>& candidates,
     bool is_far,
+    bool may_try,
     std::mt19937_64& random) const {
   const PlacementCandidate* best = nullptr;
-  std::tuple<uint32_t, Distance, uint64_t> best_rank;
+  std::tuple<bool, uint32_t, Distance, uint64_t> best_rank;
   for (const PlacementCandidate& candidate : candidates) {
     if (IsFar(candidate) != is_far || !candidate.m_is_path_open ||
         candidate.m_hold_left > Duration{} ||
@@ -95,7 +97,8 @@
         Find(candidate.m_key) != nullptr) {
       continue;
     }
-    const std::tuple rank(BusyStep(candidate), candidate.m_distance, random());
+    const std::tuple rank(candidate.m_wants_trial != may_try,
+                          BusyStep(candidate), candidate.m_distance, random());
     if (best == nullptr || rank < best_rank) {
       best = &candidate;
       best_rank = rank;
