--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -76,7 +76,7 @@
   void StartLeaving();
 
   void OnOffer(const PeerKey& peer, OfferMessage offer, MessageSink reply);
-  void OnStart(const PeerKey& peer, const StartMessage& start);
+  void OnStart(const PeerKey& peer, StartMessage start);
   void OnWithdraw(const PeerKey& peer, AttemptNumber number);
   void OnInquiry(const PeerKey& peer, AttemptNumber number, MessageSink reply);
   void OnPeerLost(const PeerKey& peer);
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -210,13 +210,14 @@
 }
 
 template <PlatformCodec Codec>
-void Egress<Codec>::OnStart(const PeerKey& peer, const StartMessage& start) {
+void Egress<Codec>::OnStart(const PeerKey& peer, StartMessage start) {
   const auto found = m_work.find(Key(peer, start.m_attempt));
   if (found == m_work.end() || found->second->m_phase != Phase::kReady) {
     return;  // Its refusal is on the way to the ingress.
   }
   const WorkPtr work = found->second;
   work->m_timer.cancel();
+  work->m_offer.m_request = std::move(start.m_request);
   work->m_deadline =
       BootNow() + std::chrono::milliseconds(start.m_time_left_ms);
   Run(work);
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -31,6 +31,8 @@
   /// round trips, and two turns of a host whose processor share is used up.
   Duration m_near_silence = std::chrono::milliseconds(250);
   Duration m_far_silence = std::chrono::milliseconds(400);
+  /// Largest body that is sent with an offer to another region.
+  size_t m_max_eager_body = 1024;
   /// Part of the latency objective after which repeatable work that still runs
   /// gets a second attempt.
   double m_hedge_share = 0.5;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -192,27 +192,31 @@
   attempt.m_sent_at = now;
   // The round trip before the start is dear between regions, and repeatable
   // work does without the proof that it gives.
-  attempt.m_starts_at_once = is_far && run->m_route->m_is_repeatable;
+  attempt.m_starts_at_once =
+      is_far && run->m_route->m_is_repeatable &&
+      run->m_request.m_body.size() <= m_options.m_max_eager_body;
   if (const auto known = m_runs.find(node); known != m_runs.end()) {
     attempt.m_egress_run = known->second;
   }
   m_by_attempt[number] = run;
   m_book.OnSent(node);
   run->m_placement.OnRefused(step.m_key, PlacementRefusal::kBusy, {});
-  const OfferMessage offer{.m_attempt = number,
-                           .m_service = run->m_service,
-                           .m_instance = member->m_instance,
-                           .m_is_repeatable = run->m_route->m_is_repeatable,
-                           .m_is_repeat = run->m_has_arrived,
-                           .m_starts_at_once = attempt.m_starts_at_once,
-                           .m_may_wait = step.m_may_wait,
-                           .m_accepts_held = step.m_accepts_held,
-                           .m_urgency = run->m_route->m_urgency,
-                           .m_time_left_ms = ToMs(run->m_deadline - now),
-                           .m_target_left_ms = ToMs(run->m_target - now),
-                           .m_caller_service = m_own_service,
-                           .m_request_id = run->m_id,
-                           .m_request = run->m_request};
+  OfferMessage offer{.m_attempt = number,
+                     .m_service = run->m_service,
+                     .m_instance = member->m_instance,
+                     .m_is_repeatable = run->m_route->m_is_repeatable,
+                     .m_is_repeat = run->m_has_arrived,
+                     .m_starts_at_once = attempt.m_starts_at_once,
+                     .m_may_wait = step.m_may_wait,
+                     .m_accepts_held = step.m_accepts_held,
+                     .m_urgency = run->m_route->m_urgency,
+                     .m_time_left_ms = ToMs(run->m_deadline - now),
+                     .m_target_left_ms = ToMs(run->m_target - now),
+                     .m_caller_service = m_own_service,
+                     .m_request_id = run->m_id};
+  if (attempt.m_starts_at_once) {
+    offer.m_request = run->m_request;
+  }
   ArmSilence(run, attempt);
   if (!SendTo(node, offer)) {
     Drop(run, number);
@@ -388,7 +392,8 @@
       MarkStarted(run, attempt);
       SendTo(attempt.m_node,
              StartMessage{.m_attempt = attempt.m_number,
-                          .m_time_left_ms = ToMs(run->m_deadline - BootNow())});
+                          .m_time_left_ms = ToMs(run->m_deadline - BootNow()),
+                          .m_request = run->m_request});
       return;
     case OfferVerdict::kStarted:
       attempt.m_phase = Phase::kStarted;
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -357,8 +357,8 @@
                                        const MessageSink& sink) {
   if (auto* offer = std::get_if<OfferMessage>(&message)) {
     m_egress.OnOffer(peer, std::move(*offer), sink);
-  } else if (const auto* start = std::get_if<StartMessage>(&message)) {
-    m_egress.OnStart(peer, *start);
+  } else if (auto* start = std::get_if<StartMessage>(&message)) {
+    m_egress.OnStart(peer, std::move(*start));
   } else if (const auto* withdraw = std::get_if<WithdrawMessage>(&message)) {
     m_egress.OnWithdraw(peer, withdraw->m_attempt);
   } else if (const auto* inquiry = std::get_if<InquiryMessage>(&message)) {
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -231,6 +231,8 @@
   /// Service that the request comes from.
   std::string m_caller_service;
   std::string m_request_id;
+  /// Empty unless it starts at once: most offers of a busy time are refused,
+  /// and the request may be large.
   HttpRequest m_request;
 
   friend bool operator==(const OfferMessage&, const OfferMessage&) = default;
@@ -262,6 +264,7 @@
 struct StartMessage {
   AttemptNumber m_attempt;
   uint32_t m_time_left_ms = 0;
+  HttpRequest m_request;
 
   friend bool operator==(const StartMessage&, const StartMessage&) = default;
 };
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -136,7 +136,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, StartMessage& message) {
-  archive(message.m_attempt, message.m_time_left_ms);
+  archive(message.m_attempt, message.m_time_left_ms, message.m_request);
 }
 
 template <class Archive>
