Pack and space the changes that a relay passes on; bound and never block logs

An offer that stayed unanswered ended a request that can't be repeated although it had never started. Change: records are packed (zlib) and sent at most every 0.7 s; after a large configuration only the newest is read; no request is taken later than 2.9 s after SIGTERM; silent egresses are passed over. Logs go to standard output through a bounded writer that never waits.

--- a/libs/logging/include/sequoiastage/logging/log_event.h
+++ b/libs/logging/include/sequoiastage/logging/log_event.h
@@ -5,15 +5,25 @@
 #include <string>
 #include <string_view>
 
-/// Structured logs: one line of key=value pairs an event, on standard error.
-/// Thread-safe. Values with spaces, quotes or control characters are quoted.
+/// Structured logs: one line of key=value pairs an event. Thread-safe. Values
+/// with spaces, quotes or control characters are quoted.
 namespace sequoiastage {
 
 enum class LogLevel { kDebug, kInfo, kWarn, kError };
 
-/// Sets up logging for the process. Events below `level` are dropped.
+/// Sets up logging to standard error. Events below `level` are dropped.
 void InitLogging(LogLevel level);
 
+/// Sets up logging to standard output that never waits for its reader: lines
+/// are kept up to a bound, then dropped, those below kWarn first.
+void InitBoundedLogging(LogLevel level);
+
+/// Writes more of what InitBoundedLogging() keeps; call now and then.
+void FlushLogs();
+
+/// Lines that were dropped for want of room.
+uint64_t DroppedLogLines();
+
 /// One log line, written when the object ends:
 ///
 ///   LogEvent(LogLevel::kInfo, "node_ready").Add("port", port);
--- a/libs/logging/src/log_event.cc
+++ b/libs/logging/src/log_event.cc
@@ -1,11 +1,17 @@
 #include "sequoiastage/logging/log_event.h"
 
 #include <fmt/format.h>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <unistd.h>
+
 #include <algorithm>
+#include <mutex>
+
+#include "sequoiastage/logging/line_writer.h"
 
 namespace sequoiastage {
 
@@ -36,16 +42,70 @@
          });
 }
 
+constexpr char kPattern[] =
+    "time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p %m%n";
+// Some thousand lines: what a busy node says in a few seconds.
+constexpr size_t kMaxKeptBytes = size_t{512} * 1024;
+
+struct BoundedOutput {
+  std::mutex m_mutex;
+  LineWriter m_writer{STDOUT_FILENO, kMaxKeptBytes};
+};
+
+BoundedOutput& Output() {
+  static BoundedOutput output;
+  return output;
+}
+
+class BoundedAppender : public log4cxx::AppenderSkeleton {
+ public:
+  void close() override {}
+  bool requiresLayout() const override { return true; }
+
+ protected:
+  void append(const log4cxx::spi::LoggingEventPtr& event,
+              log4cxx::helpers::Pool& pool) override {
+    log4cxx::LogString line;
+    getLayout()->format(line, event, pool);
+    const bool is_routine =
+        !event->getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn());
+    BoundedOutput& output = Output();
+    const std::scoped_lock lock(output.m_mutex);
+    output.m_writer.Write(line, is_routine);
+  }
+};
+
+void SetAppender(const log4cxx::AppenderPtr& appender, LogLevel level) {
+  RootLogger()->removeAllAppenders();
+  RootLogger()->addAppender(appender);
+  RootLogger()->setLevel(ToLog4cxx(level));
+}
+
 }  // namespace
 
+void InitBoundedLogging(LogLevel level) {
+  const auto appender = std::make_shared<BoundedAppender>();
+  appender->setLayout(std::make_shared<log4cxx::PatternLayout>(kPattern));
+  SetAppender(appender, level);
+}
+
+void FlushLogs() {
+  BoundedOutput& output = Output();
+  const std::scoped_lock lock(output.m_mutex);
+  output.m_writer.Flush();
+}
+
+uint64_t DroppedLogLines() {
+  BoundedOutput& output = Output();
+  const std::scoped_lock lock(output.m_mutex);
+  return output.m_writer.Dropped();
+}
+
 void InitLogging(LogLevel level) {
-  const auto layout = std::make_shared<log4cxx::PatternLayout>(
-      "time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p %m%n");
+  const auto layout = std::make_shared<log4cxx::PatternLayout>(kPattern);
   const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
       layout, log4cxx::ConsoleAppender::getSystemErr());
-  RootLogger()->removeAllAppenders();
-  RootLogger()->addAppender(appender);
-  RootLogger()->setLevel(ToLog4cxx(level));
+  SetAppender(appender, level);
 }
 
 LogEvent::LogEvent(LogLevel level, std::string_view event)
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -262,14 +262,19 @@
     m_links.Drop(node, "no reply to an offer");
     return;
   }
-  if (found->second.m_starts_at_once) {
+  const bool may_have_run = found->second.m_starts_at_once;
+  if (may_have_run) {
     MarkStarted(run, found->second);
     run->m_may_have_run = true;
   }
   run->m_placement.OnRefused(KeyOf(node), PlacementRefusal::kFinal, {});
   Drop(run, number);
   SendTo(node, WithdrawMessage{.m_attempt = number});
-  StepOrGiveUp(run, "an egress is silent");
+  if (may_have_run) {
+    StepOrGiveUp(run, "an egress is silent");
+  } else {
+    Step(run);
+  }
 }
 
 template <PlatformCodec Codec>
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -1,6 +1,7 @@
 #ifndef SEQUOIASTAGE_MESH_MESH_NODE_H_
 #define SEQUOIASTAGE_MESH_MESH_NODE_H_
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <memory>
@@ -52,6 +53,7 @@
     MessageSink m_sink;
     LogOffset m_next_config;
     LogOffset m_next_member;
+    TimePoint m_changed_at{};
   };
 
   void OnControl(HttpRequest request, const StreamResponder& responder);
@@ -70,6 +72,8 @@
   void Tick();
   void TickRelay();
   void TickShutdown();
+  // Packed records at or after these offsets; valid until the next call.
+  const std::string& PackFrom(LogOffset config, LogOffset member);
   void SendRelay(Subscriber& subscriber);
   Duration KnowledgeAge(TimePoint now) const;
   bool IsReady() const;
@@ -93,6 +97,9 @@
   TimePoint m_config_at{};
   std::unordered_map<NodeId, Subscriber> m_subscribers;
   std::optional<NodeId> m_subscribed_to;
+  std::string m_packed;
+  // From and to which offsets m_packed holds: configuration, members.
+  std::array<LogOffset, 4> m_packed_range{};
   // Written to the store, or being written.
   std::string m_published;
   bool m_is_publishing = false;
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -2,12 +2,14 @@
 #define SEQUOIASTAGE_MESH_MESH_NODE_INL_H_
 
 #include <algorithm>
+#include <array>
 #include <asio/post.hpp>
 #include <random>
 #include <utility>
 
 #include "sequoiastage/mesh/mesh_node.h"
 #include "sequoiastage/mesh/node_metrics.h"
+#include "sequoiastage/wire/packed_records.h"
 
 namespace sequoiastage {
 
@@ -23,11 +25,23 @@
 inline constexpr Duration kStartSpread = std::chrono::milliseconds(400);
 inline constexpr Duration kPublishRetry = std::chrono::milliseconds(500);
 // Callers are sent elsewhere after they found the node not ready twice, a
-// second apart; requests until then are answered.
-inline constexpr Duration kLeastShutdown = std::chrono::milliseconds(3600);
+// second apart. Then it takes no more requests, so that those it has taken end
+// within the grace time.
+inline constexpr Duration kTakeUntil = std::chrono::milliseconds(2900);
+// Other nodes and callers have noticed by then.
+inline constexpr Duration kLeastShutdown = std::chrono::milliseconds(3300);
 // Part of the grace time that is used; the rest covers a slow host.
 inline constexpr double kGraceShare = 0.94;
 
+// Least time between two messages with changes to one subscriber.
+inline constexpr Duration kRelaySpacing = std::chrono::milliseconds(700);
+
+inline uint32_t ToMs32(Duration duration) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return static_cast<uint32_t>(std::clamp<int64_t>(ms, 0, UINT32_MAX));
+}
+
 inline Incarnation RandomRun() {
   std::random_device device;
   return Incarnation(uint64_t{device()} << 32 | device());
@@ -386,10 +400,10 @@
     m_relay_choice.SetRegion(m_book.RegionNodes());
   } else if (const auto* request = std::get_if<RelayRequestMessage>(&message)) {
     // The other node has just started and knows nobody but this one.
-    m_links.Send(node, RelayMessage{.m_age_ms = UINT32_MAX,
-                                    .m_records = m_reader.RecordsFrom(
-                                        request->m_next_config,
-                                        request->m_next_member)});
+    m_links.Send(node,
+                 RelayMessage{.m_age_ms = UINT32_MAX,
+                              .m_packed = PackFrom(request->m_next_config,
+                                                   request->m_next_member)});
   } else {
     m_ingress.OnReply(node, message);
   }
@@ -399,12 +413,33 @@
 void MeshNode<Codec, Store>::OnRelay(NodeId node, const RelayMessage& relay) {
   m_relay_choice.OnRelayed(node, std::chrono::milliseconds(relay.m_age_ms),
                            BootNow());
-  for (const StoreRecord& record : relay.m_records) {
+  if (relay.m_packed.empty()) {
+    return;
+  }
+  const auto records = UnpackRecords(relay.m_packed);
+  if (!records) {
+    LogEvent(LogLevel::kWarn, "relay_damaged").Add("node", ToString(node));
+    return;
+  }
+  for (const StoreRecord& record : *records) {
     m_reader.OnRelayed(record);
   }
-  if (!relay.m_records.empty()) {
-    m_reader.MarkKnown();
+  m_reader.MarkKnown();
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+const std::string& MeshNode<Codec, Store>::PackFrom(LogOffset config,
+                                                    LogOffset member) {
+  const std::array<LogOffset, 4> range = {config, member,
+                                          m_reader.Next(StoreTopic::kConfig),
+                                          m_reader.Next(StoreTopic::kMembers)};
+  // Most subscribers have the same records and lack the same ones.
+  if (range != m_packed_range) {
+    const auto records = m_reader.RecordsFrom(config, member);
+    m_packed = records.empty() ? std::string() : PackRecords(records);
+    m_packed_range = range;
   }
+  return m_packed;
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
@@ -432,12 +467,9 @@
 
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::SendRelay(Subscriber& subscriber) {
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-      KnowledgeAge(BootNow()));
-  RelayMessage message{.m_age_ms = static_cast<uint32_t>(
-                           std::clamp<int64_t>(age.count(), 0, UINT32_MAX)),
-                       .m_records = m_reader.RecordsFrom(
-                           subscriber.m_next_config, subscriber.m_next_member)};
+  const RelayMessage message{
+      .m_age_ms = mesh_node_detail::ToMs32(KnowledgeAge(BootNow())),
+      .m_packed = PackFrom(subscriber.m_next_config, subscriber.m_next_member)};
   subscriber.m_next_config = m_reader.Next(StoreTopic::kConfig);
   subscriber.m_next_member = m_reader.Next(StoreTopic::kMembers);
   subscriber.m_sink(message);
@@ -445,6 +477,7 @@
 
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::Tick() {
+  FlushLogs();
   const TimePoint now = BootNow();
   const auto relay = m_relay_choice.Relay(now);
   if (relay != m_subscribed_to) {
@@ -463,10 +496,14 @@
   } else {
     m_reader.Stop();
   }
-  // Changes go out at once, whoever brought them.
+  // A change goes out at once, those that follow it closely together.
   for (auto& [node, subscriber] : m_subscribers) {
-    if (subscriber.m_next_config < m_reader.Next(StoreTopic::kConfig) ||
-        subscriber.m_next_member < m_reader.Next(StoreTopic::kMembers)) {
+    const bool has_changes =
+        subscriber.m_next_config < m_reader.Next(StoreTopic::kConfig) ||
+        subscriber.m_next_member < m_reader.Next(StoreTopic::kMembers);
+    if (has_changes &&
+        now - subscriber.m_changed_at > mesh_node_detail::kRelaySpacing) {
+      subscriber.m_changed_at = now;
       SendRelay(subscriber);
     }
   }
@@ -480,8 +517,10 @@
 
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::TickRelay() {
-  for (auto& [node, subscriber] : m_subscribers) {
-    SendRelay(subscriber);
+  const RelayMessage beat{
+      .m_age_ms = mesh_node_detail::ToMs32(KnowledgeAge(BootNow()))};
+  for (const auto& [node, subscriber] : m_subscribers) {
+    subscriber.m_sink(beat);
   }
   m_relay_tick.expires_after(mesh_node_detail::kRelayInterval);
   m_relay_tick.async_wait([this](const asio::error_code& error) {
@@ -512,6 +551,9 @@
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::TickShutdown() {
   const Duration since = BootNow() - m_stop_at;
+  if (since >= mesh_node_detail::kTakeUntil) {
+    m_callers.Stop();
+  }
   const bool is_idle =
       m_ingress.RequestCount() == 0 && m_egress.WorkCount() == 0;
   const auto longest = std::chrono::duration_cast<Duration>(
@@ -546,6 +588,7 @@
        .m_config_age = m_config ? now - m_config_at : Duration{},
        .m_knowledge_age = KnowledgeAge(now),
        .m_config_rejects = m_config_rejects,
+       .m_dropped_log_lines = DroppedLogLines(),
        .m_is_ready = IsReady()});
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/node_metrics.h
+++ b/libs/mesh/include/sequoiastage/mesh/node_metrics.h
@@ -24,6 +24,7 @@
   Duration m_config_age{};
   Duration m_knowledge_age{};
   uint64_t m_config_rejects = 0;
+  uint64_t m_dropped_log_lines = 0;
   bool m_is_ready = false;
 };
 
--- a/libs/mesh/include/sequoiastage/mesh/store_reader.h
+++ b/libs/mesh/include/sequoiastage/mesh/store_reader.h
@@ -24,6 +24,10 @@
   /// the other cost one read.
   Duration m_config_pause = std::chrono::milliseconds(150);
   Duration m_member_pause = std::chrono::milliseconds(300);
+  /// After a configuration of this size the newest one is read after a pause,
+  /// instead of every one that was written meanwhile.
+  size_t m_large_bytes = size_t{16} << 10;
+  Duration m_large_pause = std::chrono::milliseconds(600);
   /// Pause after a failed call, doubled up to the longest.
   Duration m_first_retry = std::chrono::milliseconds(250);
   Duration m_longest_retry = std::chrono::seconds(1);
@@ -166,7 +170,7 @@
     topic.m_failures = 0;
     topic.m_is_known = true;
     topic.m_read_at = BootNow();
-    topic.m_has_base = true;
+    const bool was_following = std::exchange(topic.m_has_base, true);
     topic.m_next = std::max(topic.m_next, result.m_page->m_next);
     const bool has_records = !result.m_page->m_records.empty();
     for (const StoreRecord& record : result.m_page->m_records) {
@@ -175,6 +179,17 @@
     if (!m_is_reading) {
       return;
     }
+    size_t bytes = 0;
+    for (const StoreRecord& record : result.m_page->m_records) {
+      bytes += record.m_value.size();
+    }
+    if (topic.m_topic == StoreTopic::kConfig && was_following &&
+        bytes > m_options.m_large_bytes) {
+      // Others may follow it closely, and only the newest counts.
+      topic.m_has_base = false;
+      ReadAfter(topic, m_options.m_large_pause);
+      return;
+    }
     if (!has_records) {
       Read(topic);
       return;
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -87,6 +87,9 @@
   families.Counter("config_rejects_total",
                    "Configurations that were not valid.",
                    metrics.m_config_rejects);
+  families.Counter("log_lines_dropped_total",
+                   "Log lines for which there was no room.",
+                   metrics.m_dropped_log_lines);
   families.Gauge("requests", "Requests of callers in flight.",
                  static_cast<double>(metrics.m_requests));
   families.Gauge("connections", "Open connections of callers.",
--- /dev/null
+++ b/libs/mesh/tests/fake_platform.h
@@ -0,0 +1,257 @@
+#ifndef SEQUOIASTAGE_MESH_TESTS_FAKE_PLATFORM_H_
+#define SEQUOIASTAGE_MESH_TESTS_FAKE_PLATFORM_H_
+
+#include <unistd.h>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sequoiastage/http/exchange_connection.h"
+#include "sequoiastage/http/stream_server.h"
+#include "sequoiastage/mesh/platform.h"
+
+namespace sequoiastage {
+
+// Loopback address `host` of a net that belongs to this process.
+inline uint32_t TestIp(uint8_t host) {
+  const auto pid = static_cast<uint32_t>(getpid());
+  return 0x7f000000U | (64 + pid / 250 % 100) << 16 | (1 + pid % 250) << 8 |
+         host;
+}
+
+// Runs `io` until `done` or for `limit`. True when done.
+inline bool RunUntil(
+    asio::io_context& io,
+    const std::function<bool()>& done,
+    std::chrono::milliseconds limit = std::chrono::seconds(8)) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!done() && std::chrono::steady_clock::now() < end) {
+    io.restart();
+    io.run_for(std::chrono::milliseconds(5));
+  }
+  return done();
+}
+
+// A platform whose names are short words.
+struct FakeCodec {
+  static std::string Field(const std::vector<HttpField>& fields,
+                           std::string_view name) {
+    const std::string* value = FindField(fields, name);
+    return value == nullptr ? "" : *value;
+  }
+
+  static CallerFacts DecodeCaller(const HttpRequest& request) {
+    CallerFacts facts{.m_request_id = Field(request.m_fields, "id"),
+                      .m_time_left = {}};
+    if (const std::string left = Field(request.m_fields, "left");
+        !left.empty()) {
+      facts.m_time_left = std::chrono::milliseconds(std::stoi(left));
+    }
+    return facts;
+  }
+
+  static void PrepareForInstance(HttpRequest& request,
+                                 const InstanceCallFacts& call) {
+    request.m_fields.push_back({"instance", std::string(call.m_instance)});
+    request.m_fields.push_back({"from", std::string(call.m_caller_service)});
+  }
+
+  static AnswerFacts DecodeAnswer(const HttpAnswer& answer) {
+    return {.m_request_id = Field(answer.m_fields, "id"),
+            .m_is_attested = !Field(answer.m_fields, "seal").empty(),
+            .m_is_not_run = !Field(answer.m_fields, "not-run").empty(),
+            .m_is_other_instance = answer.m_status == 421,
+            .m_is_encoded = false};
+  }
+
+  // POST /announce/NAME with "service:port:born:sequence[:leaving]" as body.
+  static ControlRequest DecodeControl(const HttpRequest& request) {
+    const std::string& target = request.m_target;
+    ControlRequest control;
+    if (target.starts_with("/deregister/")) {
+      control.m_kind = ControlRequest::Kind::kDeregister;
+      control.m_announcement.m_name = target.substr(12);
+      return control;
+    }
+    control.m_reason = "no announcement";
+    return control;
+  }
+
+  static bool IsReadyQuery(const HttpRequest& request) {
+    return request.m_target == "/ready";
+  }
+
+  // "VERSION HOST PREFIX SERVICE [once]": a configuration of one route.
+  static std::optional<TrafficConfig> DecodeConfig(const StoreRecord& record,
+                                                   std::string* reason) {
+    std::vector<std::string> words;
+    std::string word;
+    for (const char c : record.m_value + " ") {
+      if (c != ' ') {
+        word += c;
+      } else if (!word.empty()) {
+        words.push_back(std::exchange(word, {}));
+      }
+    }
+    if (words.size() < 4) {
+      *reason = "too few words";
+      return std::nullopt;
+    }
+    TrafficRoute route;
+    route.m_name = "r";
+    route.m_host = words[1];
+    route.m_path_prefix = words[2];
+    route.m_is_repeatable = words.size() == 4;
+    route.m_max_attempts = 2;
+    route.m_timeout = std::chrono::milliseconds(1500);
+    route.m_target_latency = std::chrono::milliseconds(1000);
+    route.m_shares = {{.m_service = ServiceIdOf(words[3])}};
+    return TrafficConfig{.m_version = ConfigVersion(std::stoul(words[0])),
+                         .m_routes = {route},
+                         .m_services = {words[3]}};
+  }
+};
+
+static_assert(PlatformCodec<FakeCodec>);
+
+// The records behind all FakeStores of a test.
+struct FakeLog {
+  std::vector<std::pair<std::string, std::string>> m_topics[2];
+
+  void Write(StoreTopic topic, std::string key, std::string value) {
+    m_topics[static_cast<size_t>(topic)].emplace_back(std::move(key),
+                                                      std::move(value));
+  }
+};
+
+// One node's way to the store; it can be cut.
+class FakeStore {
+ public:
+  FakeStore(asio::io_context& io, FakeLog& log) : m_io(io), m_log(log) {}
+
+  void ReadNewest(StoreTopic topic, const StoreHandler& handler) {
+    ++m_calls;
+    asio::post(m_io, [this, topic, handler] {
+      handler(m_is_cut ? StoreResult{.m_page = {}, .m_reason = "cut"}
+                       : StoreResult{.m_page = PageFrom(topic, 0)});
+    });
+  }
+
+  void Follow(StoreTopic topic,
+              LogOffset from,
+              Duration wait,
+              const StoreHandler& handler) {
+    ++m_calls;
+    Poll(topic, from, std::chrono::steady_clock::now() + wait, handler,
+         ++m_turns[static_cast<size_t>(topic)]);
+  }
+
+  void StopFollowing(StoreTopic topic) {
+    ++m_turns[static_cast<size_t>(topic)];
+  }
+
+  void WriteMember(const std::string& key,
+                   const std::string& value,
+                   const std::function<void(bool, std::string)>& done) {
+    ++m_calls;
+    if (!m_is_cut) {
+      m_log.Write(StoreTopic::kMembers, key, value);
+    }
+    asio::post(m_io, [this, done] { done(!m_is_cut, m_is_cut ? "cut" : ""); });
+  }
+
+  bool m_is_cut = false;
+  int m_calls = 0;
+
+ private:
+  StorePage PageFrom(StoreTopic topic, uint64_t from) const {
+    const auto& records = m_log.m_topics[static_cast<size_t>(topic)];
+    StorePage page{.m_records = {}, .m_next = LogOffset(records.size())};
+    for (uint64_t i = from; i < records.size(); ++i) {
+      page.m_records.push_back({.m_topic = topic,
+                                .m_offset = LogOffset(i),
+                                .m_key = records[i].first,
+                                .m_value = records[i].second});
+    }
+    return page;
+  }
+
+  void Poll(StoreTopic topic,
+            LogOffset from,
+            std::chrono::steady_clock::time_point end,
+            const StoreHandler& handler,
+            uint64_t turn) {
+    auto timer = std::make_shared<asio::steady_timer>(
+        m_io, std::chrono::milliseconds(10));
+    timer->async_wait([=, this](const asio::error_code&) {
+      (void)timer;
+      if (turn != m_turns[static_cast<size_t>(topic)]) {
+        return;
+      }
+      if (m_is_cut) {
+        handler({.m_page = {}, .m_reason = "cut"});
+        return;
+      }
+      StorePage page = PageFrom(topic, from.Get());
+      if (!page.m_records.empty() || std::chrono::steady_clock::now() > end) {
+        handler({.m_page = std::move(page)});
+        return;
+      }
+      Poll(topic, from, end, handler, turn);
+    });
+  }
+
+  asio::io_context& m_io;
+  FakeLog& m_log;
+  uint64_t m_turns[2] = {0, 0};
+};
+
+static_assert(PlatformStore<FakeStore>);
+
+// A backend server. By default it answers 200 with the request's body at once.
+class FakeInstance {
+ public:
+  FakeInstance(asio::io_context& io, const Endpoint& listen)
+      : m_endpoint(listen),
+        m_server(io, [this](HttpRequest request, StreamResponder responder) {
+          return OnRequest(std::move(request), std::move(responder));
+        }) {
+    m_server.Start(listen);
+  }
+
+  static HttpAnswer AnswerTo(const HttpRequest& request) {
+    return {.m_status = 200,
+            .m_fields = {{"id", FakeCodec::Field(request.m_fields, "id")},
+                         {"seal", "1"}},
+            .m_body = "answer to " + request.m_body};
+  }
+
+  std::function<CancelHook(const HttpRequest&, const StreamResponder&)>
+      m_behavior = [](const HttpRequest& request,
+                      const StreamResponder& responder) -> CancelHook {
+    responder(AnswerTo(request));
+    return {};
+  };
+  std::vector<HttpRequest> m_requests;
+  Endpoint m_endpoint;
+
+ private:
+  CancelHook OnRequest(HttpRequest request, StreamResponder responder) {
+    m_requests.push_back(request);
+    return m_behavior(request, responder);
+  }
+
+  StreamServer m_server;
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_MESH_TESTS_FAKE_PLATFORM_H_
--- /dev/null
+++ b/libs/mesh/tests/local_instance_test.cc
@@ -0,0 +1,89 @@
+#include "sequoiastage/mesh/local_instance.h"
+
+#include <gtest/gtest.h>
+
+namespace sequoiastage {
+namespace {
+
+using std::chrono::seconds;
+using Change = LocalInstance::Change;
+
+InstanceAnnouncement Announce(std::string name,
+                              uint64_t born,
+                              uint64_t sequence) {
+  return {.m_name = std::move(name),
+          .m_service = "plans",
+          .m_slots = 3,
+          .m_sequence = sequence,
+          .m_born_ms = born};
+}
+
+class LocalInstanceTest : public testing::Test {
+ protected:
+  std::string Name() const {
+    return m_local.InService() == nullptr ? "" : m_local.InService()->m_name;
+  }
+
+  LocalInstance m_local;
+  TimePoint m_now{seconds(100)};
+};
+
+TEST_F(LocalInstanceTest, RepeatedAnnouncementsChangeNothing) {
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 1), m_now), Change::kChanged);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 2), m_now), Change::kNone);
+  EXPECT_EQ(Name(), "a");
+}
+
+TEST_F(LocalInstanceTest, LeavingIsNotTakenBackByALateAnnouncement) {
+  m_local.OnAnnounce(Announce("a", 10, 1), m_now);
+  InstanceAnnouncement leaving = Announce("a", 10, 3);
+  leaving.m_is_leaving = true;
+  EXPECT_EQ(m_local.OnAnnounce(leaving, m_now), Change::kChanged);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 2), m_now), Change::kStale);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 4), m_now), Change::kNone);
+  EXPECT_EQ(Name(), "");
+}
+
+TEST_F(LocalInstanceTest, AnnouncementOfAnEarlierRunIsStale) {
+  m_local.OnAnnounce(Announce("b", 20, 1), m_now);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 9), m_now), Change::kStale);
+  EXPECT_EQ(Name(), "b");
+}
+
+TEST_F(LocalInstanceTest, SameNameMayStartAgain) {
+  m_local.OnAnnounce(Announce("a", 10, 9), m_now);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 20, 0), m_now), Change::kChanged);
+  EXPECT_EQ(Name(), "a");
+}
+
+TEST_F(LocalInstanceTest, DeregisteredRunDoesNotReturn) {
+  m_local.OnAnnounce(Announce("a", 10, 1), m_now);
+  EXPECT_EQ(m_local.OnDeregister("a"), Change::kChanged);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 2), m_now), Change::kStale);
+  EXPECT_EQ(Name(), "");
+  EXPECT_EQ(m_local.OnAnnounce(Announce("b", 5, 1), m_now), Change::kChanged);
+}
+
+TEST_F(LocalInstanceTest, DeregistrationOfAnotherChangesNothing) {
+  m_local.OnAnnounce(Announce("b", 20, 1), m_now);
+  EXPECT_EQ(m_local.OnDeregister("a"), Change::kNone);
+  EXPECT_EQ(Name(), "b");
+}
+
+TEST_F(LocalInstanceTest, ClockSetBackDelaysTheNextRunOnly) {
+  m_local.OnAnnounce(Announce("a", 5000, 1), m_now);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("b", 3000, 1), m_now), Change::kStale);
+  m_now += seconds(5);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("b", 3000, 4), m_now),
+            Change::kChanged);
+  EXPECT_EQ(Name(), "b");
+}
+
+TEST_F(LocalInstanceTest, MismatchEndsTheRun) {
+  m_local.OnAnnounce(Announce("a", 10, 1), m_now);
+  EXPECT_EQ(m_local.OnMismatch(), Change::kChanged);
+  EXPECT_EQ(Name(), "");
+}
+
+}  // namespace
+}  // namespace sequoiastage
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -329,7 +329,8 @@
   /// Since the sender, or the node it has this from, was in touch with the
   /// store.
   uint32_t m_age_ms = 0;
-  std::vector<StoreRecord> m_records;
+  /// From PackRecords(); empty when there are none.
+  std::string m_packed;
 
   friend bool operator==(const RelayMessage&, const RelayMessage&) = default;
 };
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -170,7 +170,7 @@
 template <class Archive>
 void serialize(Archive& archive, RelayMessage& message) {
   archive(message.m_age_ms);
-  Bounded(archive, message.m_records);
+  Bounded(archive, message.m_packed);
 }
 
 template <class Archive>
--- a/libs/wire/tests/frame_fault_test.cc
+++ b/libs/wire/tests/frame_fault_test.cc
@@ -53,11 +53,7 @@
           .m_attempt = AttemptNumber(number),
           .m_answer = {.m_status = 200, .m_fields = fields, .m_body = text}};
     case 6:
-      return RelayMessage{
-          .m_age_ms = number,
-          .m_records = {StoreRecord{.m_topic = StoreTopic::kMembers,
-                                    .m_key = text,
-                                    .m_value = text}}};
+      return RelayMessage{.m_age_ms = number, .m_packed = text};
     default:
       return ConfigReplyMessage{.m_attempt = id, .m_state = text};
   }
--- /dev/null
+++ b/libs/wire/tests/packed_records_test.cc
@@ -0,0 +1,50 @@
+#include "sequoiastage/wire/packed_records.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace sequoiastage {
+namespace {
+
+RC_GTEST_PROP(PackedRecordsTest,
+              RoundTrip,
+              (const std::vector<std::string>& texts)) {
+  std::vector<StoreRecord> records;
+  for (const std::string& text : texts) {
+    records.push_back({.m_topic = StoreTopic::kMembers,
+                       .m_offset = LogOffset(text.size()),
+                       .m_key = text,
+                       .m_value = text + text});
+  }
+  RC_ASSERT(UnpackRecords(PackRecords(records)) == records);
+}
+
+RC_GTEST_PROP(PackedRecordsTest,
+              DamagedBytesAreRefusedOrRead,
+              (std::string bytes)) {
+  std::string packed = PackRecords({{.m_key = "k", .m_value = bytes}});
+  const auto at = *rc::gen::inRange<size_t>(0, packed.size());
+  packed[at] = static_cast<char>(packed[at] ^ *rc::gen::inRange(1, 256));
+  UnpackRecords(packed);  // Must end, whatever it returns.
+  RC_ASSERT(!UnpackRecords(bytes) || !bytes.empty());
+}
+
+TEST(PackedRecordsTest, ShrinksLongTextsThatRepeatThemselves) {
+  std::string text;
+  for (int i = 0; i < 350; ++i) {
+    text += "{\"name\":\"route-" + std::to_string(i) +
+            "\",\"host\":\"a.example\",\"prefix\":\"/p" + std::to_string(i) +
+            "/\",\"timeout\":1.5}";
+  }
+  EXPECT_LT(PackRecords({{.m_key = "k", .m_value = text}}).size(),
+            text.size() / 5);
+}
+
+// A small message must not unfold into all of the memory.
+TEST(PackedRecordsTest, RefusesWhatUnfoldsTooFar) {
+  const std::string text(size_t{20} << 20, 'x');
+  EXPECT_FALSE(UnpackRecords(PackRecords({{.m_key = "k", .m_value = text}})));
+}
+
+}  // namespace
+}  // namespace sequoiastage
