--- a/apps/sequoiactl/node_api.h
+++ b/apps/sequoiactl/node_api.h
@@ -6,7 +6,7 @@
 #include "admin_api.h"
 #include "sequoiastage/base/http_message.h"
 #include "sequoiastage/base/ids.h"
-#include "sequoiastage/platform/log_client.h"
+#include "sequoiastage/logclient/log_client.h"
 
 namespace sequoiastage {
 
--- a/libs/checkedjson/include/sequoiastage/checkedjson/json_reader.h
+++ b/libs/checkedjson/include/sequoiastage/checkedjson/json_reader.h
@@ -67,6 +67,7 @@
   std::optional<JsonObject> AsObject() const;
   std::optional<std::string> AsString() const;
   std::optional<Endpoint> AsEndpoint() const;
+  std::optional<int64_t> AsInteger() const;
 
   /// Adds a finding at this value.
   void Report(std::string message) const { m_place.Report(std::move(message)); }
@@ -157,6 +158,10 @@
   std::vector<std::string> ReadStrings(std::string_view key,
                                        Presence presence = Presence::kOptional);
 
+  /// Whole numbers of an array; an element of another type is reported.
+  std::vector<int64_t> ReadIntegers(std::string_view key,
+                                    Presence presence = Presence::kOptional);
+
   /// Every member of this object whose keys are data (names), in key order.
   std::vector<std::pair<std::string, JsonValue>> Members();
 
--- a/libs/checkedjson/src/json_reader.cc
+++ b/libs/checkedjson/src/json_reader.cc
@@ -126,6 +126,16 @@
   return endpoint;
 }
 
+std::optional<int64_t> JsonValue::AsInteger() const {
+  if (!m_value->is_number_integer() ||
+      (m_value->is_number_unsigned() &&
+       !std::in_range<int64_t>(m_value->get<uint64_t>()))) {
+    Report(WrongType("whole number", *m_value));
+    return std::nullopt;
+  }
+  return m_value->get<int64_t>();
+}
+
 JsonObject JsonObject::Root(const JsonDocument& document, Findings& findings) {
   const JsonPlace place{.m_document = &document, .m_findings = &findings};
   const Json& value = document.Value();
@@ -345,6 +355,17 @@
   return strings;
 }
 
+std::vector<int64_t> JsonObject::ReadIntegers(std::string_view key,
+                                              Presence presence) {
+  std::vector<int64_t> numbers;
+  for (const JsonValue& element : ReadArray(key, presence)) {
+    if (const auto number = element.AsInteger()) {
+      numbers.push_back(*number);
+    }
+  }
+  return numbers;
+}
+
 std::vector<std::pair<std::string, JsonValue>> JsonObject::Members() {
   std::vector<std::pair<std::string, JsonValue>> members;
   const Json& object = m_object == nullptr ? EmptyObject() : *m_object;
--- a/libs/checkedjson/tests/json_reader_test.cc
+++ b/libs/checkedjson/tests/json_reader_test.cc
@@ -225,5 +225,17 @@
   RC_ASSERT(before.MergedWith(*patch).ToText() == after.ToText());
 }
 
+TEST(JsonReaderTest, ReadsWholeNumbersOfAnArrayAndReportsOthers) {
+  Findings findings;
+  const auto document = JsonDocument::Parse(
+      "test", R"({"a":[7620,-1],"b":[1,"2",1.5]})", findings);
+  ASSERT_TRUE(document);
+  JsonObject root = JsonObject::Root(*document, findings);
+  EXPECT_EQ(root.ReadIntegers("a"), (std::vector<int64_t>{7620, -1}));
+  EXPECT_TRUE(findings.IsEmpty());
+  EXPECT_EQ(root.ReadIntegers("b"), std::vector<int64_t>{1});
+  EXPECT_EQ(findings.Items().size(), 2U);
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/platform/include/sequoiastage/platform/log_client.h
+++ b/libs/logclient/include/sequoiastage/logclient/log_client.h
@@ -1,5 +1,5 @@
-#ifndef SEQUOIASTAGE_PLATFORM_LOG_CLIENT_H_
-#define SEQUOIASTAGE_PLATFORM_LOG_CLIENT_H_
+#ifndef SEQUOIASTAGE_LOGCLIENT_LOG_CLIENT_H_
+#define SEQUOIASTAGE_LOGCLIENT_LOG_CLIENT_H_
 
 #include <concepts>
 #include <cstdint>
@@ -146,4 +146,4 @@
 
 }  // namespace sequoiastage
 
-#endif  // SEQUOIASTAGE_PLATFORM_LOG_CLIENT_H_
+#endif  // SEQUOIASTAGE_LOGCLIENT_LOG_CLIENT_H_
--- a/libs/platform/src/blocking_transport.cc
+++ b/libs/logclient/src/blocking_transport.cc
@@ -1,6 +1,6 @@
 #include <asio/io_context.hpp>
 
-#include "sequoiastage/platform/log_client.h"
+#include "sequoiastage/logclient/log_client.h"
 
 namespace sequoiastage {
 
--- a/libs/platform/src/log_client.cc
+++ b/libs/logclient/src/log_client.cc
@@ -1,4 +1,4 @@
-#include "sequoiastage/platform/log_client.h"
+#include "sequoiastage/logclient/log_client.h"
 
 #include <nlohmann/json.hpp>
 
--- a/libs/platform/tests/log_service_test.cc
+++ b/libs/logclient/tests/log_service_test.cc
@@ -7,7 +7,7 @@
 #include <asio/ip/tcp.hpp>
 #include <thread>
 
-#include "sequoiastage/platform/log_client.h"
+#include "sequoiastage/logclient/log_client.h"
 
 extern char** environ;
 
--- a/libs/mesh/tests/fake_platform.h
+++ b/libs/mesh/tests/fake_platform.h
@@ -72,16 +72,45 @@
             .m_is_encoded = false};
   }
 
-  // POST /announce/NAME with "service:port:born:sequence[:leaving]" as body.
+  static std::vector<std::string> Words(const std::string& text) {
+    std::vector<std::string> words;
+    std::string word;
+    for (const char c : text + " ") {
+      if (c != ' ') {
+        word += c;
+      } else if (!word.empty()) {
+        words.push_back(std::exchange(word, {}));
+      }
+    }
+    return words;
+  }
+
+  // POST /announce/NAME "SERVICE ADDRESS BORN SEQUENCE [leaving]", or
+  // POST /deregister/NAME.
   static ControlRequest DecodeControl(const HttpRequest& request) {
+    constexpr std::string_view kAnnounce = "/announce/";
+    constexpr std::string_view kDeregister = "/deregister/";
     const std::string& target = request.m_target;
     ControlRequest control;
-    if (target.starts_with("/deregister/")) {
+    if (target.starts_with(kDeregister)) {
       control.m_kind = ControlRequest::Kind::kDeregister;
-      control.m_announcement.m_name = target.substr(12);
+      control.m_announcement.m_name = target.substr(kDeregister.size());
       return control;
     }
-    control.m_reason = "no announcement";
+    const auto words = Words(request.m_body);
+    if (!target.starts_with(kAnnounce) || words.size() < 4) {
+      control.m_reason = "no announcement";
+      return control;
+    }
+    control.m_kind = ControlRequest::Kind::kAnnounce;
+    control.m_announcement = {
+        .m_name = target.substr(kAnnounce.size()),
+        .m_address = ParseEndpoint(words[1]).value_or(Endpoint{}),
+        .m_service = words[0],
+        .m_slots = 3,
+        .m_is_leaving = words.size() > 4,
+        .m_sequence = std::stoul(words[3]),
+        .m_born_ms = std::stoul(words[2])};
     return control;
   }
 
@@ -92,15 +121,7 @@
   // "VERSION HOST PREFIX SERVICE [once]": a configuration of one route.
   static std::optional<TrafficConfig> DecodeConfig(const StoreRecord& record,
                                                    std::string* reason) {
-    std::vector<std::string> words;
-    std::string word;
-    for (const char c : record.m_value + " ") {
-      if (c != ' ') {
-        word += c;
-      } else if (!word.empty()) {
-        words.push_back(std::exchange(word, {}));
-      }
-    }
+    const auto words = Words(record.m_value);
     if (words.size() < 4) {
       *reason = "too few words";
       return std::nullopt;
--- /dev/null
+++ b/libs/mesh/tests/mesh_node_test.cc
@@ -0,0 +1,254 @@
+#include "sequoiastage/mesh/mesh_node.h"
+
+#include <gtest/gtest.h>
+
+#include "fake_platform.h"
+
+namespace sequoiastage {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kConfigKey[] = "config";
+
+// A node with its instance and its way to the store.
+struct TestNode {
+  TestNode(asio::io_context& io, FakeLog& log, uint8_t host)
+      : m_settings{.m_callers = At(host, 8000),
+                   .m_ready = At(host, 8001),
+                   .m_control = At(host, 8002),
+                   .m_peer = At(host, 7000),
+                   .m_metrics = At(host, 8003),
+                   .m_region = "r",
+                   .m_domain = "d",
+                   .m_service = "plans",
+                   .m_grace = seconds(6)},
+        m_store(io, log),
+        m_instance(io, At(host, 9000)),
+        m_node(io, m_settings, m_store) {
+    EXPECT_TRUE(m_node.Start()) << m_node.LastReason();
+  }
+
+  static Endpoint At(uint8_t host, uint16_t port) {
+    return {.m_ip = TestIp(host), .m_port = port};
+  }
+
+  MeshSettings m_settings;
+  FakeStore m_store;
+  FakeInstance m_instance;
+  MeshNode<FakeCodec, FakeStore> m_node;
+};
+
+class MeshNodeTest : public testing::Test {
+ protected:
+  MeshNodeTest()
+      : m_first(std::make_unique<TestNode>(m_io, m_log, 1)),
+        m_second(std::make_unique<TestNode>(m_io, m_log, 2)) {}
+
+  void Configure(const std::string& text) {
+    m_log.Write(StoreTopic::kConfig, kConfigKey, text);
+  }
+
+  ExchangeResult Call(const Endpoint& server, const HttpRequest& request) {
+    auto connection =
+        std::make_shared<ExchangeConnection>(m_io, server, ExchangeOptions{});
+    std::optional<ExchangeResult> result;
+    connection->Send(request, seconds(5), {}, [&result](ExchangeResult end) {
+      result = std::move(end);
+    });
+    RunUntil(m_io, [&] { return result.has_value(); });
+    return result.value_or(ExchangeResult{});
+  }
+
+  ExchangeResult Request(TestNode& node, const std::string& target) {
+    return Call(node.m_settings.m_callers,
+                {.m_method = "POST",
+                 .m_target = target,
+                 .m_fields = {{"Host", "a"}, {"id", "7"}},
+                 .m_body = "body"});
+  }
+
+  uint16_t Ready(TestNode& node) {
+    return Call(node.m_settings.m_ready,
+                {.m_method = "GET", .m_target = "/ready"})
+        .m_answer.m_status;
+  }
+
+  uint16_t Announce(TestNode& node, const std::string& more = "") {
+    return Call(node.m_settings.m_control,
+                {.m_method = "POST",
+                 .m_target = "/announce/i-1",
+                 .m_body = "plans " + ToString(node.m_instance.m_endpoint) +
+                           " 10 " + std::to_string(++m_sequence) + more})
+        .m_answer.m_status;
+  }
+
+  // Waits until a request at `node` ends with `status`.
+  bool WaitForStatus(TestNode& node,
+                     const std::string& target,
+                     uint16_t status,
+                     milliseconds limit = seconds(8)) {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+      if (Request(node, target).m_answer.m_status == status) {
+        return true;
+      }
+      RunUntil(
+          m_io, [] { return false; }, milliseconds(20));
+    }
+    return false;
+  }
+
+  asio::io_context m_io;
+  FakeLog m_log;
+  uint64_t m_sequence = 0;
+  std::unique_ptr<TestNode> m_first;
+  std::unique_ptr<TestNode> m_second;
+};
+
+TEST_F(MeshNodeTest, ServesACallerThroughTheInstanceOfAnotherNode) {
+  Configure("1 a /x/ plans once");
+  EXPECT_EQ(Announce(*m_second), 200);
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+  EXPECT_EQ(Request(*m_first, "/x/").m_answer.m_body, "answer to body");
+  EXPECT_TRUE(m_first->m_instance.m_requests.empty());
+  EXPECT_EQ(
+      FakeCodec::Field(m_second->m_instance.m_requests[0].m_fields, "instance"),
+      "i-1");
+}
+
+TEST_F(MeshNodeTest, IsReadyOnceItKnowsAConfiguration) {
+  EXPECT_EQ(Ready(*m_first), 503);
+  EXPECT_EQ(Request(*m_first, "/x/").m_answer.m_status, 503);
+  Configure("1 a /x/ plans");
+  EXPECT_TRUE(RunUntil(m_io, [this] { return Ready(*m_first) == 200; }));
+}
+
+TEST_F(MeshNodeTest, LeavingInstanceGetsNoMoreWork) {
+  Configure("1 a /x/ plans");
+  Announce(*m_second);
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+  EXPECT_EQ(Announce(*m_second, " leaving"), 200);
+  const size_t before = m_second->m_instance.m_requests.size();
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(Request(*m_first, "/x/").m_answer.m_status, 503);
+  }
+  EXPECT_EQ(m_second->m_instance.m_requests.size(), before);
+}
+
+TEST_F(MeshNodeTest, ConfigurationOnlyGoesForward) {
+  Configure("5 a /x/ plans");
+  Announce(*m_second);
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+  Configure("4 a /old/ plans");
+  Configure("not a configuration");
+  Configure("6 a /y/ plans");
+  ASSERT_TRUE(WaitForStatus(*m_first, "/y/", 200));
+  EXPECT_EQ(Request(*m_first, "/x/").m_answer.m_status, 404);
+  EXPECT_EQ(Request(*m_first, "/old/").m_answer.m_status, 404);
+}
+
+// One of the two reads the store, the other has changes from it; whichever is
+// cut off, both have the next configuration within the bound.
+TEST_F(MeshNodeTest, NodeCutOffFromTheStoreStillGetsChanges) {
+  Configure("1 a /x/ plans");
+  Announce(*m_second);
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+  RunUntil(
+      m_io, [] { return false; }, seconds(1));
+  std::string target = "/x/";
+  int version = 1;
+  for (TestNode* node : {m_first.get(), m_second.get()}) {
+    node->m_store.m_is_cut = true;
+    target += "y/";
+    Configure(std::to_string(++version) + " a " + target + " plans");
+    EXPECT_TRUE(WaitForStatus(*m_first, target, 200, milliseconds(4500)));
+    EXPECT_TRUE(WaitForStatus(*m_second, target, 200, milliseconds(4500)));
+    node->m_store.m_is_cut = false;
+    RunUntil(
+        m_io, [] { return false; }, seconds(1));
+  }
+}
+
+TEST_F(MeshNodeTest, OneNodeOfARegionReadsTheStore) {
+  Configure("1 a /x/ plans");
+  Announce(*m_second);
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+  RunUntil(
+      m_io, [] { return false; }, seconds(2));
+  const int first = m_first->m_store.m_calls;
+  const int second = m_second->m_store.m_calls;
+  RunUntil(
+      m_io, [] { return false; }, seconds(2));
+  const int more = std::min(m_first->m_store.m_calls - first,
+                            m_second->m_store.m_calls - second);
+  EXPECT_EQ(more, 0);
+}
+
+TEST_F(MeshNodeTest, LateCopyOfAnEarlierRecordIsWrittenOver) {
+  Configure("1 a /x/ plans");
+  Announce(*m_second);
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+  auto& members = m_log.m_topics[static_cast<size_t>(StoreTopic::kMembers)];
+  const std::string key = ToString(m_second->m_settings.m_peer);
+  const auto own =
+      std::find_if(members.begin(), members.end(),
+                   [&key](const auto& record) { return record.first == key; });
+  ASSERT_NE(own, members.end());
+  // Its first record, without an instance, arrives once more.
+  m_log.Write(StoreTopic::kMembers, key, own->second);
+  EXPECT_TRUE(RunUntil(m_io, [&] {
+    const auto last = std::find_if(
+        members.rbegin(), members.rend(),
+        [&key](const auto& record) { return record.first == key; });
+    return last->second.find("i-1") != std::string::npos;
+  }));
+}
+
+TEST_F(MeshNodeTest, ShutdownEndsWhatItHasTakenAndTakesNoOffers) {
+  Configure("1 a /x/ plans once");
+  Announce(*m_second);
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+  StreamResponder answer_later;
+  HttpRequest seen;
+  m_second->m_instance.m_behavior = [&](const HttpRequest& request,
+                                        const StreamResponder& responder) {
+    seen = request;
+    answer_later = responder;
+    return CancelHook();
+  };
+  auto connection = std::make_shared<ExchangeConnection>(
+      m_io, m_first->m_settings.m_callers, ExchangeOptions{});
+  std::optional<ExchangeResult> result;
+  connection->Send({.m_method = "POST",
+                    .m_target = "/x/",
+                    .m_fields = {{"Host", "a"}, {"id", "8"}},
+                    .m_body = "body"},
+                   seconds(5), {},
+                   [&result](ExchangeResult end) { result = std::move(end); });
+  ASSERT_TRUE(RunUntil(m_io, [&] { return bool{answer_later}; }));
+  m_first->m_node.StartShutdown();
+  m_second->m_node.StartShutdown();
+  EXPECT_EQ(Ready(*m_first), 503);
+  answer_later(FakeInstance::AnswerTo(seen));
+  ASSERT_TRUE(RunUntil(m_io, [&] { return result.has_value(); }));
+  EXPECT_EQ(result->m_answer.m_status, 200);
+  EXPECT_EQ(Request(*m_first, "/x/").m_answer.m_status, 503);
+}
+
+TEST_F(MeshNodeTest, ServesMetrics) {
+  Configure("1 a /x/ plans");
+  Announce(*m_second);
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+  const std::string text = Call(*m_first->m_settings.m_metrics,
+                                {.m_method = "GET", .m_target = "/metrics"})
+                               .m_answer.m_body;
+  EXPECT_NE(text.find("sequoiastage_mesh_requests_total{outcome=\"answered\"}"),
+            std::string::npos)
+      << text;
+  EXPECT_NE(text.find("sequoiastage_mesh_config_version 1"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace sequoiastage
--- a/libs/node/src/config_feed_p.h
+++ b/libs/node/src/config_feed_p.h
@@ -19,7 +19,7 @@
 #include "sequoiastage/config/route_table.h"
 #include "sequoiastage/config/snapshot_schedule.h"
 #include "sequoiastage/http/http_client.h"
-#include "sequoiastage/platform/log_client.h"
+#include "sequoiastage/logclient/log_client.h"
 #include "sequoiastage/wire/messages.h"
 
 namespace sequoiastage {
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,6 +9,16 @@
 fi
 mapfile -t files < <(git ls-files --cached --others --exclude-standard \
   -- "${folders[@]}" | grep -E '\.(cc|h)$')
+# Names of the platform stay in its adapter and the stand-in for its store.
+names='X-Target-Instance|X-Caller-Service|X-Not-Executed|X-Deadline-Ms'
+names+='|X-Response-Signature|X-Server-Load|Instances\.(Heartbeat|Deregister)'
+names+='|SEQUOIASTAGE_BOOT|log-(append|read|newest|trim)'
+names+='|keyed\.(op|servers|status)|pathPrefix|trafficSplit|targetLatencyS'
+if git grep -nE "$names" -- libs apps bench tests examples standins \
+  ':!standins/platform_store'; then
+  echo "lint: names of the platform outside platform/"
+  exit 1
+fi
 clang-format --dry-run -Werror "${files[@]}"
 cmake -S . -B build -G Ninja >/dev/null
 pattern=$(IFS='|'; echo "${folders[*]}")
--- a/standins/log_service/log_server.h
+++ b/standins/log_service/log_server.h
@@ -25,7 +25,7 @@
 };
 
 /// Stand-in for the platform's append-only log service: the HTTP interface of
-/// platform/log_client.h, PUT /faults, and GET /stats.
+/// logclient/log_client.h, PUT /faults, and GET /stats.
 class LogServer {
  public:
   explicit LogServer(asio::io_context& io, uint64_t retention);
--- /dev/null
+++ b/standins/platform_store/main.cc
@@ -0,0 +1,46 @@
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <string>
+
+#include "sequoiastage/base/ids.h"
+#include "sequoiastage/logging/log_event.h"
+#include "store_standin.h"
+
+ABSL_FLAG(std::string, listen, "127.0.0.1:9100", "address and port to serve");
+
+namespace {
+
+constexpr int kExitUsage = 2;
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using sequoiastage::LogEvent;
+  using sequoiastage::LogLevel;
+  absl::SetProgramUsageMessage("Stand-in for the platform's store, in memory.");
+  absl::ParseCommandLine(argc, argv);
+  sequoiastage::InitLogging(LogLevel::kInfo);
+  const auto listen = sequoiastage::ParseEndpoint(absl::GetFlag(FLAGS_listen));
+  if (!listen) {
+    LogEvent(LogLevel::kError, "bad_flag").Add("flag", "listen");
+    return kExitUsage;
+  }
+  asio::io_context io;
+  sequoiastage::StoreStandin store(io);
+  if (!store.Start(*listen)) {
+    LogEvent(LogLevel::kError, "listen_failed")
+        .Add("reason", store.LastReason());
+    return 1;
+  }
+  asio::signal_set signals(io, SIGINT, SIGTERM);
+  signals.async_wait([&io](const asio::error_code&, int) { io.stop(); });
+  LogEvent(LogLevel::kInfo, "platform_store_ready")
+      .Add("listen", sequoiastage::ToString(*listen));
+  io.run();
+  return 0;
+}
