--- a/libs/logging/tests/line_writer_test.cc
+++ b/libs/logging/tests/line_writer_test.cc
@@ -37,7 +37,7 @@
 // A reader that stands still: writing returns at once, memory stays bounded,
 // and lines that are not routine are kept longest.
 TEST_F(LineWriterTest, NeverBlocksAndDropsRoutineLinesFirst) {
-  constexpr size_t kMax = 64 * 1024;
+  constexpr size_t kMax = size_t{64} * 1024;
   LineWriter writer(m_pipe[1], kMax);
   const std::string line(1023, 'x');
   for (int i = 0; i < 1000; ++i) {
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -76,9 +76,11 @@
   void StartLeaving();
 
   void OnOffer(const PeerKey& peer, OfferMessage offer, MessageSink reply);
-  void OnStart(const PeerKey& peer, StartMessage start);
+  void OnStart(const PeerKey& peer, StartMessage&& start);
   void OnWithdraw(const PeerKey& peer, AttemptNumber number);
-  void OnInquiry(const PeerKey& peer, AttemptNumber number, MessageSink reply);
+  void OnInquiry(const PeerKey& peer,
+                 AttemptNumber number,
+                 const MessageSink& reply);
   void OnPeerLost(const PeerKey& peer);
 
   /// A request that came in on this host failed. It may have been a call of the
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -210,7 +210,7 @@
 }
 
 template <PlatformCodec Codec>
-void Egress<Codec>::OnStart(const PeerKey& peer, StartMessage start) {
+void Egress<Codec>::OnStart(const PeerKey& peer, StartMessage&& start) {
   const auto found = m_work.find(Key(peer, start.m_attempt));
   if (found == m_work.end() || found->second->m_phase != Phase::kReady) {
     return;  // Its refusal is on the way to the ingress.
@@ -469,12 +469,12 @@
 template <PlatformCodec Codec>
 void Egress<Codec>::OnInquiry(const PeerKey& peer,
                               AttemptNumber number,
-                              MessageSink reply) {
+                              const MessageSink& reply) {
   const Key key(peer, number);
   if (const auto found = m_work.find(key); found != m_work.end()) {
     const WorkPtr work = found->second;
     work->m_is_detached = false;
-    work->m_reply = std::move(reply);
+    work->m_reply = reply;
     if (work->m_phase != Phase::kRunning) {
       // The start was lost with the connection.
       End(work,
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -71,7 +71,7 @@
   /// Requests from now on follow `config`.
   void SetConfig(std::shared_ptr<const TrafficConfig> config);
 
-  CancelHook OnRequest(HttpRequest request, StreamResponder responder);
+  CancelHook OnRequest(HttpRequest request, const StreamResponder& responder);
 
   /// Reply of the egress at `node`.
   void OnReply(NodeId node, const Message& message);
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -75,7 +75,7 @@
 
 template <PlatformCodec Codec>
 CancelHook Ingress<Codec>::OnRequest(HttpRequest request,
-                                     StreamResponder responder) {
+                                     const StreamResponder& responder) {
   const TimePoint now = BootNow();
   ++m_stats.m_requests;
   CallerFacts facts = Codec::DecodeCaller(request);
@@ -97,7 +97,7 @@
   run->m_id = std::move(facts.m_request_id);
   run->m_request = std::move(request);
   RemoveHopFields(run->m_request.m_fields);
-  run->m_responder = std::move(responder);
+  run->m_responder = responder;
   run->m_config = m_config;
   run->m_route = route;
   run->m_service = PickService(*route);
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -112,9 +112,8 @@
                [this](const StoreRecord& record) { OnRecord(record); }),
       m_relay_choice(m_own.m_node),
       m_callers(io,
-                [this](HttpRequest request, StreamResponder responder) {
-                  return m_ingress.OnRequest(std::move(request),
-                                             std::move(responder));
+                [this](HttpRequest request, const StreamResponder& responder) {
+                  return m_ingress.OnRequest(std::move(request), responder);
                 }),
       m_ready(io,
               [this](const HttpRequest& request,
--- a/libs/mesh/include/sequoiastage/mesh/target_book.h
+++ b/libs/mesh/include/sequoiastage/mesh/target_book.h
@@ -21,7 +21,7 @@
 /// their records, and how it stands, from the replies of their egresses.
 class TargetBook {
  public:
-  TargetBook(MemberRecord own, const TargetBookOptions& options = {})
+  explicit TargetBook(MemberRecord own, const TargetBookOptions& options = {})
       : m_own(std::move(own)), m_options(options) {}
 
   /// A node's record, or its newer one.
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -13,18 +13,19 @@
 
 class Families {
  public:
-  void Counter(std::string name, std::string help, uint64_t value) {
-    Add(std::move(name), std::move(help), MetricType::kCounter,
-        static_cast<double>(value), {});
+  void Counter(const std::string& name,
+               const std::string& help,
+               uint64_t value) {
+    Add(name, help, MetricType::kCounter, static_cast<double>(value), {});
   }
 
-  void Gauge(std::string name, std::string help, double value) {
-    Add(std::move(name), std::move(help), MetricType::kGauge, value, {});
+  void Gauge(const std::string& name, const std::string& help, double value) {
+    Add(name, help, MetricType::kGauge, value, {});
   }
 
   // Further series of the family added last get another label value.
-  void Labelled(std::string name,
-                std::string help,
+  void Labelled(const std::string& name,
+                const std::string& help,
                 MetricType type,
                 const std::string& label,
                 const std::vector<std::pair<std::string, uint64_t>>& values) {
--- a/libs/mesh/tests/fake_platform.h
+++ b/libs/mesh/tests/fake_platform.h
@@ -242,9 +242,11 @@
  public:
   FakeInstance(asio::io_context& io, const Endpoint& listen)
       : m_endpoint(listen),
-        m_server(io, [this](HttpRequest request, StreamResponder responder) {
-          return OnRequest(std::move(request), std::move(responder));
-        }) {
+        m_server(io,
+                 [this](const HttpRequest& request,
+                        const StreamResponder& responder) {
+                   return OnRequest(request, responder);
+                 }) {
     m_server.Start(listen);
   }
 
@@ -265,7 +267,8 @@
   Endpoint m_endpoint;
 
  private:
-  CancelHook OnRequest(HttpRequest request, StreamResponder responder) {
+  CancelHook OnRequest(const HttpRequest& request,
+                       const StreamResponder& responder) {
     m_requests.push_back(request);
     return m_behavior(request, responder);
   }
--- a/libs/wire/tests/packed_records_test.cc
+++ b/libs/wire/tests/packed_records_test.cc
@@ -10,6 +10,7 @@
               RoundTrip,
               (const std::vector<std::string>& texts)) {
   std::vector<StoreRecord> records;
+  records.reserve(texts.size());
   for (const std::string& text : texts) {
     records.push_back({.m_topic = StoreTopic::kMembers,
                        .m_offset = LogOffset(text.size()),
@@ -21,7 +22,7 @@
 
 RC_GTEST_PROP(PackedRecordsTest,
               DamagedBytesAreRefusedOrRead,
-              (std::string bytes)) {
+              (const std::string& bytes)) {
   std::string packed = PackRecords({{.m_key = "k", .m_value = bytes}});
   const auto at = *rc::gen::inRange<size_t>(0, packed.size());
   packed[at] = static_cast<char>(packed[at] ^ *rc::gen::inRange(1, 256));
