--- a/libs/health/include/sequoiastage/health/instance_hold.h
+++ b/libs/health/include/sequoiastage/health/instance_hold.h
@@ -12,7 +12,7 @@
   /// Hold after the first failure.
   Duration m_first_hold = std::chrono::milliseconds(800);
   /// Each relapse doubles the hold up to this.
-  Duration m_longest_hold = std::chrono::seconds(4);
+  Duration m_longest_hold = std::chrono::seconds(2);
   /// Successes in a row that end a trial.
   uint32_t m_successes_to_open = 2;
   /// Open for so long, the instance starts again with the first hold.
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -147,7 +147,8 @@
   const bool may_try = run->m_route->m_is_repeatable && !run->m_has_arrived &&
                        run->m_route->m_max_attempts > 1;
   while (const auto step =
-             run->m_placement.Next(candidates, m_random, may_try)) {
+             run->m_placement.Next(candidates, m_random, may_try,
+                                    run->m_deadline - now)) {
     const NodeId node = NodeOf(step->m_key);
     if (!IsOwn(node) && !m_links.IsUsable(node)) {
       run->m_placement.OnRefused(step->m_key, PlacementRefusal::kFinal, {});
--- a/libs/routing/include/sequoiastage/routing/placement.h
+++ b/libs/routing/include/sequoiastage/routing/placement.h
@@ -40,6 +40,9 @@
   Duration m_near_wait = std::chrono::milliseconds(60);
   /// Instances of other regions that are asked for a free slot.
   uint32_t m_max_far = 4;
+  /// A request with less time than this is not offered to another region: the
+  /// way there and back would use up what its work and its answer need.
+  Duration m_least_far_time = std::chrono::milliseconds(200);
   /// Instances where a request asks for a place in the queue.
   uint32_t m_max_waits = 3;
   /// Instances that are held back and get the request all the same.
@@ -83,10 +86,12 @@
   /// The next instance to offer the request to. Empty when there is none left:
   /// the request is refused. With `may_try` an instance of the region that
   /// wants a trial comes first: the request can be repeated elsewhere.
+  /// `time_left`: until the caller's deadline.
   std::optional<PlacementStep> Next(
       const std::vector<PlacementCandidate>& candidates,
       std::mt19937_64& random,
-      bool may_try = false);
+      bool may_try = false,
+      Duration time_left = Duration::max());
 
   /// `expected_wait`: as the egress told it, for kBusy.
   void OnRefused(CandidateKey key,
--- a/libs/routing/src/placement.cc
+++ b/libs/routing/src/placement.cc
@@ -26,12 +26,14 @@
 std::optional<PlacementStep> Placement::Next(
     const std::vector<PlacementCandidate>& candidates,
     std::mt19937_64& random,
-    bool may_try) {
+    bool may_try,
+    Duration time_left) {
   if (const auto* near = FreeSlot(candidates, false, may_try, random)) {
     return PlacementStep{.m_key = near->m_key};
   }
   const auto* queue = ShortestQueue(candidates, m_options.m_near_wait);
-  if (queue == nullptr && m_far < m_options.m_max_far) {
+  if (queue == nullptr && m_far < m_options.m_max_far &&
+      time_left >= m_options.m_least_far_time) {
     if (const auto* far = FreeSlot(candidates, true, false, random)) {
       ++m_far;
       return PlacementStep{.m_key = far->m_key};
