--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -125,6 +125,8 @@
     AttemptReason m_latest = AttemptReason::kNone;
     Duration m_shortest_wait = Duration::max();
     std::optional<HttpAnswer> m_fallback;
+    // Who did not take or answer it, and why: "NODE=REASON ...", for the logs.
+    std::string m_trail;
     TimePoint m_received{};
     TimePoint m_deadline{};
     TimePoint m_target{};
@@ -148,6 +150,7 @@
   void OnAnswer(const RunPtr& run, HttpAnswer answer, NodeId node);
   void MarkStarted(const RunPtr& run, const Attempt& attempt);
   void Drop(const RunPtr& run, AttemptNumber number);
+  static void AddToTrail(Run& run, NodeId node, std::string_view reason);
   void OnDeadline(const RunPtr& run);
   void ArmHedge(const RunPtr& run);
   void GiveUp(const RunPtr& run, std::string_view cause);
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -146,9 +146,8 @@
       [this](NodeId node) { return IsOwn(node) || m_links.IsUsable(node); });
   const bool may_try = run->m_route->m_is_repeatable && !run->m_has_arrived &&
                        run->m_route->m_max_attempts > 1;
-  while (const auto step =
-             run->m_placement.Next(candidates, m_random, may_try,
-                                    run->m_deadline - now)) {
+  while (const auto step = run->m_placement.Next(candidates, m_random, may_try,
+                                                 run->m_deadline - now)) {
     const NodeId node = NodeOf(step->m_key);
     if (!IsOwn(node) && !m_links.IsUsable(node)) {
       run->m_placement.OnRefused(step->m_key, PlacementRefusal::kFinal, {});
@@ -263,6 +262,7 @@
     m_links.Drop(node, "no reply to an offer");
     return;
   }
+  AddToTrail(*run, node, "silent");
   const bool may_have_run = found->second.m_starts_at_once;
   if (may_have_run) {
     MarkStarted(run, found->second);
@@ -322,6 +322,7 @@
     }
     Attempt& attempt = found->second;
     const CandidateKey key = KeyOf(node);
+    AddToTrail(*run, node, "link-lost");
     const bool is_offer =
         attempt.m_phase == Phase::kOffered || attempt.m_phase == Phase::kQueued;
     if (is_offer && !attempt.m_starts_at_once) {
@@ -409,6 +410,7 @@
       break;
   }
   run->m_latest = reply.m_reason;
+  AddToTrail(*run, attempt.m_node, ToString(reply.m_reason));
   const Duration wait =
       std::chrono::milliseconds(reply.m_standing.m_expected_wait_ms);
   const Duration hold = std::chrono::milliseconds(reply.m_standing.m_hold_ms);
@@ -436,6 +438,7 @@
     return;
   }
   run->m_latest = outcome.m_reason;
+  AddToTrail(*run, node, ToString(outcome.m_reason));
   Drop(run, number);
   run->m_placement.OnRefused(KeyOf(node), PlacementRefusal::kFinal, {});
   if (outcome.m_result == AttemptResult::kNotStarted) {
@@ -457,13 +460,16 @@
   if (answer.m_status >= ingress_detail::kFirstServerError &&
       run->m_route->m_is_repeatable) {
     // A later attempt may do better; if none does, this is the answer.
+    AddToTrail(*run, node, "server-error");
     run->m_fallback = std::move(answer);
     StepOrGiveUp(run, "every attempt ended with a server error");
     return;
   }
   const TimePoint now = BootNow();
-  LogEvent(LogLevel::kDebug, "request_answered")
+  LogEvent(LogLevel::kInfo, "request_answered")
       .Add("request", run->m_id)
+      .Add("route", run->m_route->m_name)
+      .Add("trail", run->m_trail)
       .Add("node", ToString(node))
       .Add("status", answer.m_status)
       .Add("took_ms", (now - run->m_received).count() / 1000);
@@ -482,6 +488,20 @@
   m_by_attempt.erase(number);
 }
 
+template <PlatformCodec Codec>
+void Ingress<Codec>::AddToTrail(Run& run,
+                                NodeId node,
+                                std::string_view reason) {
+  constexpr size_t kMaxTrailBytes = 600;
+  if (run.m_trail.size() > kMaxTrailBytes) {
+    return;
+  }
+  run.m_trail.append(run.m_trail.empty() ? "" : " ")
+      .append(ToString(node))
+      .append("=")
+      .append(reason);
+}
+
 template <PlatformCodec Codec>
 void Ingress<Codec>::ArmHedge(const RunPtr& run) {
   if (!MayRepeat(*run)) {
@@ -540,6 +560,8 @@
                                       : "not-run")
       .Add("cause", cause)
       .Add("latest", ToString(run->m_latest))
+      .Add("trail", run->m_trail)
+      .Add("known", m_book.ServiceSize(run->m_service))
       .Add("started", run->m_started)
       .Add("took_ms", (BootNow() - run->m_received).count() / 1000);
   if (run->m_fallback) {
--- a/libs/routing/tests/placement_test.cc
+++ b/libs/routing/tests/placement_test.cc
@@ -62,6 +62,25 @@
   EXPECT_TRUE(Next()->m_may_wait);
 }
 
+TEST_F(PlacementTest, ShortDeadlinesStayInTheRegion) {
+  for (const uint64_t key : {1, 2}) {
+    m_placement.OnRefused(CandidateKey(key), PlacementRefusal::kBusy,
+                          milliseconds(200));
+  }
+  const auto step =
+      m_placement.Next(m_candidates, m_random, false, milliseconds(190));
+  EXPECT_NE(step->m_key, CandidateKey(3));
+  EXPECT_TRUE(step->m_may_wait);
+}
+
+TEST_F(PlacementTest, RepeatableWorkSeeksOutWhatWantsATrial) {
+  m_candidates[1].m_wants_trial = true;
+  EXPECT_EQ(m_placement.Next(m_candidates, m_random, true)->m_key,
+            CandidateKey(2));
+  EXPECT_EQ(m_placement.Next(m_candidates, m_random, false)->m_key,
+            CandidateKey(1));
+}
+
 TEST_F(PlacementTest, ForcesAHeldInstanceOnlyWhenNoneIsOpen) {
   for (const uint64_t key : {1, 2, 3}) {
     EXPECT_FALSE(Next()->m_accepts_held);
