--- a/libs/http/include/sequoiastage/http/stream_server.h
+++ b/libs/http/include/sequoiastage/http/stream_server.h
@@ -66,6 +66,8 @@
   struct Shared;
 
   void Accept();
+  void AddConnection(asio::ip::tcp::socket socket);
+  void TakePending();
 
   asio::ip::tcp::acceptor m_acceptor;
   std::shared_ptr<Shared> m_shared;
--- a/libs/http/src/stream_server.cc
+++ b/libs/http/src/stream_server.cc
@@ -80,6 +80,20 @@
            m_parser.State() == ParseState::kIdle;
   }
 
+  // Closes an idle connection; one that has just been made still gets an answer
+  // to the request that is on its way.
+  void CloseIfIdle() {
+    asio::error_code error;
+    if (!IsIdle()) {
+      return;
+    }
+    if (m_has_served && m_socket.available(error) == 0) {
+      Close();
+      return;
+    }
+    StartTimer(kLinger);
+  }
+
   void Close() {
     if (m_is_closed) {
       return;
@@ -169,6 +183,7 @@
     slot->m_is_head = request.m_method == "HEAD";
     m_slots.push_back(slot);
     m_is_ending = !keeps_alive || m_shared->m_is_draining;
+    m_has_served = true;
     SetTimer();
     const std::weak_ptr<Connection> weak = weak_from_this();
     CancelHook cancel = m_shared->m_handler(
@@ -246,15 +261,19 @@
     const bool is_receiving = m_parser.State() == ParseState::kInHeaders ||
                               m_parser.State() == ParseState::kInBody;
     if (m_is_shut) {
-      m_timer.expires_after(kLinger);
+      StartTimer(kLinger);
     } else if (is_receiving) {
-      m_timer.expires_after(limits.m_header_timeout);
+      StartTimer(limits.m_header_timeout);
     } else if (m_slots.empty()) {
-      m_timer.expires_after(limits.m_idle_timeout);
+      StartTimer(limits.m_idle_timeout);
     } else {
+      ++m_timer_number;
       m_timer.cancel();
-      return;
     }
+  }
+
+  void StartTimer(Duration time) {
+    m_timer.expires_after(time);
     m_timer.async_wait([weak = weak_from_this(), number = ++m_timer_number](
                            const asio::error_code& error) {
       const auto self = weak.lock();
@@ -291,6 +310,7 @@
   // No further request is read; closes behind the last answer.
   bool m_is_ending = false;
   bool m_is_shut = false;
+  bool m_has_served = false;
   bool m_is_closed = false;
 };
 
@@ -331,27 +351,45 @@
 }
 
 void StreamServer::Accept() {
-  m_acceptor.async_accept([this, shared = m_shared](
-                              const asio::error_code& error,
-                              asio::ip::tcp::socket socket) {
-    if (error == asio::error::operation_aborted) {
-      return;
-    }
+  m_acceptor.async_accept(
+      [this, shared = m_shared](const asio::error_code& error,
+                                asio::ip::tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          AddConnection(std::move(socket));
+          Accept();
+          return;
+        }
+        auto pause = std::make_shared<asio::steady_timer>(
+            m_acceptor.get_executor(), kAcceptPause);
+        pause->async_wait([this, shared, pause](const asio::error_code&) {
+          if (m_acceptor.is_open()) {
+            Accept();
+          }
+        });
+      });
+}
+
+void StreamServer::AddConnection(asio::ip::tcp::socket socket) {
+  auto connection = std::make_shared<Connection>(std::move(socket), m_shared);
+  m_shared->m_connections.insert(connection);
+  connection->Start();
+}
+
+// Closing the listener resets what waits to be accepted, with the requests that
+// were sent there already.
+void StreamServer::TakePending() {
+  asio::error_code error;
+  m_acceptor.non_blocking(true, error);
+  while (!error) {
+    asio::ip::tcp::socket socket(m_acceptor.get_executor());
+    m_acceptor.accept(socket, error);
     if (!error) {
-      auto connection = std::make_shared<Connection>(std::move(socket), shared);
-      shared->m_connections.insert(connection);
-      connection->Start();
-      Accept();
-      return;
+      AddConnection(std::move(socket));
     }
-    auto pause = std::make_shared<asio::steady_timer>(m_acceptor.get_executor(),
-                                                      kAcceptPause);
-    pause->async_wait([this, shared, pause](const asio::error_code&) {
-      if (m_acceptor.is_open()) {
-        Accept();
-      }
-    });
-  });
+  }
 }
 
 void StreamServer::SetLimits(const StreamLimits& limits) {
@@ -363,15 +401,16 @@
 }
 
 void StreamServer::Stop() {
+  if (m_acceptor.is_open()) {
+    TakePending();
+  }
   asio::error_code ignored;
   m_acceptor.close(ignored);
   StartDrain();
   const std::vector<std::shared_ptr<Connection>> connections(
       m_shared->m_connections.begin(), m_shared->m_connections.end());
   for (const auto& connection : connections) {
-    if (connection->IsIdle()) {
-      connection->Close();
-    }
+    connection->CloseIfIdle();
   }
 }
 
--- a/libs/http/tests/stream_test.cc
+++ b/libs/http/tests/stream_test.cc
@@ -169,6 +169,18 @@
   EXPECT_NE(caller.m_received.find("late"), std::string::npos);
 }
 
+// The caller has connected and sent its request, and the server stops before it
+// has accepted the connection.
+TEST_F(StreamServerTest, StopAnswersWhatWasSentBeforeIt) {
+  RawCaller waiting(m_io, TestEndpoint());
+  waiting.Write(Get("/1"));
+  m_server.Stop();
+  ASSERT_TRUE(WaitForRequests(1));
+  m_responders[0]({.m_status = 200, .m_body = "whole"});
+  ASSERT_TRUE(RunUntil(m_io, [&] { return waiting.m_is_closed; }));
+  EXPECT_NE(waiting.m_received.find("whole"), std::string::npos);
+}
+
 TEST_F(StreamServerTest, AnswersGivenAtOnceKeepTheirOrderToo) {
   asio::io_context io;
   Endpoint at = TestEndpoint();
