Split the node's long files by job; one way to open a listener

Read as a newcomer would: the life of an attempt, the work that has a slot and what a node knows from the store stand in files of their own; what nothing used is gone (a time in every offer, two accessors). No behaviour is changed.

--- a/libs/health/include/sequoiastage/health/instance_hold.h
+++ b/libs/health/include/sequoiastage/health/instance_hold.h
@@ -73,7 +73,6 @@
   /// Another incarnation of the instance: nothing of before counts.
   void Reset();
 
-  Duration ServiceTime() const { return m_service_time; }
   uint32_t Relapses() const { return m_relapses; }
 
  private:
--- a/libs/http/src/exchange_connection.cc
+++ b/libs/http/src/exchange_connection.cc
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr uint16_t kFirstFinalStatus = 200;
+constexpr int kListenBacklog = 1024;
 // Part of the server's idle limit that is used; the rest covers the way there.
 constexpr double kIdleShare = 0.6;
 
@@ -104,6 +105,29 @@
   });
 }
 
+bool OpenListener(asio::ip::tcp::acceptor& acceptor,
+                  const Endpoint& listen,
+                  std::string* reason) {
+  const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(listen.m_ip),
+                                         listen.m_port);
+  asio::error_code error;
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor.listen(kListenBacklog, error);
+  }
+  if (error) {
+    *reason = fmt::format("can't listen on {}: {}", ToString(listen),
+                          error.message());
+  }
+  return !error;
+}
+
 void TuneSocket(asio::ip::tcp::socket& socket, Duration user_timeout) {
   asio::error_code ignored;
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
--- a/libs/http/src/stream_server.cc
+++ b/libs/http/src/stream_server.cc
@@ -28,7 +28,6 @@
 constexpr Duration kUserTimeout = std::chrono::seconds(10);
 // Pause after accept() failed, for instance for want of descriptors.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
-constexpr int kListenBacklog = 1024;
 
 std::string AnswerBytes(const HttpAnswer& answer, bool is_head, bool is_last) {
   std::string bytes = fmt::format("HTTP/1.1 {} {}\r\n", answer.m_status,
@@ -328,22 +327,7 @@
 }
 
 bool StreamServer::Start(const Endpoint& listen) {
-  const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(listen.m_ip),
-                                         listen.m_port);
-  asio::error_code error;
-  m_acceptor.open(endpoint.protocol(), error);
-  if (!error) {
-    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    m_acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    m_acceptor.listen(kListenBacklog, error);
-  }
-  if (error) {
-    m_last_reason = fmt::format("can't listen on {}: {}", ToString(listen),
-                                error.message());
+  if (!OpenListener(m_acceptor, listen, &m_last_reason)) {
     return false;
   }
   Accept();
--- a/libs/limits/include/sequoiastage/limits/repeat_allowance.h
+++ b/libs/limits/include/sequoiastage/limits/repeat_allowance.h
@@ -45,9 +45,6 @@
   /// urgent than other work of late leaves a part of it to that.
   bool TryRepeat(TimePoint now, uint8_t urgency = 0);
 
-  /// Repeats taken in the window that ends now.
-  uint32_t RepeatsInWindow(TimePoint now) const { return Sum(now).m_repeats; }
-
  private:
   static constexpr size_t kParts = 10;
 
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -162,5 +162,6 @@
 }  // namespace sequoiastage
 
 #include "sequoiastage/mesh/egress_inl.h"
+#include "sequoiastage/mesh/egress_work_inl.h"
 
 #endif  // SEQUOIASTAGE_MESH_EGRESS_H_
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -129,7 +129,6 @@
     std::string m_trail;
     TimePoint m_received{};
     TimePoint m_deadline{};
-    TimePoint m_target{};
     asio::steady_timer m_deadline_timer;
     asio::steady_timer m_hedge;
   };
@@ -184,6 +183,7 @@
 
 }  // namespace sequoiastage
 
+#include "sequoiastage/mesh/ingress_attempts_inl.h"
 #include "sequoiastage/mesh/ingress_inl.h"
 
 #endif  // SEQUOIASTAGE_MESH_INGRESS_H_
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -117,5 +117,6 @@
 }  // namespace sequoiastage
 
 #include "sequoiastage/mesh/mesh_node_inl.h"
+#include "sequoiastage/mesh/mesh_node_relay_inl.h"
 
 #endif  // SEQUOIASTAGE_MESH_MESH_NODE_H_
--- a/libs/mesh/src/mesh_links.cc
+++ b/libs/mesh/src/mesh_links.cc
@@ -1,19 +1,17 @@
 #include "sequoiastage/mesh/mesh_links.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <optional>
 #include <utility>
 
 #include "sequoiastage/base/boot_clock.h"
+#include "sequoiastage/http/exchange_connection.h"
 #include "sequoiastage/logging/log_event.h"
 
 namespace sequoiastage {
 
 namespace {
 
-constexpr int kListenBacklog = 1024;
 constexpr uint32_t kMaxDoublings = 6;
 // Pause after accept() failed, for instance for want of descriptors.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
@@ -35,22 +33,7 @@
 }
 
 bool MeshLinks::Start(const Endpoint& listen) {
-  const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(listen.m_ip),
-                                         listen.m_port);
-  asio::error_code error;
-  m_acceptor.open(endpoint.protocol(), error);
-  if (!error) {
-    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    m_acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    m_acceptor.listen(kListenBacklog, error);
-  }
-  if (error) {
-    m_last_reason = fmt::format("can't listen on {}: {}", ToString(listen),
-                                error.message());
+  if (!OpenListener(m_acceptor, listen, &m_last_reason)) {
     return false;
   }
   Accept();
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -226,8 +226,6 @@
   uint8_t m_urgency = 0;
   /// Until the caller's deadline.
   uint32_t m_time_left_ms = 0;
-  /// Until the route's latency objective; 0 when that has passed.
-  uint32_t m_target_left_ms = 0;
   /// Service that the request comes from.
   std::string m_caller_service;
   std::string m_request_id;
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -122,7 +122,7 @@
   Bounded(archive, message.m_instance);
   archive(message.m_is_repeatable, message.m_is_repeat,
           message.m_starts_at_once, message.m_may_wait, message.m_accepts_held,
-          message.m_urgency, message.m_time_left_ms, message.m_target_left_ms);
+          message.m_urgency, message.m_time_left_ms);
   Bounded(archive, message.m_caller_service);
   Bounded(archive, message.m_request_id);
   archive(message.m_request);
