Convert times for messages in one place; a lookup that can't throw

A reopened link looked up attempts with at(), which would end the process if the end of one attempt had ended its request; it is a find now, as where a link is lost. No such end was seen.

--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -2,21 +2,14 @@
 #define SEQUOIASTAGE_MESH_EGRESS_INL_H_
 
 #include <algorithm>
-#include <limits>
 
 #include "sequoiastage/mesh/egress.h"
+#include "sequoiastage/mesh/wire_time.h"
 
 namespace sequoiastage {
 
 namespace egress_detail {
 
-inline uint16_t ToMs16(Duration duration) {
-  const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  return static_cast<uint16_t>(
-      std::clamp<int64_t>(ms, 0, std::numeric_limits<uint16_t>::max()));
-}
-
 /// Least time that is worth starting a request with.
 inline constexpr Duration kLeastTime = std::chrono::milliseconds(5);
 inline constexpr uint16_t kFirstServerError = 500;
@@ -88,8 +81,8 @@
   return {.m_slots = static_cast<uint16_t>(m_gate.Slots()),
           .m_running = static_cast<uint16_t>(m_gate.Running()),
           .m_queued = static_cast<uint16_t>(m_gate.Queued()),
-          .m_hold_ms = egress_detail::ToMs16(m_hold.HoldLeft(now)),
-          .m_expected_wait_ms = egress_detail::ToMs16(m_gate.ExpectedWait())};
+          .m_hold_ms = ToWireMs<uint16_t>(m_hold.HoldLeft(now)),
+          .m_expected_wait_ms = ToWireMs<uint16_t>(m_gate.ExpectedWait())};
 }
 
 template <PlatformCodec Codec>
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -161,7 +161,6 @@
   bool MayRepeat(const Run& run) const;
   HttpAnswer RefusalOf(const Run& run) const;
   static HttpAnswer Plain(uint16_t status, std::string_view text);
-  static uint32_t ToMs(Duration duration);
 
   asio::io_context& m_io;
   IngressOptions m_options;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -8,6 +8,7 @@
 
 #include "sequoiastage/mesh/ingress.h"
 #include "sequoiastage/mesh/ingress_inl.h"
+#include "sequoiastage/mesh/wire_time.h"
 
 namespace sequoiastage {
 
@@ -80,7 +81,12 @@
     }
   }
   for (const auto& [holder, number] : lost) {
-    Attempt& attempt = holder->m_attempts.at(number);
+    // The end of another attempt may have ended the request.
+    const auto found = holder->m_attempts.find(number);
+    if (found == holder->m_attempts.end()) {
+      continue;
+    }
+    Attempt& attempt = found->second;
     if (attempt.m_egress_run == run) {
       m_links.Send(node, InquiryMessage{.m_attempt = number});
       continue;
@@ -183,10 +189,10 @@
     case OfferVerdict::kReady:
       attempt.m_phase = Phase::kStarted;
       MarkStarted(run, attempt);
-      SendTo(attempt.m_node,
-             StartMessage{.m_attempt = attempt.m_number,
-                          .m_time_left_ms = ToMs(run->m_deadline - BootNow()),
-                          .m_request = run->m_request});
+      SendTo(attempt.m_node, StartMessage{.m_attempt = attempt.m_number,
+                                          .m_time_left_ms = ToWireMs<uint32_t>(
+                                              run->m_deadline - BootNow()),
+                                          .m_request = run->m_request});
       return;
     case OfferVerdict::kStarted:
       attempt.m_phase = Phase::kStarted;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "sequoiastage/mesh/ingress.h"
+#include "sequoiastage/mesh/wire_time.h"
 
 namespace sequoiastage {
 
@@ -47,13 +48,6 @@
           .m_body = std::string(text)};
 }
 
-template <PlatformCodec Codec>
-uint32_t Ingress<Codec>::ToMs(Duration duration) {
-  const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  return static_cast<uint32_t>(std::clamp<int64_t>(ms, 0, UINT32_MAX));
-}
-
 template <PlatformCodec Codec>
 ServiceId Ingress<Codec>::PickService(const TrafficRoute& route) {
   if (route.m_shares.size() == 1) {
@@ -200,18 +194,19 @@
   m_by_attempt[number] = run;
   m_book.OnSent(node);
   run->m_placement.OnRefused(step.m_key, PlacementRefusal::kBusy, {});
-  OfferMessage offer{.m_attempt = number,
-                     .m_service = run->m_service,
-                     .m_instance = member->m_instance,
-                     .m_is_repeatable = run->m_route->m_is_repeatable,
-                     .m_is_repeat = run->m_has_arrived,
-                     .m_starts_at_once = attempt.m_starts_at_once,
-                     .m_may_wait = step.m_may_wait,
-                     .m_accepts_held = step.m_accepts_held,
-                     .m_urgency = run->m_route->m_urgency,
-                     .m_time_left_ms = ToMs(run->m_deadline - now),
-                     .m_caller_service = m_own_service,
-                     .m_request_id = run->m_id};
+  OfferMessage offer{
+      .m_attempt = number,
+      .m_service = run->m_service,
+      .m_instance = member->m_instance,
+      .m_is_repeatable = run->m_route->m_is_repeatable,
+      .m_is_repeat = run->m_has_arrived,
+      .m_starts_at_once = attempt.m_starts_at_once,
+      .m_may_wait = step.m_may_wait,
+      .m_accepts_held = step.m_accepts_held,
+      .m_urgency = run->m_route->m_urgency,
+      .m_time_left_ms = ToWireMs<uint32_t>(run->m_deadline - now),
+      .m_caller_service = m_own_service,
+      .m_request_id = run->m_id};
   if (attempt.m_starts_at_once) {
     offer.m_request = run->m_request;
   }
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -34,12 +34,6 @@
 // Least time between two messages with changes to one subscriber.
 inline constexpr Duration kRelaySpacing = std::chrono::milliseconds(700);
 
-inline uint32_t ToMs32(Duration duration) {
-  const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  return static_cast<uint32_t>(std::clamp<int64_t>(ms, 0, UINT32_MAX));
-}
-
 inline Incarnation RandomRun() {
   std::random_device device;
   return Incarnation(uint64_t{device()} << 32 | device());
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -9,6 +9,7 @@
 
 #include "sequoiastage/mesh/mesh_node.h"
 #include "sequoiastage/mesh/mesh_node_inl.h"
+#include "sequoiastage/mesh/wire_time.h"
 #include "sequoiastage/wire/packed_records.h"
 
 namespace sequoiastage {
@@ -142,7 +143,7 @@
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::SendRelay(Subscriber& subscriber) {
   const RelayMessage message{
-      .m_age_ms = mesh_node_detail::ToMs32(KnowledgeAge(BootNow())),
+      .m_age_ms = ToWireMs<uint32_t>(KnowledgeAge(BootNow())),
       .m_packed = PackFrom(subscriber.m_next_config, subscriber.m_next_member)};
   subscriber.m_next_config = m_reader.Next(StoreTopic::kConfig);
   subscriber.m_next_member = m_reader.Next(StoreTopic::kMembers);
@@ -191,8 +192,8 @@
 
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::TickRelay() {
-  const RelayMessage beat{
-      .m_age_ms = mesh_node_detail::ToMs32(KnowledgeAge(BootNow()))};
+  const RelayMessage beat{.m_age_ms =
+                              ToWireMs<uint32_t>(KnowledgeAge(BootNow()))};
   for (const auto& [node, subscriber] : m_subscribers) {
     subscriber.m_sink(beat);
   }
--- /dev/null
+++ b/libs/mesh/include/sequoiastage/mesh/wire_time.h
@@ -0,0 +1,25 @@
+#ifndef SEQUOIASTAGE_MESH_WIRE_TIME_H_
+#define SEQUOIASTAGE_MESH_WIRE_TIME_H_
+
+#include <algorithm>
+#include <concepts>
+#include <cstdint>
+#include <limits>
+
+#include "sequoiastage/base/time.h"
+
+namespace sequoiastage {
+
+/// `duration` in whole milliseconds as messages carry it, within the range of
+/// `Number`.
+template <std::unsigned_integral Number>
+Number ToWireMs(Duration duration) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return static_cast<Number>(
+      std::clamp<int64_t>(ms, 0, std::numeric_limits<Number>::max()));
+}
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_MESH_WIRE_TIME_H_
