--- a/apps/sequoiactl/commands.cc
+++ b/apps/sequoiactl/commands.cc
@@ -75,6 +75,7 @@
   status                          the node itself
   explain ID FILE...              why a request ended as it did, from the logs
                                   of sequoiameshd (files of nodes, or collected)
+  logs causes FILE...             how often requests ended why, by route
   logs check FILE...              lines that break the table of events
   logs events                     the table itself, docs/EVENTS.md
 
@@ -277,6 +278,10 @@
   return CheckLogs(context.m_arguments, context.m_output);
 }
 
+ExitCode RunLogsCauses(const CommandContext& context) {
+  return CountCauses(context.m_arguments, context.m_output);
+}
+
 ExitCode RunLogsEvents(const CommandContext& context) {
   return PrintEvents(context.m_output);
 }
@@ -301,6 +306,7 @@
       {"status", 0, 0, RunStatus},
       {"explain", 2, kAnyNumber, RunExplain},
       {"logs check", 1, kAnyNumber, RunLogsCheck},
+      {"logs causes", 1, kAnyNumber, RunLogsCauses},
       {"logs events", 0, 0, RunLogsEvents}};
   return kCommands;
 }
--- a/apps/sequoiactl/log_commands.cc
+++ b/apps/sequoiactl/log_commands.cc
@@ -33,6 +33,21 @@
   return true;
 }
 
+// All lines of nodes; a file names the source of what names none itself.
+std::optional<std::vector<LogLine>> ReadLines(
+    const std::vector<std::string>& files,
+    const CommandOutput& output) {
+  std::vector<LogLine> lines;
+  const bool is_read = ForEachLine(
+      files, output, [&](const std::string& file, const std::string& text) {
+        const std::string source = std::filesystem::path(file).stem().string();
+        if (auto line = ParseLogLine(text, source)) {
+          lines.push_back(*std::move(line));
+        }
+      });
+  return is_read ? std::optional(std::move(lines)) : std::nullopt;
+}
+
 // Lines of the node's programs, other output between them left aside.
 bool LooksLikeEvent(const std::string& line) {
   return line.find(" event=") != std::string::npos;
@@ -50,18 +65,11 @@
 ExitCode ExplainFromLogs(const std::string& request,
                          const std::vector<std::string>& files,
                          const CommandOutput& output) {
-  std::vector<LogLine> lines;
-  const bool is_read = ForEachLine(
-      files, output, [&](const std::string& file, const std::string& text) {
-        const std::string source = std::filesystem::path(file).stem().string();
-        if (auto line = ParseLogLine(text, source)) {
-          lines.push_back(*std::move(line));
-        }
-      });
-  if (!is_read) {
+  const auto lines = ReadLines(files, output);
+  if (!lines) {
     return ExitCode::kInvalid;
   }
-  const Explanation explanation = ExplainRequest(lines, request);
+  const Explanation explanation = ExplainRequest(*lines, request);
   if (output.m_format == OutputFormat::kJson) {
     *output.m_out << ToJson(explanation).dump(2) << "\n";
   } else {
@@ -96,6 +104,31 @@
   return faults == 0 ? ExitCode::kDone : ExitCode::kInvalid;
 }
 
+ExitCode CountCauses(const std::vector<std::string>& files,
+                     const CommandOutput& output) {
+  const auto lines = ReadLines(files, output);
+  if (!lines) {
+    return ExitCode::kInvalid;
+  }
+  Json json = Json::object();
+  for (const auto& [route, ends] : CountEnds(*lines)) {
+    *output.m_out << (output.m_format == OutputFormat::kJson
+                          ? ""
+                          : route + ": " + std::to_string(ends.m_requests) +
+                                " requests\n");
+    for (const auto& [cause, count] : ends.m_causes) {
+      json[route][std::string(ToString(cause))] = count;
+      if (output.m_format != OutputFormat::kJson) {
+        *output.m_out << "  " << count << " " << ToString(cause) << "\n";
+      }
+    }
+  }
+  if (output.m_format == OutputFormat::kJson) {
+    *output.m_out << json.dump(2) << "\n";
+  }
+  return ExitCode::kDone;
+}
+
 ExitCode PrintEvents(const CommandOutput& output) {
   *output.m_out << RenderEventPage(MeshEvents());
   return ExitCode::kDone;
--- a/apps/sequoiactl/log_commands.h
+++ b/apps/sequoiactl/log_commands.h
@@ -18,6 +18,10 @@
 ExitCode CheckLogs(const std::vector<std::string>& files,
                    const CommandOutput& output);
 
+/// Prints, route by route, how often requests ended for which cause.
+ExitCode CountCauses(const std::vector<std::string>& files,
+                     const CommandOutput& output);
+
 /// Prints the page of events.
 ExitCode PrintEvents(const CommandOutput& output);
 
--- a/libs/events/include/sequoiastage/events/explanation.h
+++ b/libs/events/include/sequoiastage/events/explanation.h
@@ -1,6 +1,8 @@
 #ifndef SEQUOIASTAGE_EVENTS_EXPLANATION_H_
 #define SEQUOIASTAGE_EVENTS_EXPLANATION_H_
 
+#include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,6 +59,15 @@
 
 std::string ToText(const Explanation& explanation);
 
+/// How the requests of one route ended.
+struct RouteEnds {
+  std::map<FailureCause, uint64_t> m_causes;
+  uint64_t m_requests = 0;
+};
+
+/// By route; what fits none stands under "-".
+std::map<std::string, RouteEnds> CountEnds(const std::vector<LogLine>& lines);
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_EVENTS_EXPLANATION_H_
--- a/libs/events/src/explanation.cc
+++ b/libs/events/src/explanation.cc
@@ -81,6 +81,11 @@
   });
 }
 
+bool IsEnd(const LogLine& line) {
+  return line.m_event == "request_answered" ||
+         line.m_event == "request_failed" || line.m_event == "request_unrouted";
+}
+
 // Cause of a refusal that is certain not to have run.
 FailureCause CauseOfRefusal(const LogLine& end,
                             const std::vector<TrailEntry>& trail) {
@@ -237,13 +242,14 @@
   Explainer(const std::vector<LogLine>& lines, std::string_view request)
       : m_index(lines) {
     for (const LogLine& line : lines) {
-      if (line.Get("request") == request) {
+      const std::string_view id = line.Get("request");
+      if (id.size() > request.size() && id.starts_with(request) &&
+          id[request.size()] == '.' && IsEnd(line)) {
+        m_calls.push_back(&line);
+      }
+      if (id == request) {
         m_own.push_back(&line);
-        if (line.m_event == "request_answered" ||
-            line.m_event == "request_failed" ||
-            line.m_event == "request_unrouted") {
-          m_end = &line;
-        }
+        m_end = IsEnd(line) ? &line : m_end;
       }
     }
     std::stable_sort(m_own.begin(), m_own.end(),
@@ -264,6 +270,7 @@
     AddIngress();
     AddTrail(trail);
     AddAttempts();
+    AddCalls();
     AddCounts();
     m_result.m_steps.push_back("end: " + TextOf(*m_end));
     return std::move(m_result);
@@ -346,6 +353,16 @@
     }
   }
 
+  // Calls that the instance made meanwhile, where their ids tell so.
+  void AddCalls() {
+    for (const LogLine* line : m_calls) {
+      const auto trail = ParseTrail(line->Get("trail"));
+      m_result.m_steps.push_back(fmt::format("a call of its instance: {}; {}",
+                                             ToString(CauseOf(*line, trail)),
+                                             TextOf(*line)));
+    }
+  }
+
   void AddCounts() {
     if (m_end->Has("known")) {
       m_result.m_steps.push_back(fmt::format(
@@ -363,6 +380,8 @@
 
   NodeIndex m_index;
   Lines m_own;
+  // Ends of requests whose ids continue this one's.
+  Lines m_calls;
   const LogLine* m_end = nullptr;
   Explanation m_result;
 };
@@ -416,6 +435,19 @@
   return Explainer(lines, request).Run();
 }
 
+std::map<std::string, RouteEnds> CountEnds(const std::vector<LogLine>& lines) {
+  std::map<std::string, RouteEnds> ends;
+  for (const LogLine& line : lines) {
+    if (!IsEnd(line)) {
+      continue;
+    }
+    const std::string route(line.Has("route") ? line.Get("route") : "-");
+    ++ends[route].m_requests;
+    ++ends[route].m_causes[CauseOf(line, ParseTrail(line.Get("trail")))];
+  }
+  return ends;
+}
+
 std::string ToText(const Explanation& explanation) {
   std::string text = fmt::format(
       "cause: {}\n{}\n", ToString(explanation.m_cause), explanation.m_summary);
