Leave the retry budget to failures; let stopping nodes lend their instances

Change: copies use a quarter of the allowance at most, go to spare slots of the region only and are left out else. A stopping node keeps its egress open until its callers have left (2.9 s).

--- a/libs/limits/include/sequoiastage/limits/repeat_allowance.h
+++ b/libs/limits/include/sequoiastage/limits/repeat_allowance.h
@@ -20,6 +20,17 @@
   double m_used_part = 0.65;
   /// Part of it that less urgent work may use.
   double m_less_urgent_part = 0.6;
+  /// Part of it that copies of slow work may use; the rest is left to work that
+  /// has failed.
+  double m_copy_part = 0.25;
+};
+
+/// Why a request is sent once more.
+enum class RepeatCause : uint8_t {
+  /// An attempt failed, or was refused by the instance.
+  kFailure,
+  /// An attempt takes long and goes on.
+  kSlow,
 };
 
 /// Bounds the repeats that reach one instance, so that the repeats of its
@@ -30,6 +41,11 @@
 /// its requests a second time. An egress sees all that reaches its instance,
 /// and a request it refuses costs nothing of the budget. While the budget does
 /// not suffice, the calls that other work waits for are repeated first.
+///
+/// Load pattern: a service is full, so that much of its work is slow, and part
+/// of its instances refuse or break what they get. Copies of slow work would
+/// use the budget up, fill the slots further, and leave none for the work that
+/// failed; so they may only use a small part of it.
 class RepeatAllowance {
  public:
   explicit RepeatAllowance(const RepeatAllowanceOptions& options = {})
@@ -43,7 +59,9 @@
 
   /// Takes one repeat; false when the allowance is used up. Work that is less
   /// urgent than other work of late leaves a part of it to that.
-  bool TryRepeat(TimePoint now, uint8_t urgency = 0);
+  bool TryRepeat(TimePoint now,
+                 uint8_t urgency = 0,
+                 RepeatCause cause = RepeatCause::kFailure);
 
  private:
   static constexpr size_t kParts = 10;
@@ -52,6 +70,7 @@
     int64_t m_number = -1;
     uint32_t m_firsts = 0;
     uint32_t m_repeats = 0;
+    uint32_t m_copies = 0;
     // The most urgent that arrived.
     uint8_t m_urgency = UINT8_MAX;
   };
--- a/libs/limits/src/repeat_allowance.cc
+++ b/libs/limits/src/repeat_allowance.cc
@@ -10,17 +10,23 @@
   part.m_urgency = std::min(part.m_urgency, urgency);
 }
 
-bool RepeatAllowance::TryRepeat(TimePoint now, uint8_t urgency) {
+bool RepeatAllowance::TryRepeat(TimePoint now,
+                                uint8_t urgency,
+                                RepeatCause cause) {
   const Part sum = Sum(now);
   const double allowed =
       m_options.m_used_part *
       (urgency > sum.m_urgency ? m_options.m_less_urgent_part : 1) *
       (m_options.m_ratio * sum.m_firsts +
        m_options.m_service_slack / std::max<uint32_t>(1, m_instances));
-  if (sum.m_repeats + 1 > allowed) {
+  const bool is_copy = cause == RepeatCause::kSlow;
+  if (sum.m_repeats + 1 > allowed ||
+      (is_copy && sum.m_copies + 1 > m_options.m_copy_part * allowed)) {
     return false;
   }
-  ++PartAt(now).m_repeats;
+  Part& part = PartAt(now);
+  ++part.m_repeats;
+  part.m_copies += is_copy ? 1 : 0;
   return true;
 }
 
@@ -45,6 +51,7 @@
         part.m_number <= number) {
       sum.m_firsts += part.m_firsts;
       sum.m_repeats += part.m_repeats;
+      sum.m_copies += part.m_copies;
       sum.m_urgency = std::min(sum.m_urgency, part.m_urgency);
     }
   }
--- a/libs/limits/tests/repeat_allowance_test.cc
+++ b/libs/limits/tests/repeat_allowance_test.cc
@@ -35,6 +35,26 @@
   EXPECT_FALSE(allowance.TryRepeat(now));
 }
 
+// A full service: much of its work is slow and some of it fails. Copies of the
+// slow work leave most of the allowance to what failed, and use no more when
+// nothing fails.
+TEST(RepeatAllowanceTest, CopiesOfSlowWorkLeaveTheRestToFailures) {
+  RepeatAllowance allowance(
+      {.m_service_slack = 40, .m_used_part = 1, .m_copy_part = 0.25});
+  const TimePoint now(seconds(50));
+  int copies = 0;
+  while (allowance.TryRepeat(now, 0, RepeatCause::kSlow)) {
+    ++copies;
+  }
+  EXPECT_EQ(copies, 10);
+  int repeats = 0;
+  while (allowance.TryRepeat(now)) {
+    ++repeats;
+  }
+  EXPECT_EQ(repeats, 30);
+  EXPECT_FALSE(allowance.TryRepeat(now, 0, RepeatCause::kSlow));
+}
+
 // All of a service's instances fail for 20 s and every request wants a repeat:
 // no window of 10 s holds more repeats than the service's budget.
 RC_GTEST_PROP(RepeatAllowanceTest, FleetStaysWithinItsBudget, ()) {
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -112,7 +112,14 @@
        m_gate.ExpectedWait(offer.m_urgency) > Duration{})) {
     return AttemptReason::kBusy;
   }
-  if (offer.m_is_repeat && !m_repeats.TryRepeat(now, offer.m_urgency)) {
+  // The last free slot is left to work that runs nowhere yet.
+  if (offer.m_is_copy && m_gate.Running() + 1 >= m_gate.Slots()) {
+    return AttemptReason::kBusy;
+  }
+  if (offer.m_is_repeat &&
+      !m_repeats.TryRepeat(
+          now, offer.m_urgency,
+          offer.m_is_copy ? RepeatCause::kSlow : RepeatCause::kFailure)) {
     return AttemptReason::kRetryBudget;
   }
   return AttemptReason::kNone;
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -103,6 +103,8 @@
     Phase m_phase = Phase::kOffered;
     TimePoint m_sent_at{};
     bool m_starts_at_once = false;
+    // Copies a slow attempt that goes on.
+    bool m_is_copy = false;
     Incarnation m_egress_run{};
     // Age of what was known of the instance's load; empty when nothing was.
     std::optional<Duration> m_told_age;
@@ -146,7 +148,11 @@
   void Step(const RunPtr& run);
   // After an attempt that may have run.
   void StepOrGiveUp(const RunPtr& run, std::string_view cause);
-  void Offer(const RunPtr& run, const PlacementStep& step);
+  void Offer(const RunPtr& run,
+             const PlacementStep& step,
+             bool is_copy = false);
+  // After the offer `attempt` was not taken.
+  void StepAfter(const RunPtr& run, bool was_copy);
   void ArmSilence(const RunPtr& run, Attempt& attempt);
   void OnSilence(const RunPtr& run, AttemptNumber number);
   void OnOfferReply(const RunPtr& run,
@@ -166,6 +172,8 @@
   void LogFailure(const Run& run, std::string_view cause, bool may_run);
   void OnDeadline(const RunPtr& run);
   void ArmHedge(const RunPtr& run);
+  // Offers a copy to an instance of the region that has slots to spare.
+  void OfferCopy(const RunPtr& run);
   void GiveUp(const RunPtr& run, std::string_view cause);
   void Finish(const RunPtr& run, HttpAnswer answer);
   void Cancel(const RunPtr& run);
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -53,6 +53,7 @@
   }
   AddToTrail(*run, found->second, "silent");
   const bool may_have_run = found->second.m_starts_at_once;
+  const bool was_copy = found->second.m_is_copy;
   if (may_have_run) {
     MarkStarted(run, found->second);
     run->m_may_have_run = true;
@@ -63,7 +64,7 @@
   if (may_have_run) {
     StepOrGiveUp(run, "an egress is silent");
   } else {
-    Step(run);
+    StepAfter(run, was_copy);
   }
 }
 
@@ -122,8 +123,9 @@
     if (is_offer && !attempt.m_starts_at_once) {
       // Never started: it has not run and never will.
       run->m_placement.OnRefused(key, PlacementRefusal::kFinal, {});
+      const bool was_copy = attempt.m_is_copy;
       Drop(run, number);
-      Step(run);
+      StepAfter(run, was_copy);
       continue;
     }
     if (is_offer) {
@@ -217,8 +219,9 @@
     refusal = PlacementRefusal::kHeld;
   }
   run->m_placement.OnRefused(key, refusal, wait);
+  const bool was_copy = attempt.m_is_copy;
   Drop(run, attempt.m_number);
-  Step(run);
+  StepAfter(run, was_copy);
 }
 
 template <PlatformCodec Codec>
@@ -329,12 +332,24 @@
         const RunPtr self = weak.lock();
         if (!error && self && !self->m_is_done && MayRepeat(*self) &&
             self->m_attempts.size() == 1) {
-          AddToTrail(*self, self->m_attempts.begin()->second, "slow");
-          Step(self);
+          OfferCopy(self);
         }
       });
 }
 
+template <PlatformCodec Codec>
+void Ingress<Codec>::OfferCopy(const RunPtr& run) {
+  const auto candidates = m_book.Candidates(
+      run->m_service, BootNow(),
+      [this](NodeId node) { return IsOwn(node) || m_links.IsUsable(node); });
+  const auto step = run->m_placement.NextSpare(candidates, m_random);
+  if (!step) {
+    return;
+  }
+  AddToTrail(*run, run->m_attempts.begin()->second, "slow");
+  Offer(run, *step, true);
+}
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_MESH_INGRESS_ATTEMPTS_INL_H_
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -152,6 +152,16 @@
   }
 }
 
+template <PlatformCodec Codec>
+void Ingress<Codec>::StepAfter(const RunPtr& run, bool was_copy) {
+  if (!was_copy) {
+    Step(run);
+  } else if (run->m_attempts.empty()) {
+    // The attempt that was copied has ended meanwhile.
+    StepOrGiveUp(run, "every attempt failed");
+  }
+}
+
 template <PlatformCodec Codec>
 void Ingress<Codec>::StepOrGiveUp(const RunPtr& run, std::string_view cause) {
   if (MayRepeat(*run)) {
@@ -171,7 +181,9 @@
 }
 
 template <PlatformCodec Codec>
-void Ingress<Codec>::Offer(const RunPtr& run, const PlacementStep& step) {
+void Ingress<Codec>::Offer(const RunPtr& run,
+                           const PlacementStep& step,
+                           bool is_copy) {
   const TimePoint now = BootNow();
   const NodeId node = NodeOf(step.m_key);
   const MemberRecord* member = m_book.Find(node);
@@ -182,6 +194,7 @@
   attempt.m_node = node;
   attempt.m_sent_at = now;
   attempt.m_told_age = m_book.ToldAge(node, now);
+  attempt.m_is_copy = is_copy;
   // The round trip before the start is dear between regions, and repeatable
   // work does without the proof that it gives.
   attempt.m_starts_at_once =
@@ -199,6 +212,7 @@
       .m_instance = member->m_instance,
       .m_is_repeatable = run->m_route->m_is_repeatable,
       .m_is_repeat = run->m_has_arrived,
+      .m_is_copy = is_copy,
       .m_starts_at_once = attempt.m_starts_at_once,
       .m_may_wait = step.m_may_wait,
       .m_accepts_held = step.m_accepts_held,
@@ -213,7 +227,7 @@
   if (!SendTo(node, offer)) {
     Drop(run, number);
     run->m_placement.OnRefused(step.m_key, PlacementRefusal::kFinal, {});
-    asio::post(m_io, [this, run] { Step(run); });
+    asio::post(m_io, [this, run, is_copy] { StepAfter(run, is_copy); });
   }
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -41,8 +41,9 @@
   bool Start();
   const std::string& LastReason() const { return m_last_reason; }
 
-  /// Takes no new offers, lets callers go, and stops the io_context when all
-  /// work has ended, before the grace time is over.
+  /// Is not ready from now on and lets callers go; when they had time to, takes
+  /// no more work, and stops the io_context when all has ended, before the
+  /// grace time is over.
   void StartShutdown();
 
   /// Prometheus text.
@@ -104,6 +105,8 @@
   std::string m_published;
   bool m_is_publishing = false;
   bool m_is_stopping = false;
+  // Takes no more work.
+  bool m_has_left = false;
   TimePoint m_stop_at{};
   TimePoint m_started_at{};
   uint64_t m_config_rejects = 0;
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -24,8 +24,9 @@
 inline constexpr Duration kStartSpread = std::chrono::milliseconds(400);
 inline constexpr Duration kPublishRetry = std::chrono::milliseconds(500);
 // Callers are sent elsewhere after they found the node not ready twice, a
-// second apart. Then it takes no more requests, so that those it has taken end
-// within the grace time.
+// second apart. Until then requests go on, and so does the instance of the
+// host, which stays when only the node stops. Then the node takes no more, so
+// that what it has taken ends within the grace time.
 inline constexpr Duration kTakeUntil = std::chrono::milliseconds(2900);
 // Other nodes and callers have noticed by then.
 inline constexpr Duration kLeastShutdown = std::chrono::milliseconds(3300);
@@ -248,7 +249,7 @@
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::PublishSelf() {
   MemberRecord own = m_book.Own();
-  own.m_is_leaving = m_is_stopping;
+  own.m_is_leaving = m_has_left;
   if (const InstanceAnnouncement* instance = m_local.InService()) {
     own.m_instance = instance->m_name;
     own.m_service = ServiceIdOf(instance->m_service);
@@ -344,9 +345,6 @@
   LogEvent(LogLevel::kInfo, "node_stopping")
       .Add("requests", static_cast<int64_t>(m_ingress.RequestCount()))
       .Add("work", static_cast<int64_t>(m_egress.WorkCount()));
-  m_egress.StartLeaving();
-  m_links.Broadcast(LeavingMessage{});
-  PublishSelf();
   m_callers.StartDrain();
   TickShutdown();
 }
@@ -354,8 +352,12 @@
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::TickShutdown() {
   const Duration since = BootNow() - m_stop_at;
-  if (since >= mesh_node_detail::kTakeUntil) {
+  if (since >= mesh_node_detail::kTakeUntil && !m_has_left) {
+    m_has_left = true;
     m_callers.Stop();
+    m_egress.StartLeaving();
+    m_links.Broadcast(LeavingMessage{});
+    PublishSelf();
   }
   const bool is_idle =
       m_ingress.RequestCount() == 0 && m_egress.WorkCount() == 0;
--- a/libs/mesh/tests/egress_test.cc
+++ b/libs/mesh/tests/egress_test.cc
@@ -111,6 +111,21 @@
   EXPECT_EQ(m_egress.WorkCount(), 0U);
 }
 
+TEST_F(MeshEgressTest, CopiesLeaveTheLastFreeSlot) {
+  m_instance.m_behavior = [](const HttpRequest&, const StreamResponder&) {
+    return CancelHook();
+  };
+  ASSERT_EQ(m_egress.Standing().m_slots, 2);
+  Send(Offer(1));
+  OfferMessage copy = Offer(2);
+  copy.m_is_repeat = true;
+  copy.m_is_copy = true;
+  Send(copy);
+  EXPECT_EQ(m_replies.back().m_reason, AttemptReason::kBusy);
+  Send(Offer(3));
+  EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
+}
+
 TEST_F(MeshEgressTest, RefusesWhatIsMeantForAnotherInstance) {
   OfferMessage offer = Offer(1);
   offer.m_instance = "i-0";
--- a/libs/mesh/tests/ingress_test.cc
+++ b/libs/mesh/tests/ingress_test.cc
@@ -290,6 +290,46 @@
   EXPECT_EQ(offers, 2U);
 }
 
+// A copy that nobody has room for is left out; the attempt that it would have
+// copied goes on and its answer counts.
+TEST_F(MeshIngressTest, RefusedCopyLeavesTheSlowAttemptAlone) {
+  FakeEgressNode slow(m_io, 2, 5);
+  FakeEgressNode full(m_io, 3, 5);
+  FakeEgressNode third(m_io, 4, 5);
+  size_t first_offers = 0;
+  size_t copies = 0;
+  asio::steady_timer timer(m_io);
+  for (FakeEgressNode* egress : {&slow, &full, &third}) {
+    m_book.SetMember(egress->Record());
+    egress->m_script = [&](const Message& message, const MessageSink& sink) {
+      const auto* offer = std::get_if<OfferMessage>(&message);
+      if (offer == nullptr) {
+        return;
+      }
+      if (offer->m_is_copy) {
+        ++copies;
+        sink(OfferReplyMessage{.m_attempt = offer->m_attempt,
+                               .m_verdict = OfferVerdict::kRefused,
+                               .m_reason = AttemptReason::kBusy});
+        return;
+      }
+      ++first_offers;
+      SayReady(message, sink);
+      timer.expires_after(std::chrono::milliseconds(900));
+      timer.async_wait(
+          [sink, number = offer->m_attempt](const asio::error_code&) {
+            Answer(number, 200, sink);
+          });
+    };
+  }
+  Configure("1 a /x/ plans");
+  Request();
+  ASSERT_TRUE(WaitForAnswer());
+  EXPECT_EQ(m_answers[0].m_status, 200);
+  EXPECT_EQ(first_offers, 1U);
+  EXPECT_EQ(copies, 1U);
+}
+
 TEST_F(MeshIngressTest, CallerWhoLeavesWithdrawsItsWork) {
   FakeEgressNode egress(m_io, 2, 5);
   m_book.SetMember(egress.Record());
--- a/libs/routing/include/sequoiastage/routing/placement.h
+++ b/libs/routing/include/sequoiastage/routing/placement.h
@@ -76,6 +76,9 @@
 /// - A zone has more work than slots for some seconds. Work goes to other
 ///   regions while they have free slots and then waits where the queue is
 ///   shortest, and is refused at once where no queue ends in time.
+/// - Much of the work is slow, since the service is nearly full. A copy of it
+///   goes where slots are to spare, or nowhere; it takes no queue and no path to
+///   another region.
 /// - Every instance of a service fails. The request goes to one that is held
 ///   back rather than to none, twice at most.
 class Placement {
@@ -93,6 +96,12 @@
       bool may_try = false,
       Duration time_left = Duration::max());
 
+  /// An instance of the region with more than one free slot, for a copy of
+  /// work that runs already. Empty when there is none: the copy is left out.
+  std::optional<PlacementStep> NextSpare(
+      const std::vector<PlacementCandidate>& candidates,
+      std::mt19937_64& random) const;
+
   /// `expected_wait`: as the egress told it, for kBusy.
   void OnRefused(CandidateKey key,
                  PlacementRefusal refusal,
--- a/libs/routing/src/placement.cc
+++ b/libs/routing/src/placement.cc
@@ -1,6 +1,7 @@
 #include "sequoiastage/routing/placement.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace sequoiastage {
@@ -58,6 +59,19 @@
   return std::nullopt;
 }
 
+std::optional<PlacementStep> Placement::NextSpare(
+    const std::vector<PlacementCandidate>& candidates,
+    std::mt19937_64& random) const {
+  std::vector<PlacementCandidate> spare;
+  std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(spare),
+               [](const PlacementCandidate& candidate) {
+                 return candidate.m_busy + 1 < candidate.m_slots;
+               });
+  const auto* near = FreeSlot(spare, false, false, random);
+  return near == nullptr ? std::nullopt
+                         : std::optional(PlacementStep{.m_key = near->m_key});
+}
+
 void Placement::OnRefused(CandidateKey key,
                           PlacementRefusal refusal,
                           Duration expected_wait) {
--- a/libs/routing/tests/placement_test.cc
+++ b/libs/routing/tests/placement_test.cc
@@ -34,6 +34,19 @@
   EXPECT_EQ(Next()->m_key, CandidateKey(2));
 }
 
+// Load pattern: a nearly full service, whose work is slow. A copy takes no last
+// slot, no queue and no path to another region.
+TEST_F(PlacementTest, CopiesGoOnlyWhereSlotsAreToSpare) {
+  m_candidates[0].m_busy = 2;
+  EXPECT_EQ(m_placement.NextSpare(m_candidates, m_random)->m_key,
+            CandidateKey(2));
+  m_placement.OnRan(CandidateKey(2));
+  EXPECT_FALSE(m_placement.NextSpare(m_candidates, m_random));
+  m_candidates[0].m_busy = 1;
+  m_candidates[0].m_hold_left = milliseconds(100);
+  EXPECT_FALSE(m_placement.NextSpare(m_candidates, m_random));
+}
+
 TEST_F(PlacementTest, AsksTheWholeRegionBeforeAnotherOne) {
   m_placement.OnRefused(CandidateKey(1), PlacementRefusal::kHeld, {});
   EXPECT_EQ(Next()->m_key, CandidateKey(2));
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -216,6 +216,8 @@
   bool m_is_repeatable = false;
   /// An earlier attempt of the same request may have reached an instance.
   bool m_is_repeat = false;
+  /// An earlier attempt still runs: this one copies it, since it is slow.
+  bool m_is_copy = false;
   /// True: run it without waiting for a StartMessage.
   bool m_starts_at_once = false;
   /// True: wait for a slot where none is free; false: refuse then.
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -120,7 +120,7 @@
 void serialize(Archive& archive, OfferMessage& message) {
   archive(message.m_attempt, message.m_service);
   Bounded(archive, message.m_instance);
-  archive(message.m_is_repeatable, message.m_is_repeat,
+  archive(message.m_is_repeatable, message.m_is_repeat, message.m_is_copy,
           message.m_starts_at_once, message.m_may_wait, message.m_accepts_held,
           message.m_urgency, message.m_time_left_ms);
   Bounded(archive, message.m_caller_service);
