Serve latency histograms; bound the bodies that callers' connections hold

Cause: metrics had counters and gauges only, and bodies were held whole without a bound over all requests: some callers with large bodies could take a node's memory.

--- a/libs/http/include/sequoiastage/http/message_parser.h
+++ b/libs/http/include/sequoiastage/http/message_parser.h
@@ -57,6 +57,9 @@
 
   void SetLimits(const MessageLimits& limits) { m_limits = limits; }
 
+  /// Bytes of the body so far.
+  size_t BodyBytes() const { return m_body.size(); }
+
  protected:
   MessageParser(http_parser_type type, const MessageLimits& limits);
   ~MessageParser() = default;
--- a/libs/http/include/sequoiastage/http/stream_server.h
+++ b/libs/http/include/sequoiastage/http/stream_server.h
@@ -22,6 +22,10 @@
   Duration m_header_timeout = std::chrono::seconds(3);
   /// A connection without requests is closed after this.
   Duration m_idle_timeout = std::chrono::seconds(15);
+  /// Bodies of all connections that are being read or not yet answered. A body
+  /// that would exceed it gets 503; copies on their way through the node take
+  /// up to three times as much again.
+  size_t m_max_held_bytes = size_t{24} << 20;
   /// Requests of one connection that are answered at the same time; more are
   /// left unread.
   size_t m_max_pipelined = 32;
@@ -65,6 +69,8 @@
   void Stop();
 
   size_t ConnectionCount() const;
+  /// Bodies being read or not yet answered.
+  size_t HeldBytes() const;
   const std::string& LastReason() const { return m_last_reason; }
 
  private:
--- a/libs/http/src/stream_server.cc
+++ b/libs/http/src/stream_server.cc
@@ -21,6 +21,7 @@
 constexpr uint16_t kNoContent = 204;
 constexpr uint16_t kNotModified = 304;
 constexpr uint16_t kRequestTimeout = 408;
+constexpr uint16_t kUnavailable = 503;
 // A caller that has got its last answer has this long to close first; closing
 // before it has read everything would reset the connection.
 constexpr Duration kLinger = std::chrono::seconds(1);
@@ -64,6 +65,8 @@
   StreamRefusal m_refusal;
   StreamLimits m_limits;
   bool m_is_draining = false;
+  // Sum over all connections.
+  size_t m_held_bytes = 0;
   std::unordered_set<std::shared_ptr<Connection>> m_connections;
 };
 
@@ -116,6 +119,7 @@
         slot->m_cancel();
       }
     }
+    CountHeldBytes();
     m_shared->m_connections.erase(shared_from_this());
   }
 
@@ -123,6 +127,7 @@
   // A request that is not yet answered on the wire.
   struct Slot {
     bool m_is_head = false;
+    size_t m_body_bytes = 0;
     std::optional<HttpAnswer> m_answer;
     CancelHook m_cancel;
   };
@@ -170,6 +175,12 @@
       }
       const ParseState before = m_parser.State();
       rest.remove_prefix(m_parser.Feed(rest));
+      CountHeldBytes();
+      if (m_parser.State() == ParseState::kInBody &&
+          m_shared->m_held_bytes > m_shared->m_limits.m_max_held_bytes) {
+        Reject(kUnavailable);
+        break;
+      }
       if (m_parser.State() == ParseState::kFailed) {
         Reject(m_parser.FailureStatus());
         break;
@@ -189,6 +200,8 @@
     auto slot = std::make_shared<Slot>();
     HttpRequest request = m_parser.Take();
     slot->m_is_head = request.m_method == "HEAD";
+    slot->m_body_bytes = request.m_body.size();
+    m_taken_bytes += slot->m_body_bytes;
     m_slots.push_back(slot);
     m_is_ending = !keeps_alive || m_shared->m_is_draining;
     m_has_served = true;
@@ -211,14 +224,28 @@
     auto slot = std::make_shared<Slot>();
     slot->m_answer = m_shared->m_refusal ? m_shared->m_refusal(status)
                                          : HttpAnswer{.m_status = status};
+    if (status == kUnavailable) {
+      slot->m_answer->m_fields.push_back({"Retry-After", "1"});
+    }
     m_slots.push_back(std::move(slot));
     SendReady();
   }
 
+  // Brings the sum over all connections up to date.
+  void CountHeldBytes() {
+    const size_t held =
+        m_is_closed ? 0
+                    : m_taken_bytes + (m_is_ending ? 0 : m_parser.BodyBytes());
+    m_shared->m_held_bytes += held;
+    m_shared->m_held_bytes -= m_held_bytes;
+    m_held_bytes = held;
+  }
+
   void SendReady() {
     while (!m_slots.empty() && m_slots.front()->m_answer) {
       const auto slot = m_slots.front();
       m_slots.pop_front();
+      m_taken_bytes -= slot->m_body_bytes;
       if (m_shared->m_is_draining && m_slots.empty() &&
           m_parser.State() == ParseState::kIdle) {
         m_is_ending = true;
@@ -226,6 +253,7 @@
       const bool is_last = m_is_ending && m_slots.empty();
       m_unsent += AnswerBytes(*slot->m_answer, slot->m_is_head, is_last);
     }
+    CountHeldBytes();
     Write();
     if (!m_input.empty() && !m_is_ending) {
       Parse();
@@ -314,6 +342,9 @@
   std::string m_output;
   std::string m_unsent;
   std::deque<std::shared_ptr<Slot>> m_slots;
+  // Bodies of m_slots, and with what is being read; as counted last.
+  size_t m_taken_bytes = 0;
+  size_t m_held_bytes = 0;
   bool m_is_reading = false;
   bool m_is_parsing = false;
   // No further request is read; closes behind the last answer.
@@ -412,6 +443,10 @@
   }
 }
 
+size_t StreamServer::HeldBytes() const {
+  return m_shared->m_held_bytes;
+}
+
 size_t StreamServer::ConnectionCount() const {
   return m_shared->m_connections.size();
 }
--- a/libs/http/tests/stream_test.cc
+++ b/libs/http/tests/stream_test.cc
@@ -149,6 +149,34 @@
   EXPECT_TRUE(RunUntil(m_io, [&] { return caller.m_is_closed; }));
 }
 
+// Load pattern: many callers send large bodies at once. What does not fit is
+// refused before it is whole; what was answered makes room again.
+TEST_F(StreamServerTest, BodiesOfAllConnectionsAreBounded) {
+  m_server.SetLimits({.m_max_held_bytes = 10'000});
+  const auto head = [](size_t length) {
+    return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+           std::to_string(length) + "\r\n\r\n";
+  };
+  RawCaller first(m_io, TestEndpoint());
+  first.Write(head(8000) + std::string(8000, 'x'));
+  ASSERT_TRUE(WaitForRequests(1));
+  EXPECT_EQ(m_server.HeldBytes(), 8000U);
+  RawCaller second(m_io, TestEndpoint());
+  second.Write(head(8000) + std::string(4000, 'x'));
+  ASSERT_TRUE(RunUntil(m_io, [&] { return second.m_is_closed; }));
+  EXPECT_EQ(CountOf(second.m_received, "HTTP/1.1 503"), 1U);
+  EXPECT_EQ(CountOf(second.m_received, "Retry-After: 1"), 1U);
+  EXPECT_EQ(m_requests.size(), 1U);
+  m_responders[0]({.m_status = 200});
+  ASSERT_TRUE(RunUntil(m_io, [&] { return !first.m_received.empty(); }));
+  EXPECT_EQ(m_server.HeldBytes(), 0U);
+  RawCaller third(m_io, TestEndpoint());
+  third.Write(head(8000) + std::string(8000, 'x'));
+  EXPECT_TRUE(WaitForRequests(2));
+  third.Close();
+  EXPECT_TRUE(RunUntil(m_io, [this] { return m_server.HeldBytes() == 0; }));
+}
+
 TEST_F(StreamServerTest, RefusesWhatIsNoRequestAndReadsNoFurther) {
   RawCaller caller(m_io, TestEndpoint());
   caller.Write("what is this\r\n\r\n" + Get("/1"));
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -20,6 +20,7 @@
 #include "sequoiastage/logging/log_event.h"
 #include "sequoiastage/mesh/peer_key.h"
 #include "sequoiastage/mesh/platform.h"
+#include "sequoiastage/metrics/latency_buckets.h"
 
 namespace sequoiastage {
 
@@ -90,6 +91,8 @@
   /// Offers that are not ended.
   size_t WorkCount() const { return m_work.size(); }
   const EgressStats& Stats() const { return m_stats; }
+  /// Time of attempts at the instance, from their start to their end.
+  const LatencyBuckets& Latency() const { return m_latency; }
   EgressStanding Standing() const;
   HoldState State() const { return m_hold.StateAt(BootNow()); }
 
@@ -157,6 +160,7 @@
   std::vector<IdleConnection> m_idle;
   std::deque<std::pair<TimePoint, std::pair<Key, OutcomeMessage>>> m_ended;
   EgressStats m_stats;
+  LatencyBuckets m_latency;
 };
 
 }  // namespace sequoiastage
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -155,6 +155,7 @@
   }
   if (work->m_connection) {
     m_hold.OnEnd(end, work->m_started, now);
+    m_latency.Observe(now - work->m_started);
     if (work->m_connection->IsReusable(now) && m_instance &&
         m_instance->m_name == work->m_offer.m_instance) {
       m_idle.push_back({.m_connection = work->m_connection, .m_since = now});
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -21,6 +21,7 @@
 #include "sequoiastage/mesh/mesh_links.h"
 #include "sequoiastage/mesh/platform.h"
 #include "sequoiastage/mesh/target_book.h"
+#include "sequoiastage/metrics/latency_buckets.h"
 #include "sequoiastage/routing/split_picker.h"
 
 namespace sequoiastage {
@@ -84,6 +85,8 @@
 
   size_t RequestCount() const { return m_request_count; }
   const IngressStats& Stats() const { return m_stats; }
+  /// Time of requests from their arrival to their end, by outcome.
+  std::vector<MetricSample> Latencies() const;
 
  private:
   enum class Phase : uint8_t {
@@ -169,6 +172,10 @@
                          const Attempt& attempt,
                          std::string_view reason,
                          const EgressStanding* standing = nullptr);
+  // Ends the request, its outcome counted under `latencies`.
+  void FinishAs(const RunPtr& run,
+                LatencyBuckets& latencies,
+                HttpAnswer answer);
   void LogFailure(const Run& run, std::string_view cause, bool may_run);
   void OnDeadline(const RunPtr& run);
   void ArmHedge(const RunPtr& run);
@@ -199,6 +206,9 @@
   size_t m_request_count = 0;
   mutable std::mt19937_64 m_random{std::random_device()()};
   IngressStats m_stats;
+  LatencyBuckets m_answered_latency;
+  LatencyBuckets m_not_run_latency;
+  LatencyBuckets m_unknown_latency;
 };
 
 }  // namespace sequoiastage
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -278,7 +278,7 @@
            WholeMs(run->m_first_start.value_or(now) - run->m_received))
       .Add("took_ms", WholeMs(now - run->m_received));
   ++m_stats.m_answered;
-  Finish(run, std::move(answer));
+  FinishAs(run, m_answered_latency, std::move(answer));
 }
 
 template <PlatformCodec Codec>
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -264,17 +264,19 @@
   LogFailure(*run, cause, may_run);
   if (run->m_fallback) {
     ++m_stats.m_answered;
-    Finish(run, *std::exchange(run->m_fallback, std::nullopt));
+    FinishAs(run, m_answered_latency,
+             *std::exchange(run->m_fallback, std::nullopt));
     return;
   }
   if (may_run) {
     ++m_stats.m_unknown;
-    Finish(run, is_out_of_time ? Plain(504, "no answer in time\n")
-                               : Plain(502, "may have run\n"));
+    FinishAs(run, m_unknown_latency,
+             is_out_of_time ? Plain(504, "no answer in time\n")
+                            : Plain(502, "may have run\n"));
     return;
   }
   ++m_stats.m_not_run;
-  Finish(run, RefusalOf(*run));
+  FinishAs(run, m_not_run_latency, RefusalOf(*run));
 }
 
 template <PlatformCodec Codec>
@@ -323,6 +325,21 @@
   }
 }
 
+template <PlatformCodec Codec>
+std::vector<MetricSample> Ingress<Codec>::Latencies() const {
+  return {m_answered_latency.Sample({{"outcome", "answered"}}),
+          m_not_run_latency.Sample({{"outcome", "not-run"}}),
+          m_unknown_latency.Sample({{"outcome", "unknown"}})};
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::FinishAs(const RunPtr& run,
+                              LatencyBuckets& latencies,
+                              HttpAnswer answer) {
+  latencies.Observe(BootNow() - run->m_received);
+  Finish(run, std::move(answer));
+}
+
 template <PlatformCodec Codec>
 void Ingress<Codec>::Finish(const RunPtr& run, HttpAnswer answer) {
   if (run->m_is_done) {
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -386,6 +386,8 @@
       {.m_ingress = m_ingress.Stats(),
        .m_egress = m_egress.Stats(),
        .m_standing = m_egress.Standing(),
+       .m_request_latencies = m_ingress.Latencies(),
+       .m_instance_latency = m_egress.Latency().Sample(),
        .m_requests = m_ingress.RequestCount(),
        .m_connections = m_callers.ConnectionCount(),
        .m_members = m_book.size(),
--- a/libs/mesh/include/sequoiastage/mesh/node_metrics.h
+++ b/libs/mesh/include/sequoiastage/mesh/node_metrics.h
@@ -17,6 +17,8 @@
   IngressStats m_ingress;
   EgressStats m_egress;
   EgressStanding m_standing;
+  std::vector<MetricSample> m_request_latencies;
+  MetricSample m_instance_latency;
   size_t m_requests = 0;
   size_t m_connections = 0;
   size_t m_members = 0;
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -11,6 +11,8 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+const std::string kPrefix = "sequoiastage_mesh_";
+
 class Families {
  public:
   void Counter(const std::string& name,
@@ -35,6 +37,15 @@
     }
   }
 
+  void Histogram(const std::string& name,
+                 const std::string& help,
+                 std::vector<MetricSample> samples) {
+    m_families.push_back({.m_name = kPrefix + name,
+                          .m_help = help,
+                          .m_type = MetricType::kHistogram,
+                          .m_samples = std::move(samples)});
+  }
+
   std::string Render() const { return RenderMetrics(m_families); }
 
  private:
@@ -43,7 +54,7 @@
            MetricType type,
            double value,
            std::vector<MetricLabel> labels) {
-    name.insert(0, "sequoiastage_mesh_");
+    name.insert(0, kPrefix);
     if (m_families.empty() || m_families.back().m_name != name) {
       m_families.push_back({.m_name = std::move(name),
                             .m_help = std::move(help),
@@ -70,6 +81,12 @@
                      {"unknown", ingress.m_unknown},
                      {"cancelled", ingress.m_cancelled},
                      {"unrouted", ingress.m_unrouted}});
+  families.Histogram("request_duration_seconds",
+                     "Requests of callers from arrival to end.",
+                     metrics.m_request_latencies);
+  families.Histogram("instance_duration_seconds",
+                     "Attempts at this node's instance.",
+                     {metrics.m_instance_latency});
   families.Counter("repeats_total",
                    "Attempts beyond the first of their request.",
                    ingress.m_repeats);
--- a/libs/metrics/include/sequoiastage/metrics/metric_family.h
+++ b/libs/metrics/include/sequoiastage/metrics/metric_family.h
@@ -9,7 +9,7 @@
 /// whole, and their rendering as text.
 namespace sequoiastage {
 
-enum class MetricType { kCounter, kGauge, kSummary };
+enum class MetricType { kCounter, kGauge, kSummary, kHistogram };
 
 struct MetricLabel {
   std::string m_name;
@@ -27,15 +27,26 @@
                          const MetricQuantile&) = default;
 };
 
+/// Observations up to and including m_upper, those of lower buckets too.
+struct MetricBucket {
+  double m_upper = 0;
+  uint64_t m_count = 0;
+
+  friend bool operator==(const MetricBucket&, const MetricBucket&) = default;
+};
+
 /// One time series of a family.
 struct MetricSample {
   std::vector<MetricLabel> m_labels = {};
-  /// Counters and gauges: the value. Summaries: sum of all observations.
+  /// Counters and gauges: the value. Summaries and histograms: sum of all
+  /// observations.
   double m_value = 0;
-  /// Summaries only: number of observations.
+  /// Summaries and histograms: number of observations.
   uint64_t m_count = 0;
   /// Summaries only; empty while nothing was observed.
   std::vector<MetricQuantile> m_quantiles = {};
+  /// Histograms only, in growing order, without the one for all observations.
+  std::vector<MetricBucket> m_buckets = {};
 
   friend bool operator==(const MetricSample&, const MetricSample&) = default;
 };
@@ -51,8 +62,8 @@
 };
 
 /// Adds the values of `from` to `into`. Series with the same name and labels
-/// are joined: values and counts add up, and a quantile is the larger of the
-/// two, which the quantile over both streams never exceeds.
+/// are joined: values, counts and buckets add up, and a quantile is the larger
+/// of the two, which the quantile over both streams never exceeds.
 void MergeMetrics(std::vector<MetricFamily>* into,
                   const std::vector<MetricFamily>& from);
 
--- a/libs/metrics/src/metric_family.cc
+++ b/libs/metrics/src/metric_family.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <limits>
 
 namespace sequoiastage {
 
@@ -18,6 +19,8 @@
       return "gauge";
     case MetricType::kSummary:
       return "summary";
+    case MetricType::kHistogram:
+      return "histogram";
   }
   return "untyped";
 }
@@ -61,6 +64,16 @@
   return text + "}";
 }
 
+// The lines that summaries and histograms have in common.
+void RenderTotals(const std::string& name,
+                  const MetricSample& sample,
+                  std::string* text) {
+  const std::string labels = RenderLabels(sample.m_labels);
+  *text += name + "_sum" + labels + " " + FormatValue(sample.m_value) + "\n";
+  *text +=
+      name + "_count" + labels + " " + std::to_string(sample.m_count) + "\n";
+}
+
 void RenderSummary(const std::string& name,
                    const MetricSample& sample,
                    std::string* text) {
@@ -70,10 +83,37 @@
     *text += name + RenderLabels(labels) + " " + FormatValue(quantile.m_value) +
              "\n";
   }
-  const std::string labels = RenderLabels(sample.m_labels);
-  *text += name + "_sum" + labels + " " + FormatValue(sample.m_value) + "\n";
-  *text +=
-      name + "_count" + labels + " " + std::to_string(sample.m_count) + "\n";
+  RenderTotals(name, sample, text);
+}
+
+void RenderHistogram(const std::string& name,
+                     const MetricSample& sample,
+                     std::string* text) {
+  std::vector<MetricBucket> buckets = sample.m_buckets;
+  buckets.push_back({.m_upper = std::numeric_limits<double>::infinity(),
+                     .m_count = sample.m_count});
+  for (const MetricBucket& bucket : buckets) {
+    std::vector<MetricLabel> labels = sample.m_labels;
+    labels.push_back({"le", FormatValue(bucket.m_upper)});
+    *text += name + "_bucket" + RenderLabels(labels) + " " +
+             std::to_string(bucket.m_count) + "\n";
+  }
+  RenderTotals(name, sample, text);
+}
+
+void MergeBuckets(std::vector<MetricBucket>* into,
+                  const std::vector<MetricBucket>& from) {
+  for (const MetricBucket& bucket : from) {
+    const auto known = std::find_if(
+        into->begin(), into->end(), [&](const MetricBucket& candidate) {
+          return candidate.m_upper == bucket.m_upper;
+        });
+    if (known == into->end()) {
+      into->push_back(bucket);
+    } else {
+      known->m_count += bucket.m_count;
+    }
+  }
 }
 
 void MergeQuantiles(std::vector<MetricQuantile>* into,
@@ -103,6 +143,7 @@
   known->m_value += from.m_value;
   known->m_count += from.m_count;
   MergeQuantiles(&known->m_quantiles, from.m_quantiles);
+  MergeBuckets(&known->m_buckets, from.m_buckets);
 }
 
 }  // namespace
@@ -132,6 +173,8 @@
     for (const MetricSample& sample : family.m_samples) {
       if (family.m_type == MetricType::kSummary) {
         RenderSummary(family.m_name, sample, &text);
+      } else if (family.m_type == MetricType::kHistogram) {
+        RenderHistogram(family.m_name, sample, &text);
       } else {
         text += family.m_name + RenderLabels(sample.m_labels) + " " +
                 FormatValue(sample.m_value) + "\n";
--- a/libs/metrics/tests/metrics_test.cc
+++ b/libs/metrics/tests/metrics_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <random>
 
+#include "sequoiastage/metrics/latency_buckets.h"
 #include "sequoiastage/metrics/metric_registry.h"
 
 namespace sequoiastage {
@@ -159,5 +160,34 @@
   EXPECT_DOUBLE_EQ(ValueAt(sample.m_quantiles, 0.99), 0.003);
 }
 
+TEST(LatencyBucketsTest, CountsUpToEachBoundAndAddsUp) {
+  LatencyBuckets buckets;
+  for (const int ms : {0, 1, 40, 20'000}) {
+    buckets.Observe(std::chrono::milliseconds(ms));
+  }
+  const MetricFamily family{
+      .m_name = "t_seconds",
+      .m_help = "Times.",
+      .m_type = MetricType::kHistogram,
+      .m_samples = {buckets.Sample({{.m_name = "kind", .m_value = "a"}})}};
+  const std::string text = RenderMetrics({family});
+  EXPECT_NE(text.find("# TYPE t_seconds histogram"), std::string::npos) << text;
+  EXPECT_NE(text.find("t_seconds_bucket{kind=\"a\",le=\"0.05\"} 3\n"),
+            std::string::npos)
+      << text;
+  EXPECT_NE(text.find("t_seconds_bucket{kind=\"a\",le=\"10\"} 3\n"),
+            std::string::npos)
+      << text;
+  EXPECT_NE(text.find("t_seconds_bucket{kind=\"a\",le=\"+Inf\"} 4\n"),
+            std::string::npos)
+      << text;
+  EXPECT_NE(text.find("t_seconds_count{kind=\"a\"} 4\n"), std::string::npos)
+      << text;
+  std::vector<MetricFamily> sum = {family};
+  MergeMetrics(&sum, {family});
+  EXPECT_EQ(sum[0].m_samples[0].m_count, 8u);
+  EXPECT_EQ(sum[0].m_samples[0].m_buckets.back().m_count, 6u);
+}
+
 }  // namespace
 }  // namespace sequoiastage
