Give a request up once the retry budget is used up at three egresses

Cause: after an instance had refused a request, the ingress asked up to ten more egresses for 400 to 650 ms; each refused the repeat for want of budget, since their parts of it are alike. The caller heard late what was known early. Change: three such refusals end the request with 503 and Retry-After.

--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -32,6 +32,9 @@
   /// round trips, and two turns of a host whose processor share is used up.
   Duration m_near_silence = std::chrono::milliseconds(250);
   Duration m_far_silence = std::chrono::milliseconds(400);
+  /// After so many egresses have refused a repeat for want of budget the
+  /// request is given up: their parts of the budget are alike.
+  uint32_t m_max_budget_refusals = 3;
   /// Largest body that is sent with an offer to another region.
   size_t m_max_eager_body = 1024;
   /// Part of the latency objective after which repeatable work that still runs
@@ -128,6 +131,8 @@
     std::map<AttemptNumber, Attempt> m_attempts;
     // Instances that may have begun to run it.
     uint32_t m_started = 0;
+    // Repeats refused for want of budget, copies left aside.
+    uint32_t m_budget_refusals = 0;
     // One of them ended without an answer, or might still run it.
     bool m_may_have_run = false;
     bool m_has_arrived = false;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -221,6 +221,13 @@
   run->m_placement.OnRefused(key, refusal, wait);
   const bool was_copy = attempt.m_is_copy;
   Drop(run, attempt.m_number);
+  if (reply.m_reason == AttemptReason::kRetryBudget && !was_copy &&
+      ++run->m_budget_refusals >= m_options.m_max_budget_refusals) {
+    if (run->m_attempts.empty()) {
+      GiveUp(run, "the retry budget is used up");
+    }
+    return;
+  }
   StepAfter(run, was_copy);
 }
 
--- a/libs/mesh/tests/ingress_test.cc
+++ b/libs/mesh/tests/ingress_test.cc
@@ -290,6 +290,43 @@
   EXPECT_EQ(offers, 2U);
 }
 
+// Load pattern: the instances of a service refuse most of what they get, and
+// the budget for repeats is used up at every egress alike. The caller hears so
+// after a few of them, and not when all have been asked.
+TEST_F(MeshIngressTest, GivesUpOnceTheRetryBudgetIsUsedUpAtSeveralEgresses) {
+  constexpr uint8_t kNodes = 8;
+  std::vector<std::unique_ptr<FakeEgressNode>> nodes;
+  size_t refusals = 0;
+  for (uint8_t i = 0; i < kNodes; ++i) {
+    nodes.push_back(std::make_unique<FakeEgressNode>(m_io, 2 + i, 5));
+    m_book.SetMember(nodes.back()->Record());
+    nodes.back()->m_script = [&](const Message& message,
+                                 const MessageSink& sink) {
+      const auto* offer = std::get_if<OfferMessage>(&message);
+      if (offer == nullptr) {
+        return;
+      }
+      if (offer->m_is_repeat) {
+        ++refusals;
+        sink(OfferReplyMessage{.m_attempt = offer->m_attempt,
+                               .m_verdict = OfferVerdict::kRefused,
+                               .m_reason = AttemptReason::kRetryBudget});
+        return;
+      }
+      SayReady(message, sink);
+      sink(OutcomeMessage{.m_attempt = offer->m_attempt,
+                          .m_result = AttemptResult::kNotStarted,
+                          .m_reason = AttemptReason::kShed});
+    };
+  }
+  Configure("1 a /x/ plans once");
+  Request();
+  ASSERT_TRUE(WaitForAnswer());
+  EXPECT_EQ(m_answers[0].m_status, 503);
+  EXPECT_NE(FindField(m_answers[0].m_fields, "Retry-After"), nullptr);
+  EXPECT_EQ(refusals, 3U);
+}
+
 // A copy that nobody has room for is left out; the attempt that it would have
 // copied goes on and its answer counts.
 TEST_F(MeshIngressTest, RefusedCopyLeavesTheSlowAttemptAlone) {
