--- a/libs/events/src/explanation.cc
+++ b/libs/events/src/explanation.cc
@@ -17,7 +17,7 @@
 using Lines = std::vector<const LogLine*>;
 
 // Served later than this, a caller may ask why.
-constexpr int64_t kSlowMs = 300;
+constexpr int64_t kSlowMs = 100;
 // Part of the time before the start that makes the wait the cause.
 constexpr double kWaitPart = 0.5;
 
--- a/libs/routing/include/sequoiastage/routing/placement.h
+++ b/libs/routing/include/sequoiastage/routing/placement.h
@@ -77,8 +77,8 @@
 ///   regions while they have free slots and then waits where the queue is
 ///   shortest, and is refused at once where no queue ends in time.
 /// - Much of the work is slow, since the service is nearly full. A copy of it
-///   goes where slots are to spare, or nowhere; it takes no queue and no path to
-///   another region.
+///   goes where slots are to spare, or nowhere; it takes no queue and no path
+///   to another region.
 /// - Every instance of a service fails. The request goes to one that is held
 ///   back rather than to none, twice at most.
 class Placement {
