--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -159,7 +159,7 @@
   void Offer(const RunPtr& run,
              const PlacementStep& step,
              bool is_copy = false);
-  // After the offer `attempt` was not taken.
+  // After an offer was not taken.
   void StepAfter(const RunPtr& run, bool was_copy);
   void ArmSilence(const RunPtr& run, Attempt& attempt);
   void OnSilence(const RunPtr& run, AttemptNumber number);
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -50,7 +50,8 @@
       {.m_message = {.m_max_header_bytes = limits.m_max_header_bytes,
                      .m_max_body_bytes = limits.m_max_body_bytes},
        .m_header_timeout = limits.m_header_timeout,
-       .m_idle_timeout = limits.m_idle_timeout});
+       .m_idle_timeout = limits.m_idle_timeout,
+       .m_max_held_bytes = m_settings.m_max_held_bytes});
   LogEvent(LogLevel::kInfo, "config_in_force")
       .Add("version", static_cast<int64_t>(m_config->m_version.Get()))
       .Add("offset", static_cast<int64_t>(record.m_offset.Get()))
--- a/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
@@ -1,6 +1,7 @@
 #ifndef SEQUOIASTAGE_MESH_MESH_SETTINGS_H_
 #define SEQUOIASTAGE_MESH_MESH_SETTINGS_H_
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -34,6 +35,9 @@
   /// From the request to stop until the process is killed.
   Duration m_grace = std::chrono::seconds(6);
   RepeatAllowanceOptions m_repeats{};
+  /// Bodies of callers' requests that are held at a time; a larger one is
+  /// refused.
+  size_t m_max_held_bytes = size_t{24} << 20;
 };
 
 }  // namespace sequoiastage
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -34,6 +34,9 @@
 // in that time need a link of 1.7 Mbit/s.
 constexpr std::chrono::seconds kHeaderTimeout{10};
 constexpr std::chrono::seconds kIdleTimeout{60};
+// Callers' bodies that are held at a time, in bodies of the largest size: a
+// caller that sends one does not keep the others out.
+constexpr size_t kLargestBodies = 16;
 // Time for the word that the node has left to go out.
 constexpr std::chrono::milliseconds kLeaveTime{300};
 
@@ -54,7 +57,9 @@
                                    settings.m_max_header_bytes,
                                .m_max_body_bytes = settings.m_max_body_bytes},
                  .m_header_timeout = kHeaderTimeout,
-                 .m_idle_timeout = kIdleTimeout},
+                 .m_idle_timeout = kIdleTimeout,
+                 .m_max_held_bytes =
+                     kLargestBodies * size_t{settings.m_max_body_bytes}},
       .m_default_deadline = settings.m_default_deadline,
       .m_max_in_flight = settings.m_max_in_flight};
 }
