--- a/libs/logging/src/log_event.cc
+++ b/libs/logging/src/log_event.cc
@@ -108,24 +108,33 @@
   SetAppender(appender, level);
 }
 
-LogEvent::LogEvent(LogLevel level, std::string_view event)
-    : m_level(level), m_line("event=" + QuoteLogValue(event)) {}
+// The line stays empty below the level in force, so that events on the path of
+// a request cost nothing then.
+LogEvent::LogEvent(LogLevel level, std::string_view event) : m_level(level) {
+  if (RootLogger()->isEnabledFor(ToLog4cxx(level))) {
+    m_line = "event=" + QuoteLogValue(event);
+  }
+}
 
 LogEvent::~LogEvent() {
-  const auto level = ToLog4cxx(m_level);
-  if (RootLogger()->isEnabledFor(level)) {
+  if (!m_line.empty()) {
     RootLogger()->forcedLog(
-        level, m_line, log4cxx::spi::LocationInfo::getLocationUnavailable());
+        ToLog4cxx(m_level), m_line,
+        log4cxx::spi::LocationInfo::getLocationUnavailable());
   }
 }
 
 LogEvent& LogEvent::Add(std::string_view key, std::string_view value) {
-  m_line.append(" ").append(key).append("=").append(QuoteLogValue(value));
+  if (!m_line.empty()) {
+    m_line.append(" ").append(key).append("=").append(QuoteLogValue(value));
+  }
   return *this;
 }
 
 LogEvent& LogEvent::Add(std::string_view key, int64_t value) {
-  m_line.append(" ").append(key).append("=").append(std::to_string(value));
+  if (!m_line.empty()) {
+    m_line.append(" ").append(key).append("=").append(std::to_string(value));
+  }
   return *this;
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -61,7 +61,7 @@
  public:
   struct Hooks {
     /// Hands a message to this host's own egress.
-    std::function<void(const Message&)> m_local_offer;
+    std::function<void(Message)> m_local_offer;
     /// Called for each request without a success, before its caller hears of
     /// it.
     std::function<void()> m_on_failure;
@@ -82,7 +82,7 @@
   CancelHook OnRequest(HttpRequest request, const StreamResponder& responder);
 
   /// Reply of the egress at `node`.
-  void OnReply(NodeId node, const Message& message);
+  void OnReply(NodeId node, Message message);
   void OnLinkOpen(NodeId node, Incarnation run);
   void OnLinkLost(NodeId node);
 
@@ -166,9 +166,7 @@
   void OnOfferReply(const RunPtr& run,
                     Attempt& attempt,
                     const OfferReplyMessage& reply);
-  void OnOutcome(const RunPtr& run,
-                 Attempt& attempt,
-                 const OutcomeMessage& outcome);
+  void OnOutcome(const RunPtr& run, Attempt& attempt, OutcomeMessage outcome);
   void OnAnswer(const RunPtr& run, HttpAnswer answer, NodeId node);
   void MarkStarted(const RunPtr& run, const Attempt& attempt);
   void Drop(const RunPtr& run, AttemptNumber number);
@@ -190,7 +188,8 @@
   void Finish(const RunPtr& run, HttpAnswer answer);
   void Cancel(const RunPtr& run);
   void WithdrawAll(const RunPtr& run);
-  bool SendTo(NodeId node, const Message& message);
+  bool SendTo(NodeId node, Message message);
+  std::vector<PlacementCandidate> CandidatesOf(const Run& run) const;
   bool IsOwn(NodeId node) const { return node == m_book.Own().m_node; }
   bool MayRepeat(const Run& run) const;
   HttpAnswer RefusalOf(const Run& run) const;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -139,11 +139,11 @@
 }
 
 template <PlatformCodec Codec>
-void Ingress<Codec>::OnReply(NodeId node, const Message& message) {
+void Ingress<Codec>::OnReply(NodeId node, Message message) {
   const TimePoint now = BootNow();
   AttemptNumber number;
   const auto* reply = std::get_if<OfferReplyMessage>(&message);
-  const auto* outcome = std::get_if<OutcomeMessage>(&message);
+  auto* outcome = std::get_if<OutcomeMessage>(&message);
   if (reply != nullptr) {
     m_book.OnStanding(node, reply->m_standing, now);
     number = reply->m_attempt;
@@ -165,7 +165,7 @@
   if (reply != nullptr) {
     OnOfferReply(run, attempt->second, *reply);
   } else {
-    OnOutcome(run, attempt->second, *outcome);
+    OnOutcome(run, attempt->second, std::move(*outcome));
   }
 }
 
@@ -234,7 +234,7 @@
 template <PlatformCodec Codec>
 void Ingress<Codec>::OnOutcome(const RunPtr& run,
                                Attempt& attempt,
-                               const OutcomeMessage& outcome) {
+                               OutcomeMessage outcome) {
   const NodeId node = attempt.m_node;
   const AttemptNumber number = attempt.m_number;
   if (outcome.m_result == AttemptResult::kAnswered) {
@@ -243,7 +243,7 @@
       AddToTrail(*run, attempt, "server-error");
     }
     Drop(run, number);
-    OnAnswer(run, outcome.m_answer, node);
+    OnAnswer(run, std::move(outcome.m_answer), node);
     return;
   }
   run->m_latest = outcome.m_reason;
@@ -346,10 +346,7 @@
 
 template <PlatformCodec Codec>
 void Ingress<Codec>::OfferCopy(const RunPtr& run) {
-  const auto candidates = m_book.Candidates(
-      run->m_service, BootNow(),
-      [this](NodeId node) { return IsOwn(node) || m_links.IsUsable(node); });
-  const auto step = run->m_placement.NextSpare(candidates, m_random);
+  const auto step = run->m_placement.NextSpare(CandidatesOf(*run), m_random);
   if (!step) {
     return;
   }
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -131,23 +131,12 @@
   if (run->m_is_done) {
     return;
   }
-  const TimePoint now = BootNow();
-  const auto candidates = m_book.Candidates(
-      run->m_service, now,
-      [this](NodeId node) { return IsOwn(node) || m_links.IsUsable(node); });
   const bool may_try = run->m_route->m_is_repeatable && !run->m_has_arrived &&
                        run->m_route->m_max_attempts > 1;
-  while (const auto step = run->m_placement.Next(candidates, m_random, may_try,
-                                                 run->m_deadline - now)) {
-    const NodeId node = NodeOf(step->m_key);
-    if (!IsOwn(node) && !m_links.IsUsable(node)) {
-      run->m_placement.OnRefused(step->m_key, PlacementRefusal::kFinal, {});
-      continue;
-    }
+  if (const auto step = run->m_placement.Next(
+          CandidatesOf(*run), m_random, may_try, run->m_deadline - BootNow())) {
     Offer(run, *step);
-    return;
-  }
-  if (run->m_attempts.empty()) {
+  } else if (run->m_attempts.empty()) {
     GiveUp(run, "no instance takes it");
   }
 }
@@ -172,9 +161,17 @@
 }
 
 template <PlatformCodec Codec>
-bool Ingress<Codec>::SendTo(NodeId node, const Message& message) {
+std::vector<PlacementCandidate> Ingress<Codec>::CandidatesOf(
+    const Run& run) const {
+  return m_book.Candidates(run.m_service, BootNow(), [this](NodeId node) {
+    return IsOwn(node) || m_links.IsUsable(node);
+  });
+}
+
+template <PlatformCodec Codec>
+bool Ingress<Codec>::SendTo(NodeId node, Message message) {
   if (IsOwn(node)) {
-    m_hooks.m_local_offer(message);
+    m_hooks.m_local_offer(std::move(message));
     return true;
   }
   return m_links.Send(node, message);
@@ -224,7 +221,7 @@
     offer.m_request = run->m_request;
   }
   ArmSilence(run, attempt);
-  if (!SendTo(node, offer)) {
+  if (!SendTo(node, std::move(offer))) {
     Drop(run, number);
     run->m_placement.OnRefused(step.m_key, PlacementRefusal::kFinal, {});
     asio::post(m_io, [this, run, is_copy] { StepAfter(run, is_copy); });
@@ -283,10 +280,7 @@
 void Ingress<Codec>::LogFailure(const Run& run,
                                 std::string_view cause,
                                 bool may_run) {
-  const TimePoint now = BootNow();
-  const auto candidates = m_book.Candidates(
-      run.m_service, now,
-      [this](NodeId node) { return IsOwn(node) || m_links.IsUsable(node); });
+  const auto candidates = CandidatesOf(run);
   int64_t held = 0;
   int64_t full = 0;
   int64_t cut = 0;
@@ -311,7 +305,7 @@
       .Add("full", full)
       .Add("cut", cut)
       .Add("started", run.m_started)
-      .Add("took_ms", WholeMs(now - run.m_received));
+      .Add("took_ms", WholeMs(BootNow() - run.m_received));
 }
 
 template <PlatformCodec Codec>
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -65,7 +65,7 @@
   void OnConfigRecord(const StoreRecord& record);
   void OnMemberRecord(const StoreRecord& record);
   void OnRequest(const PeerKey& peer, Message message, const MessageSink& sink);
-  void OnLocalOffer(const Message& message);
+  void OnLocalOffer(Message message);
   void OnReply(NodeId node, Message message);
   void OnRelay(NodeId node, const RelayMessage& relay);
   void OnPeer(const PeerKey& peer, const MessageSink& sink);
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -99,7 +99,7 @@
           m_book,
           m_links,
           {.m_local_offer =
-               [this](const Message& message) { OnLocalOffer(message); },
+               [this](Message message) { OnLocalOffer(std::move(message)); },
            .m_on_failure = [this] { m_egress.OnLocalFailure(); },
            .m_knowledge_age = [this] { return KnowledgeAge(BootNow()); }}),
       m_reader(io,
@@ -282,12 +282,12 @@
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::OnLocalOffer(const Message& message) {
+void MeshNode<Codec, Store>::OnLocalOffer(Message message) {
   // Replies are posted: the ingress is not called from within its own call.
   const MessageSink sink = [this](const Message& reply) {
     asio::post(m_io, [this, reply] { m_ingress.OnReply(m_own.m_node, reply); });
   };
-  OnRequest(m_own, message, sink);
+  OnRequest(m_own, std::move(message), sink);
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
@@ -330,7 +330,7 @@
                               .m_packed = PackFrom(request->m_next_config,
                                                    request->m_next_member)});
   } else {
-    m_ingress.OnReply(node, message);
+    m_ingress.OnReply(node, std::move(message));
   }
 }
 
--- a/libs/node/src/peer_server.cc
+++ b/libs/node/src/peer_server.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "sequoiastage/http/exchange_connection.h"
+
 namespace sequoiastage {
 
 PeerServer::PeerServer(asio::io_context& io,
@@ -14,15 +16,7 @@
       m_handler(std::move(handler)) {}
 
 bool PeerServer::Start(const Endpoint& bind) {
-  const asio::ip::tcp::endpoint at(asio::ip::address_v4(bind.m_ip),
-                                   bind.m_port);
-  try {
-    m_acceptor.open(at.protocol());
-    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-    m_acceptor.bind(at);
-    m_acceptor.listen();
-  } catch (const std::exception& error) {
-    m_last_reason = error.what();
+  if (!OpenListener(m_acceptor, bind, &m_last_reason)) {
     return false;
   }
   Accept();
--- a/libs/routing/include/sequoiastage/routing/placement.h
+++ b/libs/routing/include/sequoiastage/routing/placement.h
@@ -21,7 +21,7 @@
 struct PlacementCandidate {
   CandidateKey m_key;
   Distance m_distance = Distance::kRemote;
-  /// False while the path to the instance's egress is held back.
+  /// False while the path to the instance's egress is lost: it is no step then.
   bool m_is_path_open = true;
   /// Hold of the instance as its egress last told it, less the time since.
   Duration m_hold_left{};
--- a/libs/routing/src/placement.cc
+++ b/libs/routing/src/placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <tuple>
+#include <utility>
 
 namespace sequoiastage {
 
@@ -152,17 +153,17 @@
 const PlacementCandidate* Placement::HeldBack(
     const std::vector<PlacementCandidate>& candidates) const {
   const PlacementCandidate* best = nullptr;
-  std::tuple<bool, Duration, Distance> best_rank;
+  std::pair<Duration, Distance> best_rank;
   for (const PlacementCandidate& candidate : candidates) {
     const Record* record = Find(candidate.m_key);
-    if (record != nullptr && (record->m_is_final || record->m_was_forced)) {
+    if (!candidate.m_is_path_open ||
+        (record != nullptr && (record->m_is_final || record->m_was_forced))) {
       continue;
     }
     if (record != nullptr && record->m_is_busy && !record->m_is_held) {
       continue;
     }
-    const std::tuple rank(!candidate.m_is_path_open, candidate.m_hold_left,
-                          candidate.m_distance);
+    const std::pair rank(candidate.m_hold_left, candidate.m_distance);
     if (best == nullptr || rank < best_rank) {
       best = &candidate;
       best_rank = rank;
--- a/libs/routing/tests/placement_test.cc
+++ b/libs/routing/tests/placement_test.cc
@@ -47,6 +47,21 @@
   EXPECT_FALSE(m_placement.NextSpare(m_candidates, m_random));
 }
 
+// Held back or not, an instance behind a lost path is no step and takes no turn
+// of those that are held back.
+TEST_F(PlacementTest, LostPathsAreNoSteps) {
+  for (PlacementCandidate& candidate : m_candidates) {
+    candidate.m_is_path_open = false;
+  }
+  EXPECT_FALSE(Next());
+  m_candidates[2].m_is_path_open = true;
+  m_candidates[2].m_hold_left = milliseconds(100);
+  const auto step = Next();
+  ASSERT_TRUE(step);
+  EXPECT_EQ(step->m_key, CandidateKey(3));
+  EXPECT_TRUE(step->m_accepts_held);
+}
+
 TEST_F(PlacementTest, AsksTheWholeRegionBeforeAnotherOne) {
   m_placement.OnRefused(CandidateKey(1), PlacementRefusal::kHeld, {});
   EXPECT_EQ(Next()->m_key, CandidateKey(2));
