One listener, one comparison of names, instances found by their service

Ruled out: splitting egress.cc and request_runner.cc of sequoiastaged, which this change did not touch; joining StopFollowing and the like of the two log clients, which speak different protocols.

--- a/libs/base/include/sequoiastage/base/http_message.h
+++ b/libs/base/include/sequoiastage/base/http_message.h
@@ -40,6 +40,13 @@
 const std::string* FindField(const std::vector<HttpField>& fields,
                              std::string_view name);
 
+/// Whether two names of fields, or tokens in them, are the same (ASCII case
+/// ignored).
+bool EqualsIgnoringCase(std::string_view a, std::string_view b);
+
+/// Host name of a Host field: lower case, without port.
+std::string HostNameOf(std::string_view host_field);
+
 /// Path part of `target`, without the query.
 std::string_view PathOf(std::string_view target);
 
--- a/libs/base/src/http_message.cc
+++ b/libs/base/src/http_message.cc
@@ -2,19 +2,32 @@
 
 #include <strings.h>
 
+#include <algorithm>
+
 namespace sequoiastage {
 
 const std::string* FindField(const std::vector<HttpField>& fields,
                              std::string_view name) {
   for (const HttpField& field : fields) {
-    if (field.m_name.size() == name.size() &&
-        strncasecmp(field.m_name.data(), name.data(), name.size()) == 0) {
+    if (EqualsIgnoringCase(field.m_name, name)) {
       return &field.m_value;
     }
   }
   return nullptr;
 }
 
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+std::string HostNameOf(std::string_view host_field) {
+  std::string host(host_field.substr(0, host_field.find(':')));
+  std::transform(host.begin(), host.end(), host.begin(), [](char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  });
+  return host;
+}
+
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
--- a/libs/config/src/route_table.cc
+++ b/libs/config/src/route_table.cc
@@ -1,8 +1,9 @@
 #include "sequoiastage/config/route_table.h"
 
-#include <algorithm>
 #include <utility>
 
+#include "sequoiastage/base/http_message.h"
+
 namespace sequoiastage {
 
 namespace {
@@ -15,14 +16,6 @@
   return path;
 }
 
-std::string NormalizeHost(std::string_view host) {
-  std::string normal(host.substr(0, host.find(':')));
-  std::transform(normal.begin(), normal.end(), normal.begin(), [](char c) {
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-  });
-  return normal;
-}
-
 }  // namespace
 
 RouteTable::RouteTable(const std::vector<Route>& routes)
@@ -40,7 +33,7 @@
   if (path.empty() || path.front() != '/') {
     return nullptr;
   }
-  const Route* route = FindPath(NormalizeHost(host), path);
+  const Route* route = FindPath(HostNameOf(host), path);
   return route != nullptr ? route : FindPath("*", path);
 }
 
--- a/libs/http/include/sequoiastage/http/exchange_connection.h
+++ b/libs/http/include/sequoiastage/http/exchange_connection.h
@@ -109,15 +109,6 @@
 /// Transfer-Encoding, Upgrade, Proxy-* and Content-Length.
 void RemoveHopFields(std::vector<HttpField>& fields);
 
-/// Binds and listens. False with the reason when the address can't be had.
-bool OpenListener(asio::ip::tcp::acceptor& acceptor,
-                  const Endpoint& listen,
-                  std::string* reason);
-
-/// Sets TCP_USER_TIMEOUT and TCP_NODELAY. Failures only cost time, so they are
-/// left to the time-outs above.
-void TuneSocket(asio::ip::tcp::socket& socket, Duration user_timeout);
-
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_HTTP_EXCHANGE_CONNECTION_H_
--- a/libs/http/include/sequoiastage/http/http_server.h
+++ b/libs/http/include/sequoiastage/http/http_server.h
@@ -14,10 +14,6 @@
 /// HTTP/1.1 server on one io_context that one thread runs.
 namespace sequoiastage {
 
-/// Makes the answer to a request that the server refuses itself.
-using HttpRefusal =
-    std::function<HttpAnswer(uint16_t status, const std::string& detail)>;
-
 struct HttpServerOptions {
   Endpoint m_listen;
   /// Requests with a larger body get 413.
@@ -26,8 +22,6 @@
   size_t m_max_header_bytes = size_t{32} << 10;
   /// A connection without a request is closed after this time.
   Duration m_idle_timeout = std::chrono::seconds(60);
-  /// Plain text where it is empty.
-  HttpRefusal m_refusal;
 };
 
 /// Way to answer one request. Call Send() once, on the server's thread; a
@@ -54,7 +48,7 @@
 class HttpServer {
  public:
   HttpServer(asio::io_context& io,
-             HttpServerOptions options,
+             const HttpServerOptions& options,
              HttpHandler handler);
   ~HttpServer();
 
--- a/libs/http/include/sequoiastage/http/stream_server.h
+++ b/libs/http/include/sequoiastage/http/stream_server.h
@@ -12,6 +12,7 @@
 #include "sequoiastage/base/ids.h"
 #include "sequoiastage/base/time.h"
 #include "sequoiastage/http/message_parser.h"
+#include "sequoiastage/http/tcp_socket.h"
 
 namespace sequoiastage {
 
@@ -71,19 +72,16 @@
   size_t ConnectionCount() const;
   /// Bodies being read or not yet answered.
   size_t HeldBytes() const;
-  const std::string& LastReason() const { return m_last_reason; }
+  const std::string& LastReason() const { return m_listener.LastReason(); }
 
  private:
   class Connection;
   struct Shared;
 
-  void Accept();
   void AddConnection(asio::ip::tcp::socket socket);
-  void TakePending();
 
-  asio::ip::tcp::acceptor m_acceptor;
+  TcpListener m_listener;
   std::shared_ptr<Shared> m_shared;
-  std::string m_last_reason;
 };
 
 }  // namespace sequoiastage
--- a/libs/http/src/exchange_connection.cc
+++ b/libs/http/src/exchange_connection.cc
@@ -1,9 +1,6 @@
 #include "sequoiastage/http/exchange_connection.h"
 
 #include <fmt/format.h>
-#include <netinet/tcp.h>
-#include <strings.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <asio/buffer.hpp>
@@ -13,20 +10,16 @@
 #include <utility>
 
 #include "sequoiastage/base/boot_clock.h"
+#include "sequoiastage/http/tcp_socket.h"
 
 namespace sequoiastage {
 
 namespace {
 
 constexpr uint16_t kFirstFinalStatus = 200;
-constexpr int kListenBacklog = 1024;
 // Part of the server's idle limit that is used; the rest covers the way there.
 constexpr double kIdleShare = 0.6;
 
-bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 bool IsHopField(std::string_view name) {
   constexpr std::string_view kNames[] = {
       "connection",       "keep-alive",    "te",
@@ -105,39 +98,6 @@
   });
 }
 
-bool OpenListener(asio::ip::tcp::acceptor& acceptor,
-                  const Endpoint& listen,
-                  std::string* reason) {
-  const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4(listen.m_ip),
-                                         listen.m_port);
-  asio::error_code error;
-  acceptor.open(endpoint.protocol(), error);
-  if (!error) {
-    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(kListenBacklog, error);
-  }
-  if (error) {
-    *reason = fmt::format("can't listen on {}: {}", ToString(listen),
-                          error.message());
-  }
-  return !error;
-}
-
-void TuneSocket(asio::ip::tcp::socket& socket, Duration user_timeout) {
-  asio::error_code ignored;
-  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  const auto milliseconds = static_cast<unsigned>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(user_timeout)
-          .count());
-  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-             &milliseconds, sizeof(milliseconds));
-}
-
 ExchangeConnection::ExchangeConnection(asio::io_context& io,
                                        const Endpoint& server,
                                        const ExchangeOptions& options)
--- a/libs/http/src/http_server.cc
+++ b/libs/http/src/http_server.cc
@@ -17,6 +17,7 @@
 // Handlers answer within their callers' deadlines; the library's own limit
 // must never cut a request.
 constexpr std::chrono::hours kHandlerTimeout{24};
+constexpr std::string_view kLengthField = "Content-Length";
 
 using Handler = std::function<restinio::request_handling_status_t(
     restinio::request_handle_t)>;
@@ -27,15 +28,6 @@
 
 using Server = restinio::http_server_t<ServerTraits>;
 
-// Host name of a Host field: lower case, without port.
-std::string HostName(std::string_view field) {
-  std::string host(field.substr(0, field.find(':')));
-  for (char& c : host) {
-    c = (c >= 'A' && c <= 'Z') ? static_cast<char>(c + ('a' - 'A')) : c;
-  }
-  return host;
-}
-
 HttpRequest ToRequest(const restinio::request_handle_t& handle) {
   const auto& header = handle->header();
   HttpRequest request;
@@ -46,7 +38,7 @@
   });
   request.m_body = handle->body();
   if (const std::string* host = FindField(request.m_fields, "Host")) {
-    request.m_host = HostName(*host);
+    request.m_host = HostNameOf(*host);
   }
   return request;
 }
@@ -59,12 +51,8 @@
   return bytes;
 }
 
-bool IsLengthField(const HttpField& field) {
-  return FindField({field}, "Content-Length") != nullptr;
-}
-
 std::optional<size_t> LengthOf(const HttpAnswer& answer) {
-  const std::string* text = FindField(answer.m_fields, "Content-Length");
+  const std::string* text = FindField(answer.m_fields, kLengthField);
   size_t length = 0;
   if (text == nullptr ||
       std::from_chars(text->data(), text->data() + text->size(), length).ec !=
@@ -83,7 +71,7 @@
 template <class Response>
 void Finish(Response&& response, const HttpAnswer& answer, bool close) {
   for (const HttpField& field : answer.m_fields) {
-    if (!IsLengthField(field)) {
+    if (!EqualsIgnoringCase(field.m_name, kLengthField)) {
       response.append_header(field.m_name, field.m_value);
     }
   }
@@ -150,8 +138,10 @@
 
 class HttpServer::Impl {
  public:
-  Impl(asio::io_context& io, HttpServerOptions options, HttpHandler handler)
-      : m_options(std::move(options)),
+  Impl(asio::io_context& io,
+       const HttpServerOptions& options,
+       HttpHandler handler)
+      : m_options(options),
         m_handler(std::move(handler)),
         m_server(restinio::external_io_context(io), MakeSettings()) {}
 
@@ -184,30 +174,25 @@
     HttpResponder responder(std::make_unique<HttpResponder::Impl>(handle));
     HttpRequest request = ToRequest(handle);
     if (request.m_body.size() > m_options.m_max_body_bytes) {
-      responder.Send(Refuse(413, "the request body is too large"), true);
+      responder.Send(PlainAnswer(413, "the request body is too large\n"), true);
     } else if (HeaderBytes(request) > m_options.m_max_header_bytes) {
-      responder.Send(Refuse(431, "the request header is too large"), true);
+      responder.Send(PlainAnswer(431, "the request header is too large\n"),
+                     true);
     } else {
       m_handler(std::move(request), std::move(responder));
     }
     return restinio::request_accepted();
   }
 
-  HttpAnswer Refuse(uint16_t status, const std::string& detail) const {
-    return m_options.m_refusal ? m_options.m_refusal(status, detail)
-                               : PlainAnswer(status, detail + "\n");
-  }
-
   HttpServerOptions m_options;
   HttpHandler m_handler;
   Server m_server;
 };
 
 HttpServer::HttpServer(asio::io_context& io,
-                       HttpServerOptions options,
+                       const HttpServerOptions& options,
                        HttpHandler handler)
-    : m_impl(
-          std::make_unique<Impl>(io, std::move(options), std::move(handler))) {}
+    : m_impl(std::make_unique<Impl>(io, options, std::move(handler))) {}
 
 HttpServer::~HttpServer() = default;
 
--- a/libs/http/src/message_parser.cc
+++ b/libs/http/src/message_parser.cc
@@ -1,7 +1,5 @@
 #include "sequoiastage/http/message_parser.h"
 
-#include <algorithm>
-#include <cctype>
 #include <utility>
 
 namespace sequoiastage {
@@ -16,17 +14,6 @@
 // Return value of on_headers_complete that announces a message without body.
 constexpr int kNoBody = 1;
 
-std::string HostOf(const std::vector<HttpField>& fields) {
-  const std::string* field = FindField(fields, "host");
-  if (field == nullptr) {
-    return {};
-  }
-  std::string host = field->substr(0, field->rfind(':'));
-  std::transform(host.begin(), host.end(), host.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return host;
-}
-
 }  // namespace
 
 struct MessageParser::Callbacks {
@@ -177,9 +164,10 @@
 }
 
 HttpRequest RequestParser::Take() {
+  const std::string* host = FindField(m_fields, "Host");
   HttpRequest request{
       .m_method = http_method_str(static_cast<http_method>(m_parser.method)),
-      .m_host = HostOf(m_fields),
+      .m_host = host == nullptr ? "" : HostNameOf(*host),
       .m_target = std::move(m_target),
       .m_fields = std::move(m_fields),
       .m_body = std::move(m_body)};
--- a/libs/http/src/stream_server.cc
+++ b/libs/http/src/stream_server.cc
@@ -1,7 +1,6 @@
 #include "sequoiastage/http/stream_server.h"
 
 #include <fmt/format.h>
-#include <strings.h>
 
 #include <array>
 #include <asio/buffer.hpp>
@@ -12,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-#include "sequoiastage/http/exchange_connection.h"
+#include "sequoiastage/http/tcp_socket.h"
 
 namespace sequoiastage {
 
@@ -27,19 +26,17 @@
 constexpr Duration kLinger = std::chrono::seconds(1);
 // A caller that does not acknowledge bytes for this long is gone.
 constexpr Duration kUserTimeout = std::chrono::seconds(10);
-// Pause after accept() failed, for instance for want of descriptors.
-constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
 
-bool IsLengthField(const HttpField& field) {
-  return strcasecmp(field.m_name.c_str(), "Content-Length") == 0;
-}
-
-std::string AnswerBytes(const HttpAnswer& answer, bool is_head, bool is_last) {
-  std::string bytes = fmt::format("HTTP/1.1 {} {}\r\n", answer.m_status,
-                                  HttpStatusText(answer.m_status));
+// Appends the answer as it goes over the wire.
+void AppendAnswer(std::string& bytes,
+                  const HttpAnswer& answer,
+                  bool is_head,
+                  bool is_last) {
+  bytes += fmt::format("HTTP/1.1 {} {}\r\n", answer.m_status,
+                       HttpStatusText(answer.m_status));
   const bool has_own_length = is_head && answer.m_body.empty();
   for (const HttpField& field : answer.m_fields) {
-    if (!has_own_length && IsLengthField(field)) {
+    if (!has_own_length && EqualsIgnoringCase(field.m_name, "Content-Length")) {
       continue;  // Written below for the body as it is.
     }
     bytes.append(field.m_name)
@@ -55,7 +52,9 @@
     bytes += "Connection: close\r\n";
   }
   bytes += "\r\n";
-  return is_head ? bytes : bytes + answer.m_body;
+  if (!is_head) {
+    bytes += answer.m_body;
+  }
 }
 
 }  // namespace
@@ -251,7 +250,7 @@
         m_is_ending = true;
       }
       const bool is_last = m_is_ending && m_slots.empty();
-      m_unsent += AnswerBytes(*slot->m_answer, slot->m_is_head, is_last);
+      AppendAnswer(m_unsent, *slot->m_answer, slot->m_is_head, is_last);
     }
     CountHeldBytes();
     Write();
@@ -355,7 +354,7 @@
 };
 
 StreamServer::StreamServer(asio::io_context& io, Handler handler)
-    : m_acceptor(io), m_shared(std::make_shared<Shared>()) {
+    : m_listener(io), m_shared(std::make_shared<Shared>()) {
   m_shared->m_handler = std::move(handler);
 }
 
@@ -368,33 +367,9 @@
 }
 
 bool StreamServer::Start(const Endpoint& listen) {
-  if (!OpenListener(m_acceptor, listen, &m_last_reason)) {
-    return false;
-  }
-  Accept();
-  return true;
-}
-
-void StreamServer::Accept() {
-  m_acceptor.async_accept(
-      [this, shared = m_shared](const asio::error_code& error,
-                                asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
-          return;
-        }
-        if (!error) {
-          AddConnection(std::move(socket));
-          Accept();
-          return;
-        }
-        auto pause = std::make_shared<asio::steady_timer>(
-            m_acceptor.get_executor(), kAcceptPause);
-        pause->async_wait([this, shared, pause](const asio::error_code&) {
-          if (m_acceptor.is_open()) {
-            Accept();
-          }
-        });
-      });
+  return m_listener.Start(listen, [this](asio::ip::tcp::socket socket) {
+    AddConnection(std::move(socket));
+  });
 }
 
 void StreamServer::AddConnection(asio::ip::tcp::socket socket) {
@@ -403,20 +378,6 @@
   connection->Start();
 }
 
-// Closing the listener resets what waits to be accepted, with the requests that
-// were sent there already.
-void StreamServer::TakePending() {
-  asio::error_code error;
-  m_acceptor.non_blocking(true, error);
-  while (!error) {
-    asio::ip::tcp::socket socket(m_acceptor.get_executor());
-    m_acceptor.accept(socket, error);
-    if (!error) {
-      AddConnection(std::move(socket));
-    }
-  }
-}
-
 void StreamServer::SetLimits(const StreamLimits& limits) {
   m_shared->m_limits = limits;
 }
@@ -430,11 +391,8 @@
 }
 
 void StreamServer::Stop() {
-  if (m_acceptor.is_open()) {
-    TakePending();
-  }
-  asio::error_code ignored;
-  m_acceptor.close(ignored);
+  m_listener.TakePending();
+  m_listener.Stop();
   StartDrain();
   const std::vector<std::shared_ptr<Connection>> connections(
       m_shared->m_connections.begin(), m_shared->m_connections.end());
--- a/libs/link/src/peer_connection.cc
+++ b/libs/link/src/peer_connection.cc
@@ -5,7 +5,7 @@
 #include <asio/write.hpp>
 #include <utility>
 
-#include "sequoiastage/http/exchange_connection.h"
+#include "sequoiastage/http/tcp_socket.h"
 
 namespace sequoiastage {
 
--- a/libs/mesh/include/sequoiastage/mesh/mesh_links.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_links.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "sequoiastage/base/time.h"
+#include "sequoiastage/http/tcp_socket.h"
 #include "sequoiastage/link/peer_connection.h"
 #include "sequoiastage/mesh/peer_key.h"
 
@@ -58,7 +59,7 @@
 
   /// False with LastReason() when the address can't be had.
   bool Start(const Endpoint& listen);
-  const std::string& LastReason() const { return m_last_reason; }
+  const std::string& LastReason() const { return m_listener.LastReason(); }
 
   /// Sends over the link to `node`, opening it when needed. False while the
   /// link is lost and not yet open again.
@@ -99,20 +100,18 @@
   void Open(NodeId node, const LinkPtr& link);
   void OnConnected(NodeId node, const LinkPtr& link);
   void OnLost(NodeId node, const LinkPtr& link, const std::string& reason);
-  void Accept();
   void OnAccepted(asio::ip::tcp::socket socket);
 
   asio::io_context& m_io;
   PeerKey m_own;
   MeshLinksOptions m_options;
   Handlers m_handlers;
-  asio::ip::tcp::acceptor m_acceptor;
+  TcpListener m_listener;
   std::unordered_map<NodeId, LinkPtr> m_links;
   std::unordered_set<std::shared_ptr<PeerConnection>> m_accepted;
   // The newest connection that each peer has opened.
   std::map<PeerKey, std::weak_ptr<PeerConnection>> m_latest;
   bool m_is_stopped = false;
-  std::string m_last_reason;
 };
 
 }  // namespace sequoiastage
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -61,6 +61,8 @@
   bool IsOwnInstance(const InstanceAnnouncement& announcement) const;
   void ApplyInstance(LocalInstance::Change change, std::string_view cause);
   void PublishSelf();
+  // Tells the egress how many instances share the service's retry budget.
+  void UpdateServiceSize();
   void OnRecord(const StoreRecord& record);
   void OnConfigRecord(const StoreRecord& record);
   void OnMemberRecord(const StoreRecord& record);
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -256,7 +256,7 @@
     own.m_slots = instance->m_slots;
   }
   m_book.SetMember(own);
-  m_egress.SetServiceSize(m_book.ServiceSize(own.m_service));
+  UpdateServiceSize();
   std::string text = EncodeMember(own);
   if (m_is_publishing || text == m_published) {
     return;
@@ -281,6 +281,13 @@
       });
 }
 
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::UpdateServiceSize() {
+  const InstanceAnnouncement* instance = m_local.InService();
+  m_egress.SetServiceSize(m_book.ServiceSize(ServiceIdOf(
+      instance == nullptr ? m_settings.m_service : instance->m_service)));
+}
+
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::OnLocalOffer(Message message) {
   // Replies are posted: the ingress is not called from within its own call.
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -81,8 +81,7 @@
       .Add("leaving", member->m_is_leaving ? "yes" : "no");
   m_book.SetMember(*member);
   m_relay_choice.SetRegion(m_book.RegionNodes());
-  m_egress.SetServiceSize(
-      m_book.ServiceSize(ServiceIdOf(m_settings.m_service)));
+  UpdateServiceSize();
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
--- a/libs/mesh/include/sequoiastage/mesh/target_book.h
+++ b/libs/mesh/include/sequoiastage/mesh/target_book.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "sequoiastage/mesh/member_record.h"
@@ -69,6 +70,8 @@
   MemberRecord m_own;
   TargetBookOptions m_options;
   std::unordered_map<NodeId, Target> m_targets;
+  // Nodes with an instance, by its service: a request looks at these alone.
+  std::unordered_map<ServiceId, std::unordered_set<NodeId>> m_by_service;
 };
 
 /// The key that Candidates() gives to the instance of `node`, and back.
--- a/libs/mesh/src/mesh_links.cc
+++ b/libs/mesh/src/mesh_links.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "sequoiastage/base/boot_clock.h"
-#include "sequoiastage/http/exchange_connection.h"
 #include "sequoiastage/logging/log_event.h"
 
 namespace sequoiastage {
@@ -13,8 +12,6 @@
 namespace {
 
 constexpr uint32_t kMaxDoublings = 6;
-// Pause after accept() failed, for instance for want of descriptors.
-constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -26,18 +23,16 @@
       m_own(own),
       m_options(options),
       m_handlers(std::move(handlers)),
-      m_acceptor(io) {}
+      m_listener(io) {}
 
 MeshLinks::~MeshLinks() {
   Stop();
 }
 
 bool MeshLinks::Start(const Endpoint& listen) {
-  if (!OpenListener(m_acceptor, listen, &m_last_reason)) {
-    return false;
-  }
-  Accept();
-  return true;
+  return m_listener.Start(listen, [this](asio::ip::tcp::socket socket) {
+    OnAccepted(std::move(socket));
+  });
 }
 
 bool MeshLinks::Send(NodeId node, const Message& message) {
@@ -194,26 +189,6 @@
   }
 }
 
-void MeshLinks::Accept() {
-  m_acceptor.async_accept(
-      [this](const asio::error_code& error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
-          return;
-        }
-        if (!error) {
-          OnAccepted(std::move(socket));
-          Accept();
-          return;
-        }
-        auto pause = std::make_shared<asio::steady_timer>(m_io, kAcceptPause);
-        pause->async_wait([this, pause](const asio::error_code&) {
-          if (!m_is_stopped) {
-            Accept();
-          }
-        });
-      });
-}
-
 void MeshLinks::OnAccepted(asio::ip::tcp::socket socket) {
   auto connection = std::make_shared<PeerConnection>(std::move(socket));
   m_accepted.insert(connection);
@@ -259,8 +234,7 @@
 
 void MeshLinks::Stop() {
   m_is_stopped = true;
-  asio::error_code ignored;
-  m_acceptor.close(ignored);
+  m_listener.Stop();
   for (const auto& [node, link] : m_links) {
     link->m_timer.cancel();
     if (link->m_connection) {
--- a/libs/mesh/src/target_book.cc
+++ b/libs/mesh/src/target_book.cc
@@ -26,6 +26,12 @@
     target.m_standing = {};
     target.m_told_at = {};
   }
+  if (!target.m_member.m_instance.empty()) {
+    m_by_service[target.m_member.m_service].erase(member.m_node);
+  }
+  if (!member.m_instance.empty()) {
+    m_by_service[member.m_service].insert(member.m_node);
+  }
   target.m_member = member;
 }
 
@@ -62,10 +68,15 @@
     TimePoint now,
     const std::function<bool(NodeId)>& is_usable) const {
   std::vector<PlacementCandidate> candidates;
-  for (const auto& [node, target] : m_targets) {
+  const auto nodes = m_by_service.find(service);
+  if (nodes == m_by_service.end()) {
+    return candidates;
+  }
+  candidates.reserve(nodes->second.size());
+  for (const NodeId node : nodes->second) {
+    const Target& target = m_targets.at(node);
     const MemberRecord& member = target.m_member;
-    if (member.m_service != service || member.m_instance.empty() ||
-        member.m_is_leaving) {
+    if (member.m_is_leaving) {
       continue;
     }
     const Duration age = now - target.m_told_at;
@@ -100,11 +111,10 @@
 }
 
 uint32_t TargetBook::ServiceSize(ServiceId service) const {
-  return static_cast<uint32_t>(std::count_if(
-      m_targets.begin(), m_targets.end(), [service](const auto& entry) {
-        return entry.second.m_member.m_service == service &&
-               !entry.second.m_member.m_instance.empty();
-      }));
+  const auto nodes = m_by_service.find(service);
+  return nodes == m_by_service.end()
+             ? 0
+             : static_cast<uint32_t>(nodes->second.size());
 }
 
 std::vector<NodeId> TargetBook::RegionNodes() const {
--- a/libs/node/src/caller_request.cc
+++ b/libs/node/src/caller_request.cc
@@ -28,7 +28,7 @@
     "transfer-encoding"};
 
 bool IsNamed(const HttpField& field, std::string_view name) {
-  return FindField({field}, name) != nullptr;
+  return EqualsIgnoringCase(field.m_name, name);
 }
 
 std::optional<std::chrono::milliseconds> ParseMillis(const std::string& text) {
--- a/libs/node/src/peer_server.cc
+++ b/libs/node/src/peer_server.cc
@@ -2,52 +2,36 @@
 
 #include <utility>
 
-#include "sequoiastage/http/exchange_connection.h"
-
 namespace sequoiastage {
 
 PeerServer::PeerServer(asio::io_context& io,
                        NodeId own,
                        Incarnation incarnation,
                        Handler handler)
-    : m_acceptor(io),
+    : m_listener(io),
       m_own(own),
       m_incarnation(incarnation),
       m_handler(std::move(handler)) {}
 
 bool PeerServer::Start(const Endpoint& bind) {
-  if (!OpenListener(m_acceptor, bind, &m_last_reason)) {
-    return false;
-  }
-  Accept();
-  return true;
+  return m_listener.Start(bind, [this](asio::ip::tcp::socket socket) {
+    OnAccepted(std::move(socket));
+  });
 }
 
 void PeerServer::Stop() {
   *m_is_alive = false;
-  asio::error_code ignored;
-  m_acceptor.close(ignored);
+  m_listener.Stop();
   const auto connections = std::exchange(m_connections, {});
   for (const Connection& connection : connections) {
     connection->Close("shutdown");
   }
 }
 
-void PeerServer::Accept() {
-  m_acceptor.async_accept(
-      [this, alive = m_is_alive](const asio::error_code& error,
-                                 asio::ip::tcp::socket socket) {
-        if (!*alive || error == asio::error::operation_aborted) {
-          return;
-        }
-        if (!error) {
-          OnAccepted(std::move(socket));
-        }
-        Accept();
-      });
-}
-
 void PeerServer::OnAccepted(asio::ip::tcp::socket socket) {
+  if (!*m_is_alive) {
+    return;
+  }
   const auto connection = std::make_shared<PeerConnection>(std::move(socket));
   m_connections.insert(connection);
   const std::weak_ptr<PeerConnection> weak = connection;
--- a/libs/node/src/peer_server_p.h
+++ b/libs/node/src/peer_server_p.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 
 #include "sequoiastage/base/ids.h"
+#include "sequoiastage/http/tcp_socket.h"
 #include "sequoiastage/link/peer_connection.h"
 
 namespace sequoiastage {
@@ -27,18 +28,16 @@
   // Binds and listens. False with LastReason() when the address can't be had.
   bool Start(const Endpoint& bind);
   void Stop();
-  const std::string& LastReason() const { return m_last_reason; }
+  const std::string& LastReason() const { return m_listener.LastReason(); }
 
  private:
-  void Accept();
   void OnAccepted(asio::ip::tcp::socket socket);
 
-  asio::ip::tcp::acceptor m_acceptor;
+  TcpListener m_listener;
   NodeId m_own;
   Incarnation m_incarnation;
   Handler m_handler;
   std::unordered_set<Connection> m_connections;
-  std::string m_last_reason;
   std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
 };
 
--- a/libs/node/src/problem.cc
+++ b/libs/node/src/problem.cc
@@ -33,6 +33,8 @@
       return "the backend server refused the work";
     case AttemptReason::kSuspect:
       return "the instance does not work well";
+    case AttemptReason::kRetryBudget:
+      return "the retry budget of the service is used up";
   }
   return "for an unknown reason";
 }
