Detect hanging instances from the lateness of all their requests

A request counted as hanging after 1.5 s or six means of all kinds; calls of running work last 800 ms at most and never reached that.

Change: HangDetector sums the log likelihood ratio "hangs" against "is sound" over all running and cancelled requests, each against the service times of its own kind (LatencyProfile). InstanceHold acts in two steps: non-idempotent requests go elsewhere first, then a hold starts; while requests are queued for the instance a hold needs twice the evidence. A refused hedge is offered to another instance. Hedges may use 0.7 of the retry budget, less what retries have used. InstanceHoldTest.HoldsWhileARequestHangs checked the bound of 1.5 s for any kind; HoldsWhenARequestHangs checks the same moment, and the new tests bound hangs an episode, long tails and overload.

--- a/libs/health/include/sequoiastage/health/instance_hold.h
+++ b/libs/health/include/sequoiastage/health/instance_hold.h
@@ -2,9 +2,10 @@
 #define SEQUOIASTAGE_HEALTH_INSTANCE_HOLD_H_
 
 #include <cstdint>
-#include <set>
+#include <map>
 
 #include "sequoiastage/base/time.h"
+#include "sequoiastage/health/hang_detector.h"
 
 namespace sequoiastage {
 
@@ -17,10 +18,14 @@
   uint32_t m_successes_to_end_trial = 2;
   /// After this time in service, the next hold is m_initial_hold again.
   Duration m_relapse_ttl = std::chrono::seconds(10);
-  /// A request that runs for longer than this multiple of the average service
-  /// time, and for longer than m_min_hang_time, counts as hanging.
-  double m_hang_factor = 6;
-  Duration m_min_hang_time = std::chrono::milliseconds(1500);
+  HangDetectorOptions m_hang{};
+  /// Score of the HangDetector at which non-idempotent requests go elsewhere.
+  double m_doubt_limit = 2;
+  /// Score of the HangDetector that starts a hold.
+  double m_hang_limit = 3;
+  /// The same while requests are queued for the instance: a hold then costs
+  /// capacity that the service needs, and overload makes all requests late.
+  double m_loaded_hang_limit = 6;
   /// Score at which server errors of the instance start a hold. Each success or
   /// server error first multiplies the score by m_error_decay; an error then
   /// adds 1.
@@ -45,7 +50,9 @@
   kServerError,
   /// No complete response: reset, closed, truncated or corrupted.
   kBroken,
-  /// No evidence about the instance: cancelled, or refused by it.
+  /// Cancelled or timed out; counts by how late it was.
+  kUnanswered,
+  /// No evidence about the instance: refused by it.
   kNoEvidence,
 };
 
@@ -57,24 +64,31 @@
 /// with each relapse. Idempotent trial requests follow, one at a time, so that
 /// other requests reach only instances that have succeeded since. Server errors
 /// weigh less: a single one is usual, and its cause may be a service that the
-/// instance calls.
+/// instance calls. Requests that are late for their kind are judged by
+/// HangDetector, in two steps: first non-idempotent requests go elsewhere, then
+/// all of them.
 class InstanceHold {
  public:
   explicit InstanceHold(const InstanceHoldOptions& options = {})
-      : m_options(options) {}
+      : m_options(options), m_hang_detector(options.m_hang) {}
 
   HoldState StateAt(TimePoint now) const;
 
-  /// Time until the hold ends; zero when the instance is not held. For a
-  /// hanging request, whose end is unknown, m_initial_hold.
+  /// Whether non-idempotent requests should go to another instance.
+  /// `has_queue`: requests are queued for the instance.
+  bool IsDoubtful(TimePoint now, bool has_queue) const;
+
+  /// Time until the hold ends; zero when the instance is not held.
   Duration RemainingHold(TimePoint now) const;
 
-  /// A request was handed to the instance.
-  void OnStart(TimePoint now);
+  /// Starts a hold when requests have become late enough. Call it before each
+  /// decision about a request.
+  void Update(TimePoint now, bool has_queue);
+
+  /// A request was handed to the instance. Returns its id for OnEnd().
+  RunId OnStart(const RequestKind& kind, TimePoint now);
 
-  /// The request ended. `started` is the time that was passed to OnStart() for
-  /// it.
-  void OnEnd(RequestResult result, TimePoint started, TimePoint now);
+  void OnEnd(RunId run, RequestResult result, TimePoint now);
 
   /// Clears all state, for a new incarnation of the instance.
   void Reset();
@@ -84,7 +98,6 @@
 
  private:
   void Hold(TimePoint now);
-  bool IsHanging(TimePoint now) const;
 
   InstanceHoldOptions m_options;
   bool m_is_in_service = true;
@@ -93,11 +106,9 @@
   uint32_t m_relapses = 0;
   uint32_t m_trial_successes = 0;
   double m_error_score = 0;
-  // Moving average over the successes; 0 before the first one.
-  Duration m_service_time{};
-  // Latest start among the successful requests.
-  TimePoint m_latest_successful_start{};
-  std::multiset<TimePoint> m_running;
+  HangDetector m_hang_detector;
+  // Start times of the running requests.
+  std::map<RunId, TimePoint> m_running;
 };
 
 }  // namespace sequoiastage
--- a/libs/health/include/sequoiastage/health/latency_histogram.h
+++ b/libs/health/include/sequoiastage/health/latency_histogram.h
@@ -31,6 +31,9 @@
   /// within the bucket. Zero when there are no samples.
   Duration Quantile(double share) const;
 
+  /// Number of samples above `latency`, interpolated within the bucket.
+  double CountAbove(Duration latency) const;
+
   const Counts& BucketCounts() const { return m_counts; }
 
   friend bool operator==(const LatencyHistogram&,
--- a/libs/health/src/instance_hold.cc
+++ b/libs/health/src/instance_hold.cc
@@ -6,8 +6,6 @@
 
 namespace {
 
-// The newest service time has 1 / kServiceTimeWeight of the moving average.
-constexpr int kServiceTimeWeight = 8;
 // Limit of the doublings, whatever the options are: keeps the shift in range.
 constexpr uint32_t kMaxDoublings = 10;
 
@@ -17,46 +15,57 @@
   if (now < m_held_until) {
     return HoldState::kHeld;
   }
-  if (!m_is_in_service) {
-    return HoldState::kTrial;
-  }
-  return IsHanging(now) ? HoldState::kHeld : HoldState::kInService;
+  return m_is_in_service ? HoldState::kInService : HoldState::kTrial;
+}
+
+bool InstanceHold::IsDoubtful(TimePoint now, bool has_queue) const {
+  return StateAt(now) != HoldState::kInService ||
+         (!has_queue && m_hang_detector.Score(now) >= m_options.m_doubt_limit);
 }
 
 Duration InstanceHold::RemainingHold(TimePoint now) const {
-  if (now < m_held_until) {
-    return m_held_until - now;
-  }
-  return m_is_in_service && IsHanging(now) ? m_options.m_initial_hold
-                                           : Duration{};
+  return std::max(Duration{}, m_held_until - now);
 }
 
-bool InstanceHold::IsHanging(TimePoint now) const {
-  if (m_running.empty() || *m_running.begin() <= m_latest_successful_start) {
-    return false;
+void InstanceHold::Update(TimePoint now, bool has_queue) {
+  const HoldState state = StateAt(now);
+  double limit =
+      has_queue ? m_options.m_loaded_hang_limit : m_options.m_hang_limit;
+  if (state == HoldState::kTrial) {
+    // The fault is recent, so less evidence is needed.
+    limit = m_options.m_doubt_limit;
+  }
+  if (state != HoldState::kHeld && m_hang_detector.Score(now) >= limit) {
+    Hold(now);
   }
-  const auto usual = std::chrono::duration_cast<Duration>(
-      m_service_time * m_options.m_hang_factor);
-  return now - *m_running.begin() > std::max(m_options.m_min_hang_time, usual);
 }
 
-void InstanceHold::OnStart(TimePoint now) {
-  m_running.insert(now);
+RunId InstanceHold::OnStart(const RequestKind& kind, TimePoint now) {
+  const RunId run = m_hang_detector.OnStart(kind, now);
+  m_running[run] = now;
+  return run;
 }
 
-void InstanceHold::OnEnd(RequestResult result,
-                         TimePoint started,
-                         TimePoint now) {
-  if (const auto it = m_running.find(started); it != m_running.end()) {
-    m_running.erase(it);
+void InstanceHold::OnEnd(RunId run, RequestResult result, TimePoint now) {
+  const auto found = m_running.find(run);
+  if (found == m_running.end()) {
+    return;
   }
+  const TimePoint started = found->second;
+  m_running.erase(found);
   switch (result) {
     case RequestResult::kNoEvidence:
+      m_hang_detector.OnDropped(run);
+      return;
+    case RequestResult::kUnanswered:
+      m_hang_detector.OnUnanswered(run, now);
       return;
     case RequestResult::kBroken:
+      m_hang_detector.OnDropped(run);
       Hold(now);
       return;
     case RequestResult::kServerError:
+      m_hang_detector.OnAnswered(run, false, now);
       m_error_score = m_error_score * m_options.m_error_decay + 1;
       if (m_error_score >= m_options.m_error_limit ||
           StateAt(now) == HoldState::kTrial) {
@@ -66,13 +75,8 @@
     case RequestResult::kSuccess:
       break;
   }
+  m_hang_detector.OnAnswered(run, true, now);
   m_error_score *= m_options.m_error_decay;
-  m_latest_successful_start = std::max(m_latest_successful_start, started);
-  const Duration service_time = now - started;
-  m_service_time = m_service_time == Duration{}
-                       ? service_time
-                       : m_service_time + (service_time - m_service_time) /
-                                              kServiceTimeWeight;
   // Only a request that began after the hold shows whether the fault is over.
   if (m_is_in_service || started < m_held_until) {
     return;
@@ -96,11 +100,19 @@
   m_is_in_service = false;
   m_trial_successes = 0;
   m_error_score = 0;
+  m_hang_detector.ClearScore();
   ++m_relapses;
 }
 
 void InstanceHold::Reset() {
-  *this = InstanceHold(m_options);
+  m_is_in_service = true;
+  m_held_until = {};
+  m_in_service_since = {};
+  m_relapses = 0;
+  m_trial_successes = 0;
+  m_error_score = 0;
+  m_running.clear();
+  m_hang_detector.Reset();
 }
 
 }  // namespace sequoiastage
--- a/libs/health/src/latency_histogram.cc
+++ b/libs/health/src/latency_histogram.cc
@@ -71,4 +71,16 @@
   return Duration(0);
 }
 
+double LatencyHistogram::CountAbove(Duration latency) const {
+  const size_t index = BucketIndex(latency);
+  const double lower_us = index == 0 ? 0 : kUpperBoundsUs[index - 1];
+  const auto us = static_cast<double>(latency.count());
+  const double fraction = std::clamp(
+      (kUpperBoundsUs[index] - us) / (kUpperBoundsUs[index] - lower_us), 0.0,
+      1.0);
+  const auto* above = m_counts.begin() + index + 1;
+  return fraction * m_counts[index] +
+         std::accumulate(above, m_counts.end(), 0.0);
+}
+
 }  // namespace sequoiastage
--- a/libs/health/tests/instance_hold_test.cc
+++ b/libs/health/tests/instance_hold_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <random>
 
 namespace sequoiastage {
@@ -11,14 +12,16 @@
 using std::chrono::seconds;
 
 constexpr TimePoint kStart = TimePoint(seconds(100));
+constexpr RequestKind kKind{.m_objective = milliseconds(500)};
 
 class InstanceHoldTest : public testing::Test {
  protected:
+  RunId Start() { return m_hold.OnStart(kKind, m_now); }
+
   void RunRequest(RequestResult result, Duration took = milliseconds(100)) {
-    const TimePoint started = m_now;
-    m_hold.OnStart(started);
+    const RunId run = Start();
     m_now += took;
-    m_hold.OnEnd(result, started, m_now);
+    m_hold.OnEnd(run, result, m_now);
   }
 
   HoldState State() const { return m_hold.StateAt(m_now); }
@@ -58,15 +61,14 @@
 }
 
 TEST_F(InstanceHoldTest, RequestStartedBeforeTheHoldNeitherEndsNorExtendsIt) {
-  const TimePoint started = m_now;
-  m_hold.OnStart(started);
-  m_hold.OnStart(started);
+  const RunId first = Start();
+  const RunId second = Start();
   RunRequest(RequestResult::kBroken);
   m_now += milliseconds(500);
-  m_hold.OnEnd(RequestResult::kBroken, started, m_now);
+  m_hold.OnEnd(first, RequestResult::kBroken, m_now);
   EXPECT_EQ(m_hold.RemainingHold(m_now), milliseconds(300));
   m_now += milliseconds(400);
-  m_hold.OnEnd(RequestResult::kSuccess, started, m_now);
+  m_hold.OnEnd(second, RequestResult::kSuccess, m_now);
   RunRequest(RequestResult::kSuccess);
   EXPECT_EQ(State(), HoldState::kTrial);
 }
@@ -82,18 +84,88 @@
   EXPECT_EQ(State(), HoldState::kHeld);
 }
 
-TEST_F(InstanceHoldTest, HoldsWhileARequestHangs) {
+// Replaces a check of a fixed bound of 1.5 s for any kind of request.
+TEST_F(InstanceHoldTest, HoldsWhenARequestHangs) {
   RunRequest(RequestResult::kSuccess);
-  m_hold.OnStart(m_now);
-  const TimePoint hanging = m_now;
-  m_now += milliseconds(1600);
+  const RunId hanging = Start();
+  m_now += milliseconds(1500);
+  m_hold.Update(m_now, false);
   EXPECT_EQ(State(), HoldState::kHeld);
-  // The success of a request that began later clears it.
-  m_hold.OnStart(hanging + milliseconds(100));
-  m_hold.OnEnd(RequestResult::kSuccess, hanging + milliseconds(100), m_now);
-  EXPECT_EQ(State(), HoldState::kInService);
-  m_hold.OnEnd(RequestResult::kNoEvidence, hanging, m_now);
-  EXPECT_EQ(State(), HoldState::kInService);
+  // Its end adds nothing: one fault starts one hold.
+  const Duration remaining = m_hold.RemainingHold(m_now);
+  m_hold.OnEnd(hanging, RequestResult::kUnanswered, m_now);
+  m_hold.Update(m_now, false);
+  EXPECT_EQ(m_hold.RemainingHold(m_now), remaining);
+  m_now += seconds(1);
+  m_hold.Update(m_now, false);
+  EXPECT_EQ(State(), HoldState::kTrial);
+}
+
+TEST_F(InstanceHoldTest, DoubtsAnInstanceBeforeItHoldsIt) {
+  for (int i = 0; i < 100; ++i) {
+    RunRequest(RequestResult::kSuccess);
+  }
+  Start();
+  Start();
+  Duration doubted{};
+  Duration held{};
+  const TimePoint started = m_now;
+  while (held == Duration{} && m_now < started + seconds(2)) {
+    m_now += milliseconds(10);
+    if (doubted == Duration{} && m_hold.IsDoubtful(m_now, false)) {
+      doubted = m_now - started;
+    }
+    m_hold.Update(m_now, false);
+    if (State() == HoldState::kHeld) {
+      held = m_now - started;
+    }
+  }
+  EXPECT_GT(doubted, milliseconds(100));
+  EXPECT_LT(doubted, held);
+  EXPECT_LE(held, milliseconds(500));
+}
+
+TEST_F(InstanceHoldTest, ATrialThatHangsStartsAnotherHold) {
+  for (int i = 0; i < 100; ++i) {
+    RunRequest(RequestResult::kSuccess);
+  }
+  RunRequest(RequestResult::kBroken);
+  m_now += seconds(1);
+  ASSERT_EQ(State(), HoldState::kTrial);
+  const RunId trial = Start();
+  m_now += milliseconds(500);
+  m_hold.OnEnd(trial, RequestResult::kUnanswered, m_now);
+  m_hold.Update(m_now, false);
+  EXPECT_EQ(State(), HoldState::kHeld);
+}
+
+// A service at capacity: four requests at a time take three times as long as
+// before, while others are queued.
+TEST_F(InstanceHoldTest, OverloadIsNoHang) {
+  std::mt19937_64 random(1);
+  std::lognormal_distribution<double> factor(0, 0.5);
+  for (int i = 0; i < 200; ++i) {
+    RunRequest(RequestResult::kSuccess,
+               Duration(static_cast<int64_t>(100'000 * factor(random))));
+  }
+  std::multimap<TimePoint, RunId> ends;
+  const TimePoint begin = m_now;
+  Duration held{};
+  while (m_now < begin + seconds(60)) {
+    while (ends.size() < 4) {
+      ends.emplace(
+          m_now + Duration(static_cast<int64_t>(300'000 * factor(random))),
+          Start());
+    }
+    m_now += milliseconds(10);
+    while (!ends.empty() && ends.begin()->first <= m_now) {
+      m_hold.OnEnd(ends.begin()->second, RequestResult::kSuccess, m_now);
+      ends.erase(ends.begin());
+    }
+    m_hold.Update(m_now, true);
+    held += State() == HoldState::kHeld ? milliseconds(10) : Duration{};
+  }
+  EXPECT_LT(held, seconds(60) / 50);
 }
 
 TEST_F(InstanceHoldTest, UsualErrorsCostLittleCapacity) {
@@ -135,5 +207,78 @@
   EXPECT_LT(sent, 8 * kEpisodes);
 }
 
+// 200 episodes of 9 s in which 75% of the requests hang, at 7 requests/s that
+// usually take 60 ms and are cancelled after 800 ms.
+TEST_F(InstanceHoldTest, FewRequestsHangAtAnInstanceThatHangs) {
+  std::mt19937_64 random(1);
+  std::bernoulli_distribution hangs(0.75);
+  std::lognormal_distribution<double> took_ms(4.0, 0.5);
+  const auto draw = [&] {
+    return Duration(static_cast<int64_t>(1000 * took_ms(random)));
+  };
+  constexpr int kEpisodes = 200;
+  int hung = 0;
+  Duration until_held{};
+  for (int i = 0; i < kEpisodes; ++i) {
+    m_hold.Reset();
+    for (int request = 0; request < 100; ++request) {
+      RunRequest(RequestResult::kSuccess, draw());
+    }
+    const TimePoint begin = m_now;
+    std::multimap<TimePoint, std::pair<RunId, RequestResult>> ends;
+    bool was_held = false;
+    for (TimePoint next = m_now; m_now < begin + seconds(9);
+         m_now += milliseconds(10)) {
+      while (!ends.empty() && ends.begin()->first <= m_now) {
+        const auto [run, result] = ends.begin()->second;
+        m_hold.OnEnd(run, result, m_now);
+        ends.erase(ends.begin());
+      }
+      m_hold.Update(m_now, false);
+      if (!was_held && State() == HoldState::kHeld) {
+        was_held = true;
+        until_held += m_now - begin;
+      }
+      if (m_now < next) {
+        continue;
+      }
+      next = m_now + milliseconds(140);
+      const bool is_trial = State() == HoldState::kTrial;
+      if (State() == HoldState::kHeld || (is_trial && !ends.empty())) {
+        continue;
+      }
+      const bool is_hanging = hangs(random);
+      hung += is_hanging ? 1 : 0;
+      ends.emplace(m_now + (is_hanging ? Duration(milliseconds(800)) : draw()),
+                   std::pair(Start(), is_hanging ? RequestResult::kUnanswered
+                                                 : RequestResult::kSuccess));
+    }
+    ASSERT_TRUE(was_held);
+  }
+  EXPECT_LT(hung, 9 * kEpisodes);
+  EXPECT_LT(until_held, milliseconds(700) * kEpisodes);
+}
+
+// Long tails: 1% of the requests take five times as long.
+TEST_F(InstanceHoldTest, LongTailsCostLittleCapacity) {
+  std::mt19937_64 random(1);
+  std::lognormal_distribution<double> took_ms(5.0, 0.8);
+  std::bernoulli_distribution is_in_tail(0.01);
+  const TimePoint begin = m_now;
+  Duration held{};
+  for (int i = 0; i < 20000; ++i) {
+    const double ms = took_ms(random) * (is_in_tail(random) ? 5 : 1);
+    const RunId run = m_hold.OnStart({.m_objective = seconds(1)}, m_now);
+    const TimePoint end = m_now + Duration(static_cast<int64_t>(ms * 1000));
+    for (; m_now < end; m_now += milliseconds(20)) {
+      m_hold.Update(m_now, false);
+    }
+    m_hold.OnEnd(run, RequestResult::kSuccess, m_now);
+    held += m_hold.RemainingHold(m_now);
+    m_now += m_hold.RemainingHold(m_now);
+  }
+  EXPECT_LT(held, (m_now - begin) / 50);
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/limits/include/sequoiastage/limits/retry_allowance.h
+++ b/libs/limits/include/sequoiastage/limits/retry_allowance.h
@@ -21,9 +21,9 @@
   double m_used_share = 0.65;
   /// Share of the usable allowance that is available to less urgent requests.
   double m_less_urgent_share = 0.6;
-  /// Share of the usable allowance that is available to hedged requests. The
-  /// rest is reserved for retries after failures.
-  double m_max_hedge_share = 0.25;
+  /// Hedged requests are refused once this share of the usable allowance is
+  /// consumed, by either kind. The rest is reserved for retries after failures.
+  double m_max_hedge_share = 0.7;
 };
 
 /// Kind of an attempt that follows the first attempt of a request.
@@ -72,7 +72,6 @@
     int64_t m_index = -1;
     uint32_t m_first_attempts = 0;
     uint32_t m_extra_attempts = 0;
-    uint32_t m_hedges = 0;
     // Urgency of the most urgent first attempt; 0 is the highest.
     uint8_t m_urgency = UINT8_MAX;
   };
--- a/libs/limits/src/retry_allowance.cc
+++ b/libs/limits/src/retry_allowance.cc
@@ -19,14 +19,13 @@
       (urgency > sum.m_urgency ? m_options.m_less_urgent_share : 1) *
       (m_options.m_ratio * sum.m_first_attempts +
        m_options.m_service_slack / std::max<uint32_t>(1, m_instances));
-  const bool is_hedge = kind == ExtraAttempt::kHedge;
-  if (sum.m_extra_attempts + 1 > allowed ||
-      (is_hedge && sum.m_hedges + 1 > m_options.m_max_hedge_share * allowed)) {
+  const double available = kind == ExtraAttempt::kHedge
+                               ? m_options.m_max_hedge_share * allowed
+                               : allowed;
+  if (sum.m_extra_attempts + 1 > available) {
     return false;
   }
-  Bucket& bucket = BucketAt(now);
-  ++bucket.m_extra_attempts;
-  bucket.m_hedges += is_hedge ? 1 : 0;
+  ++BucketAt(now).m_extra_attempts;
   return true;
 }
 
@@ -51,7 +50,6 @@
         bucket.m_index <= index) {
       sum.m_first_attempts += bucket.m_first_attempts;
       sum.m_extra_attempts += bucket.m_extra_attempts;
-      sum.m_hedges += bucket.m_hedges;
       sum.m_urgency = std::min(sum.m_urgency, bucket.m_urgency);
     }
   }
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "sequoiastage/base/boot_clock.h"
+#include "sequoiastage/config/traffic_config.h"
 #include "sequoiastage/health/instance_hold.h"
 #include "sequoiastage/http/exchange_connection.h"
 #include "sequoiastage/limits/retry_allowance.h"
@@ -74,6 +75,9 @@
   /// Sets the active instance; null when there is none.
   void SetInstance(const InstanceAnnouncement* instance);
 
+  /// Sets the routes that tell the latency objective of a request.
+  void SetConfig(std::shared_ptr<const TrafficConfig> config);
+
   /// Sets the number of instances that share the retry budget of the service.
   void SetInstanceCount(uint32_t instances) {
     m_retry_budget.SetInstances(instances);
@@ -120,6 +124,7 @@
     bool m_is_detached = false;
     TimePoint m_deadline{};
     TimePoint m_started_at{};
+    RunId m_run;
     Duration m_connection_idle{};
     std::shared_ptr<ExchangeConnection> m_connection;
     asio::steady_timer m_timer;
@@ -148,6 +153,9 @@
   void RetainOutcome(const Key& key, OutcomeMessage outcome);
   void RefusePending(AttemptReason reason);
   std::shared_ptr<ExchangeConnection> AcquireConnection(Work& work);
+  RequestKind KindOf(const OfferMessage& offer) const;
+  // Updates the hold for requests that have become late.
+  void UpdateHold(TimePoint now);
   void LogHoldChange(HoldState before, std::string_view cause);
 
   asio::io_context& m_io;
@@ -155,6 +163,8 @@
   std::function<void()> m_on_mismatch;
   std::optional<InstanceAnnouncement> m_instance;
   ServiceId m_service;
+  std::shared_ptr<const TrafficConfig> m_config;
+  PrefixRoutes m_routes;
   bool m_is_draining = false;
   // While pending work is being refused, the slots it frees start no other
   // work.
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -53,6 +53,12 @@
       m_gate.Resize(std::max<uint32_t>(1, instance->m_slots), BootNow()));
 }
 
+template <PlatformCodec Codec>
+void Egress<Codec>::SetConfig(std::shared_ptr<const TrafficConfig> config) {
+  m_config = std::move(config);
+  m_routes = PrefixRoutes(m_config->m_routes);
+}
+
 template <PlatformCodec Codec>
 void Egress<Codec>::StartDraining() {
   m_is_draining = true;
@@ -106,7 +112,9 @@
     const bool allows_trial = offer.m_is_idempotent &&
                               !offer.m_is_extra_attempt && m_trial_count == 0;
     if (state == HoldState::kHeld ||
-        (state == HoldState::kTrial && !allows_trial)) {
+        (state == HoldState::kTrial && !allows_trial) ||
+        (!offer.m_is_idempotent &&
+         m_hold.IsDoubtful(now, m_gate.Queued() > 0))) {
       return AttemptReason::kSuspect;
     }
   }
@@ -153,6 +161,7 @@
                             MessageSink reply) {
   const TimePoint now = BootNow();
   const Key key(peer, offer.m_attempt);
+  UpdateHold(now);
   if (const auto reason = CheckOffer(offer, now);
       reason != AttemptReason::kNone) {
     Refuse(key, offer, reason, reply);
@@ -234,7 +243,9 @@
   const WorkPtr work = found->second;
   if (work->m_connection) {
     work->m_connection->Abort();
-    m_hold.OnEnd(RequestResult::kNoEvidence, work->m_started_at, BootNow());
+    const TimePoint now = BootNow();
+    m_hold.OnEnd(work->m_run, RequestResult::kUnanswered, now);
+    UpdateHold(now);
   }
   Release(work, false);
 }
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -29,7 +29,7 @@
   }
   ++m_stats.m_started;
   work->m_started_at = now;
-  m_hold.OnStart(now);
+  work->m_run = m_hold.OnStart(KindOf(work->m_offer), now);
   HttpRequest& request = work->m_offer.m_request;
   Codec::PrepareForInstance(request,
                             {.m_instance = work->m_offer.m_instance,
@@ -103,7 +103,7 @@
     case ExchangeOutcome::kTimeout:
       outcome.m_result = AttemptResult::kFailed;
       outcome.m_reason = AttemptReason::kTimeout;
-      end = RequestResult::kServerError;
+      end = RequestResult::kUnanswered;
       break;
   }
   Complete(work, std::move(outcome), end);
@@ -157,7 +157,8 @@
     end = RequestResult::kNoEvidence;
   }
   if (work->m_connection) {
-    m_hold.OnEnd(end, work->m_started_at, now);
+    m_hold.OnEnd(work->m_run, end, now);
+    m_hold.Update(now, m_gate.Queued() > 0);
     m_latency.Observe(now - work->m_started_at);
     if (work->m_connection->IsReusable(now) && m_instance &&
         m_instance->m_name == work->m_offer.m_instance) {
@@ -187,6 +188,24 @@
   }
 }
 
+template <PlatformCodec Codec>
+RequestKind Egress<Codec>::KindOf(const OfferMessage& offer) const {
+  const HttpRequest& request = offer.m_request;
+  const TrafficRoute* route = m_routes.Find(request.m_host, request.m_target);
+  return {.m_objective = route == nullptr ? Duration(std::chrono::seconds(1))
+                                          : std::min(route->m_target_latency,
+                                                     route->m_timeout),
+          .m_urgency = offer.m_urgency,
+          .m_is_idempotent = offer.m_is_idempotent};
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::UpdateHold(TimePoint now) {
+  const HoldState before = m_hold.StateAt(now);
+  m_hold.Update(now, m_gate.Queued() > 0);
+  LogHoldChange(before, "late");
+}
+
 template <PlatformCodec Codec>
 void Egress<Codec>::LogHoldChange(HoldState before, std::string_view cause) {
   const TimePoint now = BootNow();
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -41,6 +41,8 @@
   /// Fraction of the route's target latency after which a running idempotent
   /// request is hedged.
   double m_hedge_fraction = 0.5;
+  /// Maximum number of egresses that one hedge is offered to in sequence.
+  uint32_t m_max_hedge_offers = 3;
   /// Bounds of the Retry-After field, before it is spread.
   Duration m_min_retry_after = std::chrono::milliseconds(100);
   Duration m_max_retry_after = std::chrono::seconds(2);
@@ -136,6 +138,7 @@
     uint32_t m_start_count = 0;
     // Retries, without hedges, refused because of the retry budget.
     uint32_t m_budget_refusals = 0;
+    uint32_t m_hedge_offers = 0;
     // An attempt ended without a response or may still be running.
     bool m_may_have_executed = false;
     bool m_has_reached_instance = false;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -354,12 +354,17 @@
 
 template <PlatformCodec Codec>
 void Ingress<Codec>::OfferHedge(const CallPtr& call) {
+  if (call->m_hedge_offers >= m_options.m_max_hedge_offers) {
+    return;
+  }
   const auto step =
       call->m_placement.NextForHedge(FindCandidates(*call), m_random);
   if (!step) {
     return;
   }
-  AddToTrail(*call, call->m_attempts.begin()->second, "slow");
+  if (call->m_hedge_offers++ == 0) {
+    AddToTrail(*call, call->m_attempts.begin()->second, "slow");
+  }
   SendOffer(call, *step, true);
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -151,6 +151,8 @@
   } else if (call->m_attempts.empty()) {
     // The hedged attempt has ended in the meantime.
     RetryOrFail(call, "every attempt failed");
+  } else if (CanRetry(*call)) {
+    OfferHedge(call);
   }
 }
 
--- a/libs/mesh/tests/ingress_test.cc
+++ b/libs/mesh/tests/ingress_test.cc
@@ -367,7 +367,45 @@
   ASSERT_TRUE(WaitForResponse());
   EXPECT_EQ(m_responses[0].m_status, 200);
   EXPECT_EQ(first_offers, 1U);
-  EXPECT_EQ(hedges, 1U);
+  // Once to each other instance.
+  EXPECT_EQ(hedges, 2U);
+}
+
+// Instances refuse hedges while their retry budget or their slots are used up;
+// another one of the region may accept.
+TEST_F(MeshIngressTest, RefusedHedgeIsOfferedToAnotherInstance) {
+  FakeEgressNode slow(m_io, 2, 5);
+  FakeEgressNode second(m_io, 3, 5);
+  FakeEgressNode third(m_io, 4, 5);
+  size_t hedges = 0;
+  for (FakeEgressNode* egress : {&slow, &second, &third}) {
+    m_targets.SetMember(egress->Record());
+    egress->m_script = [&](const Message& message, const MessageSink& sink) {
+      const auto* offer = std::get_if<OfferMessage>(&message);
+      if (offer == nullptr) {
+        return;
+      }
+      if (!offer->m_is_hedge) {
+        ReplyReady(message, sink);
+        return;
+      }
+      if (++hedges == 1) {
+        sink(OfferReplyMessage{.m_attempt = offer->m_attempt,
+                               .m_verdict = OfferVerdict::kRefused,
+                               .m_reason = AttemptReason::kRetryBudget});
+        return;
+      }
+      ReplyReady(message, sink);
+      SendResponse(offer->m_attempt, 200, sink);
+    };
+  }
+  SetConfig("1 a /x/ plans");
+  const auto begin = std::chrono::steady_clock::now();
+  SendRequest();
+  ASSERT_TRUE(WaitForResponse());
+  EXPECT_EQ(m_responses[0].m_status, 200);
+  EXPECT_EQ(hedges, 2U);
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(1300));
 }
 
 TEST_F(MeshIngressTest, CallerDisconnectWithdrawsItsAttempt) {
