Follow the store through a restart from an older copy

Cause: StoreReader kept the largest offset it had seen. No code read Store-Era.

Change: StorePosition orders records by era, then offset, in the number that the wire carried before as the offset. A later era in any response or relayed record makes the reader read both topics anew. A member record tells the era in which it was written and keeps that position, so the copy's outdated record of a node that left does not replace the one that was lost. A configuration that the copy holds in an older version is rejected, and the version in force is relayed from its position. Each node writes its record again once, spread over 1.5 s; nodes that have not done so after 4 s and do not answer are removed.

--- a/libs/mesh/include/sequoiastage/mesh/member_record.h
+++ b/libs/mesh/include/sequoiastage/mesh/member_record.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "sequoiastage/base/ids.h"
+#include "sequoiastage/base/store_position.h"
 #include "sequoiastage/routing/placement.h"
 
 namespace sequoiastage {
@@ -22,6 +23,8 @@
   std::string m_instance;
   ServiceId m_service;
   uint32_t m_slots = 0;
+  /// Era of the store that the node knew when it wrote the record.
+  StoreEra m_era;
 
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
 };
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -54,8 +54,8 @@
  private:
   struct Subscriber {
     MessageSink m_sink;
-    LogOffset m_next_config;
-    LogOffset m_next_member;
+    StorePosition m_next_config;
+    StorePosition m_next_member;
     TimePoint m_changes_sent_at{};
   };
 
@@ -65,9 +65,14 @@
   void PublishMember();
   // Updates the number of instances that share the service's retry budget.
   void UpdateInstanceCount();
-  void OnRecord(const StoreRecord& record);
-  void OnConfigRecord(const StoreRecord& record);
-  void OnMemberRecord(const StoreRecord& record);
+  // Return whether the record replaces the current one of its key.
+  bool OnRecord(const StoreRecord& record);
+  bool OnConfigRecord(const StoreRecord& record);
+  bool OnMemberRecord(const StoreRecord& record);
+  void OnStoreEra(std::optional<StoreEra> previous);
+  // Removes members whose record the store lost with the last era, that have
+  // not written it again, and that do not answer.
+  void RemoveLostMembers();
   void OnRequest(const PeerKey& peer, Message message, const MessageSink& sink);
   void OnLocalOffer(Message message);
   void OnReply(NodeId node, Message message);
@@ -78,7 +83,8 @@
   void SendRelayHeartbeats();
   void TickShutdown();
   // Packs the records at or after these offsets. Valid until the next call.
-  const std::string& PackRecordsFrom(LogOffset config, LogOffset member);
+  const std::string& PackRecordsFrom(StorePosition config,
+                                     StorePosition member);
   void SendRelay(Subscriber& subscriber);
   Duration KnowledgeAge(TimePoint now) const;
   bool IsReady() const;
@@ -103,12 +109,19 @@
   std::unordered_map<NodeId, Subscriber> m_subscribers;
   std::optional<NodeId> m_subscribed_to;
   std::string m_packed_records;
-  // Offsets that m_packed_records covers: start of configuration and members,
+  // Positions that m_packed_records covers: start of configuration and members,
   // then end of both.
-  std::array<LogOffset, 4> m_packed_offsets{};
+  std::array<StorePosition, 4> m_packed_range{};
   // Member record last written to the store.
   std::string m_published_record;
   bool m_is_publishing = false;
+  // Nodes that connected soon after the start, and how many of them have been
+  // asked for records that the store lacks.
+  std::vector<MessageSink> m_startup_peers;
+  size_t m_asked_peers = 0;
+  // Set when a later era was noticed, until lost members have been removed.
+  std::optional<TimePoint> m_era_noticed_at;
+  uint64_t m_era_changes = 0;
   bool m_is_stopping = false;
   // No new requests or offers are accepted.
   bool m_refuses_work = false;
@@ -118,6 +131,7 @@
   asio::steady_timer m_tick_timer;
   asio::steady_timer m_relay_timer;
   asio::steady_timer m_publish_retry_timer;
+  asio::steady_timer m_rewrite_timer;
   asio::steady_timer m_shutdown_timer;
   std::string m_last_reason;
 };
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -23,7 +23,17 @@
 // All nodes of a first deployment start within this time. A node that reads the
 // members afterwards finds all of them in one read.
 inline constexpr Duration kStartSpread = std::chrono::milliseconds(400);
+// A node that has just started asks this many of the nodes that connect to it
+// for records that the store has lost.
+inline constexpr Duration kStartupPeriod = std::chrono::seconds(15);
+inline constexpr size_t kMaxStartupPeers = 3;
 inline constexpr Duration kPublishRetry = std::chrono::milliseconds(500);
+// The nodes write their records again within this time after a new era of the
+// store, spread so that the store's rate limits hold.
+inline constexpr Duration kRewriteSpread = std::chrono::milliseconds(1500);
+// Time for which nodes whose records the store lost are expected to write them
+// again.
+inline constexpr Duration kRewriteTimeout = std::chrono::seconds(4);
 // Callers are routed to other nodes after two failed readiness probes, one
 // second apart. Until then the node accepts requests, and offers for its
 // instance, which keeps running when only the node stops. Afterwards the node
@@ -106,10 +116,24 @@
                [this](Message message) { OnLocalOffer(std::move(message)); },
            .m_on_failure = [this] { m_egress.OnLocalFailure(); },
            .m_knowledge_age = [this] { return KnowledgeAge(BootNow()); }}),
-      m_reader(io,
-               store,
-               {},
-               [this](const StoreRecord& record) { OnRecord(record); }),
+      m_reader(
+          io,
+          store,
+          {},
+          {.m_on_record =
+               [this](const StoreRecord& record) { return OnRecord(record); },
+           .m_written_era =
+               [](const StoreRecord& record) {
+                 if (record.m_topic == StoreTopic::kConfig) {
+                   return StoreEra(UINT32_MAX);
+                 }
+                 const auto member = DecodeMember(record.m_value);
+                 return member ? member->m_era : StoreEra(0);
+               },
+           .m_on_era =
+               [this](std::optional<StoreEra> previous) {
+                 OnStoreEra(previous);
+               }}),
       m_relay_choice(m_self.m_node),
       m_callers(io,
                 [this](HttpRequest request, const StreamResponder& responder) {
@@ -142,6 +166,7 @@
       m_tick_timer(io),
       m_relay_timer(io),
       m_publish_retry_timer(io),
+      m_rewrite_timer(io),
       m_shutdown_timer(io) {}
 
 template <PlatformCodec Codec, PlatformStore Store>
@@ -266,6 +291,13 @@
   }
   m_targets.SetMember(record);
   UpdateInstanceCount();
+  const auto era = m_reader.Era();
+  if (!era && !m_settings.m_is_first_start) {
+    // Other nodes would take the record for older than that of an earlier
+    // incarnation.
+    return;
+  }
+  record.m_era = era.value_or(StoreEra(0));
   std::string text = EncodeMember(record);
   if (m_is_publishing || text == m_published_record) {
     return;
@@ -275,6 +307,10 @@
       ToString(m_self.m_node), text,
       [this, text](bool is_written, const std::string& reason) {
         m_is_publishing = false;
+        if (const auto known = m_reader.Era(), era = m_store.Era();
+            known && era && *era > *known) {
+          m_reader.NoteEra(*era);
+        }
         if (is_written) {
           m_published_record = text;
           PublishMember();  // The record may have changed meanwhile.
@@ -341,7 +377,7 @@
     m_targets.SetLeaving(node);
     m_relay_choice.SetRegion(m_targets.RegionNodes());
   } else if (const auto* request = std::get_if<RelayRequestMessage>(&message)) {
-    // The other node has just started and has no other source of records yet.
+    // The other node has just started. The store may lack what it asks for.
     m_links.Send(node, RelayMessage{.m_age_ms = UINT32_MAX,
                                     .m_packed = PackRecordsFrom(
                                         request->m_next_config,
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <random>
 #include <utility>
 
 #include "sequoiastage/mesh/mesh_node.h"
@@ -15,32 +16,81 @@
 namespace sequoiastage {
 
 template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::OnRecord(const StoreRecord& record) {
-  if (record.m_topic == StoreTopic::kConfig) {
-    OnConfigRecord(record);
-  } else {
-    OnMemberRecord(record);
+bool MeshNode<Codec, Store>::OnRecord(const StoreRecord& record) {
+  return record.m_topic == StoreTopic::kConfig ? OnConfigRecord(record)
+                                               : OnMemberRecord(record);
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::OnStoreEra(std::optional<StoreEra> previous) {
+  if (!previous) {
+    if (m_published_record.empty()) {
+      PublishMember();
+    }
+    return;
   }
+  ++m_era_changes;
+  m_era_noticed_at = BootNow();
+  LogEvent(LogLevel::kWarn, "store_era_changed")
+      .Add("previous", static_cast<int64_t>(previous->Get()))
+      .Add("era", static_cast<int64_t>(m_reader.Era()->Get()))
+      .Add("config_offset",
+           static_cast<int64_t>(
+               OffsetOf(m_reader.Next(StoreTopic::kConfig)).Get()))
+      .Add("member_offset",
+           static_cast<int64_t>(
+               OffsetOf(m_reader.Next(StoreTopic::kMembers)).Get()))
+      .Add("source", m_reader.IsReading() ? "store" : "relay");
+  std::uniform_int_distribution<int64_t> spread(
+      0, mesh_node_detail::kRewriteSpread.count());
+  std::random_device random;
+  m_rewrite_timer.expires_after(Duration(spread(random)));
+  m_rewrite_timer.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      PublishMember();
+    }
+  });
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::OnConfigRecord(const StoreRecord& record) {
+void MeshNode<Codec, Store>::RemoveLostMembers() {
+  for (const NodeId node : m_targets.Nodes()) {
+    const std::string key = ToString(node);
+    const auto position = m_reader.PositionOf(StoreTopic::kMembers, key);
+    if (node == m_self.m_node || m_links.IsUsable(node) ||
+        (position && EraOf(*position) == *m_reader.Era())) {
+      continue;
+    }
+    LogEvent(LogLevel::kInfo, "member_lost").Add("node", key);
+    m_targets.RemoveMember(node);
+    m_reader.Forget(StoreTopic::kMembers, key);
+  }
+  m_relay_choice.SetRegion(m_targets.RegionNodes());
+  UpdateInstanceCount();
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+bool MeshNode<Codec, Store>::OnConfigRecord(const StoreRecord& record) {
   std::string reason;
   auto config = Codec::DecodeConfig(record, &reason);
   if (!config) {
     if (!reason.empty()) {
       ++m_config_rejects;
       LogEvent(LogLevel::kWarn, "config_rejected")
-          .Add("offset", static_cast<int64_t>(record.m_offset.Get()))
+          .Add("offset",
+               static_cast<int64_t>(OffsetOf(record.m_position).Get()))
           .Add("reason", reason);
     }
-    return;
+    return false;
+  }
+  if (m_config && config->m_version == m_config->m_version) {
+    return false;
   }
-  if (m_config && config->m_version <= m_config->m_version) {
+  if (m_config && config->m_version < m_config->m_version) {
     LogEvent(LogLevel::kInfo, "config_superseded")
         .Add("version", static_cast<int64_t>(config->m_version.Get()))
         .Add("in_force", static_cast<int64_t>(m_config->m_version.Get()));
-    return;
+    return false;
   }
   m_config = std::make_shared<const TrafficConfig>(*std::move(config));
   m_config_applied_at = BootNow();
@@ -55,17 +105,18 @@
        .m_max_held_bytes = m_settings.m_max_held_bytes});
   LogEvent(LogLevel::kInfo, "config_in_force")
       .Add("version", static_cast<int64_t>(m_config->m_version.Get()))
-      .Add("offset", static_cast<int64_t>(record.m_offset.Get()))
+      .Add("offset", static_cast<int64_t>(OffsetOf(record.m_position).Get()))
       .Add("routes", static_cast<int64_t>(m_config->m_routes.size()))
       .Add("source", m_reader.IsReading() ? "store" : "relay");
+  return true;
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::OnMemberRecord(const StoreRecord& record) {
+bool MeshNode<Codec, Store>::OnMemberRecord(const StoreRecord& record) {
   const auto member = DecodeMember(record.m_value);
   if (!member || ToString(member->m_node) != record.m_key) {
     LogEvent(LogLevel::kWarn, "member_rejected").Add("key", record.m_key);
-    return;
+    return false;
   }
   if (member->m_node == m_self.m_node) {
     // A stale record of this node: the current one is written again.
@@ -73,7 +124,7 @@
       m_published_record.clear();
       PublishMember();
     }
-    return;
+    return true;
   }
   LogEvent(LogLevel::kDebug, "member_changed")
       .Add("node", record.m_key)
@@ -82,6 +133,7 @@
   m_targets.SetMember(*member);
   m_relay_choice.SetRegion(m_targets.RegionNodes());
   UpdateInstanceCount();
+  return true;
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
@@ -103,16 +155,17 @@
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
-const std::string& MeshNode<Codec, Store>::PackRecordsFrom(LogOffset config,
-                                                           LogOffset member) {
-  const std::array<LogOffset, 4> range = {
-      config, member, m_reader.NextOffset(StoreTopic::kConfig),
-      m_reader.NextOffset(StoreTopic::kMembers)};
+const std::string& MeshNode<Codec, Store>::PackRecordsFrom(
+    StorePosition config,
+    StorePosition member) {
+  const std::array<StorePosition, 4> range = {
+      config, member, m_reader.Next(StoreTopic::kConfig),
+      m_reader.Next(StoreTopic::kMembers)};
   // Most subscribers have the same offsets, so the packed records are reused.
-  if (range != m_packed_offsets) {
+  if (range != m_packed_range) {
     const auto records = m_reader.RecordsFrom(config, member);
     m_packed_records = records.empty() ? std::string() : PackRecords(records);
-    m_packed_offsets = range;
+    m_packed_range = range;
   }
   return m_packed_records;
 }
@@ -120,16 +173,22 @@
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::OnPeerOpened(const PeerKey&,
                                           const MessageSink& sink) {
-  if (!m_config && BootNow() - m_started_at > std::chrono::seconds(1)) {
+  const Duration up_time = BootNow() - m_started_at;
+  if (!m_config && up_time > std::chrono::seconds(1)) {
     Subscribe(sink);
+    return;
+  }
+  if (up_time < mesh_node_detail::kStartupPeriod &&
+      m_startup_peers.size() < mesh_node_detail::kMaxStartupPeers) {
+    m_startup_peers.push_back(sink);
   }
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::Subscribe(const MessageSink& sink) {
   sink(RelayRequestMessage{
-      .m_next_config = m_reader.NextOffset(StoreTopic::kConfig),
-      .m_next_member = m_reader.NextOffset(StoreTopic::kMembers)});
+      .m_next_config = m_reader.Next(StoreTopic::kConfig),
+      .m_next_member = m_reader.Next(StoreTopic::kMembers)});
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
@@ -147,8 +206,8 @@
       .m_age_ms = ToWireMs<uint32_t>(KnowledgeAge(BootNow())),
       .m_packed =
           PackRecordsFrom(subscriber.m_next_config, subscriber.m_next_member)};
-  subscriber.m_next_config = m_reader.NextOffset(StoreTopic::kConfig);
-  subscriber.m_next_member = m_reader.NextOffset(StoreTopic::kMembers);
+  subscriber.m_next_config = m_reader.Next(StoreTopic::kConfig);
+  subscriber.m_next_member = m_reader.Next(StoreTopic::kMembers);
   subscriber.m_sink(message);
 }
 
@@ -163,8 +222,8 @@
         m_links.Send(
             *relay,
             RelayRequestMessage{
-                .m_next_config = m_reader.NextOffset(StoreTopic::kConfig),
-                .m_next_member = m_reader.NextOffset(StoreTopic::kMembers)})) {
+                .m_next_config = m_reader.Next(StoreTopic::kConfig),
+                .m_next_member = m_reader.Next(StoreTopic::kMembers)})) {
       m_subscribed_to = relay;
     }
   }
@@ -173,12 +232,24 @@
   } else {
     m_reader.Stop();
   }
+  // The store may have restarted from an older copy shortly before this node
+  // started. The other nodes still have what it lost.
+  if (m_config && m_reader.IsLoaded()) {
+    for (; m_asked_peers < m_startup_peers.size(); ++m_asked_peers) {
+      Subscribe(m_startup_peers[m_asked_peers]);
+    }
+  }
+  if (m_era_noticed_at &&
+      now - *m_era_noticed_at > mesh_node_detail::kRewriteTimeout) {
+    m_era_noticed_at.reset();
+    RemoveLostMembers();
+  }
   // The first change is sent immediately; changes that follow shortly after are
   // batched.
   for (auto& [node, subscriber] : m_subscribers) {
     const bool has_changes =
-        subscriber.m_next_config < m_reader.NextOffset(StoreTopic::kConfig) ||
-        subscriber.m_next_member < m_reader.NextOffset(StoreTopic::kMembers);
+        subscriber.m_next_config < m_reader.Next(StoreTopic::kConfig) ||
+        subscriber.m_next_member < m_reader.Next(StoreTopic::kMembers);
     if (has_changes && now - subscriber.m_changes_sent_at >
                            mesh_node_detail::kMinRelaySpacing) {
       subscriber.m_changes_sent_at = now;
--- a/libs/mesh/include/sequoiastage/mesh/platform.h
+++ b/libs/mesh/include/sequoiastage/mesh/platform.h
@@ -85,15 +85,16 @@
 /// Newest record of each key in one topic.
 struct StorePage {
   std::vector<StoreRecord> m_records;
-  /// Offset to start the next read from.
-  LogOffset m_next;
+  /// Position to start the next read from; tells the store's current era.
+  StorePosition m_next;
 };
 
 struct StoreResult {
   /// Empty when the call failed; m_reason then describes the error.
   std::optional<StorePage> m_page;
   std::string m_reason;
-  /// The requested offsets have been compacted away; use ReadNewest() instead.
+  /// The store does not have the requested offsets, because they have been
+  /// compacted away or lost; use ReadNewest() instead.
   bool m_is_compacted = false;
 };
 
@@ -123,7 +124,7 @@
 template <class T>
 concept PlatformStore = requires(T store,
                                  StoreTopic topic,
-                                 LogOffset from,
+                                 StorePosition from,
                                  Duration wait,
                                  std::string text,
                                  StoreHandler handler,
@@ -136,6 +137,8 @@
   { store.StopFollowing(topic) } -> std::same_as<void>;
   /// Sets the value of a key in StoreTopic::kMembers.
   { store.WriteMember(text, text, done) } -> std::same_as<void>;
+  /// Latest era in any response of the store; empty before the first response.
+  { store.Era() } -> std::same_as<std::optional<StoreEra>>;
 };
 
 }  // namespace sequoiastage
--- a/libs/mesh/include/sequoiastage/mesh/store_reader.h
+++ b/libs/mesh/include/sequoiastage/mesh/store_reader.h
@@ -34,19 +34,34 @@
 };
 
 /// Local copy of the store: the newest record of each key, read from the store
-/// or relayed by another node. Records with a lower or equal offset than the
-/// current one of their key are ignored.
+/// or relayed by another node. Records with a lower position than the current
+/// one of their key are ignored.
+///
+/// The store may restart from an older copy, in a new era. The reader then
+/// reads the newest records again and keeps those that the copy lost. A record
+/// keeps the position at which it was written: the copy may hold an outdated
+/// record of a key, which must not replace the one that it lost.
 template <PlatformStore Store>
 class StoreReader {
  public:
-  /// `on_record` is called for each record that changes the local copy.
+  struct Handlers {
+    /// Called for each record that is newer than the local copy. Returns
+    /// whether the copy is to be replaced; otherwise the current value is kept
+    /// at the position of the rejected record, and relayed from there.
+    std::function<bool(const StoreRecord&)> m_on_record;
+    /// Era in which the writer of the record wrote it.
+    std::function<StoreEra(const StoreRecord&)> m_written_era;
+    /// Called with the previous era when the first or a later era is noticed.
+    std::function<void(std::optional<StoreEra>)> m_on_era;
+  };
+
   StoreReader(asio::io_context& io,
               Store& store,
               const StoreReaderOptions& options,
-              std::function<void(const StoreRecord&)> on_record)
+              Handlers handlers)
       : m_store(store),
         m_options(options),
-        m_on_record(std::move(on_record)),
+        m_handlers(std::move(handlers)),
         m_topics{Topic(io, StoreTopic::kConfig),
                  Topic(io, StoreTopic::kMembers)} {}
 
@@ -68,6 +83,7 @@
     m_is_reading = false;
     for (Topic& topic : m_topics) {
       ++topic.m_generation;
+      topic.m_was_compacted = false;
       topic.m_timer.cancel();
       m_store.StopFollowing(topic.m_topic);
     }
@@ -76,7 +92,47 @@
   bool IsReading() const { return m_is_reading; }
 
   /// Applies a record that another node has read.
-  void ApplyRelayed(const StoreRecord& record) { ApplyRecord(record); }
+  void ApplyRelayed(const StoreRecord& record) {
+    NoteEra(EraOf(record.m_position));
+    ApplyRecord(record);
+  }
+
+  /// Notes the era of a response or a relayed record. Topics that were read in
+  /// an earlier era are read anew.
+  void NoteEra(StoreEra era) {
+    if (m_era && era <= *m_era) {
+      return;
+    }
+    const auto previous = std::exchange(m_era, era);
+    for (Topic& topic : m_topics) {
+      if (topic.m_has_snapshot && EraOf(topic.m_next) < era) {
+        topic.m_has_snapshot = false;
+        if (m_is_reading) {
+          m_store.StopFollowing(topic.m_topic);
+          Read(topic);
+        }
+      }
+    }
+    m_handlers.m_on_era(previous);
+  }
+
+  /// Latest known era; empty before the first record or page.
+  std::optional<StoreEra> Era() const { return m_era; }
+
+  /// Removes a record from the local copy.
+  void Forget(StoreTopic topic, const std::string& key) {
+    TopicState(topic).m_newest.erase(key);
+  }
+
+  /// Position of the newest record of `key`; empty when there is none.
+  std::optional<StorePosition> PositionOf(StoreTopic topic,
+                                          const std::string& key) const {
+    const auto& newest = TopicState(topic).m_newest;
+    const auto found = newest.find(key);
+    return found == newest.end()
+               ? std::nullopt
+               : std::optional(found->second.m_record.m_position);
+  }
 
   /// Time since this node last read the configuration topic successfully.
   Duration ConfigReadAge(TimePoint now) const {
@@ -93,20 +149,22 @@
     m_topics[1].m_is_loaded = true;
   }
 
-  LogOffset NextOffset(StoreTopic topic) const {
+  StorePosition Next(StoreTopic topic) const {
     return TopicState(topic).m_next;
   }
 
-  /// Returns the newest records at or after the given offsets.
-  std::vector<StoreRecord> RecordsFrom(LogOffset config,
-                                       LogOffset member) const {
+  /// Returns the newest records at or after the given positions.
+  std::vector<StoreRecord> RecordsFrom(StorePosition config,
+                                       StorePosition member) const {
     std::vector<StoreRecord> records;
     for (const Topic& topic : m_topics) {
-      const LogOffset from =
+      const StorePosition from =
           topic.m_topic == StoreTopic::kConfig ? config : member;
-      for (const auto& [key, record] : topic.m_newest) {
-        if (record.m_offset >= from) {
-          records.push_back(record);
+      for (const auto& [key, newest] : topic.m_newest) {
+        const StorePosition position = newest.m_record.m_position;
+        if (position >= from ||
+            (newest.m_replaces_rejected && NextPosition(position) >= from)) {
+          records.push_back(newest.m_record);
         }
       }
     }
@@ -114,22 +172,31 @@
   }
 
  private:
+  struct Newest {
+    StoreRecord m_record;
+    // The store has another record at this position, which was rejected. A node
+    // that knows only that one asks for the positions above it.
+    bool m_replaces_rejected = false;
+  };
+
   struct Topic {
     Topic(asio::io_context& io, StoreTopic topic)
         : m_topic(topic), m_timer(io) {}
 
     StoreTopic m_topic;
-    // Offset of the next record to read.
-    LogOffset m_next;
+    // Position of the next record to read.
+    StorePosition m_next;
     // The newest records have been read; later changes are followed.
     bool m_has_snapshot = false;
     bool m_is_loaded = false;
     bool m_is_failing = false;
+    // The last read asked for offsets that the store does not have.
+    bool m_was_compacted = false;
     uint32_t m_failures = 0;
     // Results of calls from an earlier generation are ignored.
     uint64_t m_generation = 0;
     TimePoint m_read_at{};
-    std::map<std::string, StoreRecord> m_newest;
+    std::map<std::string, Newest> m_newest;
     asio::steady_timer m_timer;
   };
 
@@ -161,13 +228,27 @@
   void OnResult(Topic& topic, StoreResult result) {
     if (result.m_is_compacted) {
       topic.m_has_snapshot = false;
-      Read(topic);
+      if (std::exchange(topic.m_was_compacted, true)) {
+        OnFailure(topic, "offsets are missing again after a new snapshot");
+      } else {
+        Read(topic);
+      }
       return;
     }
     if (!result.m_page) {
       OnFailure(topic, result.m_reason);
       return;
     }
+    const StoreEra era = EraOf(result.m_page->m_next);
+    if (era < EraOf(topic.m_next)) {
+      OnFailure(topic, "response of an earlier era");
+      return;
+    }
+    const uint64_t generation = topic.m_generation;
+    NoteEra(era);
+    if (topic.m_generation != generation) {
+      return;  // The offsets before this page may have been assigned again.
+    }
     if (std::exchange(topic.m_is_failing, false)) {
       LogEvent(LogLevel::kInfo, "store_regained")
           .Add("topic", static_cast<int64_t>(topic.m_topic))
@@ -177,9 +258,13 @@
     topic.m_is_loaded = true;
     topic.m_read_at = BootNow();
     const bool was_following = std::exchange(topic.m_has_snapshot, true);
-    topic.m_next = std::max(topic.m_next, result.m_page->m_next);
+    topic.m_was_compacted &= !was_following;
+    topic.m_next = result.m_page->m_next;
     const bool has_records = !result.m_page->m_records.empty();
-    for (const StoreRecord& record : result.m_page->m_records) {
+    for (StoreRecord& record : result.m_page->m_records) {
+      const StoreEra written = std::min(m_handlers.m_written_era(record), era);
+      record.m_position =
+          MakeStorePosition(written, OffsetOf(record.m_position));
       ApplyRecord(record);
     }
     if (!m_is_reading) {
@@ -229,20 +314,31 @@
 
   void ApplyRecord(const StoreRecord& record) {
     Topic& topic = TopicState(record.m_topic);
-    StoreRecord& newest = topic.m_newest[record.m_key];
-    const bool is_new = newest.m_key.empty();
-    if (!is_new && record.m_offset <= newest.m_offset) {
-      return;
+    const auto found = topic.m_newest.find(record.m_key);
+    const bool is_new = found == topic.m_newest.end();
+    Newest next{.m_record = record};
+    if (!is_new) {
+      const StoreRecord& current = found->second.m_record;
+      if (record.m_position < current.m_position ||
+          (record.m_position == current.m_position &&
+           record.m_value == current.m_value)) {
+        return;
+      }
+      next.m_replaces_rejected = record.m_position == current.m_position;
+    }
+    topic.m_next = std::max(topic.m_next, NextPosition(record.m_position));
+    if (!m_handlers.m_on_record(record) && !is_new) {
+      next.m_record.m_value = found->second.m_record.m_value;
+      next.m_replaces_rejected = true;
     }
-    newest = record;
-    topic.m_next = std::max(topic.m_next, LogOffset(record.m_offset.Get() + 1));
-    m_on_record(record);
+    topic.m_newest[record.m_key] = std::move(next);
   }
 
   Store& m_store;
   StoreReaderOptions m_options;
-  std::function<void(const StoreRecord&)> m_on_record;
+  Handlers m_handlers;
   std::array<Topic, 2> m_topics;
+  std::optional<StoreEra> m_era;
   bool m_is_reading = false;
 };
 
--- a/libs/mesh/include/sequoiastage/mesh/target_table.h
+++ b/libs/mesh/include/sequoiastage/mesh/target_table.h
@@ -30,6 +30,9 @@
   /// Adds or replaces the record of a node.
   void SetMember(const MemberRecord& member);
 
+  /// Removes a node. Attempts that are in flight there are no longer counted.
+  void RemoveMember(NodeId node);
+
   /// Marks a node that announced that it accepts no new offers.
   void SetLeaving(NodeId node);
 
@@ -57,6 +60,9 @@
   const MemberRecord& Self() const { return m_self; }
   size_t size() const { return m_targets.size(); }
 
+  /// All known nodes.
+  std::vector<NodeId> Nodes() const;
+
   /// Nodes of the local region that are not leaving, including the local node.
   std::vector<NodeId> RegionNodes() const;
 
--- a/libs/mesh/src/member_record.cc
+++ b/libs/mesh/src/member_record.cc
@@ -16,6 +16,9 @@
     json["service"] = record.m_service.Get();
     json["slots"] = record.m_slots;
   }
+  if (record.m_era != StoreEra(0)) {
+    json["era"] = record.m_era.Get();
+  }
   return json.dump();
 }
 
@@ -32,7 +35,8 @@
                         .m_is_leaving = json.value("leaving", false),
                         .m_instance = json.value("instance", ""),
                         .m_service = ServiceId(json.value("service", 0U)),
-                        .m_slots = json.value("slots", 0U)};
+                        .m_slots = json.value("slots", 0U),
+                        .m_era = StoreEra(json.value("era", 0U))};
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
--- a/libs/mesh/src/target_table.cc
+++ b/libs/mesh/src/target_table.cc
@@ -35,6 +35,15 @@
   target.m_member = member;
 }
 
+void TargetTable::RemoveMember(NodeId node) {
+  const auto found = m_targets.find(node);
+  if (found == m_targets.end()) {
+    return;
+  }
+  m_by_service[found->second.m_member.m_service].erase(node);
+  m_targets.erase(found);
+}
+
 void TargetTable::SetLeaving(NodeId node) {
   const auto found = m_targets.find(node);
   if (found != m_targets.end()) {
@@ -118,6 +127,15 @@
              : static_cast<uint32_t>(nodes->second.size());
 }
 
+std::vector<NodeId> TargetTable::Nodes() const {
+  std::vector<NodeId> nodes;
+  nodes.reserve(m_targets.size());
+  for (const auto& [node, target] : m_targets) {
+    nodes.push_back(node);
+  }
+  return nodes;
+}
+
 std::vector<NodeId> TargetTable::RegionNodes() const {
   std::vector<NodeId> nodes;
   for (const auto& [node, target] : m_targets) {
--- a/libs/mesh/tests/fake_platform.h
+++ b/libs/mesh/tests/fake_platform.h
@@ -149,6 +149,14 @@
 // Records shared by all FakeStores of a test.
 struct FakeLog {
   std::vector<std::pair<std::string, std::string>> m_topics[2];
+  StoreEra m_era;
+
+  // Restarts from a copy that holds only the first records of each topic.
+  void Rewind(size_t config_count, size_t member_count) {
+    m_topics[0].resize(std::min(config_count, m_topics[0].size()));
+    m_topics[1].resize(std::min(member_count, m_topics[1].size()));
+    m_era = StoreEra(m_era.Get() + 1);
+  }
 
   void Write(StoreTopic topic, std::string key, std::string value) {
     m_topics[static_cast<size_t>(topic)].emplace_back(std::move(key),
@@ -169,13 +177,15 @@
     });
   }
 
+  std::optional<StoreEra> Era() const { return m_log.m_era; }
+
   void Follow(StoreTopic topic,
-              LogOffset from,
+              StorePosition from,
               Duration wait,
               const StoreHandler& handler) {
     ++m_calls;
     Poll(topic, from, std::chrono::steady_clock::now() + wait, handler,
-         ++m_generations[static_cast<size_t>(topic)]);
+         ++m_generations[static_cast<size_t>(topic)], {});
   }
 
   void StopFollowing(StoreTopic topic) {
@@ -198,10 +208,13 @@
  private:
   StorePage PageFrom(StoreTopic topic, uint64_t from) const {
     const auto& records = m_log.m_topics[static_cast<size_t>(topic)];
-    StorePage page{.m_records = {}, .m_next = LogOffset(records.size())};
+    const auto position = [this](uint64_t offset) {
+      return MakeStorePosition(m_log.m_era, LogOffset(offset));
+    };
+    StorePage page{.m_records = {}, .m_next = position(records.size())};
     for (uint64_t i = from; i < records.size(); ++i) {
       page.m_records.push_back({.m_topic = topic,
-                                .m_offset = LogOffset(i),
+                                .m_position = position(i),
                                 .m_key = records[i].first,
                                 .m_value = records[i].second});
     }
@@ -209,12 +222,12 @@
   }
 
   void Poll(StoreTopic topic,
-            LogOffset from,
+            StorePosition from,
             std::chrono::steady_clock::time_point end,
             const StoreHandler& handler,
-            uint64_t generation) {
-    auto timer = std::make_shared<asio::steady_timer>(
-        m_io, std::chrono::milliseconds(10));
+            uint64_t generation,
+            Duration delay) {
+    auto timer = std::make_shared<asio::steady_timer>(m_io, delay);
     timer->async_wait([=, this](const asio::error_code&) {
       (void)timer;
       if (generation != m_generations[static_cast<size_t>(topic)]) {
@@ -224,12 +237,18 @@
         handler({.m_page = {}, .m_reason = "cut"});
         return;
       }
-      StorePage page = PageFrom(topic, from.Get());
+      const uint64_t offset = OffsetOf(from).Get();
+      if (offset > m_log.m_topics[static_cast<size_t>(topic)].size()) {
+        handler({.m_page = {}, .m_reason = "gone", .m_is_compacted = true});
+        return;
+      }
+      StorePage page = PageFrom(topic, offset);
       if (!page.m_records.empty() || std::chrono::steady_clock::now() > end) {
         handler({.m_page = std::move(page)});
         return;
       }
-      Poll(topic, from, end, handler, generation);
+      Poll(topic, from, end, handler, generation,
+           std::chrono::milliseconds(10));
     });
   }
 
--- a/libs/mesh/tests/mesh_node_test.cc
+++ b/libs/mesh/tests/mesh_node_test.cc
@@ -154,6 +154,38 @@
 // One of the two nodes reads the store and relays changes to the other.
 // Whichever loses access to the store, both apply the next configuration within
 // the bound.
+// The store restarts from a copy in which a departed instance is still present.
+TEST_F(MeshNodeTest, DepartedInstanceIsNotUsedAfterTheStoreWasRestored) {
+  PublishConfig("1 a /x/ plans once");
+  ASSERT_EQ(Announce(*m_second), 200);
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+  const size_t members = m_log.m_topics[1].size();
+  ASSERT_EQ(Announce(*m_second, " leaving"), 200);
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 503));
+  // Let the first node read the change before the store loses it.
+  RunUntil(
+      m_io, [] { return false; }, milliseconds(600));
+  m_log.Rewind(1, members);
+  const auto writes = [this] {
+    return std::count_if(m_log.m_topics[1].begin(), m_log.m_topics[1].end(),
+                         [](const auto& record) {
+                           return record.second.find("\"era\":1") !=
+                                  std::string::npos;
+                         });
+  };
+  const size_t reached = m_second->m_instance.m_requests.size();
+  EXPECT_TRUE(RunUntil(m_io, [&] {
+    SendRequest(*m_first, "/x/");
+    return writes() == 2;
+  }));
+  EXPECT_EQ(SendRequest(*m_first, "/x/").m_response.m_status, 503);
+  EXPECT_EQ(m_second->m_instance.m_requests.size(), reached);
+  // Each node has written its record again, once.
+  RunUntil(
+      m_io, [] { return false; }, seconds(2));
+  EXPECT_EQ(writes(), 2);
+}
+
 TEST_F(MeshNodeTest, NodeCutOffFromTheStoreReceivesChangesByRelay) {
   PublishConfig("1 a /x/ plans");
   Announce(*m_second);
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -8,6 +8,7 @@
 
 #include "sequoiastage/base/http_message.h"
 #include "sequoiastage/base/ids.h"
+#include "sequoiastage/base/store_position.h"
 #include "sequoiastage/base/time.h"
 
 /// Messages that nodes exchange over TCP. A reply carries the attempt of its
@@ -308,10 +309,10 @@
 };
 
 /// Subscribes to the records that a node reads from the store, starting with
-/// those at or after these offsets.
+/// those at or after these positions.
 struct RelayRequestMessage {
-  LogOffset m_next_config;
-  LogOffset m_next_member;
+  StorePosition m_next_config;
+  StorePosition m_next_member;
 
   friend bool operator==(const RelayRequestMessage&,
                          const RelayRequestMessage&) = default;
@@ -323,7 +324,7 @@
 /// Newest record of a key in the store.
 struct StoreRecord {
   StoreTopic m_topic = StoreTopic::kConfig;
-  LogOffset m_offset;
+  StorePosition m_position;
   std::string m_key;
   /// Empty when the key was deleted.
   std::string m_value;
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -162,7 +162,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, StoreRecord& record) {
-  archive(record.m_topic, record.m_offset);
+  archive(record.m_topic, record.m_position);
   SerializeBounded(archive, record.m_key);
   SerializeBounded(archive, record.m_value);
 }
--- a/libs/wire/tests/packed_records_test.cc
+++ b/libs/wire/tests/packed_records_test.cc
@@ -13,7 +13,7 @@
   records.reserve(texts.size());
   for (const std::string& text : texts) {
     records.push_back({.m_topic = StoreTopic::kMembers,
-                       .m_offset = LogOffset(text.size()),
+                       .m_position = StorePosition(text.size()),
                        .m_key = text,
                        .m_value = text + text});
   }
--- a/standins/platform_store/store_standin.cc
+++ b/standins/platform_store/store_standin.cc
@@ -113,6 +113,11 @@
     responder(SetFaults(request));
     return {};
   }
+  if (path == "/copy" || path == "/restore") {
+    path == "/copy" ? TakeCopy() : RestoreCopy();
+    responder({.m_status = 200});
+    return {};
+  }
   ++m_calls;
   if (m_faults.m_is_silent) {
     return {};
@@ -136,11 +141,20 @@
   } else if (path == "/v1/log-trim") {
     SendAfterDelay(responder, HandleTrim(request));
   } else {
-    responder({.m_status = 404});
+    SendAfterDelay(responder, {.m_status = 404});
   }
   return {};
 }
 
+void StoreStandin::RestoreCopy() {
+  m_topics = m_copy;
+  ++m_era;
+  for (const ReaderPtr& reader : std::exchange(m_readers, {})) {
+    reader->m_timer->cancel();
+    SendAfterDelay(reader->m_responder, {.m_status = 503});
+  }
+}
+
 HttpResponse StoreStandin::HandleAppend(const HttpRequest& request) {
   const std::string name = QueryParameter(request, "topic");
   auto records = SplitRecords(request.m_body);
@@ -196,7 +210,7 @@
 
 HttpResponse StoreStandin::ReadFrom(const std::string& name, uint64_t from) {
   const Topic& topic = m_topics[name];
-  if (from < topic.m_first_offset) {
+  if (from < topic.m_first_offset || from > topic.EndOffset()) {
     return JsonResponse(410, {{"firstOffset", topic.m_first_offset}});
   }
   std::string body;
@@ -215,7 +229,7 @@
   const std::string name = QueryParameter(request, "topic");
   const uint64_t from = QueryNumber(request, "from").value_or(0);
   const auto wait = QueryNumber(request, "waitMs").value_or(0);
-  if (wait == 0 || m_topics[name].EndOffset() > from) {
+  if (wait == 0 || m_topics[name].EndOffset() != from) {
     SendAfterDelay(responder, ReadFrom(name, from));
     return {};
   }
@@ -297,6 +311,7 @@
 
 void StoreStandin::SendAfterDelay(const StreamResponder& responder,
                                   HttpResponse response) {
+  response.m_fields.push_back({"Store-Era", std::to_string(m_era)});
   if (m_faults.m_delay == Duration::zero()) {
     responder(std::move(response));
     return;
--- a/standins/platform_store/store_standin.h
+++ b/standins/platform_store/store_standin.h
@@ -36,8 +36,10 @@
 };
 
 /// In-memory stand-in for the platform's store: log-append with asOf, log-read
-/// with long polling and 410, paged log-newest, and log-trim. Supports only
-/// partition 0 of each topic; no producers and no groups.
+/// with long polling and 410, paged log-newest, and log-trim. All responses
+/// carry the era in the field Store-Era. Supports only
+/// partition 0 of each topic; no producers and no groups. PUT /copy and PUT
+/// /restore call TakeCopy() and RestoreCopy().
 class StoreStandin {
  public:
   explicit StoreStandin(asio::io_context& io);
@@ -53,6 +55,13 @@
                   const std::string& key,
                   const std::string& value);
 
+  /// Takes a copy of all records.
+  void TakeCopy() { m_copy = m_topics; }
+
+  /// Restarts from the last copy: records since then are lost, their offsets
+  /// are assigned again, and the era rises by one. Waiting reads fail.
+  void RestoreCopy();
+
   StoreFaults& Faults() { return m_faults; }
   uint64_t Calls() const { return m_calls; }
 
@@ -94,6 +103,8 @@
 
   asio::io_context& m_io;
   std::map<std::string, Topic> m_topics;
+  std::map<std::string, Topic> m_copy;
+  uint32_t m_era = 1;
   std::list<ReaderPtr> m_readers;
   StoreFaults m_faults;
   uint64_t m_calls = 0;
