Let few nodes of a large region read the store during an outage

Cause: when no relay of a region was up to date, every node of the region read both topics itself, at once and again each 0.25 to 1 s. 8 s without the store cost some 11,000 calls at 355 nodes.

Change: the first 16 nodes in the order of relays read at once, as all nodes of a region of that size did before. The others wait 0.5 s for one of them, then read only the configuration, with a backoff of up to 4 s. The retry of a node's own record doubles up to 2 s.

Ruled out: deriving the relay's maximum age from the bound on configuration; it does not change how many nodes read.

--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -115,6 +115,7 @@
   // Member record last written to the store.
   std::string m_published_record;
   bool m_is_publishing = false;
+  Duration m_publish_delay = std::chrono::milliseconds(500);
   // Nodes that connected soon after the start, and how many of them have been
   // asked for records that the store lacks.
   std::vector<MessageSink> m_startup_peers;
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -28,6 +28,8 @@
 inline constexpr Duration kStartupPeriod = std::chrono::seconds(15);
 inline constexpr size_t kMaxStartupPeers = 3;
 inline constexpr Duration kPublishRetry = std::chrono::milliseconds(500);
+// Each failure doubles the delay up to this limit.
+inline constexpr Duration kMaxPublishRetry = std::chrono::seconds(2);
 // The nodes write their records again within this time after a new era of the
 // store, spread so that the store's rate limits hold.
 inline constexpr Duration kRewriteSpread = std::chrono::milliseconds(1500);
@@ -203,7 +205,7 @@
                                  : Duration{});
   m_tick_timer.async_wait([this](const asio::error_code& error) {
     if (!error) {
-      m_reader.Start();
+      m_reader.SetScope(ReadScope::kAll);
       Tick();
       SendRelayHeartbeats();
     }
@@ -312,12 +314,15 @@
           m_reader.NoteEra(*era);
         }
         if (is_written) {
+          m_publish_delay = mesh_node_detail::kPublishRetry;
           m_published_record = text;
           PublishMember();  // The record may have changed meanwhile.
           return;
         }
         LogEvent(LogLevel::kWarn, "member_not_written").Add("reason", reason);
-        m_publish_retry_timer.expires_after(mesh_node_detail::kPublishRetry);
+        m_publish_retry_timer.expires_after(m_publish_delay);
+        m_publish_delay =
+            std::min(mesh_node_detail::kMaxPublishRetry, m_publish_delay * 2);
         m_publish_retry_timer.async_wait([this](const asio::error_code& error) {
           if (!error) {
             PublishMember();
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -227,11 +227,8 @@
       m_subscribed_to = relay;
     }
   }
-  if (m_relay_choice.ShouldReadStore(now) || !m_reader.IsLoaded()) {
-    m_reader.Start();
-  } else {
-    m_reader.Stop();
-  }
+  m_reader.SetScope(m_reader.IsLoaded() ? m_relay_choice.Scope(now)
+                                        : ReadScope::kAll);
   // The store may have restarted from an older copy shortly before this node
   // started. The other nodes still have what it lost.
   if (m_config && m_reader.IsLoaded()) {
--- a/libs/mesh/include/sequoiastage/mesh/relay_choice.h
+++ b/libs/mesh/include/sequoiastage/mesh/relay_choice.h
@@ -17,6 +17,20 @@
   Duration m_max_age = std::chrono::milliseconds(1700);
   /// Time for which a relay that fell behind is not used.
   Duration m_avoid_period = std::chrono::seconds(8);
+  /// Number of nodes, in the order of relays, that read the store as soon as
+  /// their relay is out of date. A region of this size is read by all.
+  size_t m_first_readers = 16;
+  /// Time for which the other nodes wait for one of them.
+  Duration m_backup_delay = std::chrono::milliseconds(500);
+};
+
+/// Which topics of the store a node reads itself.
+enum class ReadScope : uint8_t {
+  kNone,
+  /// All topics, as a relay or in place of one.
+  kAll,
+  /// Only the configuration, and less often while the store fails.
+  kBackup,
 };
 
 /// Decides whether a node reads the store itself or receives updates from
@@ -28,6 +42,12 @@
 /// data. All nodes use the same order of relays. A node that finds its relay
 /// out of date selects the next one, and reads the store itself until that
 /// relay is up to date.
+///
+/// Load pattern: the store is away, or turns away many nodes, so that no relay
+/// of a region is up to date. If all nodes then read the store, the number of
+/// failing calls grows with the fleet. Only the first nodes in the order of
+/// relays do so at once. The others wait for one of them, then read only the
+/// configuration.
 class RelayChoice {
  public:
   explicit RelayChoice(NodeId self, const RelayChoiceOptions& options = {})
@@ -45,8 +65,8 @@
   /// Node to receive updates from; empty when this node is to read the store.
   std::optional<NodeId> Relay(TimePoint now);
 
-  /// Whether this node has to read the store now.
-  bool ShouldReadStore(TimePoint now);
+  /// What this node has to read from the store now.
+  ReadScope Scope(TimePoint now);
 
   /// Age of the relay's data; empty before its first report.
   std::optional<Duration> RelayAge(TimePoint now) const;
@@ -61,6 +81,8 @@
   std::unordered_map<NodeId, TimePoint> m_avoid_until;
   std::optional<NodeId> m_relay;
   TimePoint m_chosen_at{};
+  // Since when no relay has been up to date; empty while one is.
+  std::optional<TimePoint> m_outdated_since;
   // Time up to which the relay's data is known to be current.
   std::optional<TimePoint> m_current_at;
 };
--- a/libs/mesh/include/sequoiastage/mesh/store_reader.h
+++ b/libs/mesh/include/sequoiastage/mesh/store_reader.h
@@ -12,6 +12,7 @@
 #include "sequoiastage/base/boot_clock.h"
 #include "sequoiastage/logging/log_event.h"
 #include "sequoiastage/mesh/platform.h"
+#include "sequoiastage/mesh/relay_choice.h"
 
 namespace sequoiastage {
 
@@ -31,6 +32,8 @@
   /// Backoff after a failed call, doubled up to m_max_backoff.
   Duration m_min_backoff = std::chrono::milliseconds(250);
   Duration m_max_backoff = std::chrono::seconds(1);
+  /// The same for a node that reads as a backup.
+  Duration m_max_backup_backoff = std::chrono::seconds(4);
 };
 
 /// Local copy of the store: the newest record of each key, read from the store
@@ -65,31 +68,29 @@
         m_topics{Topic(io, StoreTopic::kConfig),
                  Topic(io, StoreTopic::kMembers)} {}
 
-  /// Starts reading; continues until Stop().
-  void Start() {
-    if (m_is_reading) {
+  /// Starts reading the topics of `scope`, or stops with kNone.
+  void SetScope(ReadScope scope) {
+    if (scope == m_scope) {
       return;
     }
-    m_is_reading = true;
+    m_scope = scope;
     for (Topic& topic : m_topics) {
-      Read(topic);
-    }
-  }
-
-  void Stop() {
-    if (!m_is_reading) {
-      return;
-    }
-    m_is_reading = false;
-    for (Topic& topic : m_topics) {
-      ++topic.m_generation;
-      topic.m_was_compacted = false;
-      topic.m_timer.cancel();
-      m_store.StopFollowing(topic.m_topic);
+      const bool should_read =
+          scope == ReadScope::kAll ||
+          (scope == ReadScope::kBackup && topic.m_topic == StoreTopic::kConfig);
+      if (should_read == topic.m_is_reading) {
+        continue;
+      }
+      topic.m_is_reading = should_read;
+      if (should_read) {
+        Read(topic);
+      } else {
+        Stop(topic);
+      }
     }
   }
 
-  bool IsReading() const { return m_is_reading; }
+  bool IsReading() const { return m_scope != ReadScope::kNone; }
 
   /// Applies a record that another node has read.
   void ApplyRelayed(const StoreRecord& record) {
@@ -107,7 +108,7 @@
     for (Topic& topic : m_topics) {
       if (topic.m_has_snapshot && EraOf(topic.m_next) < era) {
         topic.m_has_snapshot = false;
-        if (m_is_reading) {
+        if (topic.m_is_reading) {
           m_store.StopFollowing(topic.m_topic);
           Read(topic);
         }
@@ -189,6 +190,7 @@
     // The newest records have been read; later changes are followed.
     bool m_has_snapshot = false;
     bool m_is_loaded = false;
+    bool m_is_reading = false;
     bool m_is_failing = false;
     // The last read asked for offsets that the store does not have.
     bool m_was_compacted = false;
@@ -207,10 +209,17 @@
     return m_topics[static_cast<size_t>(topic)];
   }
 
+  void Stop(Topic& topic) {
+    ++topic.m_generation;
+    topic.m_was_compacted = false;
+    topic.m_timer.cancel();
+    m_store.StopFollowing(topic.m_topic);
+  }
+
   void Read(Topic& topic) {
     const uint64_t generation = ++topic.m_generation;
     auto handler = [this, &topic, generation](StoreResult result) {
-      if (generation == topic.m_generation && m_is_reading) {
+      if (generation == topic.m_generation && topic.m_is_reading) {
         OnResult(topic, std::move(result));
       }
     };
@@ -267,7 +276,7 @@
           MakeStorePosition(written, OffsetOf(record.m_position));
       ApplyRecord(record);
     }
-    if (!m_is_reading) {
+    if (!topic.m_is_reading) {
       return;
     }
     size_t bytes = 0;
@@ -298,7 +307,9 @@
     }
     constexpr uint32_t kMaxBackoffDoublings = 5;
     const auto doublings = std::min(topic.m_failures++, kMaxBackoffDoublings);
-    ReadAfter(topic, std::min(m_options.m_max_backoff,
+    ReadAfter(topic, std::min(m_scope == ReadScope::kBackup
+                                  ? m_options.m_max_backup_backoff
+                                  : m_options.m_max_backoff,
                               m_options.m_min_backoff * (1 << doublings)));
   }
 
@@ -306,7 +317,7 @@
     topic.m_timer.expires_after(pause);
     topic.m_timer.async_wait([this, &topic, generation = topic.m_generation](
                                  const asio::error_code& error) {
-      if (!error && generation == topic.m_generation && m_is_reading) {
+      if (!error && generation == topic.m_generation && topic.m_is_reading) {
         Read(topic);
       }
     });
@@ -339,7 +350,7 @@
   Handlers m_handlers;
   std::array<Topic, 2> m_topics;
   std::optional<StoreEra> m_era;
-  bool m_is_reading = false;
+  ReadScope m_scope = ReadScope::kNone;
 };
 
 }  // namespace sequoiastage
--- a/libs/mesh/src/relay_choice.cc
+++ b/libs/mesh/src/relay_choice.cc
@@ -54,9 +54,25 @@
   return m_relay;
 }
 
-bool RelayChoice::ShouldReadStore(TimePoint now) {
+ReadScope RelayChoice::Scope(TimePoint now) {
   const auto relay = Relay(now);
-  return !relay || !m_current_at || now - *m_current_at > m_options.m_max_age;
+  if (!relay) {
+    m_outdated_since.reset();
+    return ReadScope::kAll;
+  }
+  if (m_current_at && now - *m_current_at <= m_options.m_max_age) {
+    m_outdated_since.reset();
+    return ReadScope::kNone;
+  }
+  m_outdated_since = m_outdated_since.value_or(now);
+  const auto rank = std::find(m_nodes.begin(), m_nodes.end(), m_self);
+  if (rank - m_nodes.begin() <
+      static_cast<std::ptrdiff_t>(m_options.m_first_readers)) {
+    return ReadScope::kAll;
+  }
+  return now - *m_outdated_since < m_options.m_backup_delay
+             ? ReadScope::kNone
+             : ReadScope::kBackup;
 }
 
 std::optional<Duration> RelayChoice::RelayAge(TimePoint now) const {
--- a/libs/mesh/tests/relay_choice_test.cc
+++ b/libs/mesh/tests/relay_choice_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace sequoiastage {
 namespace {
 
@@ -57,9 +59,9 @@
 
 TEST_F(RelayChoiceTest, ReadsTheStoreUntilTheRelayReports) {
   RelayChoice choice = MakeFollower();
-  EXPECT_TRUE(choice.ShouldReadStore(m_now));
+  EXPECT_EQ(choice.Scope(m_now), ReadScope::kAll);
   choice.OnRelayReport(PreferredRelay(), milliseconds(100), m_now);
-  EXPECT_FALSE(choice.ShouldReadStore(m_now));
+  EXPECT_EQ(choice.Scope(m_now), ReadScope::kNone);
   EXPECT_EQ(choice.RelayAge(m_now), milliseconds(100));
 }
 
@@ -69,10 +71,10 @@
   // The relay still reports but has lost access to the store.
   m_now += seconds(1);
   choice.OnRelayReport(PreferredRelay(), seconds(1), m_now);
-  EXPECT_FALSE(choice.ShouldReadStore(m_now));
+  EXPECT_EQ(choice.Scope(m_now), ReadScope::kNone);
   m_now += seconds(1);
   choice.OnRelayReport(PreferredRelay(), seconds(2), m_now);
-  EXPECT_TRUE(choice.ShouldReadStore(m_now));
+  EXPECT_EQ(choice.Scope(m_now), ReadScope::kAll);
   EXPECT_NE(choice.Relay(m_now), PreferredRelay());
 }
 
@@ -84,10 +86,46 @@
   EXPECT_EQ(choice.Relay(m_now), PreferredRelay());
 }
 
+// The store is away for 8 s: the nodes of a region of 120 that read it. Before,
+// all of them did.
+TEST_F(RelayChoiceTest, FewNodesOfALargeRegionReadAtOnceWhileTheStoreIsAway) {
+  std::vector<NodeId> nodes;
+  std::vector<RelayChoice> choices;
+  for (uint32_t i = 1; i <= 120; ++i) {
+    nodes.push_back(Node(i));
+    choices.emplace_back(nodes.back());
+  }
+  for (RelayChoice& choice : choices) {
+    choice.SetRegion(nodes);
+    choice.Relay(m_now);
+  }
+  const auto count = [&](ReadScope scope) {
+    return std::count_if(
+        choices.begin(), choices.end(),
+        [&](RelayChoice& choice) { return choice.Scope(m_now) == scope; });
+  };
+  EXPECT_EQ(count(ReadScope::kAll), 16);
+  EXPECT_EQ(count(ReadScope::kNone), 104);
+  for (int step = 0; step < 40; ++step) {
+    m_now += milliseconds(200);
+    EXPECT_EQ(count(ReadScope::kAll), 16);
+  }
+  // Every node still learns of the store's return, and of a cut of the relays.
+  EXPECT_EQ(count(ReadScope::kBackup), 104);
+}
+
+TEST_F(RelayChoiceTest, EveryNodeOfASmallRegionReadsAtOnce) {
+  RelayChoice choice = MakeFollower();
+  choice.OnRelayReport(PreferredRelay(), milliseconds(0), m_now);
+  EXPECT_EQ(choice.Scope(m_now), ReadScope::kNone);
+  m_now += milliseconds(1800);
+  EXPECT_EQ(choice.Scope(m_now), ReadScope::kAll);
+}
+
 TEST_F(RelayChoiceTest, SingleNodeReadsTheStore) {
   RelayChoice choice(Node(7));
   choice.SetRegion({});
-  EXPECT_TRUE(choice.ShouldReadStore(m_now));
+  EXPECT_EQ(choice.Scope(m_now), ReadScope::kAll);
   EXPECT_FALSE(choice.Relay(m_now));
 }
 
--- a/libs/mesh/tests/store_reader_test.cc
+++ b/libs/mesh/tests/store_reader_test.cc
@@ -97,7 +97,7 @@
   for (int version = 1; version <= 10; ++version) {
     WriteConfig(version);
   }
-  m_first.m_reader.Start();
+  m_first.m_reader.SetScope(ReadScope::kAll);
   ASSERT_TRUE(WaitForVersion(m_first, 10));
   m_log.Rewind(6, 0);
   WriteConfig(11);
@@ -116,7 +116,7 @@
   for (int version = 1; version <= 10; ++version) {
     WriteConfig(version);
   }
-  m_first.m_reader.Start();
+  m_first.m_reader.SetScope(ReadScope::kAll);
   ASSERT_TRUE(WaitForVersion(m_first, 10));
   m_log.Rewind(6, 0);
   ASSERT_TRUE(RunUntil(m_io, [&] { return m_first.m_era_changes == 1; }));
@@ -125,7 +125,7 @@
   EXPECT_EQ(m_first.m_version, 10);
   // A node that starts now reads the older version and takes the newer one
   // from a node that had it.
-  m_second.m_reader.Start();
+  m_second.m_reader.SetScope(ReadScope::kAll);
   ASSERT_TRUE(WaitForVersion(m_second, 6));
   Relay(m_first, m_second);
   EXPECT_EQ(m_second.m_version, 10);
@@ -138,7 +138,7 @@
 TEST_F(StoreReaderTest, CopyDoesNotRestoreAnOutdatedMember) {
   WriteMember("a", "1 ready");
   WriteMember("b", "1 ready");
-  m_first.m_reader.Start();
+  m_first.m_reader.SetScope(ReadScope::kAll);
   ASSERT_TRUE(RunUntil(m_io, [&] { return m_first.m_members.size() == 2; }));
   WriteMember("a", "1 left");
   ASSERT_TRUE(
@@ -157,13 +157,13 @@
 
 TEST_F(StoreReaderTest, RelayedRecordOfALaterEraIsTakenAndOlderOnesAreNot) {
   WriteConfig(3);
-  m_first.m_reader.Start();
+  m_first.m_reader.SetScope(ReadScope::kAll);
   ASSERT_TRUE(WaitForVersion(m_first, 3));
   Relay(m_first, m_second);
-  m_first.m_reader.Stop();
+  m_first.m_reader.SetScope(ReadScope::kNone);
   m_log.Rewind(0, 0);
   WriteConfig(4);
-  m_first.m_reader.Start();
+  m_first.m_reader.SetScope(ReadScope::kAll);
   ASSERT_TRUE(WaitForVersion(m_first, 4));
   const auto old_records = m_second.m_reader.RecordsFrom({}, {});
   Relay(m_first, m_second);
@@ -178,7 +178,7 @@
 
 TEST_F(StoreReaderTest, MissingOffsetsCauseFewCalls) {
   WriteConfig(1);
-  m_first.m_reader.Start();
+  m_first.m_reader.SetScope(ReadScope::kAll);
   ASSERT_TRUE(WaitForVersion(m_first, 1));
   for (int i = 0; i < 5; ++i) {
     WriteConfig(i + 2);
@@ -203,12 +203,12 @@
     node = std::make_unique<TestReader>(io, log);
   }
   const auto read = [&](TestReader& node) {
-    node.m_reader.Start();
+    node.m_reader.SetScope(ReadScope::kAll);
     for (int i = 0; i < 8; ++i) {
       io.restart();
       io.poll();
     }
-    node.m_reader.Stop();
+    node.m_reader.SetScope(ReadScope::kNone);
   };
   const auto relay = [](const TestReader& from, TestReader& to) {
     for (const StoreRecord& record :
@@ -236,7 +236,7 @@
   }
   // The operator writes its newest configuration again.
   log.Write(StoreTopic::kConfig, kKey, std::to_string(++version));
-  nodes[0]->m_reader.Start();
+  nodes[0]->m_reader.SetScope(ReadScope::kAll);
   RC_ASSERT(RunUntil(io, [&] { return nodes[0]->m_version == version; }));
   relay(*nodes[0], *nodes[1]);
   relay(*nodes[1], *nodes[2]);
