--- a/libs/events/src/mesh_events.cc
+++ b/libs/events/src/mesh_events.cc
@@ -203,6 +203,11 @@
 
 std::vector<EventInfo> ProcessEvents() {
   return {
+      {.m_name = "handler_failed",
+       .m_level = kError,
+       .m_help = "an unexpected exception ended the handling of one event; the "
+                 "process continues",
+       .m_fields = {kReason, {"count", "exceptions since the start"}}},
       {.m_name = "node_started",
        .m_level = kInfo,
        .m_help = "the process serves requests",
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -123,9 +123,12 @@
     bool m_is_trial = false;
     bool m_is_detached = false;
     TimePoint m_deadline{};
+    // End of the time for which the granted slot waits for the start message.
+    TimePoint m_ready_until{};
     TimePoint m_started_at{};
     RunId m_run;
     Duration m_connection_idle{};
+    bool m_is_connection_reused = false;
     std::shared_ptr<ExchangeConnection> m_connection;
     asio::steady_timer m_timer;
   };
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -203,6 +203,7 @@
     return;
   }
   work->m_phase = Phase::kReady;
+  work->m_ready_until = BootNow() + m_options.m_ready_timeout;
   work->m_timer.expires_after(m_options.m_ready_timeout);
   work->m_timer.async_wait(
       [this, weak = std::weak_ptr(work)](const asio::error_code& error) {
@@ -227,10 +228,19 @@
     return;  // The refusal is in flight to the ingress.
   }
   const WorkPtr work = found->second;
+  const TimePoint now = BootNow();
+  if (now >= work->m_ready_until) {
+    // This process was paused: the timer has expired but not been handled.
+    Complete(work,
+             {.m_result = AttemptResult::kNotStarted,
+              .m_reason = AttemptReason::kCancelled},
+             RequestResult::kNoEvidence);
+    return;
+  }
   work->m_timer.cancel();
   work->m_offer.m_request = std::move(start.m_request);
-  work->m_deadline =
-      BootNow() + std::chrono::milliseconds(start.m_time_left_ms);
+  work->m_deadline = std::min(
+      work->m_deadline, now + std::chrono::milliseconds(start.m_time_left_ms));
   Execute(work);
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -38,10 +38,13 @@
   work->m_connection = AcquireConnection(*work);
   work->m_connection->Send(
       request, left,
-      [id = work->m_offer.m_request_id](const HttpResponse& response) {
+      [id = work->m_offer.m_request_id,
+       is_reused = work->m_is_connection_reused](const HttpResponse& response) {
         const ResponseMetadata metadata = Codec::DecodeResponse(response);
+        // On a reused connection, a response without an id may be a late copy
+        // of an earlier one.
         return metadata.m_request_id == id ||
-               (metadata.m_request_id.empty() &&
+               (metadata.m_request_id.empty() && !is_reused &&
                 (metadata.m_is_not_executed || metadata.m_is_wrong_instance));
       },
       [this, work](ExchangeResult result) {
@@ -67,6 +70,7 @@
        now - m_idle_connections.back().m_since < m_options.m_max_fresh_idle)) {
     auto connection = std::move(m_idle_connections.back().m_connection);
     work.m_connection_idle = now - m_idle_connections.back().m_since;
+    work.m_is_connection_reused = true;
     m_idle_connections.pop_back();
     return connection;
   }
--- a/libs/mesh/include/sequoiastage/mesh/local_instance.h
+++ b/libs/mesh/include/sequoiastage/mesh/local_instance.h
@@ -36,6 +36,13 @@
   /// Returns kChanged when `name` is the current instance.
   Change OnDeregister(const std::string& name);
 
+  /// Restores the departure of an instance that an earlier process of this node
+  /// has acknowledged. Returns kChanged when it ended the current instance.
+  Change RestoreDeparture(const std::string& name, uint64_t start_time_ms);
+
+  /// The current instance if it is leaving or has ended; otherwise null.
+  const InstanceAnnouncement* Departed() const;
+
   /// Called when another instance responded at the address of the current one.
   Change OnMismatch();
 
--- a/libs/mesh/include/sequoiastage/mesh/member_record.h
+++ b/libs/mesh/include/sequoiastage/mesh/member_record.h
@@ -23,6 +23,10 @@
   std::string m_instance;
   ServiceId m_service;
   uint32_t m_slots = 0;
+  /// Name and start time of the last instance of this host that has left; for
+  /// the next process of the node. Empty while an instance is active.
+  std::string m_departed;
+  uint64_t m_departed_start_ms = 0;
   /// Era of the store that the node knew when it wrote the record.
   StoreEra m_era;
 
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -290,15 +290,19 @@
     record.m_instance = instance->m_name;
     record.m_service = MakeServiceId(instance->m_service);
     record.m_slots = instance->m_slots;
+  } else if (const InstanceAnnouncement* departed =
+                 m_local_instance.Departed()) {
+    record.m_departed = departed->m_name;
+    record.m_departed_start_ms = departed->m_start_time_ms;
   }
   m_targets.SetMember(record);
   UpdateInstanceCount();
-  const auto era = m_reader.Era();
-  if (!era && !m_settings.m_is_first_start) {
-    // Other nodes would take the record for older than that of an earlier
-    // incarnation.
+  if (!m_reader.IsLoaded() && !m_settings.m_is_first_start) {
+    // The era is unknown, and the record of an earlier process of this node may
+    // name an instance that has left.
     return;
   }
+  const auto era = m_reader.Era();
   record.m_era = era.value_or(StoreEra(0));
   std::string text = EncodeMember(record);
   if (m_is_publishing || text == m_published_record) {
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -24,9 +24,6 @@
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::OnStoreEra(std::optional<StoreEra> previous) {
   if (!previous) {
-    if (m_published_record.empty()) {
-      PublishMember();
-    }
     return;
   }
   ++m_era_changes;
@@ -119,6 +116,11 @@
     return false;
   }
   if (member->m_node == m_self.m_node) {
+    if (!member->m_departed.empty()) {
+      ApplyInstance(m_local_instance.RestoreDeparture(
+                        member->m_departed, member->m_departed_start_ms),
+                    "departed-before-restart");
+    }
     // A stale record of this node: the current one is written again.
     if (record.m_value != m_published_record && !m_is_publishing) {
       m_published_record.clear();
@@ -229,6 +231,9 @@
   }
   m_reader.SetScope(m_reader.IsLoaded() ? m_relay_choice.Scope(now)
                                         : ReadScope::kAll);
+  if (m_published_record.empty()) {
+    PublishMember();
+  }
   // The store may have restarted from an older copy shortly before this node
   // started. The other nodes still have what it lost.
   if (m_config && m_reader.IsLoaded()) {
--- a/libs/mesh/src/local_instance.cc
+++ b/libs/mesh/src/local_instance.cc
@@ -57,6 +57,26 @@
   return Change::kChanged;
 }
 
+LocalInstance::Change LocalInstance::RestoreDeparture(const std::string& name,
+                                                      uint64_t start_time_ms) {
+  if (!m_current) {
+    m_current = InstanceAnnouncement{
+        .m_name = name, .m_is_leaving = true, .m_start_time_ms = start_time_ms};
+    m_has_ended = true;
+    return Change::kNone;
+  }
+  if (m_current->m_name != name ||
+      m_current->m_start_time_ms != start_time_ms || m_has_ended) {
+    return Change::kNone;
+  }
+  m_has_ended = true;
+  return Change::kChanged;
+}
+
+const InstanceAnnouncement* LocalInstance::Departed() const {
+  return m_current && ActiveInstance() == nullptr ? &*m_current : nullptr;
+}
+
 LocalInstance::Change LocalInstance::OnMismatch() {
   if (ActiveInstance() == nullptr) {
     return Change::kNone;
--- a/libs/mesh/src/member_record.cc
+++ b/libs/mesh/src/member_record.cc
@@ -16,6 +16,10 @@
     json["service"] = record.m_service.Get();
     json["slots"] = record.m_slots;
   }
+  if (!record.m_departed.empty()) {
+    json["departed"] = record.m_departed;
+    json["departed_start_ms"] = record.m_departed_start_ms;
+  }
   if (record.m_era != StoreEra(0)) {
     json["era"] = record.m_era.Get();
   }
@@ -29,14 +33,17 @@
     if (!node) {
       return std::nullopt;
     }
-    return MemberRecord{.m_node = NodeId(*node),
-                        .m_domain = json.at("domain"),
-                        .m_region = json.at("region"),
-                        .m_is_leaving = json.value("leaving", false),
-                        .m_instance = json.value("instance", ""),
-                        .m_service = ServiceId(json.value("service", 0U)),
-                        .m_slots = json.value("slots", 0U),
-                        .m_era = StoreEra(json.value("era", 0U))};
+    return MemberRecord{
+        .m_node = NodeId(*node),
+        .m_domain = json.at("domain"),
+        .m_region = json.at("region"),
+        .m_is_leaving = json.value("leaving", false),
+        .m_instance = json.value("instance", ""),
+        .m_service = ServiceId(json.value("service", 0U)),
+        .m_slots = json.value("slots", 0U),
+        .m_departed = json.value("departed", ""),
+        .m_departed_start_ms = json.value("departed_start_ms", uint64_t{0}),
+        .m_era = StoreEra(json.value("era", 0U))};
   } catch (const nlohmann::json::exception&) {
     return std::nullopt;
   }
--- a/libs/mesh/tests/egress_test.cc
+++ b/libs/mesh/tests/egress_test.cc
@@ -99,6 +99,55 @@
   EXPECT_EQ(m_instance.m_requests.size(), 1U);
 }
 
+// The process is paused between the grant of a slot and the start message, for
+// longer than the grant holds. Its timer has expired but was not handled yet.
+TEST_F(MeshEgressTest, StartAfterAPauseOfTheProcessIsNotExecuted) {
+  Send(MakeOffer(1, false));
+  ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kReady);
+  std::this_thread::sleep_for(std::chrono::milliseconds(800));
+  m_egress.OnStart(kPeer, {.m_attempt = AttemptNumber(1),
+                           .m_time_left_ms = 900,
+                           .m_request = MakeRequest(1)});
+  ASSERT_TRUE(WaitForOutcomes(1));
+  EXPECT_EQ(m_outcomes[0].m_result, AttemptResult::kNotStarted);
+  EXPECT_TRUE(m_instance.m_requests.empty());
+}
+
+// A start message cannot extend the deadline that came with the offer.
+TEST_F(MeshEgressTest, StartDoesNotExtendTheDeadlineOfTheOffer) {
+  m_instance.m_behavior = [](const HttpRequest&, const StreamResponder&) {
+    return CancelHook();
+  };
+  OfferMessage offer = MakeOffer(1, false);
+  offer.m_time_left_ms = 300;
+  Send(offer);
+  m_egress.OnStart(kPeer, {.m_attempt = AttemptNumber(1),
+                           .m_time_left_ms = 60'000,
+                           .m_request = MakeRequest(1)});
+  EXPECT_TRUE(RunUntil(
+      m_io, [this] { return !m_outcomes.empty(); }, std::chrono::seconds(2)));
+}
+
+// An instance sends a refusal without an id, and late a second copy of it.
+TEST_F(MeshEgressTest, LateCopyOfARefusalWithoutIdIsNotTakenForTheNextRequest) {
+  int count = 0;
+  m_instance.m_behavior = [&count](const HttpRequest& request,
+                                   const StreamResponder& responder) {
+    if (++count == 1) {
+      responder(FakeInstance::BuildResponse(request));
+    } else {
+      // In the place of the response to the second request.
+      responder({.m_status = 503, .m_fields = {{"not-run", "1"}}});
+    }
+    return CancelHook();
+  };
+  Send(MakeOffer(1));
+  ASSERT_TRUE(WaitForOutcomes(1));
+  Send(MakeOffer(2));
+  ASSERT_TRUE(WaitForOutcomes(2));
+  EXPECT_NE(m_outcomes[1].m_result, AttemptResult::kNotStarted);
+}
+
 TEST_F(MeshEgressTest, StartAfterWithdrawalIsIgnored) {
   Send(MakeOffer(1, false));
   m_egress.OnWithdraw(kPeer, AttemptNumber(1));
--- a/libs/mesh/tests/local_instance_test.cc
+++ b/libs/mesh/tests/local_instance_test.cc
@@ -81,6 +81,28 @@
   EXPECT_EQ(ActiveName(), "b");
 }
 
+// The node restarts between the departure and a late announcement.
+TEST_F(LocalInstanceTest, RestoredDepartureOutlivesTheNodesProcess) {
+  LocalInstance restarted;
+  restarted.RestoreDeparture("i-1", 10);
+  InstanceAnnouncement late{
+      .m_name = "i-1", .m_sequence = 3, .m_start_time_ms = 10};
+  EXPECT_EQ(restarted.OnAnnounce(late, TimePoint(std::chrono::seconds(1))),
+            LocalInstance::Change::kStale);
+  EXPECT_EQ(restarted.ActiveInstance(), nullptr);
+  // Also when the announcement came first.
+  LocalInstance other;
+  other.OnAnnounce(late, TimePoint(std::chrono::seconds(1)));
+  ASSERT_NE(other.ActiveInstance(), nullptr);
+  EXPECT_EQ(other.RestoreDeparture("i-1", 10), LocalInstance::Change::kChanged);
+  EXPECT_EQ(other.ActiveInstance(), nullptr);
+  // The next incarnation is accepted.
+  late.m_start_time_ms = 20;
+  EXPECT_EQ(restarted.OnAnnounce(late, TimePoint(std::chrono::seconds(2))),
+            LocalInstance::Change::kChanged);
+  EXPECT_NE(restarted.ActiveInstance(), nullptr);
+}
+
 TEST_F(LocalInstanceTest, MismatchEndsTheIncarnation) {
   m_local.OnAnnounce(Announce("a", 10, 1), m_now);
   EXPECT_EQ(m_local.OnMismatch(), Change::kChanged);
