--- a/libs/mesh/include/sequoiastage/mesh/node_metrics.h
+++ b/libs/mesh/include/sequoiastage/mesh/node_metrics.h
@@ -26,6 +26,9 @@
   Duration m_config_age{};
   Duration m_knowledge_age{};
   uint64_t m_config_rejects = 0;
+  /// Latest known era of the store, and the rises noticed since the start.
+  StoreEra m_store_era;
+  uint64_t m_store_era_changes = 0;
   uint64_t m_dropped_log_lines = 0;
   bool m_is_ready = false;
 };
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -108,6 +108,11 @@
   families.AddCounter("config_rejects_total",
                       "Configurations that were not valid.",
                       metrics.m_config_rejects);
+  families.AddCounter("store_era_changes_total",
+                      "Restarts of the store from an older copy.",
+                      metrics.m_store_era_changes);
+  families.AddGauge("store_era", "Latest known era of the store.",
+                    static_cast<double>(metrics.m_store_era.Get()));
   families.AddCounter("log_lines_dropped_total",
                       "Log lines for which there was no room.",
                       metrics.m_dropped_log_lines);
