--- a/libs/mesh/include/sequoiastage/mesh/relay_choice.h
+++ b/libs/mesh/include/sequoiastage/mesh/relay_choice.h
@@ -18,7 +18,7 @@
   /// Time for which a relay that fell behind is not used.
   Duration m_avoid_period = std::chrono::seconds(8);
   /// Number of nodes, in the order of relays, that read the store as soon as
-  /// their relay is out of date. A region of this size is read by all.
+  /// their relay is out of date; in a smaller region, all nodes do.
   size_t m_first_readers = 16;
   /// Time for which the other nodes wait for one of them.
   Duration m_backup_delay = std::chrono::milliseconds(500);
