Log the limit that an instance states in its responses

The logs could not tell whether a node knew the limit of its instance, so they could not tell the hypotheses apart. The egress now logs instance_limit when the stated limit changes and instance_statement_invalid when it cannot be read; the metric stated_limit_per_second shows it. No request is handled differently yet.

--- a/libs/events/src/mesh_events.cc
+++ b/libs/events/src/mesh_events.cc
@@ -123,6 +123,18 @@
        .m_fields = {{"instance", "instance in service, or empty"},
                     {"cause", "announced, deregistered, address-taken"},
                     {"in_service", "yes or no"}}},
+      {.m_name = "instance_limit",
+       .m_level = kInfo,
+       .m_help = "the instance states another rate limit in its responses",
+       .m_fields = {{"instance", "instance of this node"},
+                    {"per_s",
+                     "requests per second that it accepts from all hosts "
+                     "together, or none"}}},
+      {.m_name = "instance_statement_invalid",
+       .m_level = kWarn,
+       .m_help = "a response states something about its instance that can't be "
+                 "read; what it stated before stays in force",
+       .m_fields = {{"instance", "instance of this node"}, kReason}},
       {.m_name = "announcement_invalid",
        .m_level = kWarn,
        .m_help = "an announcement is invalid; the previous one stays in force",
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -105,6 +105,8 @@
   /// Duration of attempts at the instance, from start to completion.
   const LatencyBuckets& Latency() const { return m_latency; }
   EgressLoadReport CurrentLoad() const;
+  /// Rate limit that the instance states; empty when it states none.
+  std::optional<RequestRate> StatedLimit() const { return m_stated_limit; }
   HoldState State() const { return m_hold.StateAt(BootNow()); }
 
  private:
@@ -147,6 +149,8 @@
   void OnSlotGranted(const WorkPtr& work);
   void Execute(const WorkPtr& work);
   void OnExchangeEnd(const WorkPtr& work, ExchangeResult result);
+  // Handles what the instance states about itself in a response.
+  void OnStatements(const Work& work, const ResponseMetadata& metadata);
   OutcomeMessage ClassifyResponse(const Work& work,
                                   HttpResponse response,
                                   RequestResult* end);
@@ -176,6 +180,11 @@
   InstanceHold m_hold;
   RetryAllowance m_retry_budget;
   TimePoint m_shed_until{};
+  // Rate limit that the instance states, and when it last stated one.
+  std::optional<RequestRate> m_stated_limit;
+  TimePoint m_limit_stated_at{};
+  // Malformed statement that was last logged.
+  std::string m_logged_error;
   TimePoint m_last_local_failure_at{};
   uint32_t m_trial_count = 0;
   std::map<Key, WorkPtr> m_work;
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -42,6 +42,8 @@
     }
     m_idle_connections.clear();
     m_hold.Reset();
+    m_stated_limit.reset();
+    m_limit_stated_at = {};
   }
   m_instance.reset();
   if (instance == nullptr) {
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -3,6 +3,8 @@
 
 // Execution of work that holds a slot, from its start to its outcome.
 
+#include <fmt/format.h>
+
 #include <asio/post.hpp>
 #include <utility>
 
@@ -113,11 +115,47 @@
   Complete(work, std::move(outcome), end);
 }
 
+template <PlatformCodec Codec>
+void Egress<Codec>::OnStatements(const Work& work,
+                                 const ResponseMetadata& metadata) {
+  if (metadata.m_is_wrong_instance || !m_instance ||
+      m_instance->m_name != work.m_offer.m_instance ||
+      !(metadata.m_is_attested || metadata.m_is_not_executed)) {
+    return;
+  }
+  if (!metadata.m_error.empty() && metadata.m_error != m_logged_error) {
+    m_logged_error = metadata.m_error;
+    LogEvent(LogLevel::kWarn, "instance_statement_invalid")
+        .Add("instance", m_instance->m_name)
+        .Add("reason", metadata.m_error);
+  }
+  const TimePoint now = BootNow();
+  // A response to an earlier request may have been produced before the limit.
+  const bool is_lifted = !metadata.m_rate_limit && metadata.m_error.empty() &&
+                         metadata.m_is_attested &&
+                         work.m_started_at >= m_limit_stated_at;
+  if (!metadata.m_rate_limit && !is_lifted) {
+    return;
+  }
+  if (metadata.m_rate_limit) {
+    m_limit_stated_at = now;
+  }
+  if (metadata.m_rate_limit == m_stated_limit) {
+    return;
+  }
+  m_stated_limit = metadata.m_rate_limit;
+  LogEvent(LogLevel::kInfo, "instance_limit")
+      .Add("instance", m_instance->m_name)
+      .Add("per_s",
+           m_stated_limit ? fmt::format("{}", m_stated_limit->Get()) : "none");
+}
+
 template <PlatformCodec Codec>
 OutcomeMessage Egress<Codec>::ClassifyResponse(const Work& work,
                                                HttpResponse response,
                                                RequestResult* end) {
   const ResponseMetadata metadata = Codec::DecodeResponse(response);
+  OnStatements(work, metadata);
   OutcomeMessage outcome;
   if (metadata.m_is_wrong_instance) {
     outcome.m_result = AttemptResult::kNotStarted;
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -448,6 +448,7 @@
       {.m_ingress = m_ingress.Stats(),
        .m_egress = m_egress.Stats(),
        .m_load = m_egress.CurrentLoad(),
+       .m_stated_limit = m_egress.StatedLimit(),
        .m_request_latencies = m_ingress.Latencies(),
        .m_instance_latency = m_egress.Latency().Sample(),
        .m_requests = m_ingress.RequestCount(),
--- a/libs/mesh/include/sequoiastage/mesh/node_metrics.h
+++ b/libs/mesh/include/sequoiastage/mesh/node_metrics.h
@@ -17,6 +17,8 @@
   IngressStats m_ingress;
   EgressStats m_egress;
   EgressLoadReport m_load;
+  /// Rate limit that the instance states; empty when it states none.
+  std::optional<RequestRate> m_stated_limit;
   std::vector<MetricSample> m_request_latencies;
   MetricSample m_instance_latency;
   size_t m_requests = 0;
--- a/libs/mesh/include/sequoiastage/mesh/platform.h
+++ b/libs/mesh/include/sequoiastage/mesh/platform.h
@@ -11,6 +11,7 @@
 
 #include "sequoiastage/base/http_message.h"
 #include "sequoiastage/base/ids.h"
+#include "sequoiastage/base/request_rate.h"
 #include "sequoiastage/base/time.h"
 #include "sequoiastage/config/traffic_config.h"
 #include "sequoiastage/wire/messages.h"
@@ -46,6 +47,13 @@
   bool m_is_wrong_instance = false;
   /// The body was transformed in transit, for example compressed.
   bool m_is_encoded = false;
+  /// Rate of requests that the instance accepts from all hosts together; empty
+  /// when the response states none.
+  std::optional<RequestRate> m_rate_limit;
+  /// The instance accepts no new requests and is about to stop.
+  bool m_is_leaving = false;
+  /// Describes a field that could not be read; empty otherwise.
+  std::string m_error;
 };
 
 /// Periodic announcement that an instance sends to the node of its host.
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -128,6 +128,10 @@
   families.AddGauge(
       "hold_seconds", "Time until the instance is tried again.",
       ToSeconds(std::chrono::milliseconds(metrics.m_load.m_hold_ms)));
+  families.AddGauge(
+      "stated_limit_per_second",
+      "Requests per second that the instance accepts; -1 when not limited.",
+      metrics.m_stated_limit ? metrics.m_stated_limit->Get() : -1);
   families.AddGauge("members", "Nodes known.",
                     static_cast<double>(metrics.m_members));
   families.AddGauge("config_version", "Configuration in force; 0 when none is.",
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -11,7 +11,7 @@
   -- "${folders[@]}" | grep -E '\.(cc|h)$')
 # Names of the platform stay in its adapter and the stand-in for its store.
 names='X-Target-Instance|X-Caller-Service|X-Not-Executed|X-Deadline-Ms'
-names+='|X-Response-Signature|X-Server-Load|Instances\.(Heartbeat|Deregister)'
+names+='|X-Response-Signature|X-Server-Load|Server-Limit|Server-Leaving|Instances\.(Heartbeat|Deregister)'
 names+='|SEQUOIASTAGE_BOOT|log-(append|read|newest|trim)'
 names+='|keyed\.(op|servers|status)|pathPrefix|trafficSplit|targetLatencyS'
 if git grep -nE "$names" -- libs apps bench tests examples standins \
