Keep the rate limit that an instance states

Cause: the limit arrives in response fields that nothing read, so the egress admitted by slots alone. Class of fault: what an instance states about itself in its responses was dropped; only its announcements counted.

Change: the egress, through which every request to the instance passes, keeps a token bucket (RateLimiter, in SlotGate). No share of the limit at any ingress has to be right. Queued requests start as tokens arrive; what the rate cannot serve before its deadline is refused at once, and the expected wait in the load report sends other requests elsewhere. A restarted process does not know the limit, so it sends two requests at a time until the first response. Queued requests that wait for the rate no longer count as evidence of a hang.

--- a/libs/limits/include/sequoiastage/limits/slot_gate.h
+++ b/libs/limits/include/sequoiastage/limits/slot_gate.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -10,6 +11,7 @@
 #include "sequoiastage/base/strong.h"
 #include "sequoiastage/base/time.h"
 #include "sequoiastage/limits/fair_shares.h"
+#include "sequoiastage/limits/rate_limiter.h"
 
 namespace sequoiastage {
 
@@ -37,6 +39,7 @@
   /// Weight (0 to 1) of the newest sample in the moving average.
   double m_service_time_weight = 0.1;
   FairSharesOptions m_fair_shares{};
+  RateLimiterOptions m_rate_limiter{};
 };
 
 /// Requests that left the queue.
@@ -76,6 +79,9 @@
 /// full queue. Load pattern: requests of several urgency levels share the
 /// instances of a service, and calls that running requests depend on must not
 /// queue behind new requests.
+///
+/// While a rate limit is set, a request also waits for a token of the
+/// RateLimiter, and the queue holds what the rate allows within the same time.
 class SlotGate {
  public:
   explicit SlotGate(const SlotGateOptions& options);
@@ -100,24 +106,36 @@
   /// example because it is running.
   bool CancelQueued(Ticket ticket);
 
-  /// Refuses queued requests that can't meet their deadline anymore.
+  /// Refuses queued requests that can't meet their deadline anymore, and starts
+  /// those that waited for the rate limit.
   GateChanges OnTick(TimePoint now);
 
+  /// Time until OnTick() can start the next queued request; empty when none
+  /// waits for the rate limit alone.
+  std::optional<Duration> TimeToTick(TimePoint now) const;
+
+  /// Sets the rate at which requests may start; empty: not limited.
+  GateChanges SetRate(std::optional<RequestRate> rate, TimePoint now);
+
   /// Sets the number of slots. Running requests keep their slots.
   GateChanges Resize(uint32_t slots, TimePoint now);
 
   /// Sets the maximum queue length and refuses the newest excess requests.
   GateChanges SetMaxQueued(uint32_t max_queued);
 
+  std::optional<RequestRate> Rate() const { return m_rate.Rate(); }
+  /// Whether requests are queued because no slot is free.
+  bool IsWaitingForSlot() const { return !HasFreeSlot() && !m_queue.empty(); }
+
   uint32_t Slots() const { return m_options.m_slots; }
   size_t Running() const { return m_running.size(); }
   size_t Queued() const { return m_queue.size(); }
   size_t QueueLimit() const;
   Duration ServiceTime() const { return m_service_time; }
 
-  /// Expected time until a request of this urgency, if admitted now, gets a
-  /// slot. Zero when a slot is free.
-  Duration ExpectedWait(uint8_t urgency = UINT8_MAX) const;
+  /// Expected time until a request of this urgency, if admitted now, starts.
+  /// Zero when a slot is free and the rate is not limited or not used up.
+  Duration ExpectedWait(TimePoint now, uint8_t urgency = UINT8_MAX) const;
 
   const SlotGateStats& Stats() const { return m_stats; }
 
@@ -136,6 +154,9 @@
   };
 
   bool HasFreeSlot() const { return m_running.size() < m_options.m_slots; }
+  bool CanStart(TimePoint now) const {
+    return HasFreeSlot() && m_rate.WaitTime(now) == Duration{};
+  }
   double WeightedUsage(const QueuedWork& work, TimePoint now) const;
   double WeightedDemand(const QueuedWork& work, TimePoint now) const;
   bool DisplaceLessUrgent(const QueuedWork& arrival, GateChanges& changes);
@@ -148,6 +169,7 @@
 
   SlotGateOptions m_options;
   FairShares m_shares;
+  RateLimiter m_rate;
   Duration m_service_time;
   uint64_t m_next_ticket = 1;
   std::unordered_map<Ticket, RunningWork> m_running;
--- a/libs/limits/src/slot_gate.cc
+++ b/libs/limits/src/slot_gate.cc
@@ -15,6 +15,7 @@
 SlotGate::SlotGate(const SlotGateOptions& options)
     : m_options(options),
       m_shares(options.m_fair_shares),
+      m_rate(options.m_rate_limiter),
       m_service_time(options.m_initial_service_time) {}
 
 AdmissionResult SlotGate::Admit(TimePoint now,
@@ -27,12 +28,12 @@
                          .m_changes = {}};
   RefuseExpired(now, result.m_changes);
   FillSlots(now, result.m_changes);
-  if (HasFreeSlot() && now < deadline) {
+  if (CanStart(now) && now < deadline) {
     Start(result.m_ticket, account, now);
     result.m_decision = AdmissionDecision::kAdmitted;
     return result;
   }
-  if (now + ExpectedWait(urgency) + m_service_time > deadline) {
+  if (now + ExpectedWait(now, urgency) + m_service_time > deadline) {
     ++m_stats.m_refused;
     return result;
   }
@@ -88,6 +89,25 @@
 GateChanges SlotGate::OnTick(TimePoint now) {
   GateChanges changes;
   RefuseExpired(now, changes);
+  FillSlots(now, changes);
+  return changes;
+}
+
+std::optional<Duration> SlotGate::TimeToTick(TimePoint now) const {
+  if (!HasFreeSlot() || m_queue.empty()) {
+    return std::nullopt;
+  }
+  return m_rate.WaitTime(now);
+}
+
+GateChanges SlotGate::SetRate(std::optional<RequestRate> rate, TimePoint now) {
+  m_rate.SetRate(rate, now);
+  GateChanges changes = OnTick(now);
+  while (m_queue.size() > QueueLimit()) {
+    changes.m_refused.push_back(m_queue.back().m_ticket);
+    m_queue.pop_back();
+    ++m_stats.m_refused;
+  }
   return changes;
 }
 
@@ -111,28 +131,33 @@
 }
 
 // The number of requests that the slots process within m_max_wait, at least one
-// per slot, at most m_max_queued.
+// per slot, at most m_max_queued. With a rate limit at most what the rate
+// allows in that time, at least one.
 size_t SlotGate::QueueLimit() const {
   const double rounds =
       Seconds(m_options.m_max_wait) / std::max(1e-6, Seconds(m_service_time));
-  const double limit =
-      static_cast<double>(m_options.m_slots) * std::max(1.0, rounds);
+  double limit = static_cast<double>(m_options.m_slots) * std::max(1.0, rounds);
+  if (m_rate.Rate()) {
+    limit = std::min(limit, std::max(1.0, m_rate.Rate()->Get() *
+                                              Seconds(m_options.m_max_wait)));
+  }
   return std::min(static_cast<size_t>(limit),
                   static_cast<size_t>(m_options.m_max_queued));
 }
 
-Duration SlotGate::ExpectedWait(uint8_t urgency) const {
-  if (HasFreeSlot()) {
-    return Duration(0);
-  }
+Duration SlotGate::ExpectedWait(TimePoint now, uint8_t urgency) const {
   if (m_options.m_slots == 0) {
     return Duration::max() / 4;
   }
   const auto queued_ahead = std::count_if(
       m_queue.begin(), m_queue.end(),
       [urgency](const QueuedWork& work) { return work.m_urgency <= urgency; });
-  return m_service_time * (queued_ahead + 1) /
-         static_cast<int64_t>(m_options.m_slots);
+  const Duration slot_wait = HasFreeSlot()
+                                 ? Duration{}
+                                 : m_service_time * (queued_ahead + 1) /
+                                       static_cast<int64_t>(m_options.m_slots);
+  return std::max(slot_wait,
+                  m_rate.WaitTime(now, static_cast<size_t>(queued_ahead)));
 }
 
 // Recent slot usage of the account in seconds, including its running requests,
@@ -203,11 +228,12 @@
 
 void SlotGate::Start(Ticket ticket, AccountId account, TimePoint now) {
   m_running[ticket] = RunningWork{.m_account = account, .m_started = now};
+  m_rate.OnStart(now);
   ++m_stats.m_admitted;
 }
 
 void SlotGate::FillSlots(TimePoint now, GateChanges& changes) {
-  while (HasFreeSlot() && !m_queue.empty()) {
+  while (CanStart(now) && !m_queue.empty()) {
     auto next = m_queue.begin();
     double least_usage = WeightedUsage(*next, now);
     for (auto work = next + 1; work != m_queue.end(); ++work) {
--- a/libs/limits/tests/slot_gate_test.cc
+++ b/libs/limits/tests/slot_gate_test.cc
@@ -237,7 +237,7 @@
   ASSERT_EQ(waiting.m_decision, AdmissionDecision::kQueued);
   EXPECT_EQ(gate.Admit(kStart, late, kSmall, 1, 2).m_decision,
             AdmissionDecision::kRefused);
-  EXPECT_LT(gate.ExpectedWait(1), gate.ExpectedWait(2));
+  EXPECT_LT(gate.ExpectedWait(kStart, 1), gate.ExpectedWait(kStart, 2));
   const auto urgent = gate.Admit(kStart, late, kSmall, 1, 1);
   EXPECT_EQ(urgent.m_decision, AdmissionDecision::kQueued);
   EXPECT_EQ(urgent.m_changes.m_refused, std::vector{waiting.m_ticket});
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -46,6 +46,11 @@
   /// inquiries.
   Duration m_outcome_retention = std::chrono::seconds(4);
   size_t m_max_retained_outcomes = 256;
+  /// The first instance may have run before this process started. Until its
+  /// first response tells whether it limits its load, it gets at most
+  /// m_unproven_slots requests at a time.
+  bool m_adopts_instance = false;
+  uint32_t m_unproven_slots = 2;
 };
 
 struct EgressStats {
@@ -151,12 +156,16 @@
   void OnExchangeEnd(const WorkPtr& work, ExchangeResult result);
   // Handles what the instance states about itself in a response.
   void OnStatements(const Work& work, const ResponseMetadata& metadata);
+  void UpdateLimit(const Work& work, const ResponseMetadata& metadata);
   OutcomeMessage ClassifyResponse(const Work& work,
                                   HttpResponse response,
                                   RequestResult* end);
   void Complete(const WorkPtr& work, OutcomeMessage outcome, RequestResult end);
   void Release(const WorkPtr& work, bool counts);
+  uint32_t UsableSlots() const;
   void ApplyGateChanges(const GateChanges& changes);
+  // Wakes up when the rate limit allows the next queued request.
+  void ScheduleGateTick();
   void RetainOutcome(const Key& key, OutcomeMessage outcome);
   void RefusePending(AttemptReason reason);
   std::shared_ptr<ExchangeConnection> AcquireConnection(Work& work);
@@ -177,9 +186,13 @@
   // work.
   bool m_is_refusing_pending = false;
   SlotGate m_gate;
+  asio::steady_timer m_gate_timer;
   InstanceHold m_hold;
   RetryAllowance m_retry_budget;
   TimePoint m_shed_until{};
+  // Whether a limit that the instance states would be known.
+  bool m_is_proven;
+  bool m_has_had_instance = false;
   // Rate limit that the instance states, and when it last stated one.
   std::optional<RequestRate> m_stated_limit;
   TimePoint m_limit_stated_at{};
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -26,8 +26,10 @@
       m_options(options),
       m_on_mismatch(std::move(on_mismatch)),
       m_gate(options.m_gate),
+      m_gate_timer(io),
       m_hold(options.m_hold),
-      m_retry_budget(options.m_retry_budget) {}
+      m_retry_budget(options.m_retry_budget),
+      m_is_proven(!options.m_adopts_instance) {}
 
 template <PlatformCodec Codec>
 void Egress<Codec>::SetInstance(const InstanceAnnouncement* instance) {
@@ -44,15 +46,23 @@
     m_hold.Reset();
     m_stated_limit.reset();
     m_limit_stated_at = {};
+    ApplyGateChanges(m_gate.SetRate({}, BootNow()));
+    m_is_proven |= m_has_had_instance;
   }
   m_instance.reset();
   if (instance == nullptr) {
     return;
   }
+  m_has_had_instance = true;
   m_instance = *instance;
   m_service = MakeServiceId(instance->m_service);
-  ApplyGateChanges(
-      m_gate.Resize(std::max<uint32_t>(1, instance->m_slots), BootNow()));
+  ApplyGateChanges(m_gate.Resize(UsableSlots(), BootNow()));
+}
+
+template <PlatformCodec Codec>
+uint32_t Egress<Codec>::UsableSlots() const {
+  const uint32_t slots = std::max<uint32_t>(1, m_instance->m_slots);
+  return m_is_proven ? slots : std::min(slots, m_options.m_unproven_slots);
 }
 
 template <PlatformCodec Codec>
@@ -92,7 +102,7 @@
           .m_running = static_cast<uint16_t>(m_gate.Running()),
           .m_queued = static_cast<uint16_t>(m_gate.Queued()),
           .m_hold_ms = ToWireMs<uint16_t>(m_hold.RemainingHold(now)),
-          .m_expected_wait_ms = ToWireMs<uint16_t>(m_gate.ExpectedWait())};
+          .m_expected_wait_ms = ToWireMs<uint16_t>(m_gate.ExpectedWait(now))};
 }
 
 template <PlatformCodec Codec>
@@ -116,17 +126,19 @@
     if (state == HoldState::kHeld ||
         (state == HoldState::kTrial && !allows_trial) ||
         (!offer.m_is_idempotent &&
-         m_hold.IsDoubtful(now, m_gate.Queued() > 0))) {
+         m_hold.IsDoubtful(now, m_gate.IsWaitingForSlot()))) {
       return AttemptReason::kSuspect;
     }
   }
   if (!offer.m_may_wait &&
       (now < m_shed_until ||
-       m_gate.ExpectedWait(offer.m_urgency) > Duration{})) {
+       m_gate.ExpectedWait(now, offer.m_urgency) > Duration{})) {
     return AttemptReason::kBusy;
   }
-  // The last free slot is reserved for requests that are not running elsewhere.
-  if (offer.m_is_hedge && m_gate.Running() + 1 >= m_gate.Slots()) {
+  // The last free slot, and the rate of an instance that limits it, are
+  // reserved for requests that are not running elsewhere.
+  if (offer.m_is_hedge &&
+      (m_gate.Running() + 1 >= m_gate.Slots() || m_gate.Rate())) {
     return AttemptReason::kBusy;
   }
   if (offer.m_is_extra_attempt &&
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -129,6 +129,17 @@
         .Add("instance", m_instance->m_name)
         .Add("reason", metadata.m_error);
   }
+  UpdateLimit(work, metadata);
+  if (!m_is_proven) {
+    // After the limit, so that the added slots do not overrun it.
+    m_is_proven = true;
+    ApplyGateChanges(m_gate.Resize(UsableSlots(), BootNow()));
+  }
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::UpdateLimit(const Work& work,
+                                const ResponseMetadata& metadata) {
   const TimePoint now = BootNow();
   // A response to an earlier request may have been produced before the limit.
   const bool is_lifted = !metadata.m_rate_limit && metadata.m_error.empty() &&
@@ -148,6 +159,7 @@
       .Add("instance", m_instance->m_name)
       .Add("per_s",
            m_stated_limit ? fmt::format("{}", m_stated_limit->Get()) : "none");
+  ApplyGateChanges(m_gate.SetRate(m_stated_limit, now));
 }
 
 template <PlatformCodec Codec>
@@ -200,7 +212,7 @@
   }
   if (work->m_connection) {
     m_hold.OnEnd(work->m_run, end, now);
-    m_hold.Update(now, m_gate.Queued() > 0);
+    m_hold.Update(now, m_gate.IsWaitingForSlot());
     m_latency.Observe(now - work->m_started_at);
     if (work->m_connection->IsReusable(now) && m_instance &&
         m_instance->m_name == work->m_offer.m_instance) {
@@ -244,7 +256,7 @@
 template <PlatformCodec Codec>
 void Egress<Codec>::UpdateHold(TimePoint now) {
   const HoldState before = m_hold.StateAt(now);
-  m_hold.Update(now, m_gate.Queued() > 0);
+  m_hold.Update(now, m_gate.IsWaitingForSlot());
   LogHoldChange(before, "late");
 }
 
@@ -305,6 +317,21 @@
     }
     OnSlotGranted(work);
   }
+  ScheduleGateTick();
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::ScheduleGateTick() {
+  const auto wait = m_gate.TimeToTick(BootNow());
+  if (!wait) {
+    return;
+  }
+  m_gate_timer.expires_after(*wait);
+  m_gate_timer.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      ApplyGateChanges(m_gate.OnTick(BootNow()));
+    }
+  });
 }
 
 template <PlatformCodec Codec>
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -104,7 +104,8 @@
                      m_egress.OnPeerLost(peer);
                    }}),
       m_egress(io,
-               {.m_retry_budget = settings.m_retry_budget},
+               {.m_retry_budget = settings.m_retry_budget,
+                .m_adopts_instance = !settings.m_is_first_start},
                [this] {
                  ApplyInstance(m_local_instance.OnMismatch(), "address-taken");
                }),
--- a/libs/mesh/src/target_table.cc
+++ b/libs/mesh/src/target_table.cc
@@ -94,14 +94,25 @@
         age < m_options.m_load_validity
             ? target.m_load.m_running + uint32_t{target.m_load.m_queued}
             : 0;
-    candidates.push_back(
-        {.m_key = ToCandidateKey(node),
-         .m_distance = DistanceBetween(m_self, member),
-         .m_is_reachable = is_usable(node),
-         .m_hold_remaining = std::max(Duration{}, hold - age),
-         .m_needs_trial = hold > Duration{} && age >= hold,
-         .m_used_slots = std::max(reported, target.m_in_flight),
-         .m_slots = std::max(1U, member.m_slots)});
+    // Only a limited request rate causes a wait while slots are free.
+    const EgressLoadReport& load = target.m_load;
+    const bool has_free_slot = load.m_running + load.m_queued < load.m_slots;
+    const Duration rate_wait =
+        has_free_slot
+            ? std::max(Duration{},
+                       std::chrono::milliseconds(load.m_expected_wait_ms) - age)
+            : Duration{};
+    const uint32_t slots = std::max(1U, member.m_slots);
+    const uint32_t used =
+        rate_wait > Duration{} ? slots : std::max(reported, target.m_in_flight);
+    candidates.push_back({.m_key = ToCandidateKey(node),
+                          .m_distance = DistanceBetween(m_self, member),
+                          .m_is_reachable = is_usable(node),
+                          .m_hold_remaining = std::max(Duration{}, hold - age),
+                          .m_needs_trial = hold > Duration{} && age >= hold,
+                          .m_used_slots = used,
+                          .m_slots = slots,
+                          .m_rate_wait = rate_wait});
   }
   return candidates;
 }
--- a/libs/mesh/tests/egress_test.cc
+++ b/libs/mesh/tests/egress_test.cc
@@ -175,6 +175,99 @@
   EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
 }
 
+// Responds with these fields added.
+auto RespondWith(std::vector<HttpField> fields) {
+  return [fields = std::move(fields)](const HttpRequest& request,
+                                      const StreamResponder& responder) {
+    HttpResponse response = FakeInstance::BuildResponse(request);
+    response.m_fields.insert(response.m_fields.end(), fields.begin(),
+                             fields.end());
+    responder(std::move(response));
+    return CancelHook();
+  };
+}
+
+TEST_F(MeshEgressTest, RefusesOffersBeyondTheStatedLimit) {
+  m_instance.m_behavior = RespondWith({{"limit", "2"}});
+  Send(MakeOffer(1));
+  ASSERT_TRUE(WaitForOutcomes(1));
+  EXPECT_EQ(m_egress.StatedLimit(), RequestRate(2));
+  Send(MakeOffer(2));
+  ASSERT_TRUE(WaitForOutcomes(2));
+  Send(MakeOffer(3));
+  EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kRefused);
+  EXPECT_EQ(m_replies.back().m_reason, AttemptReason::kBusy);
+  EXPECT_GT(m_replies.back().m_load_report.m_expected_wait_ms, 0);
+  // An offer that may wait starts as soon as the rate allows it.
+  OfferMessage patient = MakeOffer(4);
+  patient.m_may_wait = true;
+  patient.m_time_left_ms = 3000;
+  Send(patient);
+  EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kQueued);
+  ASSERT_TRUE(WaitForOutcomes(3));
+  EXPECT_EQ(m_outcomes.back().m_result, AttemptResult::kAnswered);
+}
+
+TEST_F(MeshEgressTest, LimitEndsWithAResponseThatStatesNone) {
+  m_instance.m_behavior = RespondWith({{"limit", "2"}});
+  Send(MakeOffer(1));
+  ASSERT_TRUE(WaitForOutcomes(1));
+  m_instance.m_behavior = RespondWith({});
+  Send(MakeOffer(2));
+  ASSERT_TRUE(WaitForOutcomes(2));
+  EXPECT_FALSE(m_egress.StatedLimit());
+  Send(MakeOffer(3));
+  EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
+}
+
+// Another instance responds at the address, or bytes that are no response.
+TEST_F(MeshEgressTest, OnlyTheInstanceItselfSetsItsLimit) {
+  m_instance.m_behavior = [](const HttpRequest& request,
+                             const StreamResponder& responder) {
+    responder(
+        {.m_status = 421,
+         .m_fields = {{"id", FakeCodec::FieldValue(request.m_fields, "id")},
+                      {"limit", "1"}}});
+    return CancelHook();
+  };
+  Send(MakeOffer(1));
+  ASSERT_TRUE(WaitForOutcomes(1));
+  EXPECT_FALSE(m_egress.StatedLimit());
+  m_instance.m_behavior = [](const HttpRequest& request,
+                             const StreamResponder& responder) {
+    responder(
+        {.m_status = 200,
+         .m_fields = {{"id", FakeCodec::FieldValue(request.m_fields, "id")},
+                      {"limit", "1"}}});
+    return CancelHook();
+  };
+  Send(MakeOffer(2));
+  ASSERT_TRUE(WaitForOutcomes(2));
+  EXPECT_FALSE(m_egress.StatedLimit());
+}
+
+// A restarted process does not know whether the instance limits its load.
+TEST_F(MeshEgressTest, AdoptedInstanceGetsFewRequestsUntilItsFirstResponse) {
+  m_announcement.m_slots = 5;
+  Egress<FakeCodec> egress(m_io, {.m_adopts_instance = true}, [] {});
+  egress.SetInstance(&m_announcement);
+  m_instance.m_behavior = [](const HttpRequest&, const StreamResponder&) {
+    return CancelHook();
+  };
+  egress.OnOffer(kPeer, MakeOffer(1), Sink());
+  m_instance.m_behavior = RespondWith({});
+  egress.OnOffer(kPeer, MakeOffer(2), Sink());
+  EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
+  egress.OnOffer(kPeer, MakeOffer(3), Sink());
+  EXPECT_EQ(m_replies.back().m_reason, AttemptReason::kBusy);
+  ASSERT_TRUE(WaitForOutcomes(1));
+  EXPECT_EQ(egress.CurrentLoad().m_slots, 5);
+  // A successor has no history.
+  m_announcement.m_name = "i-2";
+  egress.SetInstance(&m_announcement);
+  EXPECT_EQ(egress.CurrentLoad().m_slots, 5);
+}
+
 TEST_F(MeshEgressTest, RefusesOffersForAnotherInstance) {
   OfferMessage offer = MakeOffer(1);
   offer.m_instance = "i-0";
--- a/libs/mesh/tests/fake_platform.h
+++ b/libs/mesh/tests/fake_platform.h
@@ -66,12 +66,17 @@
   }
 
   static ResponseMetadata DecodeResponse(const HttpResponse& response) {
-    return {
+    ResponseMetadata metadata{
         .m_request_id = FieldValue(response.m_fields, "id"),
         .m_is_attested = !FieldValue(response.m_fields, "seal").empty(),
         .m_is_not_executed = !FieldValue(response.m_fields, "not-run").empty(),
         .m_is_wrong_instance = response.m_status == 421,
-        .m_is_encoded = false};
+        .m_is_leaving = !FieldValue(response.m_fields, "leaving").empty()};
+    if (const auto limit = FieldValue(response.m_fields, "limit");
+        !limit.empty()) {
+      metadata.m_rate_limit = RequestRate(std::stod(limit));
+    }
+    return metadata;
   }
 
   static std::vector<std::string> SplitWords(const std::string& text) {
--- a/libs/mesh/tests/target_table_test.cc
+++ b/libs/mesh/tests/target_table_test.cc
@@ -50,5 +50,23 @@
   EXPECT_EQ(targets.InstanceCount(MakeServiceId("plans")), 1U);
 }
 
+// An instance that limits its rate has free slots but accepts no request now.
+TEST(TargetTableTest, RateLimitedInstanceCountsAsFullUntilItsWaitEnds) {
+  TargetTable targets(Record(1, "plans"));
+  targets.SetMember(Record(2, "plans"));
+  const TimePoint now{std::chrono::hours(1)};
+  targets.UpdateLoad(Node(2), {.m_slots = 3, .m_expected_wait_ms = 600}, now);
+  const auto candidate_at = [&](std::chrono::milliseconds age) {
+    return targets
+        .Candidates(MakeServiceId("plans"), now + age,
+                    [](NodeId) { return true; })
+        .front();
+  };
+  EXPECT_EQ(candidate_at(std::chrono::milliseconds(200)).m_used_slots, 3U);
+  EXPECT_EQ(candidate_at(std::chrono::milliseconds(200)).m_rate_wait,
+            std::chrono::milliseconds(400));
+  EXPECT_EQ(candidate_at(std::chrono::milliseconds(600)).m_used_slots, 0U);
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/routing/include/sequoiastage/routing/placement.h
+++ b/libs/routing/include/sequoiastage/routing/placement.h
@@ -34,6 +34,9 @@
   /// report, and the requests of this ingress in flight.
   uint32_t m_used_slots = 0;
   uint32_t m_slots = 1;
+  /// Expected wait of an instance that limits its request rate and counts as
+  /// full until then; zero otherwise.
+  Duration m_rate_wait{};
 };
 
 struct PlacementOptions {
--- a/libs/routing/src/placement.cc
+++ b/libs/routing/src/placement.cc
@@ -142,7 +142,7 @@
       continue;
     }
     const Duration wait =
-        (state != nullptr ? state->m_expected_wait : Duration{}) +
+        (state != nullptr ? state->m_expected_wait : candidate.m_rate_wait) +
         (IsRemote(candidate) ? kRemotePenalty : Duration{});
     if (wait <= limit && (best == nullptr || wait < best_wait)) {
       best = &candidate;
--- a/libs/routing/tests/placement_test.cc
+++ b/libs/routing/tests/placement_test.cc
@@ -47,6 +47,20 @@
   EXPECT_FALSE(m_placement.NextForHedge(m_candidates, m_random));
 }
 
+// Load pattern: an instance in trouble limits its request rate, and the other
+// instances of the region are full. Another region has room.
+TEST_F(PlacementTest, RemoteSlotIsPreferredToALongWaitForTheRateLimit) {
+  m_candidates[0].m_used_slots = 3;
+  m_candidates[0].m_rate_wait = milliseconds(500);
+  m_candidates[1].m_hold_remaining = milliseconds(100);
+  EXPECT_EQ(Next()->m_key, CandidateKey(3));
+  m_placement.OnRefused(CandidateKey(3), PlacementRefusal::kFinal, {});
+  const auto decision = Next();
+  ASSERT_TRUE(decision);
+  EXPECT_EQ(decision->m_key, CandidateKey(1));
+  EXPECT_TRUE(decision->m_may_wait);
+}
+
 // An instance behind a lost path is never selected, held or not, and does not
 // count against the offers to held instances.
 TEST_F(PlacementTest, SkipsUnreachableInstances) {
