End new requests when an instance states its departure in a response

In the process test, 123 requests reached an instance later than 2.5 s after it had stated that it leaves.

Cause: only announcements and deregistrations ended an instance. One that goes on to announce itself as ready, or whose node restarts and does not know, kept getting requests, also from nodes that had passed its departure on.

Change: a response that states a departure ends the incarnation at its node, as an announcement does, and is published with the member record. Every ingress that passes one on, or is refused for it (reason instance-left), keeps the instance's name and start time and does not offer to it again, whatever record follows; the record now carries the start time, so that a successor of the same name is used.

--- a/libs/events/src/explanation.cc
+++ b/libs/events/src/explanation.cc
@@ -112,7 +112,7 @@
     ++counts[entry.m_reason];
   }
   counts["busy"] += counts["shed"];
-  counts["draining"] += counts["unknown-instance"];
+  counts["draining"] += counts["unknown-instance"] + counts["instance-left"];
   std::pair<FailureCause, int> most = {FailureCause::kInstancesFull, 0};
   for (const auto& [reason, cause] :
        {std::pair("busy", FailureCause::kInstancesFull),
--- a/libs/events/src/mesh_events.cc
+++ b/libs/events/src/mesh_events.cc
@@ -120,9 +120,12 @@
       {.m_name = "instance_changed",
        .m_level = kInfo,
        .m_help = "the instance was replaced, is draining or was removed",
-       .m_fields = {{"instance", "instance in service, or empty"},
-                    {"cause", "announced, deregistered, address-taken"},
-                    {"in_service", "yes or no"}}},
+       .m_fields =
+           {{"instance", "instance in service, or empty"},
+            {"cause",
+             "announced, deregistered, address-taken, leaving-stated in a "
+             "response, departed-before-restart"},
+            {"in_service", "yes or no"}}},
       {.m_name = "instance_limit",
        .m_level = kInfo,
        .m_help = "the instance states another rate limit in its responses",
--- a/libs/events/src/trail.cc
+++ b/libs/events/src/trail.cc
@@ -49,11 +49,12 @@
 }
 
 std::string_view DescribeReason(std::string_view reason) {
-  constexpr std::array<std::pair<std::string_view, std::string_view>, 16>
+  constexpr std::array<std::pair<std::string_view, std::string_view>, 17>
       kDescriptions = {{
           {"busy", "the instance was full and its queue too long"},
           {"suspect", "the instance was held after failures"},
           {"draining", "the instance or its node was draining"},
+          {"instance-left", "the instance was leaving or had left"},
           {"unknown-instance", "the node had another instance, or none"},
           {"retry-budget", "the retry budget was used up"},
           {"past-deadline",
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -71,11 +71,15 @@
 template <PlatformCodec Codec>
 class Egress {
  public:
-  /// `on_mismatch` is called when another instance responds at the address of
-  /// the current one.
-  Egress(asio::io_context& io,
-         const EgressOptions& options,
-         std::function<void()> on_mismatch);
+  struct Hooks {
+    /// Another instance responds at the address of the current one.
+    std::function<void()> m_on_mismatch;
+    /// The instance stated in a response that it is leaving. Never called from
+    /// within a call of the egress.
+    std::function<void(const InstanceAnnouncement&)> m_on_leaving;
+  };
+
+  Egress(asio::io_context& io, const EgressOptions& options, Hooks hooks);
 
   /// Sets the active instance; null when there is none.
   void SetInstance(const InstanceAnnouncement* instance);
@@ -176,8 +180,10 @@
 
   asio::io_context& m_io;
   EgressOptions m_options;
-  std::function<void()> m_on_mismatch;
+  Hooks m_hooks;
   std::optional<InstanceAnnouncement> m_instance;
+  // Name of the instance before m_instance, or of the last one.
+  std::string m_departed;
   ServiceId m_service;
   std::shared_ptr<const TrafficConfig> m_config;
   PrefixRoutes m_routes;
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -21,10 +21,10 @@
 template <PlatformCodec Codec>
 Egress<Codec>::Egress(asio::io_context& io,
                       const EgressOptions& options,
-                      std::function<void()> on_mismatch)
+                      Hooks hooks)
     : m_io(io),
       m_options(options),
-      m_on_mismatch(std::move(on_mismatch)),
+      m_hooks(std::move(hooks)),
       m_gate(options.m_gate),
       m_gate_timer(io),
       m_hold(options.m_hold),
@@ -38,7 +38,8 @@
       m_instance->m_name == instance->m_name &&
       m_instance->m_start_time_ms == instance->m_start_time_ms;
   if (!is_same_incarnation) {
-    RefusePending(AttemptReason::kDraining);
+    m_departed = m_instance ? m_instance->m_name : m_departed;
+    RefusePending(AttemptReason::kInstanceLeft);
     for (IdleConnection& idle : m_idle_connections) {
       idle.m_connection->Abort();
     }
@@ -111,6 +112,10 @@
   if (m_is_draining) {
     return AttemptReason::kDraining;
   }
+  if (offer.m_instance == m_departed &&
+      (!m_instance || m_instance->m_name != m_departed)) {
+    return AttemptReason::kInstanceLeft;
+  }
   if (!m_instance || m_instance->m_name != offer.m_instance ||
       m_service != offer.m_service) {
     return AttemptReason::kUnknownInstance;
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -123,6 +123,11 @@
       !(metadata.m_is_attested || metadata.m_is_not_executed)) {
     return;
   }
+  if (metadata.m_is_leaving) {
+    asio::post(m_io, [this, instance = *m_instance] {
+      m_hooks.m_on_leaving(instance);
+    });
+  }
   if (!metadata.m_error.empty() && metadata.m_error != m_logged_error) {
     m_logged_error = metadata.m_error;
     LogEvent(LogLevel::kWarn, "instance_statement_invalid")
@@ -173,7 +178,7 @@
     outcome.m_result = AttemptResult::kNotStarted;
     outcome.m_reason = AttemptReason::kUnknownInstance;
     if (m_instance && m_instance->m_name == work.m_offer.m_instance) {
-      asio::post(m_io, m_on_mismatch);
+      asio::post(m_io, m_hooks.m_on_mismatch);
     }
     return outcome;
   }
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -109,6 +109,9 @@
   struct Attempt {
     AttemptNumber m_number;
     NodeId m_node;
+    // Instance that the attempt is addressed to.
+    std::string m_instance;
+    uint64_t m_instance_start_ms = 0;
     Phase m_phase = Phase::kOffered;
     TimePoint m_sent_at{};
     bool m_starts_at_once = false;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -225,6 +225,10 @@
     refusal = PlacementRefusal::kHeld;
   }
   call->m_placement.OnRefused(key, refusal, wait);
+  if (reply.m_reason == AttemptReason::kInstanceLeft) {
+    m_targets.MarkInstanceLeaving(attempt.m_node, attempt.m_instance,
+                                  attempt.m_instance_start_ms);
+  }
   const bool was_hedge = attempt.m_is_hedge;
   RemoveAttempt(call, attempt.m_number);
   if (reply.m_reason == AttemptReason::kRetryBudget && !was_hedge &&
@@ -244,6 +248,10 @@
   const NodeId node = attempt.m_node;
   const AttemptNumber number = attempt.m_number;
   if (outcome.m_result == AttemptResult::kAnswered) {
+    if (Codec::DecodeResponse(outcome.m_response).m_is_leaving) {
+      m_targets.MarkInstanceLeaving(node, attempt.m_instance,
+                                    attempt.m_instance_start_ms);
+    }
     if (outcome.m_response.m_status >= ingress_detail::kFirstServerError &&
         call->m_route->m_is_idempotent) {
       AddToTrail(*call, attempt, "server-error");
--- a/libs/mesh/include/sequoiastage/mesh/local_instance.h
+++ b/libs/mesh/include/sequoiastage/mesh/local_instance.h
@@ -36,6 +36,10 @@
   /// Returns kChanged when `name` is the current instance.
   Change OnDeregister(const std::string& name);
 
+  /// The instance stated in a response that it is leaving. Irreversible for
+  /// this incarnation, whatever it announces.
+  Change OnLeaving(const std::string& name, uint64_t start_time_ms);
+
   /// Restores the departure of an instance that an earlier process of this node
   /// has acknowledged. Returns kChanged when it ended the current instance.
   Change RestoreDeparture(const std::string& name, uint64_t start_time_ms);
--- a/libs/mesh/include/sequoiastage/mesh/member_record.h
+++ b/libs/mesh/include/sequoiastage/mesh/member_record.h
@@ -21,6 +21,9 @@
   bool m_is_leaving = false;
   /// Name of the active instance on this host; empty when there is none.
   std::string m_instance;
+  /// Start time of the active instance, which tells incarnations with the same
+  /// name apart; 0 in records of older builds.
+  uint64_t m_instance_start_ms = 0;
   ServiceId m_service;
   uint32_t m_slots = 0;
   /// Name and start time of the last instance of this host that has left; for
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -103,12 +103,20 @@
                      m_subscribers.erase(peer.m_node);
                      m_egress.OnPeerLost(peer);
                    }}),
-      m_egress(io,
-               {.m_retry_budget = settings.m_retry_budget,
-                .m_adopts_instance = !settings.m_is_first_start},
+      m_egress(
+          io,
+          {.m_retry_budget = settings.m_retry_budget,
+           .m_adopts_instance = !settings.m_is_first_start},
+          {.m_on_mismatch =
                [this] {
                  ApplyInstance(m_local_instance.OnMismatch(), "address-taken");
-               }),
+               },
+           .m_on_leaving =
+               [this](const InstanceAnnouncement& instance) {
+                 ApplyInstance(m_local_instance.OnLeaving(
+                                   instance.m_name, instance.m_start_time_ms),
+                               "leaving-stated");
+               }}),
       m_ingress(
           io,
           {},
@@ -289,6 +297,7 @@
   if (const InstanceAnnouncement* instance =
           m_local_instance.ActiveInstance()) {
     record.m_instance = instance->m_name;
+    record.m_instance_start_ms = instance->m_start_time_ms;
     record.m_service = MakeServiceId(instance->m_service);
     record.m_slots = instance->m_slots;
   } else if (const InstanceAnnouncement* departed =
--- a/libs/mesh/include/sequoiastage/mesh/target_table.h
+++ b/libs/mesh/include/sequoiastage/mesh/target_table.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -33,6 +34,13 @@
   /// Removes a node. Attempts that are in flight there are no longer counted.
   void RemoveMember(NodeId node);
 
+  /// The instance with this name and start time at `node` has stated that it is
+  /// leaving. It is not used again, also when its node restarts without knowing
+  /// that; another incarnation is.
+  void MarkInstanceLeaving(NodeId node,
+                           std::string instance,
+                           uint64_t start_time_ms);
+
   /// Marks a node that announced that it accepts no new offers.
   void SetLeaving(NodeId node);
 
@@ -74,9 +82,19 @@
     uint32_t m_in_flight = 0;
   };
 
+  struct Incarnation {
+    std::string m_name;
+    uint64_t m_start_time_ms = 0;
+  };
+
+  bool HasLeavingInstance(const MemberRecord& member) const;
+
   MemberRecord m_self;
   TargetTableOptions m_options;
   std::unordered_map<NodeId, Target> m_targets;
+  // The last instance of each node that stated its departure. Kept when the
+  // member is removed, since it may come back.
+  std::unordered_map<NodeId, Incarnation> m_leaving_instances;
   // Index of nodes by the service of their instance, so that a request only
   // visits the instances of its own service.
   std::unordered_map<ServiceId, std::unordered_set<NodeId>> m_by_service;
--- a/libs/mesh/src/local_instance.cc
+++ b/libs/mesh/src/local_instance.cc
@@ -57,6 +57,16 @@
   return Change::kChanged;
 }
 
+LocalInstance::Change LocalInstance::OnLeaving(const std::string& name,
+                                               uint64_t start_time_ms) {
+  if (ActiveInstance() == nullptr || m_current->m_name != name ||
+      m_current->m_start_time_ms != start_time_ms) {
+    return Change::kNone;
+  }
+  m_current->m_is_leaving = true;
+  return Change::kChanged;
+}
+
 LocalInstance::Change LocalInstance::RestoreDeparture(const std::string& name,
                                                       uint64_t start_time_ms) {
   if (!m_current) {
--- a/libs/mesh/src/member_record.cc
+++ b/libs/mesh/src/member_record.cc
@@ -13,6 +13,7 @@
   }
   if (!record.m_instance.empty()) {
     json["instance"] = record.m_instance;
+    json["instance_start_ms"] = record.m_instance_start_ms;
     json["service"] = record.m_service.Get();
     json["slots"] = record.m_slots;
   }
@@ -39,6 +40,7 @@
         .m_region = json.at("region"),
         .m_is_leaving = json.value("leaving", false),
         .m_instance = json.value("instance", ""),
+        .m_instance_start_ms = json.value("instance_start_ms", uint64_t{0}),
         .m_service = ServiceId(json.value("service", 0U)),
         .m_slots = json.value("slots", 0U),
         .m_departed = json.value("departed", ""),
--- a/libs/mesh/src/target_table.cc
+++ b/libs/mesh/src/target_table.cc
@@ -1,6 +1,7 @@
 #include "sequoiastage/mesh/target_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sequoiastage {
 
@@ -44,6 +45,20 @@
   m_targets.erase(found);
 }
 
+void TargetTable::MarkInstanceLeaving(NodeId node,
+                                      std::string instance,
+                                      uint64_t start_time_ms) {
+  m_leaving_instances[node] = {.m_name = std::move(instance),
+                               .m_start_time_ms = start_time_ms};
+}
+
+bool TargetTable::HasLeavingInstance(const MemberRecord& member) const {
+  const auto found = m_leaving_instances.find(member.m_node);
+  return found != m_leaving_instances.end() &&
+         found->second.m_name == member.m_instance &&
+         found->second.m_start_time_ms == member.m_instance_start_ms;
+}
+
 void TargetTable::SetLeaving(NodeId node) {
   const auto found = m_targets.find(node);
   if (found != m_targets.end()) {
@@ -85,7 +100,7 @@
   for (const NodeId node : nodes->second) {
     const Target& target = m_targets.at(node);
     const MemberRecord& member = target.m_member;
-    if (member.m_is_leaving) {
+    if (member.m_is_leaving || HasLeavingInstance(member)) {
       continue;
     }
     const Duration age = now - target.m_load_reported_at;
--- a/libs/mesh/tests/local_instance_test.cc
+++ b/libs/mesh/tests/local_instance_test.cc
@@ -46,6 +46,20 @@
   EXPECT_EQ(ActiveName(), "");
 }
 
+// The instance states its departure in a response and announces itself as
+// ready.
+TEST_F(LocalInstanceTest, StatedDepartureOutlastsReadyAnnouncements) {
+  m_local.OnAnnounce(Announce("a", 10, 1), m_now);
+  EXPECT_EQ(m_local.OnLeaving("a", 9), Change::kNone);
+  EXPECT_EQ(m_local.OnLeaving("a", 10), Change::kChanged);
+  EXPECT_EQ(m_local.OnLeaving("a", 10), Change::kNone);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 2), m_now), Change::kNone);
+  EXPECT_EQ(ActiveName(), "");
+  ASSERT_NE(m_local.Departed(), nullptr);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 20, 1), m_now), Change::kChanged);
+  EXPECT_EQ(ActiveName(), "a");
+}
+
 TEST_F(LocalInstanceTest, AnnouncementOfAnEarlierIncarnationIsStale) {
   m_local.OnAnnounce(Announce("b", 20, 1), m_now);
   EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 9), m_now), Change::kStale);
--- a/libs/mesh/tests/target_table_test.cc
+++ b/libs/mesh/tests/target_table_test.cc
@@ -50,6 +50,27 @@
   EXPECT_EQ(targets.InstanceCount(MakeServiceId("plans")), 1U);
 }
 
+// A node restarts without knowing that its instance leaves, and announces it.
+TEST(TargetTableTest, LeavingInstanceIsNoCandidateUntilAnotherReplacesIt) {
+  TargetTable targets(Record(1, "plans"));
+  MemberRecord member = Record(2, "plans");
+  member.m_instance_start_ms = 100;
+  targets.SetMember(member);
+  targets.MarkInstanceLeaving(Node(2), member.m_instance, 100);
+  EXPECT_EQ(CountCandidates(targets, "plans"), 0U);
+  MemberRecord without = member;
+  without.m_instance.clear();
+  targets.SetMember(without);
+  targets.SetMember(member);
+  EXPECT_EQ(CountCandidates(targets, "plans"), 0U);
+  targets.RemoveMember(Node(2));
+  targets.SetMember(member);
+  EXPECT_EQ(CountCandidates(targets, "plans"), 0U);
+  member.m_instance_start_ms = 200;
+  targets.SetMember(member);
+  EXPECT_EQ(CountCandidates(targets, "plans"), 1U);
+}
+
 // An instance that limits its rate has free slots but accepts no request now.
 TEST(TargetTableTest, RateLimitedInstanceCountsAsFullUntilItsWaitEnds) {
   TargetTable targets(Record(1, "plans"));
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -82,6 +82,8 @@
   kSuspect = 13,
   /// The retry budget of the service is used up.
   kRetryBudget = 14,
+  /// The addressed instance is leaving or has left, and will not return.
+  kInstanceLeft = 15,
 };
 
 /// Name of a reason as used in logs, for example "busy".
--- a/libs/wire/src/messages.cc
+++ b/libs/wire/src/messages.cc
@@ -34,6 +34,8 @@
       return "suspect";
     case AttemptReason::kRetryBudget:
       return "retry-budget";
+    case AttemptReason::kInstanceLeft:
+      return "instance-left";
   }
   return "invalid";
 }
