End exchanges with an instance that sends bytes without end

Found by EndlessResponseTest on the code before: of ten forms, eight ended the exchange; two did not, interim responses (100) and responses to other requests. The node parsed them until the deadline of its request, 10 s of a processor in the test. Besides, each connection could hold a body of 64 MiB, on hosts that have 160 MB, and a response above 16 MiB fits into no message between nodes: the egress failed to send it without a word, and the caller waited for its deadline.

Change: an exchange skips at most 16 responses that are not its own; the connections to an instance share a budget of 24 MiB for bodies; a body above 12 MiB ends the exchange as an incomplete response.

After: EndlessResponseTest, EndlessResponsesTest and MeshEgressTest.ResponseTooLargeForALinkIsAFailure pass.

--- a/libs/http/include/sequoiastage/http/exchange_connection.h
+++ b/libs/http/include/sequoiastage/http/exchange_connection.h
@@ -39,8 +39,17 @@
   bool m_was_reused = false;
 };
 
+/// Limits the bytes of response bodies that several connections hold while they
+/// read them.
+struct BodyBudget {
+  size_t m_max_bytes = size_t{24} << 20;
+  size_t m_held_bytes = 0;
+};
+
 struct ExchangeOptions {
   MessageLimits m_limits{};
+  /// Shared by connections of one thread; null: only m_limits applies.
+  std::shared_ptr<BodyBudget> m_budget;
   /// A server on the same host or in the same data center accepts far sooner.
   Duration m_connect_timeout = std::chrono::seconds(1);
   /// Sent data unacknowledged for this long closes the connection
@@ -65,6 +74,9 @@
   ExchangeConnection(asio::io_context& io,
                      const Endpoint& server,
                      const ExchangeOptions& options);
+  ExchangeConnection(const ExchangeConnection&) = delete;
+  ExchangeConnection& operator=(const ExchangeConnection&) = delete;
+  ~ExchangeConnection();
 
   /// Sends `request` with its fields unchanged, plus Content-Length if it has a
   /// body or its method is POST, PUT or PATCH. `timeout` applies to the
@@ -89,6 +101,11 @@
   void Read();
   void OnBytes(std::string_view bytes);
   void OnResponse();
+  // Ends the exchange when the server sends too many responses that do not
+  // belong to the request.
+  void SkipResponse();
+  // Counts the body read so far. Returns false when the budget is exceeded.
+  bool UpdateBudget(size_t held_bytes);
   void Finish(ExchangeOutcome outcome,
               std::string reason,
               HttpResponse response = {});
@@ -101,6 +118,8 @@
   ResponseParser m_parser;
   std::array<char, size_t{16} << 10> m_chunk{};
   std::string m_output;
+  size_t m_held_bytes = 0;
+  uint32_t m_skipped_responses = 0;
   Filter m_filter;
   Handler m_handler;
   bool m_is_head = false;
--- a/libs/http/src/exchange_connection.cc
+++ b/libs/http/src/exchange_connection.cc
@@ -21,6 +21,10 @@
 // delay to the server.
 constexpr double kIdleShare = 0.6;
 
+// Interim responses and responses to other requests that are skipped before the
+// response. A server that sends them without end would occupy the thread.
+constexpr uint32_t kMaxSkippedResponses = 16;
+
 bool IsHopByHopField(std::string_view name) {
   constexpr std::string_view kNames[] = {
       "connection",       "keep-alive",    "te",
@@ -109,6 +113,10 @@
       m_options(options),
       m_parser(options.m_limits) {}
 
+ExchangeConnection::~ExchangeConnection() {
+  UpdateBudget(0);
+}
+
 void ExchangeConnection::Send(const HttpRequest& request,
                               Duration timeout,
                               Filter filter,
@@ -118,6 +126,7 @@
   m_filter = std::move(filter);
   m_handler = std::move(handler);
   m_is_written = false;
+  m_skipped_responses = 0;
   if (m_is_head) {
     m_parser.ExpectNoBody();
   }
@@ -217,6 +226,10 @@
       Finish(ExchangeOutcome::kBroken, "answer can't be read");
       return;
     }
+    if (!UpdateBudget(m_parser.BodyBytes())) {
+      Finish(ExchangeOutcome::kBroken, "responses exceed the memory limit");
+      return;
+    }
     if (m_parser.State() != ParseState::kComplete) {
       continue;
     }
@@ -235,16 +248,20 @@
 void ExchangeConnection::OnResponse() {
   const bool keeps_alive = m_parser.KeepsAlive();
   HttpResponse response = m_parser.TakeResponse();
+  UpdateBudget(0);
   if (m_is_head) {
     m_parser.ExpectNoBody();
   }
   if (response.m_status < kFirstFinalStatus) {
+    SkipResponse();
     return;
   }
   if (m_filter && !m_filter(response)) {
     if (m_is_closed || !keeps_alive) {
       Finish(ExchangeOutcome::kBroken, "connection closed without an answer");
+      return;
     }
+    SkipResponse();
     return;
   }
   const Duration idle = IdleLimit(response, m_options.m_max_idle);
@@ -262,6 +279,23 @@
   std::exchange(m_handler, {})(std::move(result));
 }
 
+void ExchangeConnection::SkipResponse() {
+  if (++m_skipped_responses > kMaxSkippedResponses) {
+    Finish(ExchangeOutcome::kBroken, "too many responses to other requests");
+  }
+}
+
+bool ExchangeConnection::UpdateBudget(size_t held_bytes) {
+  if (!m_options.m_budget) {
+    return true;
+  }
+  BodyBudget& budget = *m_options.m_budget;
+  budget.m_held_bytes += held_bytes;
+  budget.m_held_bytes -= m_held_bytes;
+  m_held_bytes = held_bytes;
+  return budget.m_held_bytes <= budget.m_max_bytes;
+}
+
 void ExchangeConnection::Finish(ExchangeOutcome outcome,
                                 std::string reason,
                                 HttpResponse response) {
@@ -281,6 +315,7 @@
 
 void ExchangeConnection::Close() {
   m_is_closed = true;
+  UpdateBudget(0);
   StopTimer();
   asio::error_code ignored;
   m_socket.close(ignored);
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -29,7 +29,10 @@
   SlotGateOptions m_gate{.m_max_wait = std::chrono::milliseconds(400)};
   InstanceHoldOptions m_hold{};
   RetryAllowanceOptions m_retry_budget{};
-  ExchangeOptions m_exchange{};
+  /// A response has to fit into one message between nodes; see
+  /// kMaxPayloadBytes.
+  ExchangeOptions m_exchange{.m_limits = {.m_max_body_bytes = size_t{12} << 20},
+                             .m_budget = std::make_shared<BodyBudget>()};
   /// Time for which a granted slot waits for the start message: a few round
   /// trips between regions.
   Duration m_ready_timeout = std::chrono::milliseconds(700);
--- a/libs/mesh/tests/egress_test.cc
+++ b/libs/mesh/tests/egress_test.cc
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include "fake_platform.h"
+#include "sequoiastage/wire/frame.h"
 
 namespace sequoiastage {
 namespace {
@@ -276,6 +277,25 @@
   EXPECT_TRUE(m_leaving.empty());
 }
 
+// A response that no message between nodes can carry would never be delivered.
+TEST_F(MeshEgressTest, ResponseTooLargeForALinkIsAFailure) {
+  size_t bytes = size_t{8} << 20;
+  m_instance.m_behavior = [&bytes](const HttpRequest& request,
+                                   const StreamResponder& responder) {
+    HttpResponse response = FakeInstance::BuildResponse(request);
+    response.m_body = std::string(bytes, 'x');
+    responder(std::move(response));
+    return CancelHook();
+  };
+  Send(MakeOffer(1));
+  ASSERT_TRUE(WaitForOutcomes(1));
+  EXPECT_EQ(m_outcomes[0].m_result, AttemptResult::kAnswered);
+  bytes = kMaxPayloadBytes;
+  Send(MakeOffer(2));
+  ASSERT_TRUE(WaitForOutcomes(2));
+  EXPECT_EQ(m_outcomes[1].m_result, AttemptResult::kFailed);
+}
+
 // A restarted process does not know whether the instance limits its load.
 TEST_F(MeshEgressTest, AdoptedInstanceGetsFewRequestsUntilItsFirstResponse) {
   m_announcement.m_slots = 5;
