Keep the retry budget of a service through restarts

The budget counts retries of all machines and is not excused by a restart.

Cause: each egress takes an equal share of the service's slack for a window of 10 s. A restarted process knew neither the retries of the window nor, until it had read the members, the number of instances: it took the whole slack of the service. RetryAllowanceTest.ForgottenRetriesExceedTheBudget shows the excess of processes that start with the whole share when all are killed three times.

Change: no share while the number of instances is unknown; in the first window after a restart at most half of the share, in proportion to the time passed.

Weighed: no slack at all in the first window keeps the budget too, but leaves hardly any retries after a restart of the whole fleet.

--- a/libs/limits/include/sequoiastage/limits/retry_allowance.h
+++ b/libs/limits/include/sequoiastage/limits/retry_allowance.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 #include "sequoiastage/base/time.h"
 
@@ -52,9 +53,16 @@
   explicit RetryAllowance(const RetryAllowanceOptions& options = {})
       : m_options(options) {}
 
-  /// Sets the number of instances of the service.
+  /// Sets the number of instances of the service; 0 when it is unknown, which
+  /// leaves no share of the slack.
   void SetInstances(uint32_t instances) { m_instances = instances; }
 
+  /// Call at the start of a process that may replace an earlier one. Retries of
+  /// that one in the current window are unknown, so within it at most half of
+  /// the slack becomes available, in proportion to the time that has passed.
+  /// Any number of restarts then stays within the budget.
+  void OnRestart(TimePoint now) { m_restarted_at = now; }
+
   /// Records the first attempt of a request.
   void OnFirstAttempt(TimePoint now, uint8_t urgency = 0);
 
@@ -81,7 +89,10 @@
   int64_t BucketIndex(TimePoint now) const;
 
   RetryAllowanceOptions m_options;
+  double SlackShare(TimePoint now) const;
+
   uint32_t m_instances = 1;
+  std::optional<TimePoint> m_restarted_at;
   std::array<Bucket, kBuckets> m_buckets{};
 };
 
--- a/libs/limits/src/retry_allowance.cc
+++ b/libs/limits/src/retry_allowance.cc
@@ -17,8 +17,7 @@
   const double allowed =
       m_options.m_used_share *
       (urgency > sum.m_urgency ? m_options.m_less_urgent_share : 1) *
-      (m_options.m_ratio * sum.m_first_attempts +
-       m_options.m_service_slack / std::max<uint32_t>(1, m_instances));
+      (m_options.m_ratio * sum.m_first_attempts + SlackShare(now));
   const double available = kind == ExtraAttempt::kHedge
                                ? m_options.m_max_hedge_share * allowed
                                : allowed;
@@ -29,6 +28,20 @@
   return true;
 }
 
+double RetryAllowance::SlackShare(TimePoint now) const {
+  if (m_instances == 0) {
+    return 0;
+  }
+  const double share = m_options.m_service_slack / m_instances;
+  if (!m_restarted_at || now - *m_restarted_at >= m_options.m_window) {
+    return share;
+  }
+  constexpr double kShareAfterRestart = 0.5;
+  return share * kShareAfterRestart *
+         std::chrono::duration<double>(now - *m_restarted_at) /
+         std::chrono::duration<double>(m_options.m_window);
+}
+
 int64_t RetryAllowance::BucketIndex(TimePoint now) const {
   return now.time_since_epoch() / (m_options.m_window / kBuckets);
 }
--- a/libs/limits/tests/retry_allowance_test.cc
+++ b/libs/limits/tests/retry_allowance_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <random>
 #include <vector>
 
 namespace sequoiastage {
@@ -89,5 +91,86 @@
   }
 }
 
+// A node that has just started knows no other instance of the service.
+TEST(RetryAllowanceTest, UnknownInstanceCountLeavesNoSlack) {
+  RetryAllowance allowance({.m_used_share = 1});
+  allowance.SetInstances(0);
+  EXPECT_FALSE(allowance.TryAcquire(TimePoint(seconds(50))));
+}
+
+// All instances of a service fail, every request is retried, and all processes
+// are killed `restarts` times. Returns the largest excess over the budget in
+// any window of 10 s.
+double ExcessOverBudget(int restarts, bool is_restart_known, uint64_t seed) {
+  constexpr uint32_t kInstances = 12;
+  constexpr TimePoint kBegin(seconds(50));
+  std::mt19937_64 random(seed);
+  const RetryAllowanceOptions options;
+  std::vector<RetryAllowance> fleet;
+  const auto restart = [&](TimePoint now) {
+    fleet.assign(kInstances, RetryAllowance(options));
+    for (RetryAllowance& allowance : fleet) {
+      allowance.SetInstances(kInstances);
+      if (is_restart_known && now > kBegin) {
+        allowance.OnRestart(now);
+      }
+    }
+  };
+  restart(kBegin);
+  std::uniform_int_distribution<int> draw_restart(0, 19'999);
+  std::vector<TimePoint> restart_times;
+  for (int i = 0; i < restarts; ++i) {
+    restart_times.push_back(kBegin + milliseconds(draw_restart(random)));
+  }
+  std::sort(restart_times.begin(), restart_times.end());
+  std::vector<TimePoint> first_attempts;
+  std::vector<TimePoint> retries;
+  size_t restarted = 0;
+  std::uniform_int_distribution<size_t> draw_instance(0, kInstances - 1);
+  for (TimePoint now = kBegin; now < kBegin + seconds(30);
+       now += milliseconds(60)) {
+    while (restarted < restart_times.size() &&
+           restart_times[restarted] <= now) {
+      restart(now);
+      ++restarted;
+    }
+    fleet[draw_instance(random)].OnFirstAttempt(now);
+    first_attempts.push_back(now);
+    // Each of several callers finds an instance that has retries left.
+    for (RetryAllowance& allowance : fleet) {
+      if (allowance.TryAcquire(now)) {
+        retries.push_back(now);
+      }
+    }
+  }
+  double excess = 0;
+  for (const TimePoint begin : retries) {
+    const auto count_in_window = [begin](const std::vector<TimePoint>& times) {
+      return static_cast<double>(
+          std::count_if(times.begin(), times.end(), [begin](TimePoint at) {
+            return at >= begin && at < begin + seconds(10);
+          }));
+    };
+    excess =
+        std::max(excess, count_in_window(retries) -
+                             options.m_ratio * count_in_window(first_attempts) -
+                             options.m_service_slack);
+  }
+  return excess;
+}
+
+RC_GTEST_PROP(RetryAllowanceTest,
+              FleetStaysWithinItsBudgetThroughRestarts,
+              ()) {
+  const int restarts = *rc::gen::inRange(0, 5);
+  const auto seed = *rc::gen::arbitrary<uint64_t>();
+  RC_ASSERT(ExcessOverBudget(restarts, true, seed) <= 0);
+}
+
+// Without OnRestart(), each process starts with the whole slack.
+TEST(RetryAllowanceTest, ForgottenRetriesExceedTheBudget) {
+  EXPECT_GT(ExcessOverBudget(3, false, 1), 0);
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -49,9 +49,9 @@
   /// inquiries.
   Duration m_outcome_retention = std::chrono::seconds(4);
   size_t m_max_retained_outcomes = 256;
-  /// The first instance may have run before this process started. Until its
-  /// first response tells whether it limits its load, it gets at most
-  /// m_unproven_slots requests at a time.
+  /// The first instance may have run before this process started, under an
+  /// earlier process of this node. Until its first response tells whether it
+  /// limits its load, it gets at most m_unproven_slots requests at a time.
   bool m_adopts_instance = false;
   uint32_t m_unproven_slots = 2;
 };
@@ -90,7 +90,8 @@
   /// Sets the routes that tell the latency objective of a request.
   void SetConfig(std::shared_ptr<const TrafficConfig> config);
 
-  /// Sets the number of instances that share the retry budget of the service.
+  /// Sets the number of instances that share the retry budget of the service; 0
+  /// when it is unknown.
   void SetInstanceCount(uint32_t instances) {
     m_retry_budget.SetInstances(instances);
   }
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -29,7 +29,11 @@
       m_gate_timer(io),
       m_hold(options.m_hold),
       m_retry_budget(options.m_retry_budget),
-      m_is_proven(!options.m_adopts_instance) {}
+      m_is_proven(!options.m_adopts_instance) {
+  if (options.m_adopts_instance) {
+    m_retry_budget.OnRestart(BootNow());
+  }
+}
 
 template <PlatformCodec Codec>
 void Egress<Codec>::SetInstance(const InstanceAnnouncement* instance) {
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -234,6 +234,7 @@
   if (m_published_record.empty()) {
     PublishMember();
   }
+  UpdateInstanceCount();
   // The store may have restarted from an older copy shortly before this node
   // started. The other nodes still have what it lost.
   if (m_config && m_reader.IsLoaded()) {
