Answer what still waits when a stopped node's grace time ends

Cause: MeshNode::TickShutdown stopped the event loop at 0.94 of the grace time, whatever still waited.

Evidence: MeshProcessTest.StoppedNodeAnswersEveryRequestThatItHasRead failed on the code before (4 of 4 requests: connection closed at the end of the grace time).

Change: at 0.9 of the grace time every remaining request gets its final response: 502 if it may have run, 503 with Retry-After if it has not, and the attempts are withdrawn. Ready answers are delivered as before; the 0.04 between are for sending. Passed after.

--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -89,6 +89,9 @@
   void OnLinkOpened(NodeId node, Incarnation incarnation);
   void OnLinkLost(NodeId node);
 
+  /// Ends all requests with a final response.
+  void FailAll(std::string_view cause);
+
   size_t RequestCount() const { return m_request_count; }
   const IngressStats& Stats() const { return m_stats; }
   /// Histograms of the time from arrival to completion, by outcome.
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <set>
 #include <utility>
 
 #include "sequoiastage/mesh/ingress.h"
@@ -289,6 +290,19 @@
   FinishWithOutcome(call, m_not_run_latency, BuildRefusal(*call));
 }
 
+template <PlatformCodec Codec>
+void Ingress<Codec>::FailAll(std::string_view cause) {
+  std::set<CallPtr> calls;
+  for (const auto& [number, call] : m_calls_by_attempt) {
+    calls.insert(call);
+  }
+  for (const CallPtr& call : calls) {
+    if (!call->m_is_done) {
+      Fail(call, cause);
+    }
+  }
+}
+
 template <PlatformCodec Codec>
 void Ingress<Codec>::LogFailure(const Call& call,
                                 std::string_view cause,
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -43,8 +43,10 @@
 inline constexpr Duration kAcceptPeriod = std::chrono::milliseconds(2900);
 // By then other nodes and callers have noticed the shutdown.
 inline constexpr Duration kMinShutdownTime = std::chrono::milliseconds(3300);
-// Fraction of the grace time that is used; the rest is a reserve for a slow
-// host.
+// Fraction of the grace time after which requests that still wait get a final
+// response, and after which the process ends. The time between is for sending
+// them, the rest is a reserve for a slow host.
+inline constexpr double kAnswerFraction = 0.9;
 inline constexpr double kGraceFraction = 0.94;
 
 // Minimum time between two messages with changes to one subscriber.
@@ -434,6 +436,10 @@
     m_links.Broadcast(DrainingMessage{});
     PublishMember();
   }
+  if (since >= std::chrono::duration_cast<Duration>(
+                   m_settings.m_grace * mesh_node_detail::kAnswerFraction)) {
+    m_ingress.FailAll("the node stops");
+  }
   const bool is_idle =
       m_ingress.RequestCount() == 0 && m_egress.WorkCount() == 0;
   const auto longest = std::chrono::duration_cast<Duration>(
