--- a/libs/http/tests/message_parser_test.cc
+++ b/libs/http/tests/message_parser_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <random>
 #include <string>
 
 namespace sequoiastage {
@@ -112,5 +113,71 @@
   EXPECT_EQ(parser.State(), ParseState::kComplete);
 }
 
+// Replaces, inserts, removes and repeats bytes at random places.
+std::string Mutate(std::string text, std::mt19937_64& random) {
+  std::uniform_int_distribution<int> draw_count(1, 6);
+  std::uniform_int_distribution<int> draw_byte(0, 255);
+  std::uniform_int_distribution<int> draw_edit(0, 3);
+  for (int i = draw_count(random); i > 0 && !text.empty(); --i) {
+    const size_t at =
+        std::uniform_int_distribution<size_t>(0, text.size() - 1)(random);
+    const char byte = static_cast<char>(draw_byte(random));
+    switch (draw_edit(random)) {
+      case 0:
+        text[at] = byte;
+        break;
+      case 1:
+        text.insert(at, 1, byte);
+        break;
+      case 2:
+        text.erase(at, 1 + at % 7);
+        break;
+      default:
+        text.insert(at, text.substr(at, 40));
+    }
+  }
+  return text;
+}
+
+// Feeds damaged messages until the parser fails or the bytes end. Each call has
+// to consume bytes or end, and no message may exceed the limits.
+template <class Parser, class Take>
+void FeedDamaged(std::string_view message, uint64_t seed, const Take& take) {
+  constexpr MessageLimits kLimits{.m_max_header_bytes = 300,
+                                  .m_max_body_bytes = 100};
+  std::mt19937_64 random(seed);
+  Parser parser(kLimits);
+  for (int i = 0; i < 20 && parser.State() != ParseState::kFailed; ++i) {
+    const std::string bytes = Mutate(std::string(message), random);
+    std::string_view rest = bytes;
+    while (!rest.empty() && parser.State() != ParseState::kFailed) {
+      const size_t used = parser.Feed(rest);
+      RC_ASSERT(used <= rest.size());
+      RC_ASSERT(parser.BodyBytes() <= kLimits.m_max_body_bytes);
+      if (parser.State() == ParseState::kComplete) {
+        take(parser);
+      } else {
+        RC_ASSERT(used > 0 || parser.State() == ParseState::kFailed);
+      }
+      rest.remove_prefix(used);
+    }
+  }
+}
+
+RC_GTEST_PROP(RequestParserTest, DamagedBytesNeverExceedTheLimits, ()) {
+  FeedDamaged<RequestParser>(
+      kTwoRequests, *rc::gen::arbitrary<uint64_t>(),
+      [](RequestParser& parser) { parser.TakeRequest(); });
+}
+
+RC_GTEST_PROP(ResponseParserTest, DamagedBytesNeverExceedTheLimits, ()) {
+  FeedDamaged<ResponseParser>(
+      "HTTP/1.1 200 OK\r\nX: y\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5;e=1\r\nhello\r\n0\r\nLate: 1\r\n\r\n"
+      "HTTP/1.1 503 No\r\nContent-Length: 4\r\n\r\nbody",
+      *rc::gen::arbitrary<uint64_t>(),
+      [](ResponseParser& parser) { parser.TakeResponse(); });
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/mesh/tests/target_table_test.cc
+++ b/libs/mesh/tests/target_table_test.cc
@@ -1,6 +1,7 @@
 #include "sequoiastage/mesh/target_table.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace sequoiastage {
 namespace {
@@ -89,5 +90,21 @@
   EXPECT_EQ(candidate_at(std::chrono::milliseconds(600)).m_used_slots, 0U);
 }
 
+RC_GTEST_PROP(MemberRecordTest, DamagedRecordsAreDroppedOrWellFormed, ()) {
+  MemberRecord record = Record(7, "plans");
+  record.m_instance_start_ms = 1'700'000'000'123;
+  RC_ASSERT(DecodeMember(EncodeMember(record)) == record);
+  std::string text = EncodeMember(record);
+  const auto edits = *rc::gen::container<std::vector<std::pair<size_t, char>>>(
+      rc::gen::pair(rc::gen::inRange<size_t>(0, text.size()),
+                    rc::gen::arbitrary<char>()));
+  for (const auto& [at, byte] : edits) {
+    text[at] = byte;
+  }
+  if (const auto decoded = DecodeMember(text)) {
+    RC_ASSERT(DecodeMember(EncodeMember(*decoded)) == decoded);
+  }
+}
+
 }  // namespace
 }  // namespace sequoiastage
