--- a/libs/mesh/include/sequoiastage/mesh/target_table.h
+++ b/libs/mesh/include/sequoiastage/mesh/target_table.h
@@ -82,7 +82,7 @@
     uint32_t m_in_flight = 0;
   };
 
-  struct Incarnation {
+  struct InstanceIncarnation {
     std::string m_name;
     uint64_t m_start_time_ms = 0;
   };
@@ -94,7 +94,7 @@
   std::unordered_map<NodeId, Target> m_targets;
   // The last instance of each node that stated its departure. Kept when the
   // member is removed, since it may come back.
-  std::unordered_map<NodeId, Incarnation> m_leaving_instances;
+  std::unordered_map<NodeId, InstanceIncarnation> m_leaving_instances;
   // Index of nodes by the service of their instance, so that a request only
   // visits the instances of its own service.
   std::unordered_map<ServiceId, std::unordered_set<NodeId>> m_by_service;
