Refuse pending offers of a returning instance without calling it left

Found in the read-through: an instance that returns under its old name made its node refuse the offers that were pending with instance-left. The ingresses then left it out until the new member record arrived, which a store that is away delays. Such offers are now refused as before that reason existed. MeshEgressTest.ReturnOfAnInstanceUnderItsNameIsNoDeparture failed on the code before.

--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -43,7 +43,11 @@
       m_instance->m_start_time_ms == instance->m_start_time_ms;
   if (!is_same_incarnation) {
     m_departed = m_instance ? m_instance->m_name : m_departed;
-    RefusePending(AttemptReason::kInstanceLeft);
+    // Under the same name, another incarnation accepts offers from now on.
+    const bool is_name_kept =
+        m_instance && instance != nullptr && instance->m_name == m_departed;
+    RefusePending(is_name_kept ? AttemptReason::kDraining
+                               : AttemptReason::kInstanceLeft);
     for (IdleConnection& idle : m_idle_connections) {
       idle.m_connection->Abort();
     }
--- a/libs/mesh/tests/egress_test.cc
+++ b/libs/mesh/tests/egress_test.cc
@@ -232,10 +232,11 @@
 
 // Another instance responds at the address, or bytes that are no response.
 TEST_F(MeshEgressTest, OnlyTheInstanceItselfSetsItsLimit) {
-  m_instance.m_behavior = [](const HttpRequest& request,
-                             const StreamResponder& responder) {
+  uint16_t status = 421;
+  m_instance.m_behavior = [&status](const HttpRequest& request,
+                                    const StreamResponder& responder) {
     responder(
-        {.m_status = 421,
+        {.m_status = status,
          .m_fields = {{"id", FakeCodec::FieldValue(request.m_fields, "id")},
                       {"limit", "1"}}});
     return CancelHook();
@@ -243,14 +244,7 @@
   Send(MakeOffer(1));
   ASSERT_TRUE(WaitForOutcomes(1));
   EXPECT_FALSE(m_egress.StatedLimit());
-  m_instance.m_behavior = [](const HttpRequest& request,
-                             const StreamResponder& responder) {
-    responder(
-        {.m_status = 200,
-         .m_fields = {{"id", FakeCodec::FieldValue(request.m_fields, "id")},
-                      {"limit", "1"}}});
-    return CancelHook();
-  };
+  status = 200;
   Send(MakeOffer(2));
   ASSERT_TRUE(WaitForOutcomes(2));
   EXPECT_FALSE(m_egress.StatedLimit());
@@ -343,6 +337,25 @@
   EXPECT_EQ(m_replies.back().m_reason, AttemptReason::kInstanceLeft);
 }
 
+// An ingress that is told instance-left does not use that incarnation again,
+// which has the name of the new one until the new member record arrives.
+TEST_F(MeshEgressTest, ReturnOfAnInstanceUnderItsNameIsNoDeparture) {
+  m_instance.m_behavior = [](const HttpRequest&, const StreamResponder&) {
+    return CancelHook();
+  };
+  for (uint64_t number : {1, 2, 3}) {
+    OfferMessage offer = MakeOffer(number);
+    offer.m_may_wait = true;
+    offer.m_time_left_ms = 5000;
+    Send(offer);
+  }
+  ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kQueued);
+  m_announcement.m_start_time_ms += 1000;
+  m_egress.SetInstance(&m_announcement);
+  EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kRefused);
+  EXPECT_EQ(m_replies.back().m_reason, AttemptReason::kDraining);
+}
+
 TEST_F(MeshEgressTest, UnattestedSuccessIsAFailure) {
   m_instance.m_behavior = [](const HttpRequest& request,
                              const StreamResponder& responder) -> CancelHook {
