--- a/libs/limits/tests/rate_limiter_test.cc
+++ b/libs/limits/tests/rate_limiter_test.cc
@@ -5,6 +5,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <deque>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -92,44 +93,39 @@
   RC_ASSERT(static_cast<double>(MaxInWindow(starts)) <= 1.5 * rate * 4 + 5);
 }
 
-// Callers of all hosts overrun an instance that limits its rate, changes the
-// limit, and lifts it. Its process, and so the gate, restarts in between and
-// does not know the limit until the first response.
-RC_GTEST_PROP(RateLimiterTest, GateKeepsTheLimitThroughRestartsAndChanges, ()) {
+// Replays one request every 5 ms for 12 s to an instance that limits its rate,
+// far above the limit. At `restart` the process, and with it the gate, is
+// replaced; the new one learns the limit from the first response. Returns when
+// requests started.
+std::vector<TimePoint> OverrunGate(RequestRate limit, TimePoint restart) {
   constexpr uint32_t kSlots = 8;
   constexpr uint32_t kUnprovenSlots = 2;
-  constexpr Duration kService = milliseconds(120);
+  constexpr Duration kServiceTime = milliseconds(120);
   struct Running {
     Ticket m_ticket;
     TimePoint m_end;
   };
-  double limit = *rc::gen::inRange(2, 100) / 10.0;
   std::optional<SlotGate> gate(SlotGate({.m_slots = kSlots}));
-  gate->SetRate(RequestRate(limit), kStart);
+  gate->SetRate(limit, kStart);
   std::deque<Running> running;
   std::vector<TimePoint> starts;
-  const auto start = [&](Ticket ticket, TimePoint now) {
-    running.push_back({ticket, now + kService});
-    starts.push_back(now);
+  TimePoint now = kStart;
+  const auto start_all = [&](const std::vector<Ticket>& tickets) {
+    for (const Ticket ticket : tickets) {
+      running.push_back({ticket, now + kServiceTime});
+      starts.push_back(now);
+    }
   };
-  const TimePoint restart =
-      kStart + milliseconds(*rc::gen::inRange(1000, 9000));
   bool has_restarted = false;
-  for (TimePoint now = kStart; now < kStart + seconds(12);
-       now += milliseconds(5)) {
+  for (; now < kStart + seconds(12); now += milliseconds(5)) {
     while (!running.empty() && running.front().m_end <= now) {
       const Running end = running.front();
       running.pop_front();
-      // The response states the limit.
-      for (const GateChanges& changes :
-           {gate->Rate() ? GateChanges{}
-                         : gate->SetRate(RequestRate(limit), now),
-            gate->Resize(kSlots, now), gate->OnFinish(end.m_ticket, now),
-            gate->OnTick(now)}) {
-        for (const Ticket ticket : changes.m_started) {
-          start(ticket, now);
-        }
+      if (!gate->Rate()) {
+        start_all(gate->SetRate(limit, now).m_started);
       }
+      start_all(gate->Resize(kSlots, now).m_started);
+      start_all(gate->OnFinish(end.m_ticket, now).m_started);
     }
     if (!has_restarted && now >= restart) {
       has_restarted = true;
@@ -138,16 +134,21 @@
     }
     const AdmissionResult result =
         gate->Admit(now, now + seconds(2), AccountId());
-    for (const Ticket ticket : result.m_changes.m_started) {
-      start(ticket, now);
-    }
+    start_all(result.m_changes.m_started);
     if (result.m_decision == AdmissionDecision::kAdmitted) {
-      start(result.m_ticket, now);
-    }
-    for (const Ticket ticket : gate->OnTick(now).m_started) {
-      start(ticket, now);
+      start_all({result.m_ticket});
     }
+    start_all(gate->OnTick(now).m_started);
   }
+  return starts;
+}
+
+// Callers of all hosts overrun an instance that limits its rate, and the
+// process that counts the requests restarts.
+RC_GTEST_PROP(RateLimiterTest, GateKeepsTheLimitThroughARestart, ()) {
+  const double limit = *rc::gen::inRange(2, 100) / 10.0;
+  const auto starts = OverrunGate(
+      RequestRate(limit), kStart + milliseconds(*rc::gen::inRange(1000, 9000)));
   RC_ASSERT(static_cast<double>(MaxInWindow(starts)) <= 1.5 * limit * 4 + 5);
   // The rate that the instance grants is used.
   RC_ASSERT(static_cast<double>(starts.size()) >= 0.8 * limit * 11);
