--- a/libs/limits/tests/rate_limiter_test.cc
+++ b/libs/limits/tests/rate_limiter_test.cc
@@ -19,10 +19,6 @@
 
 constexpr TimePoint kStart{std::chrono::hours(1)};
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 // Largest number of these times in any window of 4 s; they are in order.
 size_t MaxInWindow(const std::vector<TimePoint>& times) {
   std::deque<TimePoint> window;
--- a/libs/limits/tests/retry_allowance_test.cc
+++ b/libs/limits/tests/retry_allowance_test.cc
@@ -119,6 +119,7 @@
   restart(kBegin);
   std::uniform_int_distribution<int> draw_restart(0, 19'999);
   std::vector<TimePoint> restart_times;
+  restart_times.reserve(static_cast<size_t>(restarts));
   for (int i = 0; i < restarts; ++i) {
     restart_times.push_back(kBegin + milliseconds(draw_restart(random)));
   }
