Share the queue setup and the budget check of two tests

Last read of the change: the setup that fills an instance and its queue stood twice, and the restart test of the retry budget counted its windows anew. The same checks, bounds and seeds; no product code is touched.

--- a/libs/limits/tests/retry_allowance_test.cc
+++ b/libs/limits/tests/retry_allowance_test.cc
@@ -57,6 +57,27 @@
   EXPECT_FALSE(allowance.TryAcquire(now, 0, ExtraAttempt::kHedge));
 }
 
+// Returns by how many the retries in any window of 10 s exceed the budget of
+// the service at most.
+double ExcessOverBudget(const RetryAllowanceOptions& options,
+                        const std::vector<TimePoint>& first_attempts,
+                        const std::vector<TimePoint>& retries) {
+  double excess = 0;
+  for (const TimePoint begin : retries) {
+    const auto count_in_window = [begin](const std::vector<TimePoint>& times) {
+      return static_cast<double>(
+          std::count_if(times.begin(), times.end(), [begin](TimePoint at) {
+            return at >= begin && at < begin + seconds(10);
+          }));
+    };
+    excess =
+        std::max(excess, count_in_window(retries) -
+                             options.m_ratio * count_in_window(first_attempts) -
+                             options.m_service_slack);
+  }
+  return excess;
+}
+
 // All instances of a service fail for 20 s and every request is retried: no
 // window of 10 s may contain more retries than the service's budget.
 RC_GTEST_PROP(RetryAllowanceTest, FleetStaysWithinItsBudget, ()) {
@@ -77,18 +98,7 @@
       retries.push_back(now);
     }
   }
-  for (const TimePoint begin : retries) {
-    const auto is_in_window = [begin](TimePoint at) {
-      return at >= begin && at < begin + seconds(10);
-    };
-    const auto count =
-        std::count_if(retries.begin(), retries.end(), is_in_window);
-    const auto first_count = std::count_if(first_attempts.begin(),
-                                           first_attempts.end(), is_in_window);
-    RC_ASSERT(static_cast<double>(count) <=
-              options.m_ratio * static_cast<double>(first_count) +
-                  options.m_service_slack);
-  }
+  RC_ASSERT(ExcessOverBudget(options, first_attempts, retries) <= 0);
 }
 
 // A node that has just started knows no other instance of the service.
@@ -101,7 +111,7 @@
 // All instances of a service fail, every request is retried, and all processes
 // are killed `restarts` times. Returns the largest excess over the budget in
 // any window of 10 s.
-double ExcessOverBudget(int restarts, bool is_restart_known, uint64_t seed) {
+double ExcessAfterRestarts(int restarts, bool is_restart_known, uint64_t seed) {
   constexpr uint32_t kInstances = 12;
   constexpr TimePoint kBegin(seconds(50));
   std::mt19937_64 random(seed);
@@ -144,20 +154,7 @@
       }
     }
   }
-  double excess = 0;
-  for (const TimePoint begin : retries) {
-    const auto count_in_window = [begin](const std::vector<TimePoint>& times) {
-      return static_cast<double>(
-          std::count_if(times.begin(), times.end(), [begin](TimePoint at) {
-            return at >= begin && at < begin + seconds(10);
-          }));
-    };
-    excess =
-        std::max(excess, count_in_window(retries) -
-                             options.m_ratio * count_in_window(first_attempts) -
-                             options.m_service_slack);
-  }
-  return excess;
+  return ExcessOverBudget(options, first_attempts, retries);
 }
 
 RC_GTEST_PROP(RetryAllowanceTest,
@@ -165,12 +162,12 @@
               ()) {
   const int restarts = *rc::gen::inRange(0, 5);
   const auto seed = *rc::gen::arbitrary<uint64_t>();
-  RC_ASSERT(ExcessOverBudget(restarts, true, seed) <= 0);
+  RC_ASSERT(ExcessAfterRestarts(restarts, true, seed) <= 0);
 }
 
 // Without OnRestart(), each process starts with the whole slack.
 TEST(RetryAllowanceTest, ForgottenRetriesExceedTheBudget) {
-  EXPECT_GT(ExcessOverBudget(3, false, 1), 0);
+  EXPECT_GT(ExcessAfterRestarts(3, false, 1), 0);
 }
 
 }  // namespace
--- a/libs/mesh/tests/egress_test.cc
+++ b/libs/mesh/tests/egress_test.cc
@@ -70,6 +70,21 @@
     };
   }
 
+  // Sends one offer more than the instance has slots; it answers none. Returns
+  // whether the last offer is queued.
+  bool FillSlotsAndQueue() {
+    m_instance.m_behavior = [](const HttpRequest&, const StreamResponder&) {
+      return CancelHook();
+    };
+    for (uint64_t number : {1, 2, 3}) {
+      OfferMessage offer = MakeOffer(number);
+      offer.m_may_wait = true;
+      offer.m_time_left_ms = 5000;
+      Send(offer);
+    }
+    return m_replies.back().m_verdict == OfferVerdict::kQueued;
+  }
+
   bool WaitForOutcomes(size_t count) {
     return RunUntil(m_io, [&] { return m_outcomes.size() >= count; });
   }
@@ -320,16 +335,7 @@
 }
 
 TEST_F(MeshEgressTest, RefusesQueuedAndNewOffersOnceTheInstanceLeaves) {
-  m_instance.m_behavior = [](const HttpRequest&, const StreamResponder&) {
-    return CancelHook();
-  };
-  for (uint64_t number : {1, 2, 3}) {
-    OfferMessage offer = MakeOffer(number);
-    offer.m_may_wait = true;
-    offer.m_time_left_ms = 5000;
-    Send(offer);
-  }
-  ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kQueued);
+  ASSERT_TRUE(FillSlotsAndQueue());
   m_egress.SetInstance(nullptr);
   EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kRefused);
   EXPECT_EQ(m_replies.back().m_reason, AttemptReason::kInstanceLeft);
@@ -340,16 +346,7 @@
 // An ingress that is told instance-left does not use that incarnation again,
 // which has the name of the new one until the new member record arrives.
 TEST_F(MeshEgressTest, ReturnOfAnInstanceUnderItsNameIsNoDeparture) {
-  m_instance.m_behavior = [](const HttpRequest&, const StreamResponder&) {
-    return CancelHook();
-  };
-  for (uint64_t number : {1, 2, 3}) {
-    OfferMessage offer = MakeOffer(number);
-    offer.m_may_wait = true;
-    offer.m_time_left_ms = 5000;
-    Send(offer);
-  }
-  ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kQueued);
+  ASSERT_TRUE(FillSlotsAndQueue());
   m_announcement.m_start_time_ms += 1000;
   m_egress.SetInstance(&m_announcement);
   EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kRefused);
