Log the fingerprint of requests that got no complete response

The logs name requests by their ids, which are new for each repetition, so they could not tell whether the requests that end instances are the same. attempt_failed now has a hash of method, host, target, body and calling service.

--- a/libs/events/src/mesh_events.cc
+++ b/libs/events/src/mesh_events.cc
@@ -10,6 +10,10 @@
 constexpr std::string_view kError = "ERROR";
 
 const EventField kRequest{"request", "id of the caller's request"};
+const EventField kFingerprint{
+    "fingerprint",
+    "hash of the request's method, host, target, body and calling service; "
+    "empty when the request was not sent to the instance"};
 const EventField kReason{"reason", "explanation in words"};
 const EventField kTookMs{"took_ms", "time since the request was read"};
 const EventField kTrail{
@@ -70,6 +74,7 @@
                     {"reason", "code of the failure"},
                     {"repeatable",
                      "whether a second execution is allowed: yes or no"},
+                    kFingerprint,
                     {"took_ms", "time since it was sent to the instance"}}},
       {.m_name = "offer_refused",
        .m_level = kDebug,
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "sequoiastage/base/boot_clock.h"
+#include "sequoiastage/base/request_fingerprint.h"
 #include "sequoiastage/config/traffic_config.h"
 #include "sequoiastage/health/instance_hold.h"
 #include "sequoiastage/http/exchange_connection.h"
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -239,6 +239,11 @@
         .Add("ran", outcome.m_result == AttemptResult::kFailed ? "maybe" : "no")
         .Add("reason", ToString(outcome.m_reason))
         .Add("repeatable", work->m_offer.m_is_idempotent ? "yes" : "no")
+        .Add("fingerprint",
+             work->m_connection
+                 ? ToString(FingerprintOf(work->m_offer.m_request,
+                                          work->m_offer.m_caller_service))
+                 : "")
         .Add("took_ms", WholeMs(now - work->m_started_at));
   }
   work->m_reply(outcome);
