Reject requests that crash the instances that execute them

Cause: nothing connected the end of an instance with the requests that ran there. An end held the instance for some time; the request was retried and, when its callers repeated it, taken again by every node.

Ruled out: that each node keeps what it sees (one egress gave the request to three incarnations of its instance in turn); that retries go beyond the attempts of a route (no request had more than two starts).

Change: RequestQuarantine (pure) decides from crash reports; a request that three instances crashed under is rejected by ingress and egress for half an hour after the last crash. An egress proves a crash by a refused connection after a broken response (the probe's connection is kept when it opens), or by another incarnation that replaces the instance. Reports travel in the member records, so that they outlive processes and reach all nodes within a second; when the reporting node does not publish in 1.5 s, the ingress that was told does. Requests that get a complete response are cleared, and crashes explained by a quarantined request count against no other.

--- a/libs/events/include/sequoiastage/events/explanation.h
+++ b/libs/events/include/sequoiastage/events/explanation.h
@@ -40,6 +40,8 @@
   kNodeRestarted,
   kLinkLost,
   kServerError,
+  /// The request has crashed several instances; the fleet rejects it.
+  kQuarantined,
 };
 
 std::string_view ToString(FailureCause cause);
--- a/libs/events/src/explanation.cc
+++ b/libs/events/src/explanation.cc
@@ -95,6 +95,9 @@
   if (known == 0) {
     return FailureCause::kNoInstanceKnown;
   }
+  if (final_event.Get("cause") == "the request crashes instances") {
+    return FailureCause::kQuarantined;
+  }
   if (final_event.Get("cause") == "out of time" ||
       HasReason(trail, {"past-deadline"})) {
     return FailureCause::kOutOfTime;
@@ -134,7 +137,7 @@
   if (HasReason(trail, {"wrong-incarnation"})) {
     return FailureCause::kNodeRestarted;
   }
-  if (HasReason(trail, {"incomplete-answer"})) {
+  if (HasReason(trail, {"incomplete-answer", "instance-crashed"})) {
     return FailureCause::kBrokenResponse;
   }
   if (HasReason(trail, {"link-lost", "silent"})) {
@@ -158,8 +161,9 @@
       static_cast<double>(waited) > kWaitShare * static_cast<double>(took)) {
     return FailureCause::kServedAfterWait;
   }
-  return HasReason(trail, {"incomplete-answer", "timeout", "server-error",
-                           "slow", "link-lost", "silent", "wrong-incarnation"})
+  return HasReason(trail, {"incomplete-answer", "instance-crashed", "timeout",
+                           "server-error", "slow", "link-lost", "silent",
+                           "wrong-incarnation"})
              ? FailureCause::kServedAfterRetry
              : FailureCause::kServed;
 }
@@ -230,6 +234,9 @@
              "request; the outcome is unknown.";
     case FailureCause::kServerError:
       return "The instance responded with an error.";
+    case FailureCause::kQuarantined:
+      return "The request has crashed several instances that executed it; it "
+             "was rejected.";
   }
   return "";
 }
@@ -433,6 +440,8 @@
       return "link-lost";
     case FailureCause::kServerError:
       return "server-error";
+    case FailureCause::kQuarantined:
+      return "quarantined";
   }
   return "";
 }
--- a/libs/events/src/mesh_events.cc
+++ b/libs/events/src/mesh_events.cc
@@ -12,8 +12,7 @@
 const EventField kRequest{"request", "id of the caller's request"};
 const EventField kFingerprint{
     "fingerprint",
-    "hash of the request's method, host, target, body and calling service; "
-    "empty when the request was not sent to the instance"};
+    "hash of the request's method, host, target, body and calling service"};
 const EventField kReason{"reason", "explanation in words"};
 const EventField kTookMs{"took_ms", "time since the request was read"};
 const EventField kTrail{
@@ -74,7 +73,8 @@
                     {"reason", "code of the failure"},
                     {"repeatable",
                      "whether a second execution is allowed: yes or no"},
-                    kFingerprint,
+                    {"fingerprint",
+                     "as in request_quarantined; empty when it was not sent"},
                     {"took_ms", "time since it was sent to the instance"}}},
       {.m_name = "offer_refused",
        .m_level = kDebug,
@@ -143,6 +143,21 @@
        .m_help = "a response states something about its instance that can't be "
                  "read; what it stated before stays in force",
        .m_fields = {{"instance", "instance of this node"}, kReason}},
+      {.m_name = "instance_crashed",
+       .m_level = kInfo,
+       .m_help = "the instance ended unexpectedly while it executed requests",
+       .m_fields = {{"instance", "instance of this node"},
+                    {"proof",
+                     "refused: it broke requests, then refused a connection; "
+                     "replaced: another incarnation announced itself"},
+                    {"running",
+                     "fingerprints of the requests, separated by spaces"}}},
+      {.m_name = "request_quarantined",
+       .m_level = kWarn,
+       .m_help = "a request crashes the instances that execute it; the node "
+                 "rejects it from now on, whoever sends it",
+       .m_fields = {kFingerprint,
+                    {"crashes", "instances that crashed while executing it"}}},
       {.m_name = "announcement_invalid",
        .m_level = kWarn,
        .m_help = "an announcement is invalid; the previous one stays in force",
--- a/libs/http/include/sequoiastage/http/exchange_connection.h
+++ b/libs/http/include/sequoiastage/http/exchange_connection.h
@@ -29,6 +29,14 @@
   kTimeout,
 };
 
+enum class ConnectOutcome : uint8_t {
+  kConnected,
+  /// Nothing listens at the server's address.
+  kRefused,
+  /// Timed out or failed for another reason.
+  kFailed,
+};
+
 struct ExchangeResult {
   ExchangeOutcome m_outcome = ExchangeOutcome::kBroken;
   /// Set for kAnswered.
@@ -68,6 +76,7 @@
     : public std::enable_shared_from_this<ExchangeConnection> {
  public:
   using Handler = std::function<void(ExchangeResult)>;
+  using ConnectHandler = std::function<void(ConnectOutcome)>;
   /// Returns false for a response to another request, which is then dropped.
   using Filter = std::function<bool(const HttpResponse&)>;
 
@@ -87,6 +96,10 @@
             Filter filter,
             Handler handler);
 
+  /// Opens the connection without a request, so that it can be used later.
+  /// `handler` runs once, unless Abort() is called first.
+  void Connect(Duration timeout, ConnectHandler handler);
+
   /// Closes the connection without calling the handler of a running exchange.
   void Abort();
 
@@ -95,6 +108,8 @@
   bool IsReusable(TimePoint now) const;
 
  private:
+  void OnConnected();
+  void FinishConnect(ConnectOutcome outcome);
   void StartTimer(Duration timeout);
   void StopTimer();
   void Write();
@@ -122,6 +137,7 @@
   uint32_t m_skipped_responses = 0;
   Filter m_filter;
   Handler m_handler;
+  ConnectHandler m_connect_handler;
   bool m_is_head = false;
   bool m_is_open = false;
   bool m_is_closed = false;
--- a/libs/http/src/exchange_connection.cc
+++ b/libs/http/src/exchange_connection.cc
@@ -148,14 +148,57 @@
           self->Finish(ExchangeOutcome::kConnectFailed, error.message());
           return;
         }
-        self->m_is_open = true;
-        TuneSocket(self->m_socket, self->m_options.m_user_timeout);
+        self->OnConnected();
         self->StartTimer(timeout);
         self->Write();
         self->Read();
       });
 }
 
+void ExchangeConnection::Connect(Duration timeout, ConnectHandler handler) {
+  m_connect_handler = std::move(handler);
+  m_timer.expires_after(timeout);
+  m_timer.async_wait([self = shared_from_this(), number = ++m_timer_number](
+                         const asio::error_code& error) {
+    if (!error && number == self->m_timer_number) {
+      self->FinishConnect(ConnectOutcome::kFailed);
+    }
+  });
+  m_socket.async_connect(
+      asio::ip::tcp::endpoint(asio::ip::address_v4(m_server.m_ip),
+                              m_server.m_port),
+      [self = shared_from_this()](const asio::error_code& error) {
+        if (error) {
+          self->FinishConnect(error == asio::error::connection_refused
+                                  ? ConnectOutcome::kRefused
+                                  : ConnectOutcome::kFailed);
+        } else if (self->m_connect_handler) {
+          self->OnConnected();
+          self->m_idle_until = BootNow() + self->m_options.m_max_idle;
+          self->Read();
+          self->FinishConnect(ConnectOutcome::kConnected);
+        }
+      });
+}
+
+void ExchangeConnection::FinishConnect(ConnectOutcome outcome) {
+  ConnectHandler handler = std::exchange(m_connect_handler, {});
+  if (!handler) {
+    return;
+  }
+  if (outcome == ConnectOutcome::kConnected) {
+    StopTimer();
+  } else {
+    Close();
+  }
+  handler(outcome);
+}
+
+void ExchangeConnection::OnConnected() {
+  m_is_open = true;
+  TuneSocket(m_socket, m_options.m_user_timeout);
+}
+
 void ExchangeConnection::StartTimer(Duration timeout) {
   m_timer.expires_after(timeout);
   // cancel() does not stop a handler that is already queued; the number does.
@@ -310,6 +353,7 @@
 
 void ExchangeConnection::Abort() {
   m_handler = {};
+  m_connect_handler = {};
   Close();
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -22,6 +22,7 @@
 #include "sequoiastage/logging/log_event.h"
 #include "sequoiastage/mesh/peer_key.h"
 #include "sequoiastage/mesh/platform.h"
+#include "sequoiastage/mesh/shared_quarantine.h"
 #include "sequoiastage/metrics/latency_buckets.h"
 
 namespace sequoiastage {
@@ -50,6 +51,12 @@
   /// inquiries.
   Duration m_outcome_retention = std::chrono::seconds(4);
   size_t m_max_retained_outcomes = 256;
+  /// Timeout for the connection that tells whether an instance that broke a
+  /// response still runs.
+  Duration m_probe_timeout = std::chrono::milliseconds(100);
+  /// Requests that break within this time of each other may have been ended by
+  /// one crash. All connections of a process that ends are closed together.
+  Duration m_crash_spread = std::chrono::milliseconds(100);
   /// The first instance may have run before this process started, under an
   /// earlier process of this node. Until its first response tells whether it
   /// limits its load, it gets at most m_unproven_slots requests at a time.
@@ -63,6 +70,7 @@
   uint64_t m_broken = 0;
   uint64_t m_holds = 0;
   uint64_t m_connections = 0;
+  uint64_t m_quarantined = 0;
 };
 
 /// Admission control for the instance on this host: decides which offers run,
@@ -72,6 +80,10 @@
 /// An offer of a non-idempotent request first gets a slot (kReady) and runs
 /// when the ingress sends the start message. Until then, both sides can prove
 /// that the request was not executed, whichever messages are lost.
+///
+/// An instance has crashed when it breaks a response and then refuses
+/// connections, or when another incarnation replaces it without a departure.
+/// The requests that it was executing are reported to the SharedQuarantine.
 template <PlatformCodec Codec>
 class Egress {
  public:
@@ -83,7 +95,12 @@
     std::function<void(const InstanceAnnouncement&)> m_on_leaving;
   };
 
-  Egress(asio::io_context& io, const EgressOptions& options, Hooks hooks);
+  /// `self` is the node of this host.
+  Egress(asio::io_context& io,
+         NodeId self,
+         const EgressOptions& options,
+         SharedQuarantine& quarantine,
+         Hooks hooks);
 
   /// Sets the active instance; null when there is none.
   void SetInstance(const InstanceAnnouncement* instance);
@@ -150,9 +167,20 @@
   };
   using WorkPtr = std::shared_ptr<Work>;
 
+  // Work whose exchange was broken, until the probe tells whether the instance
+  // still runs.
+  struct BrokenWork {
+    WorkPtr m_work;
+    OutcomeMessage m_outcome;
+    RequestResult m_result = RequestResult::kBroken;
+    RequestFingerprint m_fingerprint;
+  };
+
   struct IdleConnection {
     std::shared_ptr<ExchangeConnection> m_connection;
     TimePoint m_since;
+    // Opened as a probe; has carried no request.
+    bool m_is_unused = false;
   };
 
   AttemptReason CheckOffer(const OfferMessage& offer, TimePoint now);
@@ -163,6 +191,19 @@
   void OnSlotGranted(const WorkPtr& work);
   void Execute(const WorkPtr& work);
   void OnExchangeEnd(const WorkPtr& work, ExchangeResult result);
+  // Completes work whose exchange was broken, once it is known whether the
+  // instance has crashed.
+  void CompleteBroken(BrokenWork broken);
+  void OnProbeEnd(ConnectOutcome outcome);
+  // Called when m_instance is about to change. `is_replaced`: another
+  // incarnation takes its place.
+  void OnIncarnationEnd(bool is_replaced);
+  // Reports requests that the instance was executing when it crashed. May be
+  // called again for the same crash.
+  void ReportCrash(std::string_view proof,
+                   std::vector<RequestFingerprint> running);
+  static RequestFingerprint FingerprintOf(const Work& work);
+  bool IsQuarantined(const Work& work) const;
   // Handles what the instance states about itself in a response.
   void OnStatements(const Work& work, const ResponseMetadata& metadata);
   void UpdateLimit(const Work& work, const ResponseMetadata& metadata);
@@ -184,7 +225,9 @@
   void LogHoldChange(HoldState before, std::string_view cause);
 
   asio::io_context& m_io;
+  NodeId m_self;
   EgressOptions m_options;
+  SharedQuarantine& m_quarantine;
   Hooks m_hooks;
   std::optional<InstanceAnnouncement> m_instance;
   // Name of the instance before m_instance, or of the last one.
@@ -216,12 +259,23 @@
   std::vector<IdleConnection> m_idle_connections;
   std::deque<std::pair<TimePoint, std::pair<Key, OutcomeMessage>>>
       m_retained_outcomes;
+  // Connection to an instance that broke a response; null when there is none.
+  std::shared_ptr<ExchangeConnection> m_probe;
+  std::vector<BrokenWork> m_awaiting_probe;
+  // The last requests that broke together, unless the instance sent a complete
+  // response since.
+  std::vector<RequestFingerprint> m_last_broken;
+  TimePoint m_last_broken_at{};
+  // The current incarnation has refused the probe, and has sent no complete
+  // response since.
+  bool m_has_crashed = false;
   EgressStats m_stats;
   LatencyBuckets m_latency;
 };
 
 }  // namespace sequoiastage
 
+#include "sequoiastage/mesh/egress_crash_inl.h"
 #include "sequoiastage/mesh/egress_inl.h"
 #include "sequoiastage/mesh/egress_work_inl.h"
 
--- /dev/null
+++ b/libs/mesh/include/sequoiastage/mesh/egress_crash_inl.h
@@ -0,0 +1,134 @@
+#ifndef SEQUOIASTAGE_MESH_EGRESS_CRASH_INL_H_
+#define SEQUOIASTAGE_MESH_EGRESS_CRASH_INL_H_
+
+// Detection of crashes of the instance, and the requests that ran there.
+
+#include <asio/post.hpp>
+#include <utility>
+
+#include "sequoiastage/mesh/egress.h"
+#include "sequoiastage/mesh/egress_inl.h"
+
+namespace sequoiastage {
+
+template <PlatformCodec Codec>
+RequestFingerprint Egress<Codec>::FingerprintOf(const Work& work) {
+  return sequoiastage::FingerprintOf(work.m_offer.m_request,
+                                     work.m_offer.m_caller_service);
+}
+
+template <PlatformCodec Codec>
+bool Egress<Codec>::IsQuarantined(const Work& work) const {
+  return !m_quarantine.IsEmpty() &&
+         m_quarantine.TimeLeft(FingerprintOf(work), WallNow()).has_value();
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::CompleteBroken(BrokenWork broken) {
+  const TimePoint now = BootNow();
+  if (!m_instance || m_instance->m_name != broken.m_work->m_offer.m_instance) {
+    Complete(broken.m_work, std::move(broken.m_outcome), broken.m_result);
+    return;
+  }
+  if (m_has_crashed) {
+    ReportCrash("refused", {broken.m_fingerprint});
+    broken.m_outcome.m_reason = AttemptReason::kInstanceCrashed;
+    Complete(broken.m_work, std::move(broken.m_outcome), broken.m_result);
+    return;
+  }
+  if (now - m_last_broken_at > m_options.m_crash_spread) {
+    m_last_broken.clear();
+  }
+  m_last_broken_at = now;
+  m_last_broken.push_back(broken.m_fingerprint);
+  m_awaiting_probe.push_back(std::move(broken));
+  if (m_probe) {
+    return;
+  }
+  m_probe = std::make_shared<ExchangeConnection>(m_io, m_instance->m_address,
+                                                 m_options.m_exchange);
+  m_probe->Connect(m_options.m_probe_timeout,
+                   [this](ConnectOutcome outcome) { OnProbeEnd(outcome); });
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::OnProbeEnd(ConnectOutcome outcome) {
+  const auto probe = std::exchange(m_probe, nullptr);
+  std::vector<BrokenWork> broken = std::exchange(m_awaiting_probe, {});
+  if (outcome == ConnectOutcome::kConnected) {
+    ++m_stats.m_connections;
+    m_idle_connections.push_back(
+        {.m_connection = probe, .m_since = BootNow(), .m_is_unused = true});
+  }
+  if (outcome == ConnectOutcome::kRefused) {
+    m_has_crashed = true;
+    std::vector<RequestFingerprint> running;
+    for (BrokenWork& each : broken) {
+      running.push_back(each.m_fingerprint);
+      each.m_outcome.m_reason = AttemptReason::kInstanceCrashed;
+    }
+    ReportCrash("refused", std::move(running));
+  }
+  for (BrokenWork& each : broken) {
+    if (m_work.contains(each.m_work->m_key)) {
+      Complete(each.m_work, std::move(each.m_outcome), each.m_result);
+    }
+  }
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::OnIncarnationEnd(bool is_replaced) {
+  if (m_probe) {
+    m_probe->Abort();
+    m_probe.reset();
+  }
+  if (is_replaced && m_instance) {
+    std::vector<RequestFingerprint> running;
+    if (!m_has_crashed) {
+      running = std::move(m_last_broken);
+    }
+    for (const auto& [key, work] : m_work) {
+      if (work->m_phase == Phase::kRunning && work->m_connection) {
+        running.push_back(FingerprintOf(*work));
+      }
+    }
+    ReportCrash("replaced", std::move(running));
+  }
+  m_last_broken.clear();
+  m_has_crashed = false;
+  // Not from within SetInstance(): a free slot starts other work.
+  for (BrokenWork& each : m_awaiting_probe) {
+    asio::post(m_io, [this, broken = std::move(each)]() mutable {
+      if (m_work.contains(broken.m_work->m_key)) {
+        Complete(broken.m_work, std::move(broken.m_outcome), broken.m_result);
+      }
+    });
+  }
+  m_awaiting_probe.clear();
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::ReportCrash(std::string_view proof,
+                                std::vector<RequestFingerprint> running) {
+  if (running.empty()) {
+    return;
+  }
+  std::string requests;
+  for (const RequestFingerprint request : running) {
+    requests.append(requests.empty() ? "" : " ").append(ToString(request));
+  }
+  LogEvent(LogLevel::kInfo, "instance_crashed")
+      .Add("instance", m_instance->m_name)
+      .Add("proof", proof)
+      .Add("running", requests);
+  const WallTime now = WallNow();
+  m_quarantine.OnCrash({.m_node = m_self,
+                        .m_instance_start_ms = m_instance->m_start_time_ms,
+                        .m_at = now,
+                        .m_running = std::move(running)},
+                       now);
+}
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_MESH_EGRESS_CRASH_INL_H_
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -20,10 +20,14 @@
 
 template <PlatformCodec Codec>
 Egress<Codec>::Egress(asio::io_context& io,
+                      NodeId self,
                       const EgressOptions& options,
+                      SharedQuarantine& quarantine,
                       Hooks hooks)
     : m_io(io),
+      m_self(self),
       m_options(options),
+      m_quarantine(quarantine),
       m_hooks(std::move(hooks)),
       m_gate(options.m_gate),
       m_gate_timer(io),
@@ -42,6 +46,7 @@
       m_instance->m_name == instance->m_name &&
       m_instance->m_start_time_ms == instance->m_start_time_ms;
   if (!is_same_incarnation) {
+    OnIncarnationEnd(instance != nullptr);
     m_departed = m_instance ? m_instance->m_name : m_departed;
     // Under the same name, another incarnation accepts offers from now on.
     const bool is_name_kept =
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -19,6 +19,15 @@
   const TimePoint now = BootNow();
   const Duration left = work->m_deadline - now;
   work->m_phase = Phase::kRunning;
+  work->m_started_at = now;
+  if (IsQuarantined(*work)) {
+    ++m_stats.m_quarantined;
+    Complete(work,
+             {.m_result = AttemptResult::kNotStarted,
+              .m_reason = AttemptReason::kQuarantined},
+             RequestResult::kNoEvidence);
+    return;
+  }
   if (left < egress_detail::kMinTimeLeft || !m_instance) {
     Complete(work,
              {.m_result = AttemptResult::kNotStarted,
@@ -30,7 +39,6 @@
     m_retry_budget.OnFirstAttempt(now, work->m_offer.m_urgency);
   }
   ++m_stats.m_started;
-  work->m_started_at = now;
   work->m_run = m_hold.OnStart(KindOf(work->m_offer), now);
   HttpRequest& request = work->m_offer.m_request;
   Codec::PrepareForInstance(request,
@@ -72,7 +80,7 @@
        now - m_idle_connections.back().m_since < m_options.m_max_fresh_idle)) {
     auto connection = std::move(m_idle_connections.back().m_connection);
     work.m_connection_idle = now - m_idle_connections.back().m_since;
-    work.m_is_connection_reused = true;
+    work.m_is_connection_reused = !m_idle_connections.back().m_is_unused;
     m_idle_connections.pop_back();
     return connection;
   }
@@ -105,7 +113,11 @@
       end = work->m_connection_idle > m_options.m_max_fresh_idle
                 ? RequestResult::kNoEvidence
                 : RequestResult::kBroken;
-      break;
+      CompleteBroken({.m_work = work,
+                      .m_outcome = std::move(outcome),
+                      .m_result = end,
+                      .m_fingerprint = FingerprintOf(*work)});
+      return;
     case ExchangeOutcome::kTimeout:
       outcome.m_result = AttemptResult::kFailed;
       outcome.m_reason = AttemptReason::kTimeout;
@@ -173,6 +185,8 @@
                                                RequestResult* end) {
   const ResponseMetadata metadata = Codec::DecodeResponse(response);
   OnStatements(work, metadata);
+  m_last_broken.clear();
+  m_has_crashed = false;
   OutcomeMessage outcome;
   if (metadata.m_is_wrong_instance) {
     outcome.m_result = AttemptResult::kNotStarted;
@@ -227,6 +241,9 @@
       work->m_connection->Abort();
     }
   }
+  if (outcome.m_result == AttemptResult::kAnswered && !m_quarantine.IsEmpty()) {
+    m_quarantine.OnExecuted(FingerprintOf(*work), WallNow());
+  }
   m_stats.m_broken += end == RequestResult::kBroken ? 1 : 0;
   Release(work, end == RequestResult::kSuccess);
   LogHoldChange(before, ToString(outcome.m_reason));
@@ -240,10 +257,7 @@
         .Add("reason", ToString(outcome.m_reason))
         .Add("repeatable", work->m_offer.m_is_idempotent ? "yes" : "no")
         .Add("fingerprint",
-             work->m_connection
-                 ? ToString(FingerprintOf(work->m_offer.m_request,
-                                          work->m_offer.m_caller_service))
-                 : "")
+             work->m_connection ? ToString(FingerprintOf(*work)) : "")
         .Add("took_ms", WholeMs(now - work->m_started_at));
   }
   work->m_reply(outcome);
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -14,12 +14,14 @@
 #include <vector>
 
 #include "sequoiastage/base/boot_clock.h"
+#include "sequoiastage/base/request_fingerprint.h"
 #include "sequoiastage/config/traffic_config.h"
 #include "sequoiastage/http/exchange_connection.h"
 #include "sequoiastage/http/stream_server.h"
 #include "sequoiastage/logging/log_event.h"
 #include "sequoiastage/mesh/mesh_links.h"
 #include "sequoiastage/mesh/platform.h"
+#include "sequoiastage/mesh/shared_quarantine.h"
 #include "sequoiastage/mesh/target_table.h"
 #include "sequoiastage/metrics/latency_buckets.h"
 #include "sequoiastage/routing/split_picker.h"
@@ -56,6 +58,8 @@
   uint64_t m_cancelled = 0;
   uint64_t m_extra_attempts = 0;
   uint64_t m_unrouted = 0;
+  /// Ended because the request crashes instances.
+  uint64_t m_quarantined = 0;
 };
 
 /// Receives callers' requests and executes each on an instance of its service.
@@ -77,6 +81,7 @@
           std::string local_service,
           TargetTable& targets,
           MeshLinks& links,
+          SharedQuarantine& quarantine,
           Hooks hooks);
 
   /// Applies `config` to requests that arrive from now on.
@@ -206,6 +211,10 @@
   std::vector<PlacementCandidate> FindCandidates(const Call& call) const;
   bool IsSelf(NodeId node) const { return node == m_targets.Self().m_node; }
   bool CanRetry(const Call& call) const;
+  RequestFingerprint FingerprintOf(const Call& call) const;
+  // Time until the request leaves its quarantine; empty when it is in none.
+  std::optional<Duration> QuarantineLeft(const Call& call) const;
+  void FailQuarantined(const CallPtr& call);
   HttpResponse BuildRefusal(const Call& call) const;
   static HttpResponse BuildTextResponse(uint16_t status, std::string_view text);
 
@@ -214,6 +223,7 @@
   std::string m_local_service;
   TargetTable& m_targets;
   MeshLinks& m_links;
+  SharedQuarantine& m_quarantine;
   Hooks m_hooks;
   std::shared_ptr<const TrafficConfig> m_config;
   PrefixRoutes m_routes;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -197,6 +197,10 @@
       attempt.m_phase = Phase::kQueued;
       return;
     case OfferVerdict::kReady:
+      if (QuarantineLeft(*call)) {
+        FailQuarantined(call);
+        return;
+      }
       attempt.m_phase = Phase::kStarted;
       MarkStarted(call, attempt);
       SendTo(attempt.m_node, StartMessage{.m_attempt = attempt.m_number,
@@ -248,6 +252,9 @@
   const NodeId node = attempt.m_node;
   const AttemptNumber number = attempt.m_number;
   if (outcome.m_result == AttemptResult::kAnswered) {
+    if (!m_quarantine.IsEmpty()) {
+      m_quarantine.OnExecuted(FingerprintOf(*call), WallNow());
+    }
     if (Codec::DecodeResponse(outcome.m_response).m_is_leaving) {
       m_targets.MarkInstanceLeaving(node, attempt.m_instance,
                                     attempt.m_instance_start_ms);
@@ -260,6 +267,14 @@
     OnResponse(call, std::move(outcome.m_response), node);
     return;
   }
+  if (outcome.m_reason == AttemptReason::kInstanceCrashed) {
+    const WallTime now = WallNow();
+    m_quarantine.OnCrash({.m_node = node,
+                          .m_instance_start_ms = attempt.m_instance_start_ms,
+                          .m_at = now,
+                          .m_running = {FingerprintOf(*call)}},
+                         now);
+  }
   call->m_last_reason = outcome.m_reason;
   AddToTrail(*call, attempt, ToString(outcome.m_reason));
   RemoveAttempt(call, number);
@@ -271,6 +286,13 @@
         outcome.m_reason == AttemptReason::kShed ||
         outcome.m_reason == AttemptReason::kUnknownInstance;
     call->m_start_count -= call->m_start_count > 0 ? 1 : 0;
+    if (outcome.m_reason == AttemptReason::kQuarantined) {
+      // This node may not know of the crashes yet.
+      if (call->m_attempts.empty()) {
+        FailQuarantined(call);
+      }
+      return;
+    }
     OfferToNextTarget(call);
     return;
   }
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -25,12 +25,14 @@
                         std::string local_service,
                         TargetTable& targets,
                         MeshLinks& links,
+                        SharedQuarantine& quarantine,
                         Hooks hooks)
     : m_io(io),
       m_options(options),
       m_local_service(std::move(local_service)),
       m_targets(targets),
       m_links(links),
+      m_quarantine(quarantine),
       m_hooks(std::move(hooks)) {}
 
 template <PlatformCodec Codec>
@@ -125,7 +127,26 @@
                entry.second.m_phase == Phase::kQueued;
       });
   return call.m_route->m_is_idempotent &&
-         call.m_start_count + pending_offers < call.m_route->m_max_attempts;
+         call.m_start_count + pending_offers < call.m_route->m_max_attempts &&
+         !QuarantineLeft(call);
+}
+
+template <PlatformCodec Codec>
+RequestFingerprint Ingress<Codec>::FingerprintOf(const Call& call) const {
+  return sequoiastage::FingerprintOf(call.m_request, m_local_service);
+}
+
+template <PlatformCodec Codec>
+std::optional<Duration> Ingress<Codec>::QuarantineLeft(const Call& call) const {
+  return m_quarantine.IsEmpty()
+             ? std::nullopt
+             : m_quarantine.TimeLeft(FingerprintOf(call), WallNow());
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::FailQuarantined(const CallPtr& call) {
+  ++m_stats.m_quarantined;
+  Fail(call, "the request crashes instances");
 }
 
 template <PlatformCodec Codec>
@@ -133,6 +154,12 @@
   if (call->m_is_done) {
     return;
   }
+  if (QuarantineLeft(*call)) {
+    if (call->m_attempts.empty()) {
+      FailQuarantined(call);
+    }
+    return;
+  }
   const bool allows_trial = call->m_route->m_is_idempotent &&
                             !call->m_has_reached_instance &&
                             call->m_route->m_max_attempts > 1;
@@ -249,6 +276,14 @@
 
 template <PlatformCodec Codec>
 HttpResponse Ingress<Codec>::BuildRefusal(const Call& call) const {
+  HttpResponse response = BuildTextResponse(503, "not run\n");
+  if (const auto left = QuarantineLeft(call)) {
+    response.m_body = "not run: the request has crashed several instances\n";
+    response.m_fields.push_back(
+        {"Retry-After",
+         fmt::format("{:.0f}", std::chrono::duration<double>(*left).count())});
+    return response;
+  }
   // Not before the shortest queue or hold ends. The random factor spreads the
   // retries of callers that were refused at the same time.
   const Duration earliest =
@@ -257,7 +292,6 @@
   std::uniform_real_distribution<double> spread(1, 2);
   const double seconds =
       std::chrono::duration<double>(earliest).count() * spread(m_random);
-  HttpResponse response = BuildTextResponse(503, "not run\n");
   response.m_fields.push_back({"Retry-After", fmt::format("{:.2f}", seconds)});
   return response;
 }
--- a/libs/mesh/include/sequoiastage/mesh/member_record.h
+++ b/libs/mesh/include/sequoiastage/mesh/member_record.h
@@ -5,9 +5,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "sequoiastage/base/ids.h"
 #include "sequoiastage/base/store_position.h"
+#include "sequoiastage/health/request_quarantine.h"
 #include "sequoiastage/routing/placement.h"
 
 namespace sequoiastage {
@@ -30,6 +32,11 @@
   /// the next process of the node. Empty while an instance is active.
   std::string m_departed;
   uint64_t m_departed_start_ms = 0;
+  /// Recent crashes of this host's instances, or of others whose nodes did not
+  /// report them; see SharedQuarantine.
+  std::vector<CrashReport> m_crashes;
+  /// Requests of crash reports that were executed later.
+  std::vector<ExecutionReport> m_executions;
   /// Era of the store that the node knew when it wrote the record.
   StoreEra m_era;
 
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -17,6 +17,7 @@
 #include "sequoiastage/mesh/mesh_links.h"
 #include "sequoiastage/mesh/mesh_settings.h"
 #include "sequoiastage/mesh/relay_choice.h"
+#include "sequoiastage/mesh/shared_quarantine.h"
 #include "sequoiastage/mesh/store_reader.h"
 #include "sequoiastage/mesh/target_table.h"
 
@@ -95,6 +96,7 @@
   PeerKey m_self;
   TargetTable m_targets;
   MeshLinks m_links;
+  SharedQuarantine m_quarantine;
   Egress<Codec> m_egress;
   Ingress<Codec> m_ingress;
   StoreReader<Store> m_reader;
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -105,10 +105,15 @@
                      m_subscribers.erase(peer.m_node);
                      m_egress.OnPeerLost(peer);
                    }}),
+      m_quarantine(m_self.m_node,
+                   {},
+                   [this] { asio::post(m_io, [this] { PublishMember(); }); }),
       m_egress(
           io,
+          m_self.m_node,
           {.m_retry_budget = settings.m_retry_budget,
            .m_adopts_instance = !settings.m_is_first_start},
+          m_quarantine,
           {.m_on_mismatch =
                [this] {
                  ApplyInstance(m_local_instance.OnMismatch(), "address-taken");
@@ -125,6 +130,7 @@
           settings.m_service,
           m_targets,
           m_links,
+          m_quarantine,
           {.m_send_to_local_egress =
                [this](Message message) { OnLocalOffer(std::move(message)); },
            .m_on_failure = [this] { m_egress.OnLocalFailure(); },
@@ -314,6 +320,7 @@
     // name an instance that has left.
     return;
   }
+  m_quarantine.AddTo(record, WallNow());
   const auto era = m_reader.Era();
   record.m_era = era.value_or(StoreEra(0));
   std::string text = EncodeMember(record);
@@ -473,6 +480,8 @@
        .m_requests = m_ingress.RequestCount(),
        .m_connections = m_callers.ConnectionCount(),
        .m_members = m_targets.size(),
+       .m_crash_reports = m_quarantine.Reports().ReportCount(),
+       .m_quarantined_requests = m_quarantine.Reports().size(),
        .m_config_version = m_config ? m_config->m_version.Get() : 0,
        .m_config_age = m_config ? now - m_config_applied_at : Duration{},
        .m_knowledge_age = KnowledgeAge(now),
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -115,6 +115,7 @@
     LogEvent(LogLevel::kWarn, "member_rejected").Add("key", record.m_key);
     return false;
   }
+  m_quarantine.OnMember(*member, WallNow());
   if (member->m_node == m_self.m_node) {
     if (!member->m_departed.empty()) {
       ApplyInstance(m_local_instance.RestoreDeparture(
@@ -235,6 +236,7 @@
     PublishMember();
   }
   UpdateInstanceCount();
+  m_quarantine.Tick(WallNow());
   // The store may have restarted from an older copy shortly before this node
   // started. The other nodes still have what it lost.
   if (m_config && m_reader.IsLoaded()) {
--- a/libs/mesh/include/sequoiastage/mesh/node_metrics.h
+++ b/libs/mesh/include/sequoiastage/mesh/node_metrics.h
@@ -24,6 +24,8 @@
   size_t m_requests = 0;
   size_t m_connections = 0;
   size_t m_members = 0;
+  size_t m_crash_reports = 0;
+  size_t m_quarantined_requests = 0;
   uint64_t m_config_version = 0;
   Duration m_config_age{};
   Duration m_knowledge_age{};
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -134,6 +134,18 @@
       metrics.m_stated_limit ? metrics.m_stated_limit->Get() : -1);
   families.AddGauge("members", "Nodes known.",
                     static_cast<double>(metrics.m_members));
+  families.AddGauge("crash_reports",
+                    "Recent crashes of instances with the requests that ran.",
+                    static_cast<double>(metrics.m_crash_reports));
+  families.AddGauge("quarantined_requests",
+                    "Requests that are rejected because they crash instances.",
+                    static_cast<double>(metrics.m_quarantined_requests));
+  families.AddCounter("requests_quarantined_total",
+                      "Requests of callers rejected for that.",
+                      ingress.m_quarantined);
+  families.AddCounter("attempts_quarantined_total",
+                      "Attempts at this node's instance rejected for that.",
+                      egress.m_quarantined);
   families.AddGauge("config_version", "Configuration in force; 0 when none is.",
                     static_cast<double>(metrics.m_config_version));
   families.AddGauge("config_age_seconds", "Since it came into force here.",
--- a/libs/mesh/tests/egress_test.cc
+++ b/libs/mesh/tests/egress_test.cc
@@ -16,11 +16,13 @@
 constexpr PeerKey kPeer{.m_node = NodeId(Endpoint{.m_ip = 1, .m_port = 1}),
                         .m_incarnation = Incarnation(7)};
 
+constexpr NodeId kSelf{Endpoint{.m_ip = 2, .m_port = 1}};
+
 class MeshEgressTest : public testing::Test {
  protected:
   MeshEgressTest()
       : m_instance(m_io, {.m_ip = TestIp(1), .m_port = 9000}),
-        m_egress(m_io, {}, MakeHooks()) {
+        m_egress(m_io, kSelf, {}, m_quarantine, MakeHooks()) {
     m_announcement.m_name = "i-1";
     m_announcement.m_address = m_instance.m_endpoint;
     m_announcement.m_service = "plans";
@@ -94,6 +96,7 @@
   InstanceAnnouncement m_announcement;
   int m_mismatches = 0;
   std::vector<std::string> m_leaving;
+  SharedQuarantine m_quarantine{kSelf, {}, [] {}};
   Egress<FakeCodec> m_egress;
   std::vector<OfferReplyMessage> m_replies;
   std::vector<OutcomeMessage> m_outcomes;
@@ -308,7 +311,8 @@
 // A restarted process does not know whether the instance limits its load.
 TEST_F(MeshEgressTest, AdoptedInstanceGetsFewRequestsUntilItsFirstResponse) {
   m_announcement.m_slots = 5;
-  Egress<FakeCodec> egress(m_io, {.m_adopts_instance = true}, MakeHooks());
+  Egress<FakeCodec> egress(m_io, kSelf, {.m_adopts_instance = true},
+                           m_quarantine, MakeHooks());
   egress.SetInstance(&m_announcement);
   m_instance.m_behavior = [](const HttpRequest&, const StreamResponder&) {
     return CancelHook();
--- a/libs/mesh/tests/ingress_test.cc
+++ b/libs/mesh/tests/ingress_test.cc
@@ -87,6 +87,7 @@
                   "homes",
                   m_targets,
                   m_links,
+                  m_quarantine,
                   {.m_send_to_local_egress = [](const Message&) {},
                    .m_on_failure = [] {},
                    .m_knowledge_age = [] { return Duration{}; }}) {}
@@ -133,6 +134,7 @@
   PeerKey m_self;
   TargetTable m_targets;
   MeshLinks m_links;
+  SharedQuarantine m_quarantine{m_self.m_node, {}, [] {}};
   Ingress<FakeCodec> m_ingress;
   std::vector<HttpResponse> m_responses;
 };
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -84,6 +84,10 @@
   kRetryBudget = 14,
   /// The addressed instance is leaving or has left, and will not return.
   kInstanceLeft = 15,
+  /// The instance crashed while it executed the request.
+  kInstanceCrashed = 16,
+  /// The request has crashed several instances and is not executed again.
+  kQuarantined = 17,
 };
 
 /// Name of a reason as used in logs, for example "busy".
--- a/libs/wire/src/messages.cc
+++ b/libs/wire/src/messages.cc
@@ -36,6 +36,10 @@
       return "retry-budget";
     case AttemptReason::kInstanceLeft:
       return "instance-left";
+    case AttemptReason::kInstanceCrashed:
+      return "instance-crashed";
+    case AttemptReason::kQuarantined:
+      return "quarantined";
   }
   return "invalid";
 }
