--- a/libs/http/tests/stream_test.cc
+++ b/libs/http/tests/stream_test.cc
@@ -325,6 +325,63 @@
   EXPECT_EQ(m_result->m_response.m_body, "two");
 }
 
+TEST_F(ExchangeConnectionTest, ConnectedWithoutARequestItIsReusable) {
+  std::optional<ConnectOutcome> outcome;
+  m_connection->Connect(seconds(1),
+                        [&](ConnectOutcome result) { outcome = result; });
+  ASSERT_TRUE(RunUntil(m_io, [&] { return outcome.has_value(); }));
+  EXPECT_EQ(*outcome, ConnectOutcome::kConnected);
+  ASSERT_TRUE(m_connection->IsReusable(BootNow()));
+  Send("1");
+  m_server.Write(BuildResponse("1", "one"));
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(m_result->m_response.m_body, "one");
+}
+
+TEST(ExchangeConnectTest, TellsARefusedConnectionFromASilentServer) {
+  asio::io_context io;
+  std::vector<ConnectOutcome> outcomes;
+  const auto connect = [&](const Endpoint& server) {
+    std::make_shared<ExchangeConnection>(io, server, ExchangeOptions{})
+        ->Connect(milliseconds(100),
+                  [&](ConnectOutcome outcome) { outcomes.push_back(outcome); });
+  };
+  connect(TestEndpoint());
+  ASSERT_TRUE(RunUntil(io, [&] { return outcomes.size() == 1; }));
+  EXPECT_EQ(outcomes[0], ConnectOutcome::kRefused);
+  // A listener with a full queue drops further connections.
+  asio::ip::tcp::acceptor acceptor(io);
+  const asio::ip::tcp::endpoint listen(
+      asio::ip::address_v4(TestEndpoint().m_ip), TestEndpoint().m_port);
+  acceptor.open(listen.protocol());
+  acceptor.set_option(asio::socket_base::reuse_address(true));
+  acceptor.bind(listen);
+  acceptor.listen(0);
+  std::vector<asio::ip::tcp::socket> queued;
+  for (int i = 0; i < 4; ++i) {
+    queued.emplace_back(io);
+    queued.back().async_connect(listen, [](const asio::error_code&) {});
+  }
+  RunUntil(
+      io, [] { return false; }, milliseconds(100));
+  connect(TestEndpoint());
+  ASSERT_TRUE(RunUntil(io, [&] { return outcomes.size() == 2; }));
+  EXPECT_EQ(outcomes[1], ConnectOutcome::kFailed);
+}
+
+TEST(ExchangeConnectTest, AbortedConnectCallsNoHandler) {
+  asio::io_context io;
+  bool was_called = false;
+  const auto connection = std::make_shared<ExchangeConnection>(
+      io, TestEndpoint(), ExchangeOptions{});
+  connection->Connect(milliseconds(50),
+                      [&](ConnectOutcome) { was_called = true; });
+  connection->Abort();
+  RunUntil(
+      io, [] { return false; }, milliseconds(100));
+  EXPECT_FALSE(was_called);
+}
+
 TEST_F(ExchangeConnectionTest, BytesAfterTheResponsePreventReuse) {
   Send("1");
   m_server.Write(BuildResponse("1", "one") + BuildResponse("1", "again"));
--- a/libs/mesh/tests/fake_platform.h
+++ b/libs/mesh/tests/fake_platform.h
@@ -17,6 +17,7 @@
 #include "sequoiastage/http/exchange_connection.h"
 #include "sequoiastage/http/stream_server.h"
 #include "sequoiastage/mesh/platform.h"
+#include "sequoiastage/mesh/shared_quarantine.h"
 
 namespace sequoiastage {
 
@@ -270,14 +271,18 @@
  public:
   FakeInstance(asio::io_context& io, const Endpoint& listen)
       : m_endpoint(listen),
-        m_server(io,
-                 [this](const HttpRequest& request,
-                        const StreamResponder& responder) {
-                   return OnRequest(request, responder);
-                 }) {
-    m_server.Start(listen);
+        m_server(std::make_unique<StreamServer>(
+            io,
+            [this](const HttpRequest& request,
+                   const StreamResponder& responder) {
+              return OnRequest(request, responder);
+            })) {
+    m_server->Start(listen);
   }
 
+  // Closes the listener, then all connections.
+  void Crash() { m_server.reset(); }
+
   static HttpResponse BuildResponse(const HttpRequest& request) {
     return {.m_status = 200,
             .m_fields = {{"id", FakeCodec::FieldValue(request.m_fields, "id")},
@@ -301,9 +306,23 @@
     return m_behavior(request, responder);
   }
 
-  StreamServer m_server;
+  std::unique_ptr<StreamServer> m_server;
 };
 
+// Reports that `count` instances crashed while they executed the request.
+inline void ReportCrashes(SharedQuarantine& quarantine,
+                          RequestFingerprint request,
+                          uint32_t count) {
+  const WallTime now = WallNow();
+  for (uint32_t number = 1; number <= count; ++number) {
+    quarantine.OnCrash({.m_node = NodeId(Endpoint{.m_ip = number, .m_port = 9}),
+                        .m_instance_start_ms = number,
+                        .m_at = now,
+                        .m_running = {request}},
+                       now);
+  }
+}
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_MESH_TESTS_FAKE_PLATFORM_H_
--- a/libs/mesh/tests/ingress_test.cc
+++ b/libs/mesh/tests/ingress_test.cc
@@ -110,6 +110,16 @@
                                });
   }
 
+  // As SendRequest() sends it.
+  static RequestFingerprint FingerprintOfRequest() {
+    return FingerprintOf({.m_method = "POST",
+                          .m_host = "a",
+                          .m_target = "/x/1",
+                          .m_fields = {},
+                          .m_body = "body"},
+                         "homes");
+  }
+
   bool WaitForResponse() {
     return RunUntil(m_io, [this] { return !m_responses.empty(); });
   }
@@ -159,6 +169,81 @@
   EXPECT_NE(FindField(m_responses[0].m_fields, "Retry-After"), nullptr);
 }
 
+TEST_F(MeshIngressTest, QuarantinedRequestIsRejectedAtOnce) {
+  FakeEgressNode egress(m_io, 2, 5);
+  m_targets.SetMember(egress.Record());
+  SetConfig("1 a /x/ plans");
+  ReportCrashes(m_quarantine, FingerprintOfRequest(), 3);
+  SendRequest();
+  ASSERT_EQ(m_responses.size(), 1U);
+  EXPECT_EQ(m_responses[0].m_status, 503);
+  const std::string* retry_after =
+      FindField(m_responses[0].m_fields, "Retry-After");
+  ASSERT_NE(retry_after, nullptr);
+  EXPECT_GT(std::stod(*retry_after), 1700);
+  EXPECT_EQ(m_ingress.Stats().m_quarantined, 1U);
+  EXPECT_TRUE(egress.m_messages.empty());
+}
+
+// The third crash is one of its own.
+TEST_F(MeshIngressTest, RequestIsNotRetriedAfterItsThirdCrash) {
+  FakeEgressNode first(m_io, 2, 5);
+  FakeEgressNode second(m_io, 3, 5);
+  for (FakeEgressNode* egress : {&first, &second}) {
+    m_targets.SetMember(egress->Record());
+    egress->m_script = [](const Message& message, const MessageSink& sink) {
+      ReplyReady(message, sink);
+      if (const auto* start = std::get_if<StartMessage>(&message)) {
+        sink(OutcomeMessage{.m_attempt = start->m_attempt,
+                            .m_result = AttemptResult::kFailed,
+                            .m_reason = AttemptReason::kInstanceCrashed});
+      }
+    };
+  }
+  SetConfig("1 a /x/ plans");
+  ReportCrashes(m_quarantine, FingerprintOfRequest(), 2);
+  SendRequest();
+  ASSERT_TRUE(WaitForResponse());
+  EXPECT_EQ(m_responses[0].m_status, 502);
+  EXPECT_EQ(first.Count<StartMessage>() + second.Count<StartMessage>(), 1U);
+}
+
+TEST_F(MeshIngressTest, RequestQuarantinedWhileItWaitsIsNotStarted) {
+  FakeEgressNode egress(m_io, 2, 5);
+  m_targets.SetMember(egress.Record());
+  egress.m_script = [this](const Message& message, const MessageSink& sink) {
+    ReportCrashes(m_quarantine, FingerprintOfRequest(), 3);
+    ReplyReady(message, sink);
+  };
+  SetConfig("1 a /x/ plans once");
+  SendRequest();
+  ASSERT_TRUE(WaitForResponse());
+  EXPECT_EQ(m_responses[0].m_status, 503);
+  EXPECT_EQ(egress.Count<StartMessage>(), 0U);
+}
+
+// The egress has heard of the crashes first.
+TEST_F(MeshIngressTest, RequestThatAnEgressQuarantinesGoesNowhereElse) {
+  FakeEgressNode first(m_io, 2, 5);
+  FakeEgressNode second(m_io, 3, 5);
+  for (FakeEgressNode* egress : {&first, &second}) {
+    m_targets.SetMember(egress->Record());
+    egress->m_script = [](const Message& message, const MessageSink& sink) {
+      ReplyReady(message, sink);
+      if (const auto* start = std::get_if<StartMessage>(&message)) {
+        sink(OutcomeMessage{.m_attempt = start->m_attempt,
+                            .m_result = AttemptResult::kNotStarted,
+                            .m_reason = AttemptReason::kQuarantined});
+      }
+    };
+  }
+  SetConfig("1 a /x/ plans");
+  SendRequest();
+  ASSERT_TRUE(WaitForResponse());
+  EXPECT_EQ(m_responses[0].m_status, 503);
+  EXPECT_EQ(first.Count<StartMessage>() + second.Count<StartMessage>(), 1U);
+}
+
 TEST_F(MeshIngressTest, SendsTheRequestOnlyWithTheStartMessage) {
   FakeEgressNode egress(m_io, 2, 5);
   m_targets.SetMember(egress.Record());
--- a/libs/mesh/tests/mesh_node_test.cc
+++ b/libs/mesh/tests/mesh_node_test.cc
@@ -241,6 +241,32 @@
   }));
 }
 
+// The node whose instance crashed can't write to the store.
+TEST_F(MeshNodeTest, CrashAtANodeCutOffFromTheStoreIsPublishedByTheIngress) {
+  PublishConfig("1 a /x/ plans once");
+  Announce(*m_second);
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+  m_second->m_store.m_is_cut = true;
+  FakeInstance& instance = m_second->m_instance;
+  instance.m_behavior = [&](const HttpRequest&, const StreamResponder&) {
+    asio::post(m_io, [&instance] { instance.Crash(); });
+    return CancelHook();
+  };
+  EXPECT_EQ(SendRequest(*m_first, "/x/").m_response.m_status, 502);
+  const std::string key = ToString(NodeId(m_first->m_settings.m_peer));
+  const auto has_crash = [&](const auto& record) {
+    const auto member = DecodeMember(record.second);
+    return record.first == key && member && member->m_crashes.size() == 1 &&
+           member->m_crashes[0].m_node == NodeId(m_second->m_settings.m_peer);
+  };
+  const auto& members =
+      m_log.m_topics[static_cast<size_t>(StoreTopic::kMembers)];
+  EXPECT_FALSE(std::any_of(members.begin(), members.end(), has_crash));
+  EXPECT_TRUE(RunUntil(m_io, [&] {
+    return std::any_of(members.begin(), members.end(), has_crash);
+  }));
+}
+
 TEST_F(MeshNodeTest, ShutdownCompletesAcceptedRequests) {
   PublishConfig("1 a /x/ plans once");
   Announce(*m_second);
