--- a/bench/capacity_bench/sections.h
+++ b/bench/capacity_bench/sections.h
@@ -34,6 +34,10 @@
 /// requests.
 void MeasureConnections(uint64_t seed);
 
+/// Crash reports and the requests that they put into quarantine: memory,
+/// processor time of reports and lookups.
+void MeasureQuarantine(uint64_t seed);
+
 /// Target selection, subsets, load table and path monitor.
 void MeasureRouting(uint64_t seed);
 
--- a/libs/health/include/sequoiastage/health/request_quarantine.h
+++ b/libs/health/include/sequoiastage/health/request_quarantine.h
@@ -79,11 +79,13 @@
   bool Add(const ExecutionReport& execution, WallTime now);
 
   /// Time until the quarantine of the request ends; empty when it has none.
-  std::optional<Duration> TimeLeft(RequestFingerprint request,
-                                   WallTime now) const;
+  std::optional<Duration> TimeLeft(RequestFingerprint request, WallTime now);
 
   /// Requests quarantined since the last call, with the number of crashes.
-  std::vector<std::pair<RequestFingerprint, uint32_t>> TakeNew();
+  std::vector<std::pair<RequestFingerprint, uint32_t>> TakeNew(WallTime now);
+
+  /// Removes reports that have expired.
+  void RemoveExpired(WallTime now);
 
   /// True: no request can be in quarantine, and executions need no report.
   bool IsEmpty() const { return m_reports.empty(); }
@@ -97,8 +99,10 @@
   using Incarnation = std::pair<NodeId, uint64_t>;
   using CrashCounts = std::map<RequestFingerprint, uint32_t>;
 
-  void RemoveExpired(WallTime now);
-  void RemoveOldest();
+  void RemoveOldest(WallTime now);
+  // Evaluates when reports were added since the last time: a node that starts
+  // reads many of them at once.
+  void UpdateIfStale(WallTime now);
   // Determines anew which requests are quarantined.
   void Evaluate();
   WallTime EndOfQuarantine(RequestFingerprint request) const;
@@ -117,6 +121,7 @@
   // End of the quarantine of each request.
   std::map<RequestFingerprint, WallTime> m_until;
   std::vector<std::pair<RequestFingerprint, uint32_t>> m_new;
+  bool m_is_stale = false;
 };
 
 }  // namespace sequoiastage
--- a/libs/health/src/request_quarantine.cc
+++ b/libs/health/src/request_quarantine.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Above the limit, one report in this many is removed.
+constexpr size_t kRemovedShare = 8;
+
 bool Contains(const std::vector<RequestFingerprint>& requests,
               RequestFingerprint request) {
   return std::find(requests.begin(), requests.end(), request) != requests.end();
@@ -15,7 +18,6 @@
 }  // namespace
 
 bool RequestQuarantine::Add(const CrashReport& report, WallTime now) {
-  RemoveExpired(now);
   // A clock that is ahead must not extend the report's life.
   const WallTime at = std::min(report.m_at, now);
   if (report.m_running.empty() || now - at >= m_options.m_ttl) {
@@ -38,24 +40,21 @@
   if (running.size() == known) {
     return false;
   }
+  m_is_stale = true;
   if (m_reports.size() > m_options.m_max_reports) {
-    RemoveOldest();
+    RemoveOldest(now);
   }
-  Evaluate();
   return true;
 }
 
 bool RequestQuarantine::Add(const ExecutionReport& execution, WallTime now) {
-  if (IsEmpty()) {
-    return false;
-  }
-  RemoveExpired(now);
   const RequestFingerprint request = execution.m_request;
   if (std::none_of(m_reports.begin(), m_reports.end(), [&](const auto& entry) {
         return Counts(entry.second, request);
       })) {
     return false;
   }
+  UpdateIfStale(now);
   const CrashCounts crashes = CountUnexplained(ReportsByTime());
   const auto found = crashes.find(request);
   const bool matters =
@@ -63,12 +62,13 @@
       (found != crashes.end() && found->second + 1 >= m_options.m_max_crashes);
   WallTime& at = m_executed[request];
   at = std::max(at, std::min(execution.m_at, now));
-  Evaluate();
+  m_is_stale = true;
   return matters;
 }
 
 std::optional<Duration> RequestQuarantine::TimeLeft(RequestFingerprint request,
-                                                    WallTime now) const {
+                                                    WallTime now) {
+  UpdateIfStale(now);
   const auto found = m_until.find(request);
   if (found == m_until.end() || found->second <= now) {
     return std::nullopt;
@@ -76,11 +76,19 @@
   return found->second - now;
 }
 
-std::vector<std::pair<RequestFingerprint, uint32_t>>
-RequestQuarantine::TakeNew() {
+std::vector<std::pair<RequestFingerprint, uint32_t>> RequestQuarantine::TakeNew(
+    WallTime now) {
+  UpdateIfStale(now);
   return std::exchange(m_new, {});
 }
 
+void RequestQuarantine::UpdateIfStale(WallTime now) {
+  if (std::exchange(m_is_stale, false)) {
+    RemoveExpired(now);
+    Evaluate();
+  }
+}
+
 void RequestQuarantine::RemoveExpired(WallTime now) {
   std::erase_if(m_until,
                 [&](const auto& entry) { return entry.second <= now; });
@@ -94,12 +102,19 @@
   });
 }
 
-void RequestQuarantine::RemoveOldest() {
-  m_reports.erase(std::min_element(
-      m_reports.begin(), m_reports.end(), [this](const auto& a, const auto& b) {
-        return std::pair(IsExplained(a.second), a.second.m_at) <
-               std::pair(IsExplained(b.second), b.second.m_at);
-      }));
+void RequestQuarantine::RemoveOldest(WallTime now) {
+  UpdateIfStale(now);
+  std::vector<const CrashReport*> reports = ReportsByTime();
+  std::stable_partition(
+      reports.begin(), reports.end(),
+      [this](const CrashReport* report) { return !IsExplained(*report); });
+  // Several at once, as each call evaluates all reports.
+  const size_t kept =
+      m_options.m_max_reports - m_options.m_max_reports / kRemovedShare;
+  for (size_t i = 0; i + kept < reports.size(); ++i) {
+    m_reports.erase(
+        Incarnation(reports[i]->m_node, reports[i]->m_instance_start_ms));
+  }
 }
 
 bool RequestQuarantine::Counts(const CrashReport& report,
--- a/libs/mesh/include/sequoiastage/mesh/shared_quarantine.h
+++ b/libs/mesh/include/sequoiastage/mesh/shared_quarantine.h
@@ -45,15 +45,15 @@
   /// this node are published again.
   void OnMember(const MemberRecord& member, WallTime now);
 
-  /// Publishes what other nodes should have published. Call it periodically.
+  /// Publishes what other nodes should have published, and forgets reports that
+  /// have expired. Call it periodically.
   void Tick(WallTime now);
 
   /// Adds the reports of this node to its member record.
   void AddTo(MemberRecord& self, WallTime now) const;
 
   /// Time until the quarantine of the request ends; empty when it has none.
-  std::optional<Duration> TimeLeft(RequestFingerprint request,
-                                   WallTime now) const {
+  std::optional<Duration> TimeLeft(RequestFingerprint request, WallTime now) {
     return m_quarantine.TimeLeft(request, now);
   }
 
@@ -65,7 +65,7 @@
  private:
   void Publish(const CrashReport& report);
   void Publish(const ExecutionReport& report);
-  void LogNew();
+  void LogNew(WallTime now);
 
   NodeId m_self;
   SharedQuarantineOptions m_options;
--- a/libs/mesh/src/shared_quarantine.cc
+++ b/libs/mesh/src/shared_quarantine.cc
@@ -27,7 +27,7 @@
   if (!m_quarantine.Add(report, now)) {
     return;
   }
-  LogNew();
+  LogNew(now);
   if (report.m_node == m_self) {
     Publish(report);
     m_on_change();
@@ -60,10 +60,11 @@
       Publish(execution);
     }
   }
-  LogNew();
 }
 
 void SharedQuarantine::Tick(WallTime now) {
+  m_quarantine.RemoveExpired(now);
+  LogNew(now);
   bool has_changed = false;
   std::erase_if(m_unpublished, [&](const auto& entry) {
     const auto& [report, learned_at] = entry;
@@ -121,8 +122,8 @@
   known->m_at = std::max(known->m_at, report.m_at);
 }
 
-void SharedQuarantine::LogNew() {
-  for (const auto& [request, crashes] : m_quarantine.TakeNew()) {
+void SharedQuarantine::LogNew(WallTime now) {
+  for (const auto& [request, crashes] : m_quarantine.TakeNew(now)) {
     LogEvent(LogLevel::kWarn, "request_quarantined")
         .Add("fingerprint", ToString(request))
         .Add("crashes", crashes);
