--- a/libs/http/tests/message_parser_test.cc
+++ b/libs/http/tests/message_parser_test.cc
@@ -7,6 +7,8 @@
 #include <random>
 #include <string>
 
+#include "sequoiastage/testing/mutate.h"
+
 namespace sequoiastage {
 namespace {
 
@@ -113,32 +115,6 @@
   EXPECT_EQ(parser.State(), ParseState::kComplete);
 }
 
-// Replaces, inserts, removes and repeats bytes at random places.
-std::string Mutate(std::string text, std::mt19937_64& random) {
-  std::uniform_int_distribution<int> draw_count(1, 6);
-  std::uniform_int_distribution<int> draw_byte(0, 255);
-  std::uniform_int_distribution<int> draw_edit(0, 3);
-  for (int i = draw_count(random); i > 0 && !text.empty(); --i) {
-    const size_t at =
-        std::uniform_int_distribution<size_t>(0, text.size() - 1)(random);
-    const char byte = static_cast<char>(draw_byte(random));
-    switch (draw_edit(random)) {
-      case 0:
-        text[at] = byte;
-        break;
-      case 1:
-        text.insert(at, 1, byte);
-        break;
-      case 2:
-        text.erase(at, 1 + at % 7);
-        break;
-      default:
-        text.insert(at, text.substr(at, 40));
-    }
-  }
-  return text;
-}
-
 // Feeds damaged messages until the parser fails or the bytes end. Each call has
 // to consume bytes or end, and no message may exceed the limits.
 template <class Parser, class Take>
