Read members whatever the keys of other writers contain

A node that reads the members in several pages names the last key of a page in its next call, as it is. A key with a space or an ampersand, as another writer may leave it, broke that call (the test that reads 501 keys failed: no page), so that a node could not start.

--- a/standins/platform_store/store_standin.cc
+++ b/standins/platform_store/store_standin.cc
@@ -25,6 +25,23 @@
           .m_body = body.dump()};
 }
 
+// Decodes %XX; anything else stands for itself.
+std::string DecodePercent(std::string_view text) {
+  std::string decoded;
+  for (size_t i = 0; i < text.size(); ++i) {
+    uint8_t byte = 0;
+    if (text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(&text[i + 1], &text[i + 3], byte, 16).ptr ==
+            &text[i + 3]) {
+      decoded += static_cast<char>(byte);
+      i += 2;
+    } else {
+      decoded += text[i];
+    }
+  }
+  return decoded;
+}
+
 std::string QueryParameter(const HttpRequest& request, std::string_view name) {
   const std::string& target = request.m_target;
   size_t at = target.find('?');
@@ -35,7 +52,7 @@
         std::string_view(target).substr(begin, at - begin);
     if (parameter.size() > name.size() && parameter.starts_with(name) &&
         parameter[name.size()] == '=') {
-      return std::string(parameter.substr(name.size() + 1));
+      return DecodePercent(parameter.substr(name.size() + 1));
     }
   }
   return {};
