--- a/libs/wire/tests/frame_fault_test.cc
+++ b/libs/wire/tests/frame_fault_test.cc
@@ -103,7 +103,8 @@
 RC_GTEST_PROP(FrameFaultTest,
               ArbitraryPayloadWithValidChecksumStaysWithinMemoryLimit,
               ()) {
-  const auto type = *rc::gen::inRange<uint8_t>(0, 12);
+  const auto type =
+      *rc::gen::inRange<uint8_t>(0, std::variant_size_v<Message> + 1);
   std::string payload = RandomBytes(300);
   if (*rc::gen::arbitrary<bool>()) {
     payload = EncodeFrame(RandomMessage())->substr(kFrameHeaderBytes);
