Count calls of retried requests as retries of the called service

Cause: all instances of bookings refuse 40% of what they get for 8 s. The retries that their egresses allow (0.65 of the budget, 137) come on top of the calls of other services' requests that were retried because such a call had failed; these count as repeats where they arrive, and nobody counted them.

Change: the node of an instance that executes a retry recognises its calls by their ids, which extend the id of the request that makes them, and offers them as extra attempts from the first on. Ids of another form leave things as they were, with the old margin.

--- a/libs/limits/include/sequoiastage/limits/retry_allowance.h
+++ b/libs/limits/include/sequoiastage/limits/retry_allowance.h
@@ -17,8 +17,8 @@
   double m_service_slack = 60;
   Duration m_window = std::chrono::seconds(10);
   /// Usable share of the allowance. The rest covers unevenly distributed load
-  /// and downstream calls made by retried requests, which can't be
-  /// distinguished from first attempts.
+  /// and those downstream calls of retried requests that can't be recognised by
+  /// their ids.
   double m_used_share = 0.65;
   /// Share of the usable allowance that is available to less urgent requests.
   double m_less_urgent_share = 0.6;
--- a/libs/limits/tests/retry_allowance_test.cc
+++ b/libs/limits/tests/retry_allowance_test.cc
@@ -170,5 +170,93 @@
   EXPECT_GT(ExcessAfterRestarts(3, false, 1), 0);
 }
 
+// A service whose instances refuse most requests, and two others that call it
+// once in each run and are retried when the call fails.
+class CallingServices {
+ public:
+  explicit CallingServices(bool accounts_for_calls)
+      : m_accounts_for_calls(accounts_for_calls),
+        m_called(kInstances),
+        m_calling(2, std::vector<RetryAllowance>(kInstances)) {
+    for (std::vector<RetryAllowance>* service :
+         {&m_called, &m_calling[0], &m_calling[1]}) {
+      for (RetryAllowance& allowance : *service) {
+        allowance.SetInstances(kInstances);
+      }
+    }
+  }
+
+  // Returns by how many the repeated arrivals at the called service exceed its
+  // budget in 10 s.
+  double RunAndCountExcess() {
+    constexpr int kSteps = 1000;
+    for (int step = 0; step < kSteps; ++step) {
+      m_now += milliseconds(10);
+      if (step % 2 == 0) {
+        RunCaller(m_calling[step / 2 % 2]);
+      } else {
+        Call(false);
+      }
+    }
+    const RetryAllowanceOptions options;
+    return m_repeated -
+           (options.m_ratio * m_requests + options.m_service_slack);
+  }
+
+ private:
+  static constexpr size_t kInstances = 12;
+  static constexpr int kMaxAttempts = 5;
+
+  RetryAllowance& Draw(std::vector<RetryAllowance>& service) {
+    return service[std::uniform_int_distribution<size_t>(
+        0, kInstances - 1)(m_random)];
+  }
+
+  void RunCaller(std::vector<RetryAllowance>& service) {
+    Draw(service).OnFirstAttempt(m_now);
+    if (!Call(false) && Draw(service).TryAcquire(m_now)) {
+      Call(true);
+    }
+  }
+
+  // One request to the called service. Returns whether an instance ran it.
+  bool Call(bool is_of_retry) {
+    ++m_requests;
+    for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+      RetryAllowance& allowance = Draw(m_called);
+      const bool is_extra =
+          attempt > 0 || (is_of_retry && m_accounts_for_calls);
+      if (!is_extra) {
+        allowance.OnFirstAttempt(m_now);
+      } else if (!allowance.TryAcquire(m_now)) {
+        return false;
+      }
+      m_repeated += attempt > 0 || is_of_retry ? 1 : 0;
+      if (std::bernoulli_distribution(0.2)(m_random)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  bool m_accounts_for_calls;
+  std::vector<RetryAllowance> m_called;
+  std::vector<std::vector<RetryAllowance>> m_calling;
+  std::mt19937_64 m_random{5};
+  TimePoint m_now{seconds(100)};
+  double m_repeated = 0;
+  double m_requests = 0;
+};
+
+// Repeated runs make their calls again, which count as repeats where they
+// arrive.
+TEST(RetryAllowanceTest, CallsOfRetriesStayWithinTheBudget) {
+  EXPECT_LE(CallingServices(true).RunAndCountExcess(), 0);
+}
+
+TEST(RetryAllowanceTest, UnaccountedCallsOfRetriesExceedTheBudget) {
+  EXPECT_GT(CallingServices(false).RunAndCountExcess(), 0);
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -322,6 +322,17 @@
                        .m_load_report = CurrentLoad()});
 }
 
+template <PlatformCodec Codec>
+bool Egress<Codec>::IsCallOfRetry(std::string_view request_id) const {
+  return std::any_of(m_work.begin(), m_work.end(), [&](const auto& entry) {
+    const Work& work = *entry.second;
+    const std::string& id = work.m_offer.m_request_id;
+    return work.m_phase == Phase::kRunning && work.m_offer.m_is_extra_attempt &&
+           !id.empty() && request_id.size() > id.size() &&
+           request_id.starts_with(id) && request_id[id.size()] == '.';
+  });
+}
+
 template <PlatformCodec Codec>
 void Egress<Codec>::OnPeerLost(const PeerKey& peer) {
   std::vector<WorkPtr> lost;
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -72,6 +72,9 @@
     /// Called for each unsuccessful request, before its caller receives the
     /// response.
     std::function<void()> m_on_failure;
+    /// Whether a retry or hedge that this host's instance is executing sent the
+    /// request with this id.
+    std::function<bool(std::string_view)> m_is_call_of_retry;
     /// Age of the node's copy of the store.
     std::function<Duration()> m_knowledge_age;
   };
@@ -153,6 +156,9 @@
     // An attempt ended without a response or may still be running.
     bool m_may_have_executed = false;
     bool m_has_reached_instance = false;
+    // Sent by a retry of another request: draws on the retry budget from its
+    // first attempt on.
+    bool m_is_call_of_retry = false;
     bool m_is_done = false;
     // Reason of the last refused or failed attempt.
     AttemptReason m_last_reason = AttemptReason::kNone;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -93,6 +93,7 @@
   call->m_id = std::move(metadata.m_request_id);
   call->m_request = std::move(request);
   RemoveHopByHopFields(call->m_request.m_fields);
+  call->m_is_call_of_retry = m_hooks.m_is_call_of_retry(call->m_id);
   call->m_responder = responder;
   call->m_config = m_config;
   call->m_route = route;
@@ -246,7 +247,8 @@
       .m_service = call->m_service,
       .m_instance = member->m_instance,
       .m_is_idempotent = call->m_route->m_is_idempotent,
-      .m_is_extra_attempt = call->m_has_reached_instance,
+      .m_is_extra_attempt =
+          call->m_has_reached_instance || call->m_is_call_of_retry,
       .m_is_hedge = is_hedge,
       .m_starts_immediately = attempt.m_starts_at_once,
       .m_may_wait = step.m_may_wait,
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -134,6 +134,10 @@
           {.m_send_to_local_egress =
                [this](Message message) { OnLocalOffer(std::move(message)); },
            .m_on_failure = [this] { m_egress.OnLocalFailure(); },
+           .m_is_call_of_retry =
+               [this](std::string_view id) {
+                 return m_egress.IsCallOfRetry(id);
+               },
            .m_knowledge_age = [this] { return KnowledgeAge(BootNow()); }}),
       m_reader(
           io,
--- a/libs/mesh/tests/egress_test.cc
+++ b/libs/mesh/tests/egress_test.cc
@@ -453,6 +453,25 @@
       m_quarantine.TimeLeft(FingerprintOf(MakeRequest(1), "homes"), WallNow()));
 }
 
+TEST_F(MeshEgressTest, KnowsTheCallsOfTheRetriesThatItRuns) {
+  m_instance.m_behavior = [](const HttpRequest&, const StreamResponder&) {
+    return CancelHook();
+  };
+  OfferMessage first = MakeOffer(1);
+  first.m_request_id = "a";
+  Send(first);
+  OfferMessage retry = MakeOffer(2);
+  retry.m_request_id = "b";
+  retry.m_is_extra_attempt = true;
+  Send(retry);
+  EXPECT_TRUE(m_egress.IsCallOfRetry("b.1"));
+  EXPECT_FALSE(m_egress.IsCallOfRetry("a.1"));
+  EXPECT_FALSE(m_egress.IsCallOfRetry("b"));
+  EXPECT_FALSE(m_egress.IsCallOfRetry("bc.1"));
+  m_egress.OnWithdraw(kPeer, AttemptNumber(2));
+  EXPECT_FALSE(m_egress.IsCallOfRetry("b.1"));
+}
+
 TEST_F(MeshEgressTest, RefusesOffersForAnotherInstance) {
   OfferMessage offer = MakeOffer(1);
   offer.m_instance = "i-0";
--- a/libs/mesh/tests/ingress_test.cc
+++ b/libs/mesh/tests/ingress_test.cc
@@ -90,6 +90,8 @@
                   m_quarantine,
                   {.m_send_to_local_egress = [](const Message&) {},
                    .m_on_failure = [] {},
+                   .m_is_call_of_retry =
+                       [](std::string_view id) { return id == "call"; },
                    .m_knowledge_age = [] { return Duration{}; }}) {}
 
   void SetConfig(const std::string& text) {
@@ -169,6 +171,33 @@
   EXPECT_NE(FindField(m_responses[0].m_fields, "Retry-After"), nullptr);
 }
 
+TEST_F(MeshIngressTest, CallOfARetryDrawsOnTheRetryBudget) {
+  FakeEgressNode egress(m_io, 2, 5);
+  m_targets.SetMember(egress.Record());
+  std::vector<bool> are_extra;
+  egress.m_script = [&](const Message& message, const MessageSink& sink) {
+    ReplyReady(message, sink);
+    if (const auto* offer = std::get_if<OfferMessage>(&message)) {
+      are_extra.push_back(offer->m_is_extra_attempt);
+    }
+    if (const auto* start = std::get_if<StartMessage>(&message)) {
+      SendResponse(start->m_attempt, 200, sink);
+    }
+  };
+  SetConfig("1 a /x/ plans once");
+  for (const char* id : {"7", "call"}) {
+    m_ingress.OnRequest({.m_method = "GET",
+                         .m_host = "a",
+                         .m_target = "/x/1",
+                         .m_fields = {{"Host", "a"}, {"id", id}}},
+                        [this](HttpResponse response) {
+                          m_responses.push_back(std::move(response));
+                        });
+  }
+  ASSERT_TRUE(RunUntil(m_io, [this] { return m_responses.size() == 2; }));
+  EXPECT_EQ(are_extra, (std::vector<bool>{false, true}));
+}
+
 TEST_F(MeshIngressTest, QuarantinedRequestIsRejectedAtOnce) {
   FakeEgressNode egress(m_io, 2, 5);
   m_targets.SetMember(egress.Record());
