--- a/libs/http/tests/stream_test.cc
+++ b/libs/http/tests/stream_test.cc
@@ -10,6 +10,7 @@
 #include "sequoiastage/base/boot_clock.h"
 #include "sequoiastage/http/exchange_connection.h"
 #include "sequoiastage/http/stream_server.h"
+#include "sequoiastage/testing/raw_caller.h"
 
 namespace sequoiastage {
 namespace {
@@ -35,41 +36,6 @@
   return done();
 }
 
-// Sends raw bytes and records the bytes received.
-class RawCaller {
- public:
-  RawCaller(asio::io_context& io, const Endpoint& server) : m_socket(io) {
-    m_socket.connect(asio::ip::tcp::endpoint(asio::ip::address_v4(server.m_ip),
-                                             server.m_port));
-    Read();
-  }
-
-  void Write(const std::string& bytes) {
-    asio::write(m_socket, asio::buffer(bytes));
-  }
-
-  void Close() { m_socket.close(); }
-
-  std::string m_received;
-  bool m_is_closed = false;
-
- private:
-  void Read() {
-    m_socket.async_read_some(asio::buffer(m_chunk),
-                             [this](const asio::error_code& error, size_t n) {
-                               if (error) {
-                                 m_is_closed = true;
-                                 return;
-                               }
-                               m_received.append(m_chunk.data(), n);
-                               Read();
-                             });
-  }
-
-  asio::ip::tcp::socket m_socket;
-  std::array<char, 4096> m_chunk;
-};
-
 size_t CountOccurrences(const std::string& text, const std::string& part) {
   size_t count = 0;
   for (size_t at = text.find(part); at != std::string::npos;
