--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -130,9 +130,9 @@
   /// instance was executing at that time is then no evidence against it.
   void OnLocalFailure() { m_last_local_failure_at = BootNow(); }
 
-  /// Whether the instance is executing a retry or hedge whose id is that of a
-  /// request followed by a dot and more, as `request_id` is. Calls of instances
-  /// extend the id of the request that makes them.
+  /// Whether a retry or hedge that the instance is executing sent the request
+  /// with this id: calls of instances extend the id of the request that makes
+  /// them by a dot and more.
   bool IsCallOfRetry(std::string_view request_id) const;
 
   /// Number of accepted offers that are not completed.
--- a/libs/mesh/tests/ingress_test.cc
+++ b/libs/mesh/tests/ingress_test.cc
@@ -142,6 +142,24 @@
                         .m_response = {.m_status = status}});
   }
 
+  // Adds the nodes; each grants all offers and ends all attempts like this.
+  void FailAttempts(const std::vector<FakeEgressNode*>& nodes,
+                    AttemptResult result,
+                    AttemptReason reason) {
+    for (FakeEgressNode* egress : nodes) {
+      m_targets.SetMember(egress->Record());
+      egress->m_script = [result, reason](const Message& message,
+                                          const MessageSink& sink) {
+        ReplyReady(message, sink);
+        if (const auto* start = std::get_if<StartMessage>(&message)) {
+          sink(OutcomeMessage{.m_attempt = start->m_attempt,
+                              .m_result = result,
+                              .m_reason = reason});
+        }
+      };
+    }
+  }
+
   asio::io_context m_io;
   PeerKey m_self;
   TargetTable m_targets;
@@ -218,17 +236,8 @@
 TEST_F(MeshIngressTest, RequestIsNotRetriedAfterItsThirdCrash) {
   FakeEgressNode first(m_io, 2, 5);
   FakeEgressNode second(m_io, 3, 5);
-  for (FakeEgressNode* egress : {&first, &second}) {
-    m_targets.SetMember(egress->Record());
-    egress->m_script = [](const Message& message, const MessageSink& sink) {
-      ReplyReady(message, sink);
-      if (const auto* start = std::get_if<StartMessage>(&message)) {
-        sink(OutcomeMessage{.m_attempt = start->m_attempt,
-                            .m_result = AttemptResult::kFailed,
-                            .m_reason = AttemptReason::kInstanceCrashed});
-      }
-    };
-  }
+  FailAttempts({&first, &second}, AttemptResult::kFailed,
+               AttemptReason::kInstanceCrashed);
   SetConfig("1 a /x/ plans");
   ReportCrashes(m_quarantine, FingerprintOfRequest(), 2);
   SendRequest();
@@ -255,17 +264,8 @@
 TEST_F(MeshIngressTest, RequestThatAnEgressQuarantinesGoesNowhereElse) {
   FakeEgressNode first(m_io, 2, 5);
   FakeEgressNode second(m_io, 3, 5);
-  for (FakeEgressNode* egress : {&first, &second}) {
-    m_targets.SetMember(egress->Record());
-    egress->m_script = [](const Message& message, const MessageSink& sink) {
-      ReplyReady(message, sink);
-      if (const auto* start = std::get_if<StartMessage>(&message)) {
-        sink(OutcomeMessage{.m_attempt = start->m_attempt,
-                            .m_result = AttemptResult::kNotStarted,
-                            .m_reason = AttemptReason::kQuarantined});
-      }
-    };
-  }
+  FailAttempts({&first, &second}, AttemptResult::kNotStarted,
+               AttemptReason::kQuarantined);
   SetConfig("1 a /x/ plans");
   SendRequest();
   ASSERT_TRUE(WaitForResponse());
