Count the first break after a hold as evidence again

Cause: the connection that tells whether an instance still runs is kept for the next request. After a hold it is older than a second, and a break on such a connection is no evidence, since instances close idle ones. The request that tries a gray instance after its hold then told nothing, and more requests broke there.

Change: an unused connection is dropped after that second. The new test fails on the code before (one break counted of two).

Two causes of explain have a test.

--- a/libs/events/tests/explanation_test.cc
+++ b/libs/events/tests/explanation_test.cc
@@ -59,6 +59,20 @@
             FailureCause::kRetryBudget);
 }
 
+TEST(ExplanationTest, QuarantinedRequestsAndCrashes) {
+  EXPECT_EQ(ExplainCause(FailedRequestLine(
+                "outcome=not-run cause=\"the request crashes instances\" "
+                "latest=none trail=\"\" known=3 held=2 full=0 cut=0 started=0 "
+                "took_ms=0")),
+            FailureCause::kQuarantined);
+  EXPECT_EQ(ExplainCause(FailedRequestLine(
+                "outcome=unknown cause=\"an instance gave no whole answer\" "
+                "latest=instance-crashed "
+                "trail=10.0.0.2:7000=instance-crashed known=3 held=1 full=0 "
+                "cut=0 started=1 took_ms=90")),
+            FailureCause::kBrokenResponse);
+}
+
 TEST(ExplanationTest, RefusalsWithoutAnOffer) {
   EXPECT_EQ(ExplainCause(FailedRequestLine(
                 "outcome=not-run cause=x latest=none trail=\"\" "
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -66,8 +66,12 @@
 std::shared_ptr<ExchangeConnection> Egress<Codec>::AcquireConnection(
     Work& work) {
   const TimePoint now = BootNow();
-  std::erase_if(m_idle_connections, [now](const IdleConnection& idle) {
-    if (idle.m_connection->IsReusable(now)) {
+  std::erase_if(m_idle_connections, [this, now](const IdleConnection& idle) {
+    // A break on a connection that was idle for long is no evidence, which the
+    // first request after a hold has to give.
+    const bool is_stale =
+        idle.m_is_unused && now - idle.m_since >= m_options.m_max_fresh_idle;
+    if (idle.m_connection->IsReusable(now) && !is_stale) {
       return false;
     }
     idle.m_connection->Abort();
--- a/libs/mesh/tests/egress_test.cc
+++ b/libs/mesh/tests/egress_test.cc
@@ -400,6 +400,20 @@
   EXPECT_EQ(closing.m_accepted, 3);
 }
 
+// The hold after a broken response lasts longer than a connection counts as
+// fresh. The request that tries the instance afterwards has to tell.
+TEST_F(MeshEgressTest, RequestThatBreaksAfterAHoldIsEvidence) {
+  m_instance.Crash();
+  ClosingInstance closing(m_io, m_instance.m_endpoint);
+  Send(MakeOffer(1));
+  ASSERT_TRUE(WaitForOutcomes(1));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+  Send(MakeOffer(2));
+  ASSERT_TRUE(WaitForOutcomes(2));
+  EXPECT_EQ(m_egress.Stats().m_broken, 2U);
+  EXPECT_EQ(m_egress.State(), HoldState::kHeld);
+}
+
 TEST_F(MeshEgressTest, InstanceReplacedWithoutADepartureHasCrashed) {
   ASSERT_TRUE(FillSlotsAndQueue());
   m_announcement.m_start_time_ms += 1000;
