Look up executions only for requests that a crash report names

While any report lives, each complete response looked into the table of executions once for every report, at ingress and egress; now only for reports that name the request. An execution counts its own request's crashes instead of those of all. The fingerprint beside each broken work could be had from the work itself.

--- a/libs/health/src/request_quarantine.cc
+++ b/libs/health/src/request_quarantine.cc
@@ -55,11 +55,12 @@
     return false;
   }
   UpdateIfStale(now);
-  const CrashCounts crashes = CountUnexplained(ReportsByTime());
-  const auto found = crashes.find(request);
+  const auto crashes =
+      std::count_if(m_reports.begin(), m_reports.end(), [&](const auto& entry) {
+        return Counts(entry.second, request) && !IsExplained(entry.second);
+      });
   const bool matters =
-      m_until.contains(request) ||
-      (found != crashes.end() && found->second + 1 >= m_options.m_max_crashes);
+      m_until.contains(request) || crashes + 1 >= m_options.m_max_crashes;
   WallTime& at = m_executed[request];
   at = std::max(at, std::min(execution.m_at, now));
   m_is_stale = true;
@@ -119,10 +120,12 @@
 
 bool RequestQuarantine::Counts(const CrashReport& report,
                                RequestFingerprint request) const {
+  if (!Contains(report.m_running, request)) {
+    return false;
+  }
   const auto executed = m_executed.find(request);
-  return Contains(report.m_running, request) &&
-         (executed == m_executed.end() ||
-          report.m_at > executed->second + m_options.m_max_clock_skew);
+  return executed == m_executed.end() ||
+         report.m_at > executed->second + m_options.m_max_clock_skew;
 }
 
 bool RequestQuarantine::IsExplained(const CrashReport& report) const {
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -178,7 +178,6 @@
     WorkPtr m_work;
     OutcomeMessage m_outcome;
     RequestResult m_result = RequestResult::kBroken;
-    RequestFingerprint m_fingerprint;
   };
 
   struct IdleConnection {
--- a/libs/mesh/include/sequoiastage/mesh/egress_crash_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_crash_inl.h
@@ -31,7 +31,7 @@
     return;
   }
   if (m_has_crashed) {
-    ReportCrash("refused", {broken.m_fingerprint});
+    ReportCrash("refused", {FingerprintOf(*broken.m_work)});
     broken.m_outcome.m_reason = AttemptReason::kInstanceCrashed;
     Complete(broken.m_work, std::move(broken.m_outcome), broken.m_result);
     return;
@@ -40,7 +40,7 @@
     m_last_broken.clear();
   }
   m_last_broken_at = now;
-  m_last_broken.push_back(broken.m_fingerprint);
+  m_last_broken.push_back(FingerprintOf(*broken.m_work));
   m_awaiting_probe.push_back(std::move(broken));
   if (m_probe) {
     return;
@@ -64,7 +64,7 @@
     m_has_crashed = true;
     std::vector<RequestFingerprint> running;
     for (BrokenWork& each : broken) {
-      running.push_back(each.m_fingerprint);
+      running.push_back(FingerprintOf(*each.m_work));
       each.m_outcome.m_reason = AttemptReason::kInstanceCrashed;
     }
     ReportCrash("refused", std::move(running));
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -117,10 +117,8 @@
       end = work->m_connection_idle > m_options.m_max_fresh_idle
                 ? RequestResult::kNoEvidence
                 : RequestResult::kBroken;
-      CompleteBroken({.m_work = work,
-                      .m_outcome = std::move(outcome),
-                      .m_result = end,
-                      .m_fingerprint = FingerprintOf(*work)});
+      CompleteBroken(
+          {.m_work = work, .m_outcome = std::move(outcome), .m_result = end});
       return;
     case ExchangeOutcome::kTimeout:
       outcome.m_result = AttemptResult::kFailed;
