--- /dev/null
+++ b/libs/config/include/sequoiastage/config/account_table.h
@@ -0,0 +1,46 @@
+#ifndef SEQUOIASTAGE_CONFIG_ACCOUNT_TABLE_H_
+#define SEQUOIASTAGE_CONFIG_ACCOUNT_TABLE_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "sequoiastage/config/traffic_config.h"
+
+namespace sequoiastage {
+
+/// Finds a client account by one of its keys. Immutable.
+///
+/// Keys are stored as hashes keyed with a secret of this process (SipHash-2-4,
+/// 128 bits), so that callers who choose their keys can't make the lookup slow.
+class AccountTable {
+ public:
+  AccountTable() = default;
+  /// Points into `accounts`, which must outlive the table. A key of several
+  /// accounts belongs to none of them.
+  explicit AccountTable(const std::vector<ClientAccount>& accounts);
+
+  /// Null when no account has this key.
+  const ClientAccount* Find(std::string_view key) const;
+
+  size_t size() const { return m_accounts.size(); }
+
+ private:
+  using Digest = std::array<uint64_t, 2>;
+
+  struct TakeFirstWord {
+    size_t operator()(const Digest& digest) const { return digest[0]; }
+  };
+
+  static Digest DigestOf(std::string_view key);
+
+  // Null for a key of several accounts.
+  std::unordered_map<Digest, const ClientAccount*, TakeFirstWord> m_accounts;
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_CONFIG_ACCOUNT_TABLE_H_
--- a/libs/config/include/sequoiastage/config/traffic_config.h
+++ b/libs/config/include/sequoiastage/config/traffic_config.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -10,6 +11,7 @@
 
 #include "sequoiastage/base/findings.h"
 #include "sequoiastage/base/ids.h"
+#include "sequoiastage/base/request_rate.h"
 #include "sequoiastage/base/time.h"
 
 /// Routes of a deployment where the node on every host serves the callers of
@@ -44,12 +46,38 @@
   Duration m_target_latency = std::chrono::seconds(1);
   /// Priority class; 0 is the most urgent.
   uint8_t m_urgency = 0;
+  /// Requests need no key of a client account.
+  bool m_is_public = false;
+  /// Requests or responses have large bodies.
+  bool m_has_large_bodies = false;
   /// One per service; at least one, with a positive sum of weights.
   std::vector<RouteShare> m_shares{};
 
   friend bool operator==(const TrafficRoute&, const TrafficRoute&) = default;
 };
 
+/// Rate limit of a client account, over all nodes together.
+struct AccountLimit {
+  /// Above 0.
+  RequestRate m_rate{};
+  /// Requests above the rate that may arrive together; not negative.
+  double m_burst = 0;
+
+  friend bool operator==(const AccountLimit&, const AccountLimit&) = default;
+};
+
+struct ClientAccount {
+  std::string m_name{};
+  /// Secrets; a request that carries one of them belongs to the account.
+  std::vector<std::string> m_keys{};
+  /// Takes precedence over TrafficRoute::m_urgency; empty: the route decides.
+  std::optional<uint8_t> m_urgency{};
+  /// Empty: not limited.
+  std::optional<AccountLimit> m_limit{};
+
+  friend bool operator==(const ClientAccount&, const ClientAccount&) = default;
+};
+
 /// Limits on requests and connections of callers.
 struct CallerLimits {
   size_t m_max_header_bytes = size_t{16} << 10;
@@ -66,8 +94,15 @@
   ConfigVersion m_version{};
   std::vector<TrafficRoute> m_routes{};
   std::vector<std::string> m_services{};
+  /// Empty: requests need no key.
+  std::vector<ClientAccount> m_accounts{};
   CallerLimits m_limits{};
 
+  /// Whether requests are ranked and bounded by account, origin and size: the
+  /// configuration has client accounts or routes with large bodies. Other
+  /// deployments keep the plain order by route.
+  bool ManagesLoad() const;
+
   friend bool operator==(const TrafficConfig&, const TrafficConfig&) = default;
 };
 
--- a/libs/config/src/traffic_config.cc
+++ b/libs/config/src/traffic_config.cc
@@ -44,6 +44,13 @@
 
 }  // namespace
 
+bool TrafficConfig::ManagesLoad() const {
+  return !m_accounts.empty() || std::any_of(m_routes.begin(), m_routes.end(),
+                                            [](const TrafficRoute& route) {
+                                              return route.m_has_large_bodies;
+                                            });
+}
+
 void CheckTrafficConfig(const TrafficConfig& config,
                         const std::string& source,
                         Findings& findings) {
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -64,6 +64,15 @@
   uint32_t m_unproven_slots = 2;
 };
 
+/// A request that the instance is executing, as far as it concerns the calls
+/// that the instance makes meanwhile.
+struct ParentRequest {
+  AccountId m_share_account;
+  uint8_t m_urgency = 0;
+  /// The parent is a retry or hedge.
+  bool m_is_extra_attempt = false;
+};
+
 struct EgressStats {
   uint64_t m_started = 0;
   uint64_t m_refused = 0;
@@ -130,10 +139,10 @@
   /// instance was executing at that time is then no evidence against it.
   void OnLocalFailure() { m_last_local_failure_at = BootNow(); }
 
-  /// Whether a retry or hedge that the instance is executing sent the request
-  /// with this id: calls of instances extend the id of the request that makes
-  /// them by a dot and more.
-  bool IsCallOfRetry(std::string_view request_id) const;
+  /// The request that the instance is executing and that sent the request with
+  /// this id: calls of instances extend the id of the request that makes them
+  /// by a dot and more. Empty when there is none.
+  std::optional<ParentRequest> FindParent(std::string_view request_id) const;
 
   /// Number of accepted offers that are not completed.
   size_t WorkCount() const { return m_work.size(); }
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -204,8 +204,9 @@
   work->m_deadline =
       now + std::chrono::milliseconds(work->m_offer.m_time_left_ms);
   work->m_is_trial = m_hold.StateAt(now) == HoldState::kTrial;
-  const AdmissionResult admission = m_gate.Admit(
-      now, work->m_deadline, AccountId(), 1, work->m_offer.m_urgency);
+  const AdmissionResult admission =
+      m_gate.Admit(now, work->m_deadline, work->m_offer.m_share_account, 1,
+                   work->m_offer.m_urgency);
   work->m_ticket = admission.m_ticket;
   if (admission.m_decision == AdmissionDecision::kRefused) {
     ApplyGateChanges(admission.m_changes);
@@ -323,14 +324,25 @@
 }
 
 template <PlatformCodec Codec>
-bool Egress<Codec>::IsCallOfRetry(std::string_view request_id) const {
-  return std::any_of(m_work.begin(), m_work.end(), [&](const auto& entry) {
-    const Work& work = *entry.second;
-    const std::string& id = work.m_offer.m_request_id;
-    return work.m_phase == Phase::kRunning && work.m_offer.m_is_extra_attempt &&
-           !id.empty() && request_id.size() > id.size() &&
-           request_id.starts_with(id) && request_id[id.size()] == '.';
-  });
+std::optional<ParentRequest> Egress<Codec>::FindParent(
+    std::string_view request_id) const {
+  std::optional<ParentRequest> parent;
+  for (const auto& [key, work] : m_work) {
+    const OfferMessage& offer = work->m_offer;
+    const std::string& id = offer.m_request_id;
+    if (work->m_phase != Phase::kRunning || id.empty() ||
+        request_id.size() <= id.size() || request_id[id.size()] != '.' ||
+        !request_id.starts_with(id)) {
+      continue;
+    }
+    // Two attempts of one request may run here; either may have sent the call.
+    const bool is_extra = parent && parent->m_is_extra_attempt;
+    parent = ParentRequest{
+        .m_share_account = offer.m_share_account,
+        .m_urgency = offer.m_urgency,
+        .m_is_extra_attempt = is_extra || offer.m_is_extra_attempt};
+  }
+  return parent;
 }
 
 template <PlatformCodec Codec>
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -44,7 +44,8 @@
   Codec::PrepareForInstance(request,
                             {.m_instance = work->m_offer.m_instance,
                              .m_caller_service = work->m_offer.m_caller_service,
-                             .m_time_left = left});
+                             .m_time_left = left,
+                             .m_account = work->m_offer.m_account});
   work->m_connection = AcquireConnection(*work);
   work->m_connection->Send(
       request, left,
@@ -275,7 +276,9 @@
   return {.m_objective = route == nullptr ? Duration(std::chrono::seconds(1))
                                           : std::min(route->m_target_latency,
                                                      route->m_timeout),
-          .m_urgency = offer.m_urgency,
+          // Not that of the account: the time that a request takes depends on
+          // its route.
+          .m_urgency = route == nullptr ? offer.m_urgency : route->m_urgency,
           .m_is_idempotent = offer.m_is_idempotent};
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -15,10 +15,12 @@
 
 #include "sequoiastage/base/boot_clock.h"
 #include "sequoiastage/base/request_fingerprint.h"
+#include "sequoiastage/config/account_table.h"
 #include "sequoiastage/config/traffic_config.h"
 #include "sequoiastage/http/exchange_connection.h"
 #include "sequoiastage/http/stream_server.h"
 #include "sequoiastage/logging/log_event.h"
+#include "sequoiastage/mesh/egress.h"
 #include "sequoiastage/mesh/mesh_links.h"
 #include "sequoiastage/mesh/platform.h"
 #include "sequoiastage/mesh/shared_quarantine.h"
@@ -58,6 +60,8 @@
   uint64_t m_cancelled = 0;
   uint64_t m_extra_attempts = 0;
   uint64_t m_unrouted = 0;
+  /// Rejected because their key belongs to no account.
+  uint64_t m_unauthorized = 0;
   /// Ended because the request crashes instances.
   uint64_t m_quarantined = 0;
 };
@@ -72,9 +76,9 @@
     /// Called for each unsuccessful request, before its caller receives the
     /// response.
     std::function<void()> m_on_failure;
-    /// Whether a retry or hedge that this host's instance is executing sent the
-    /// request with this id.
-    std::function<bool(std::string_view)> m_is_call_of_retry;
+    /// The request that this host's instance is executing and that sent the
+    /// request with this id; empty when there is none.
+    std::function<std::optional<ParentRequest>(std::string_view)> m_find_parent;
     /// Age of the node's copy of the store.
     std::function<Duration()> m_knowledge_age;
   };
@@ -145,6 +149,13 @@
     StreamResponder m_responder;
     std::shared_ptr<const TrafficConfig> m_config;
     const TrafficRoute* m_route = nullptr;
+    // Null when the request belongs to no account.
+    const ClientAccount* m_account = nullptr;
+    // Account that the request's slot time is charged to.
+    AccountId m_share_account;
+    uint8_t m_urgency = 0;
+    // Sent by an instance while it executes another request.
+    bool m_is_call = false;
     ServiceId m_service;
     Placement m_placement;
     std::map<AttemptNumber, Attempt> m_attempts;
@@ -176,6 +187,14 @@
   };
 
   ServiceId PickService(const TrafficRoute& route);
+  // Rejects a request without a route or account. Returns whether it did.
+  bool RejectUnknown(const HttpRequest& request,
+                     const CallerMetadata& metadata,
+                     const TrafficRoute* route,
+                     const ClientAccount* account,
+                     const StreamResponder& responder);
+  // Sets the account and rank of a new request.
+  void ClassifyCall(Call& call, const ClientAccount* account);
   void OfferToNextTarget(const CallPtr& call);
   // Called after an attempt that may have been executed.
   void RetryOrFail(const CallPtr& call, std::string_view cause);
@@ -233,6 +252,7 @@
   Hooks m_hooks;
   std::shared_ptr<const TrafficConfig> m_config;
   PrefixRoutes m_routes;
+  AccountTable m_accounts;
   std::unordered_map<std::string, SplitPicker> m_splits;
   std::unordered_map<AttemptNumber, CallPtr> m_calls_by_attempt;
   std::unordered_map<NodeId, Incarnation> m_incarnations;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -39,6 +39,7 @@
 void Ingress<Codec>::SetConfig(std::shared_ptr<const TrafficConfig> config) {
   m_config = std::move(config);
   m_routes = PrefixRoutes(m_config->m_routes);
+  m_accounts = AccountTable(m_config->m_accounts);
   m_splits.clear();
 }
 
@@ -70,13 +71,11 @@
 }
 
 template <PlatformCodec Codec>
-CancelHook Ingress<Codec>::OnRequest(HttpRequest request,
-                                     const StreamResponder& responder) {
-  const TimePoint now = BootNow();
-  ++m_stats.m_requests;
-  CallerMetadata metadata = Codec::DecodeCaller(request);
-  const TrafficRoute* route =
-      m_config ? m_routes.Find(request.m_host, request.m_target) : nullptr;
+bool Ingress<Codec>::RejectUnknown(const HttpRequest& request,
+                                   const CallerMetadata& metadata,
+                                   const TrafficRoute* route,
+                                   const ClientAccount* account,
+                                   const StreamResponder& responder) {
   if (route == nullptr) {
     ++m_stats.m_unrouted;
     LogEvent(LogLevel::kInfo, "request_unrouted")
@@ -87,16 +86,59 @@
                            : int64_t{-1});
     responder(m_config ? BuildTextResponse(404, "no route\n")
                        : BuildTextResponse(503, "no configuration yet\n"));
+    return true;
+  }
+  if (account == nullptr && !route->m_is_public &&
+      !m_config->m_accounts.empty()) {
+    ++m_stats.m_unauthorized;
+    LogEvent(LogLevel::kDebug, "request_unauthorized")
+        .Add("request", metadata.m_request_id)
+        .Add("route", route->m_name)
+        .Add("config", static_cast<int64_t>(m_config->m_version.Get()));
+    responder(BuildTextResponse(401, "unknown key\n"));
+    return true;
+  }
+  return false;
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::ClassifyCall(Call& call, const ClientAccount* account) {
+  const auto parent = m_hooks.m_find_parent(call.m_id);
+  call.m_is_call_of_retry = parent && parent->m_is_extra_attempt;
+  call.m_urgency = call.m_route->m_urgency;
+  call.m_account = account;
+  if (account != nullptr) {
+    call.m_share_account = MakeAccountId(account->m_name);
+    call.m_urgency = account->m_urgency.value_or(call.m_urgency);
+  } else if (parent && m_config->ManagesLoad()) {
+    call.m_is_call = true;
+    call.m_share_account = parent->m_share_account;
+    call.m_urgency = parent->m_urgency;
+  }
+}
+
+template <PlatformCodec Codec>
+CancelHook Ingress<Codec>::OnRequest(HttpRequest request,
+                                     const StreamResponder& responder) {
+  const TimePoint now = BootNow();
+  ++m_stats.m_requests;
+  CallerMetadata metadata = Codec::DecodeCaller(request);
+  const TrafficRoute* route =
+      m_config ? m_routes.Find(request.m_host, request.m_target) : nullptr;
+  const ClientAccount* account =
+      metadata.m_key.empty() ? nullptr : m_accounts.Find(metadata.m_key);
+  if (RejectUnknown(request, metadata, route, account, responder)) {
     return {};
   }
   auto call = std::make_shared<Call>(m_io);
   call->m_id = std::move(metadata.m_request_id);
   call->m_request = std::move(request);
   RemoveHopByHopFields(call->m_request.m_fields);
-  call->m_is_call_of_retry = m_hooks.m_is_call_of_retry(call->m_id);
+  Codec::RemoveCallerSecrets(call->m_request);
   call->m_responder = responder;
   call->m_config = m_config;
   call->m_route = route;
+  ClassifyCall(*call, account);
   call->m_service = PickService(*route);
   call->m_placement = Placement(m_options.m_placement);
   call->m_received = now;
@@ -253,15 +295,21 @@
       .m_starts_immediately = attempt.m_starts_at_once,
       .m_may_wait = step.m_may_wait,
       .m_accepts_held = step.m_accepts_held,
-      .m_urgency = call->m_route->m_urgency,
+      .m_urgency = call->m_urgency,
       .m_time_left_ms = ToWireMs<uint32_t>(call->m_deadline - now),
       .m_caller_service = m_local_service,
-      .m_request_id = call->m_id};
+      .m_request_id = call->m_id,
+      .m_account = call->m_account == nullptr ? "" : call->m_account->m_name,
+      .m_share_account = call->m_share_account,
+      .m_is_call = call->m_is_call};
   if (attempt.m_starts_at_once) {
     offer.m_request = call->m_request;
   }
   StartReplyTimer(call, attempt);
-  if (!SendTo(node, std::move(offer))) {
+  const bool is_tagged =
+      offer.m_share_account != AccountId() || offer.m_is_call;
+  if (!SendTo(node, is_tagged ? Message(TaggedOfferMessage{std::move(offer)})
+                              : Message(std::move(offer)))) {
     RemoveAttempt(call, number);
     call->m_placement.OnRefused(step.m_key, PlacementRefusal::kFinal, {});
     asio::post(
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -134,10 +134,8 @@
           {.m_send_to_local_egress =
                [this](Message message) { OnLocalOffer(std::move(message)); },
            .m_on_failure = [this] { m_egress.OnLocalFailure(); },
-           .m_is_call_of_retry =
-               [this](std::string_view id) {
-                 return m_egress.IsCallOfRetry(id);
-               },
+           .m_find_parent =
+               [this](std::string_view id) { return m_egress.FindParent(id); },
            .m_knowledge_age = [this] { return KnowledgeAge(BootNow()); }}),
       m_reader(
           io,
@@ -384,6 +382,8 @@
                                        const MessageSink& sink) {
   if (auto* offer = std::get_if<OfferMessage>(&message)) {
     m_egress.OnOffer(peer, std::move(*offer), sink);
+  } else if (auto* tagged = std::get_if<TaggedOfferMessage>(&message)) {
+    m_egress.OnOffer(peer, std::move(tagged->m_offer), sink);
   } else if (auto* start = std::get_if<StartMessage>(&message)) {
     m_egress.OnStart(peer, std::move(*start));
   } else if (const auto* withdraw = std::get_if<CancelMessage>(&message)) {
--- a/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
@@ -11,6 +11,16 @@
 
 namespace sequoiastage {
 
+/// Tolerance of the rate limits of client accounts over all nodes: in any
+/// window at most (rate x window + burst) x (1 + overage) + slack requests of
+/// an account run.
+struct AccountQuotaOptions {
+  Duration m_window = std::chrono::seconds(5);
+  double m_overage = 0.1;
+  /// Requests.
+  double m_slack = 20;
+};
+
 /// Startup settings of a mesh node. An adapter fills them from the platform's
 /// settings file.
 struct MeshSettings {
@@ -37,6 +47,7 @@
   /// Time from the stop request until the process is killed.
   Duration m_grace = std::chrono::seconds(6);
   RetryAllowanceOptions m_retry_budget{};
+  AccountQuotaOptions m_quota{};
   /// Limit on callers' request bodies held in memory at a time, in bytes. A
   /// larger body is refused.
   size_t m_max_held_bytes = size_t{24} << 20;
--- a/libs/mesh/include/sequoiastage/mesh/platform.h
+++ b/libs/mesh/include/sequoiastage/mesh/platform.h
@@ -26,6 +26,8 @@
   /// Remaining time until the caller's deadline; empty when the request states
   /// none.
   std::optional<Duration> m_time_left;
+  /// Secret of the caller's account; empty when the request states none.
+  std::string m_key;
 };
 
 /// Metadata that the mesh adds to a request for an instance.
@@ -33,6 +35,8 @@
   std::string_view m_instance;
   std::string_view m_caller_service;
   Duration m_time_left{};
+  /// Name of the client account; empty when the request belongs to none.
+  std::string_view m_account;
 };
 
 /// Metadata of an instance's response.
@@ -118,6 +122,9 @@
                                  const StoreRecord& record,
                                  std::string* reason) {
   { T::DecodeCaller(request) } -> std::same_as<CallerMetadata>;
+  /// Removes the key of the account and what the caller states about its
+  /// account, so that neither leaves the node.
+  { T::RemoveCallerSecrets(outgoing) } -> std::same_as<void>;
   { T::PrepareForInstance(outgoing, call) } -> std::same_as<void>;
   { T::DecodeResponse(response) } -> std::same_as<ResponseMetadata>;
   { T::DecodeControl(request) } -> std::same_as<ControlRequest>;
--- a/libs/mesh/tests/egress_test.cc
+++ b/libs/mesh/tests/egress_test.cc
@@ -478,12 +478,14 @@
   retry.m_request_id = "b";
   retry.m_is_extra_attempt = true;
   Send(retry);
-  EXPECT_TRUE(m_egress.IsCallOfRetry("b.1"));
-  EXPECT_FALSE(m_egress.IsCallOfRetry("a.1"));
-  EXPECT_FALSE(m_egress.IsCallOfRetry("b"));
-  EXPECT_FALSE(m_egress.IsCallOfRetry("bc.1"));
+  ASSERT_TRUE(m_egress.FindParent("b.1"));
+  EXPECT_TRUE(m_egress.FindParent("b.1")->m_is_extra_attempt);
+  ASSERT_TRUE(m_egress.FindParent("a.1"));
+  EXPECT_FALSE(m_egress.FindParent("a.1")->m_is_extra_attempt);
+  EXPECT_FALSE(m_egress.FindParent("b"));
+  EXPECT_FALSE(m_egress.FindParent("bc.1"));
   m_egress.OnWithdraw(kPeer, AttemptNumber(2));
-  EXPECT_FALSE(m_egress.IsCallOfRetry("b.1"));
+  EXPECT_FALSE(m_egress.FindParent("b.1"));
 }
 
 TEST_F(MeshEgressTest, RefusesOffersForAnotherInstance) {
--- a/libs/mesh/tests/fake_platform.h
+++ b/libs/mesh/tests/fake_platform.h
@@ -57,13 +57,23 @@
         !left.empty()) {
       metadata.m_time_left = std::chrono::milliseconds(std::stoi(left));
     }
+    metadata.m_key = FieldValue(request.m_fields, "key");
     return metadata;
   }
 
+  static void RemoveCallerSecrets(HttpRequest& request) {
+    std::erase_if(request.m_fields, [](const HttpField& field) {
+      return field.m_name == "key" || field.m_name == "account";
+    });
+  }
+
   static void PrepareForInstance(HttpRequest& request,
                                  const InstanceCallMetadata& call) {
     request.m_fields.push_back({"instance", std::string(call.m_instance)});
     request.m_fields.push_back({"from", std::string(call.m_caller_service)});
+    if (!call.m_account.empty()) {
+      request.m_fields.push_back({"account", std::string(call.m_account)});
+    }
   }
 
   static ResponseMetadata DecodeResponse(const HttpResponse& response) {
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -236,7 +236,7 @@
   bool m_may_wait = false;
   /// True: run the request even while the instance is held.
   bool m_accepts_held = false;
-  /// Priority of the route; 0 is the most urgent.
+  /// Priority of the route or of the client account; 0 is the most urgent.
   uint8_t m_urgency = 0;
   /// Milliseconds until the caller's deadline.
   uint32_t m_time_left_ms = 0;
@@ -246,10 +246,29 @@
   /// Empty unless m_starts_immediately is set: under load most offers are
   /// refused, and the request can be large.
   HttpRequest m_request;
+  /// Name of the client account that the request belongs to; empty when it
+  /// belongs to none. Sent only in a TaggedOfferMessage.
+  std::string m_account;
+  /// Account that the slot time is charged to; 0 for none. A call belongs to no
+  /// account and is charged to that of the request that makes it. Sent only in
+  /// a TaggedOfferMessage.
+  AccountId m_share_account;
+  /// True: an instance sends the request while it runs another one. Sent only
+  /// in a TaggedOfferMessage.
+  bool m_is_call = false;
 
   friend bool operator==(const OfferMessage&, const OfferMessage&) = default;
 };
 
+/// An offer with its account and origin. Builds without client accounts do not
+/// know this message, so plain offers are sent as OfferMessage.
+struct TaggedOfferMessage {
+  OfferMessage m_offer;
+
+  friend bool operator==(const TaggedOfferMessage&,
+                         const TaggedOfferMessage&) = default;
+};
+
 /// Decision of the egress on an offer.
 enum class OfferVerdict : uint8_t {
   /// Holds a slot; starts on receipt of a StartMessage.
@@ -356,6 +375,63 @@
                          const DrainingMessage&) = default;
 };
 
+/// Asks the coordinator of an account's rate limit in this region for tokens.
+struct TokenRequest {
+  AccountId m_account;
+  /// Requests that wait for a token now.
+  uint16_t m_waiting = 0;
+  /// Tokens that later requests are expected to need; granted from a surplus.
+  uint16_t m_prefetch = 0;
+  /// Unused tokens of earlier grants that are returned.
+  uint16_t m_returned = 0;
+
+  friend bool operator==(const TokenRequest&, const TokenRequest&) = default;
+};
+
+struct TokenRequestMessage {
+  std::vector<TokenRequest> m_requests;
+
+  friend bool operator==(const TokenRequestMessage&,
+                         const TokenRequestMessage&) = default;
+};
+
+/// Reply to one TokenRequest.
+struct TokenGrant {
+  AccountId m_account;
+  uint16_t m_granted = 0;
+  /// When fewer tokens than m_waiting were granted: time until the next one is
+  /// due.
+  uint32_t m_retry_after_ms = 0;
+
+  friend bool operator==(const TokenGrant&, const TokenGrant&) = default;
+};
+
+struct TokenGrantMessage {
+  std::vector<TokenGrant> m_grants;
+
+  friend bool operator==(const TokenGrantMessage&,
+                         const TokenGrantMessage&) = default;
+};
+
+/// Asks the coordinator of an account in another region for surplus tokens.
+struct TokenLoanRequestMessage {
+  AccountId m_account;
+  uint16_t m_wanted = 0;
+
+  friend bool operator==(const TokenLoanRequestMessage&,
+                         const TokenLoanRequestMessage&) = default;
+};
+
+/// Transfers tokens to the coordinator of another region. The sender has
+/// removed them before, so a lost message never creates tokens.
+struct TokenLoanMessage {
+  AccountId m_account;
+  uint16_t m_tokens = 0;
+
+  friend bool operator==(const TokenLoanMessage&,
+                         const TokenLoanMessage&) = default;
+};
+
 using Message = std::variant<HelloMessage,
                              DispatchMessage,
                              ResultMessage,
@@ -372,7 +448,12 @@
                              OutcomeMessage,
                              RelayRequestMessage,
                              RelayMessage,
-                             DrainingMessage>;
+                             DrainingMessage,
+                             TaggedOfferMessage,
+                             TokenRequestMessage,
+                             TokenGrantMessage,
+                             TokenLoanRequestMessage,
+                             TokenLoanMessage>;
 
 }  // namespace sequoiastage
 
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -128,6 +128,44 @@
   archive(message.m_request);
 }
 
+template <class Archive>
+void serialize(Archive& archive, TaggedOfferMessage& message) {
+  archive(message.m_offer);
+  SerializeBounded(archive, message.m_offer.m_account);
+  archive(message.m_offer.m_share_account, message.m_offer.m_is_call);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TokenRequest& request) {
+  archive(request.m_account, request.m_waiting, request.m_prefetch,
+          request.m_returned);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TokenRequestMessage& message) {
+  SerializeBounded(archive, message.m_requests);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TokenGrant& grant) {
+  archive(grant.m_account, grant.m_granted, grant.m_retry_after_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TokenGrantMessage& message) {
+  SerializeBounded(archive, message.m_grants);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TokenLoanRequestMessage& message) {
+  archive(message.m_account, message.m_wanted);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TokenLoanMessage& message) {
+  archive(message.m_account, message.m_tokens);
+}
+
 template <class Archive>
 void serialize(Archive& archive, OfferReplyMessage& message) {
   archive(message.m_attempt, message.m_verdict, message.m_reason,
