Send the final responses of pipelined requests before a stopped node ends

Cause: at 0.9 of the grace time all waiting requests get a final response. Ruled out: the instance (it answered 2.9 s earlier) and the ingress (its request had ended). Change: a stopping node is idle only when its callers' connections have closed; the limit of 0.94 of the grace time stays.

--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -451,8 +451,11 @@
                    m_settings.m_grace * mesh_node_detail::kAnswerFraction)) {
     m_ingress.FailAll("the node stops");
   }
-  const bool is_idle =
-      m_ingress.RequestCount() == 0 && m_egress.WorkCount() == 0;
+  // A connection closes once its caller has received all responses. Pipelined
+  // ones may still wait to be sent when their requests have ended.
+  const bool is_idle = m_ingress.RequestCount() == 0 &&
+                       m_egress.WorkCount() == 0 &&
+                       m_callers.ConnectionCount() == 0;
   const auto longest = std::chrono::duration_cast<Duration>(
       m_settings.m_grace * mesh_node_detail::kGraceFraction);
   if (since >= longest ||
