End an instance's trial when requests outlive its fault

Cause: after a hold an instance gets one trial request at a time until two have completed. Ruled out: more trial requests at once from the start, since a faulty instance breaks nearly all of them. Change: where the configuration manages load, a trial request that has run for four times the time after which the last one broke, at least 100 ms, counts as a success, and the next one may start. A hold with another cause waits for completed requests as before.

--- a/libs/health/include/sequoiastage/health/instance_hold.h
+++ b/libs/health/include/sequoiastage/health/instance_hold.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "sequoiastage/base/time.h"
 #include "sequoiastage/health/hang_detector.h"
@@ -31,6 +32,11 @@
   /// adds 1.
   double m_error_limit = 1.6;
   double m_error_decay = 0.7;
+  /// A trial request counts as a success once it has run for this multiple of
+  /// the time after which the last request broke, and at least for
+  /// m_min_survival. Acts only after SetCountsSurvival().
+  double m_survival_multiple = 4;
+  Duration m_min_survival = std::chrono::milliseconds(100);
 };
 
 /// Which requests an instance receives.
@@ -39,7 +45,8 @@
   kInService,
   /// Receives no traffic.
   kHeld,
-  /// The hold is over: receives one idempotent request at a time.
+  /// The hold is over: receives one idempotent request at a time, or the next
+  /// one as soon as those before it have outlived the fault.
   kTrial,
 };
 
@@ -67,13 +74,26 @@
 /// instance calls. Requests that are late for their kind are judged by
 /// HangDetector, in two steps: first non-idempotent requests go elsewhere, then
 /// all of them.
+///
+/// Load pattern: requests take seconds, and a faulty instance breaks them
+/// within milliseconds. Waiting for trial requests to complete would leave a
+/// recovered instance unused for seconds while its service is short of
+/// capacity. With SetCountsSurvival(), a trial request that outlives the break
+/// is evidence enough.
 class InstanceHold {
  public:
   explicit InstanceHold(const InstanceHoldOptions& options = {})
       : m_options(options), m_hang_detector(options.m_hang) {}
 
+  /// Whether trial requests that outlive the fault count as successes.
+  void SetCountsSurvival(bool counts) { m_counts_survival = counts; }
+
   HoldState StateAt(TimePoint now) const;
 
+  /// Running trial requests that have outlived the fault, as of the last
+  /// Update().
+  uint32_t SurvivorCount() const;
+
   /// Whether non-idempotent requests should go to another instance.
   /// `has_queue`: requests are queued for the instance.
   bool IsDoubtful(TimePoint now, bool has_queue) const;
@@ -81,8 +101,9 @@
   /// Time until the hold ends; zero when the instance is not held.
   Duration RemainingHold(TimePoint now) const;
 
-  /// Starts a hold when requests have become late enough. Call it before each
-  /// decision about a request.
+  /// Starts a hold when requests have become late enough, and ends a trial when
+  /// enough requests have outlived the fault. Call it before each decision
+  /// about a request.
   void Update(TimePoint now, bool has_queue);
 
   /// A request was handed to the instance. Returns its id for OnEnd().
@@ -97,7 +118,16 @@
   uint32_t Relapses() const { return m_relapses; }
 
  private:
-  void Hold(TimePoint now);
+  struct Run {
+    TimePoint m_started{};
+    // A trial request that has outlived the fault.
+    bool m_has_survived = false;
+  };
+
+  // `break_delay`: time after which a request broke; empty for another cause.
+  void Hold(TimePoint now, std::optional<Duration> break_delay = {});
+  void CountSurvivors(TimePoint now);
+  void OnTrialSuccess(TimePoint now);
 
   InstanceHoldOptions m_options;
   bool m_is_in_service = true;
@@ -105,10 +135,13 @@
   TimePoint m_in_service_since{};
   uint32_t m_relapses = 0;
   uint32_t m_trial_successes = 0;
+  bool m_counts_survival = false;
+  // Time after which the request broke that started the last hold; empty when
+  // the hold had another cause.
+  std::optional<Duration> m_break_delay;
   double m_error_score = 0;
   HangDetector m_hang_detector;
-  // Start times of the running requests.
-  std::map<RunId, TimePoint> m_running;
+  std::map<RunId, Run> m_running;
 };
 
 }  // namespace sequoiastage
--- a/libs/health/tests/instance_hold_test.cc
+++ b/libs/health/tests/instance_hold_test.cc
@@ -73,6 +73,72 @@
   EXPECT_EQ(State(), HoldState::kTrial);
 }
 
+// Guards against a recovered instance that stays unused while its service is
+// short: requests take seconds, those that break do so at once.
+TEST_F(InstanceHoldTest, TrialEndsWhenRequestsOutliveTheBreak) {
+  m_hold.SetCountsSurvival(true);
+  RunRequest(RequestResult::kBroken, milliseconds(2));
+  m_now += milliseconds(800);
+  Start();
+  m_now += milliseconds(99);
+  m_hold.Update(m_now, false);
+  EXPECT_EQ(m_hold.SurvivorCount(), 0U);
+  m_now += milliseconds(1);
+  m_hold.Update(m_now, false);
+  EXPECT_EQ(m_hold.SurvivorCount(), 1U);
+  EXPECT_EQ(State(), HoldState::kTrial);
+  Start();
+  m_now += milliseconds(100);
+  m_hold.Update(m_now, false);
+  EXPECT_EQ(State(), HoldState::kInService);
+}
+
+// A request that breaks late shows that the earlier ones had proved nothing.
+TEST_F(InstanceHoldTest, SurvivorThatBreaksLaterStartsAnotherHold) {
+  const RequestKind slow{.m_objective = seconds(10)};
+  m_hold.SetCountsSurvival(true);
+  RunRequest(RequestResult::kBroken, milliseconds(2));
+  m_now += milliseconds(800);
+  const RunId run = m_hold.OnStart(slow, m_now);
+  m_now += milliseconds(400);
+  m_hold.Update(m_now, false);
+  ASSERT_EQ(m_hold.SurvivorCount(), 1U);
+  m_hold.OnEnd(run, RequestResult::kBroken, m_now);
+  EXPECT_EQ(State(), HoldState::kHeld);
+  m_now += m_hold.RemainingHold(m_now);
+  // The break came after 400 ms, so the next trial request has to outlive that.
+  m_hold.OnStart(slow, m_now);
+  m_now += milliseconds(1500);
+  m_hold.Update(m_now, false);
+  EXPECT_EQ(m_hold.SurvivorCount(), 0U);
+  m_now += milliseconds(100);
+  m_hold.Update(m_now, false);
+  EXPECT_EQ(m_hold.SurvivorCount(), 1U);
+}
+
+// An instance that hangs lets its requests survive as well.
+TEST_F(InstanceHoldTest, SurvivalIsNoEvidenceAfterAHang) {
+  m_hold.SetCountsSurvival(true);
+  RunRequest(RequestResult::kServerError);
+  RunRequest(RequestResult::kServerError);
+  ASSERT_EQ(State(), HoldState::kHeld);
+  m_now += m_hold.RemainingHold(m_now);
+  Start();
+  m_now += milliseconds(200);
+  m_hold.Update(m_now, false);
+  EXPECT_EQ(m_hold.SurvivorCount(), 0U);
+  EXPECT_EQ(State(), HoldState::kTrial);
+}
+
+TEST_F(InstanceHoldTest, SurvivalCountsOnlyWhenAskedFor) {
+  RunRequest(RequestResult::kBroken, milliseconds(2));
+  m_now += milliseconds(800);
+  Start();
+  m_now += milliseconds(300);
+  m_hold.Update(m_now, false);
+  EXPECT_EQ(m_hold.SurvivorCount(), 0U);
+}
+
 TEST_F(InstanceHoldTest, OneServerErrorAloneDoesNotHold) {
   RunRequest(RequestResult::kServerError);
   EXPECT_EQ(State(), HoldState::kInService);
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -83,6 +83,7 @@
 void Egress<Codec>::SetConfig(std::shared_ptr<const TrafficConfig> config) {
   m_config = std::move(config);
   m_routes = PrefixRoutes(m_config->m_routes);
+  m_hold.SetCountsSurvival(m_config->ManagesLoad());
 }
 
 template <PlatformCodec Codec>
@@ -140,7 +141,8 @@
   if (!offer.m_accepts_held) {
     const HoldState state = m_hold.StateAt(now);
     const bool allows_trial = offer.m_is_idempotent &&
-                              !offer.m_is_extra_attempt && m_trial_count == 0;
+                              !offer.m_is_extra_attempt &&
+                              m_trial_count <= m_hold.SurvivorCount();
     if (state == HoldState::kHeld ||
         (state == HoldState::kTrial && !allows_trial) ||
         (!offer.m_is_idempotent &&
