Let requests with large bodies wait for their own region

Change: for routes with large bodies the wait that is preferred over another region is an eighth of the latency objective instead of 60 ms.

--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -45,6 +45,10 @@
   /// Fraction of the route's target latency after which a running idempotent
   /// request is hedged.
   double m_hedge_fraction = 0.5;
+  /// Fraction of the route's target latency that a request with a large request
+  /// or response body waits in a queue of its region before it goes to another
+  /// region. Links between regions are narrow and paid by volume.
+  double m_large_body_wait_fraction = 0.125;
   /// Maximum number of egresses that one hedge is offered to in sequence.
   uint32_t m_max_hedge_offers = 3;
   /// Bounds of the Retry-After field, before it is spread.
@@ -193,6 +197,7 @@
                      const TrafficRoute* route,
                      const ClientAccount* account,
                      const StreamResponder& responder);
+  PlacementOptions PlacementFor(const TrafficRoute& route) const;
   // Sets the account and rank of a new request.
   void ClassifyCall(Call& call, const ClientAccount* account);
   void OfferToNextTarget(const CallPtr& call);
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -101,6 +101,18 @@
   return false;
 }
 
+template <PlatformCodec Codec>
+PlacementOptions Ingress<Codec>::PlacementFor(const TrafficRoute& route) const {
+  PlacementOptions options = m_options.m_placement;
+  if (route.m_has_large_bodies) {
+    options.m_max_local_wait = std::max(
+        options.m_max_local_wait,
+        std::chrono::duration_cast<Duration>(
+            route.m_target_latency * m_options.m_large_body_wait_fraction));
+  }
+  return options;
+}
+
 template <PlatformCodec Codec>
 void Ingress<Codec>::ClassifyCall(Call& call, const ClientAccount* account) {
   const auto parent = m_hooks.m_find_parent(call.m_id);
@@ -140,7 +152,7 @@
   call->m_route = route;
   ClassifyCall(*call, account);
   call->m_service = PickService(*route);
-  call->m_placement = Placement(m_options.m_placement);
+  call->m_placement = Placement(PlacementFor(*route));
   call->m_received = now;
   call->m_deadline =
       now + std::min(route->m_timeout,
