Decode configurations element by element

Cause: one route with a fault kept a whole version from coming into force, so that the accounts and routes of everybody else stayed as they were and a removed key went on working. Ruled out: dropping a faulty route from the table, since its requests would get 404 or run as those of a shorter prefix; dropping all faulty accounts, since a list without any account needs no keys and would open the routes. Change: routes, services and accounts are read one by one; what can't be used is left out with a finding and kept in TrafficConfig::m_omitted. Its requests get 503 with Retry-After, as do those with a key of an omitted account or of two accounts. Unknown kinds run at most once. Only documents that can't be parsed or have no valid version are rejected. Findings, reasons and logs quote no key. A request with two key fields has no key: the field has to have one value. Splits are kept by route, not by name: two routes of one name shared one, whose index could lie outside of the other's list. Tests: RejectsDocumentWithOneError stated the earlier rule and is replaced by one test for each kind of fault (what stays, what is omitted), one for the documents that are still rejected, and a property: one damaged element leaves all others as they were. CheckTrafficConfig became FindRouteFault; its tests moved over, with more faults.

--- a/libs/config/include/sequoiastage/config/account_table.h
+++ b/libs/config/include/sequoiastage/config/account_table.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -20,12 +21,17 @@
  public:
   AccountTable() = default;
   /// Points into `accounts`, which must outlive the table. A key of several
-  /// accounts belongs to none of them.
-  explicit AccountTable(const std::vector<ClientAccount>& accounts);
+  /// accounts belongs to none of them. `omitted_keys` are those of accounts
+  /// that can't be used.
+  explicit AccountTable(const std::vector<ClientAccount>& accounts,
+                        const std::vector<std::string>& omitted_keys = {});
 
-  /// Null when no account has this key.
+  /// Null when no account, several accounts or an omitted account has this key.
   const ClientAccount* Find(std::string_view key) const;
 
+  /// Whether several accounts or an omitted account has this key.
+  bool IsUnusable(std::string_view key) const;
+
   size_t size() const { return m_accounts.size(); }
 
  private:
@@ -37,7 +43,7 @@
 
   static Digest DigestOf(std::string_view key);
 
-  // Null for a key of several accounts.
+  // Null for a key of several accounts or of an omitted one.
   std::unordered_map<Digest, const ClientAccount*, TakeFirstWord> m_accounts;
 };
 
--- a/libs/config/include/sequoiastage/config/traffic_config.h
+++ b/libs/config/include/sequoiastage/config/traffic_config.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -50,6 +51,9 @@
   bool m_is_public = false;
   /// Requests or responses have large bodies.
   bool m_has_large_bodies = false;
+  /// The route can't be used; only its name, host and path prefix are set. Its
+  /// requests must not run, not even by a route with a shorter prefix.
+  bool m_is_omitted = false;
   /// One per service; at least one, with a positive sum of weights.
   std::vector<RouteShare> m_shares{};
 
@@ -90,13 +94,43 @@
   friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
 };
 
+/// What a configuration document has, but a node can't use. Requests that need
+/// it are rejected as not run, since the next version may bring it back.
+struct OmittedElements {
+  /// Routes whose host and path prefix are known; see
+  /// TrafficRoute::m_is_omitted.
+  std::vector<TrafficRoute> m_routes{};
+  /// Keys of client accounts that can't be used.
+  std::vector<std::string> m_keys{};
+  /// There are accounts that can't be used; keys are still needed.
+  bool m_has_accounts = false;
+  /// The list of routes as a whole can't be read.
+  bool m_has_all_routes = false;
+  /// The list of accounts as a whole can't be read.
+  bool m_has_all_accounts = false;
+  /// Number of elements that can't be used as they are written, and the first
+  /// of them with the reasons, which quote no key.
+  size_t m_finding_count = 0;
+  std::vector<Finding> m_findings{};
+
+  friend bool operator==(const OmittedElements&,
+                         const OmittedElements&) = default;
+};
+
 struct TrafficConfig {
   ConfigVersion m_version{};
   std::vector<TrafficRoute> m_routes{};
   std::vector<std::string> m_services{};
-  /// Empty: requests need no key.
   std::vector<ClientAccount> m_accounts{};
   CallerLimits m_limits{};
+  OmittedElements m_omitted{};
+
+  /// Whether requests need the key of an account on routes that are not public.
+  /// An account that can't be used must not open the routes to everybody.
+  bool RequiresKeys() const {
+    return !m_accounts.empty() || m_omitted.m_has_accounts ||
+           m_omitted.m_has_all_accounts;
+  }
 
   /// Whether requests are ranked and bounded by account, origin and size: the
   /// configuration has client accounts or routes with large bodies. Other
@@ -106,23 +140,24 @@
   friend bool operator==(const TrafficConfig&, const TrafficConfig&) = default;
 };
 
-/// Adds one finding for each invalid route of `config`: no host, a path prefix
-/// that does not begin and end with a slash, a timeout or latency objective
-/// that is not above 0, no attempts, an unknown service, a negative weight, or
-/// a sum of weights that is not positive.
-void CheckTrafficConfig(const TrafficConfig& config,
-                        const std::string& source,
-                        Findings& findings);
+/// Describes the fault of a route that can't be used; empty when it can: no
+/// host, a path prefix that does not begin and end with a slash, a timeout or
+/// latency objective that is not above 0, no attempts, an unknown service, a
+/// negative weight, or a sum of weights that is not positive.
+std::string FindRouteFault(const TrafficRoute& route,
+                           const std::set<ServiceId>& services);
 
 /// Finds routes by host and longest matching path prefix. Immutable. The first
-/// of several routes with the same host and prefix takes precedence.
+/// of several routes with the same host and prefix takes precedence; `omitted`
+/// has none that a route before it in the document shadows.
 class PrefixRoutes {
  public:
   PrefixRoutes() = default;
-  explicit PrefixRoutes(const std::vector<TrafficRoute>& routes);
+  explicit PrefixRoutes(const std::vector<TrafficRoute>& routes,
+                        const std::vector<TrafficRoute>& omitted = {});
 
   /// Route of `host` with the longest prefix that matches the path of `target`;
-  /// the query is ignored. Null when none matches. Points into the list passed
+  /// the query is ignored. Null when none matches. Points into the lists passed
   /// to the constructor.
   const TrafficRoute* Find(std::string_view host,
                            std::string_view target) const;
--- a/libs/config/src/account_table.cc
+++ b/libs/config/src/account_table.cc
@@ -23,8 +23,12 @@
 
 }  // namespace
 
-AccountTable::AccountTable(const std::vector<ClientAccount>& accounts) {
-  m_accounts.reserve(accounts.size());
+AccountTable::AccountTable(const std::vector<ClientAccount>& accounts,
+                           const std::vector<std::string>& omitted_keys) {
+  m_accounts.reserve(accounts.size() + omitted_keys.size());
+  for (const std::string& key : omitted_keys) {
+    m_accounts.try_emplace(DigestOf(key), nullptr);
+  }
   for (const ClientAccount& account : accounts) {
     for (const std::string& key : account.m_keys) {
       const auto [entry, is_new] =
@@ -41,6 +45,11 @@
   return found == m_accounts.end() ? nullptr : found->second;
 }
 
+bool AccountTable::IsUnusable(std::string_view key) const {
+  const auto found = m_accounts.find(DigestOf(key));
+  return found != m_accounts.end() && found->second == nullptr;
+}
+
 AccountTable::Digest AccountTable::DigestOf(std::string_view key) {
   static_assert(sizeof(Digest) == crypto_shorthash_siphashx24_BYTES);
   std::array<unsigned char, sizeof(Digest)> bytes;
--- a/libs/config/src/traffic_config.cc
+++ b/libs/config/src/traffic_config.cc
@@ -1,9 +1,6 @@
 #include "sequoiastage/config/traffic_config.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <set>
 
 #include "sequoiastage/base/http_message.h"
 
@@ -15,6 +12,8 @@
   return !path.empty() && path.front() == '/' && path.back() == '/';
 }
 
+}  // namespace
+
 std::string FindRouteFault(const TrafficRoute& route,
                            const std::set<ServiceId>& services) {
   if (route.m_host.empty()) {
@@ -42,37 +41,22 @@
   return sum > 0 ? "" : "no service with a positive weight";
 }
 
-}  // namespace
-
 bool TrafficConfig::ManagesLoad() const {
-  return !m_accounts.empty() || std::any_of(m_routes.begin(), m_routes.end(),
-                                            [](const TrafficRoute& route) {
-                                              return route.m_has_large_bodies;
-                                            });
+  return RequiresKeys() || std::any_of(m_routes.begin(), m_routes.end(),
+                                       [](const TrafficRoute& route) {
+                                         return route.m_has_large_bodies;
+                                       });
 }
 
-void CheckTrafficConfig(const TrafficConfig& config,
-                        const std::string& source,
-                        Findings& findings) {
-  std::set<ServiceId> services;
-  for (const std::string& name : config.m_services) {
-    services.insert(MakeServiceId(name));
-  }
-  for (size_t i = 0; i < config.m_routes.size(); ++i) {
-    const TrafficRoute& route = config.m_routes[i];
-    const std::string pointer = fmt::format("/routes/{}", i);
-    if (std::string fault = FindRouteFault(route, services); !fault.empty()) {
-      findings.Add(source, pointer, std::move(fault));
+PrefixRoutes::PrefixRoutes(const std::vector<TrafficRoute>& routes,
+                           const std::vector<TrafficRoute>& omitted) {
+  for (const auto* list : {&omitted, &routes}) {
+    for (const TrafficRoute& route : *list) {
+      m_hosts[route.m_host].emplace(route.m_path_prefix, &route);
     }
   }
 }
 
-PrefixRoutes::PrefixRoutes(const std::vector<TrafficRoute>& routes) {
-  for (const TrafficRoute& route : routes) {
-    m_hosts[route.m_host].emplace(route.m_path_prefix, &route);
-  }
-}
-
 const TrafficRoute* PrefixRoutes::Find(std::string_view host,
                                        std::string_view target) const {
   const auto by_prefix = m_hosts.find(std::string(host));
--- a/libs/config/tests/account_table_test.cc
+++ b/libs/config/tests/account_table_test.cc
@@ -28,6 +28,21 @@
   const AccountTable table(accounts);
   EXPECT_EQ(table.Find("shared"), nullptr);
   EXPECT_NE(table.Find("k1"), nullptr);
+  EXPECT_TRUE(table.IsUnusable("shared"));
+  EXPECT_FALSE(table.IsUnusable("k1"));
+  EXPECT_FALSE(table.IsUnusable("unknown"));
+}
+
+// It is not known which account the caller belongs to.
+TEST(AccountTableTest, AKeyOfAnOmittedAccountIsUnusable) {
+  const std::vector<ClientAccount> accounts = {
+      {.m_name = "a", .m_keys = {"shared", "k1"}}};
+  const AccountTable table(accounts, {"shared", "omitted"});
+  EXPECT_EQ(table.Find("omitted"), nullptr);
+  EXPECT_TRUE(table.IsUnusable("omitted"));
+  EXPECT_EQ(table.Find("shared"), nullptr);
+  EXPECT_TRUE(table.IsUnusable("shared"));
+  EXPECT_NE(table.Find("k1"), nullptr);
 }
 
 }  // namespace
--- a/libs/config/tests/traffic_config_test.cc
+++ b/libs/config/tests/traffic_config_test.cc
@@ -15,16 +15,8 @@
   return route;
 }
 
-TrafficConfig ValidConfig() {
-  return {.m_version = ConfigVersion(1),
-          .m_routes = {MakeRoute("a", "/x/"), MakeRoute("a", "/x/y/")},
-          .m_services = {"plans"}};
-}
-
-std::string CollectFindings(const TrafficConfig& config) {
-  Findings findings;
-  CheckTrafficConfig(config, "test", findings);
-  return findings.ToText();
+std::string FindFault(const TrafficRoute& route) {
+  return FindRouteFault(route, {MakeServiceId("plans")});
 }
 
 TEST(PrefixRoutesTest, FindsTheLongestMatchingPrefix) {
@@ -60,31 +52,55 @@
   RC_ASSERT((found == nullptr ? "" : found->m_path_prefix) == longest);
 }
 
-TEST(CheckTrafficConfigTest, AcceptsAValidConfig) {
-  EXPECT_EQ(CollectFindings(ValidConfig()), "");
+// The requests of an omitted route must not run as those of a shorter prefix.
+TEST(PrefixRoutesTest, OmittedRouteHidesShorterPrefixes) {
+  const std::vector<TrafficRoute> routes = {MakeRoute("a", "/x/"),
+                                            MakeRoute("a", "/x/y/z/")};
+  std::vector<TrafficRoute> omitted = {MakeRoute("a", "/x/y/")};
+  omitted[0].m_is_omitted = true;
+  const PrefixRoutes table(routes, omitted);
+  EXPECT_FALSE(table.Find("a", "/x/1")->m_is_omitted);
+  EXPECT_TRUE(table.Find("a", "/x/y/1")->m_is_omitted);
+  EXPECT_FALSE(table.Find("a", "/x/y/z/1")->m_is_omitted);
 }
 
-TEST(CheckTrafficConfigTest, ReportsEachFaultWithItsPointer) {
-  TrafficConfig config = ValidConfig();
-  config.m_routes[0].m_host.clear();
-  config.m_routes[1].m_shares[0].m_service = MakeServiceId("other");
-  EXPECT_EQ(CollectFindings(config),
-            "test: /routes/0: no host\ntest: /routes/1: unknown service\n");
-  config = ValidConfig();
-  config.m_routes[0].m_path_prefix = "/x";
-  EXPECT_NE(CollectFindings(config), "");
-  config = ValidConfig();
-  config.m_routes[0].m_timeout = Duration{};
-  EXPECT_NE(CollectFindings(config), "");
-  config = ValidConfig();
-  config.m_routes[0].m_shares.clear();
-  EXPECT_NE(CollectFindings(config), "");
+TEST(FindRouteFaultTest, AcceptsAValidRoute) {
+  EXPECT_EQ(FindFault(MakeRoute("a", "/x/")), "");
+  EXPECT_EQ(FindFault(MakeRoute("a", "/x/y/")), "");
+}
+
+TEST(FindRouteFaultTest, DescribesEachFault) {
+  const TrafficRoute valid = MakeRoute("a", "/x/");
+  TrafficRoute route = valid;
+  route.m_host.clear();
+  EXPECT_EQ(FindFault(route), "no host");
+  route = valid;
+  route.m_shares[0].m_service = MakeServiceId("other");
+  EXPECT_EQ(FindFault(route), "unknown service");
+  for (const std::string prefix : {"/x", "x/", ""}) {
+    EXPECT_NE(FindFault(MakeRoute("a", prefix)), "") << prefix;
+  }
+  route = valid;
+  route.m_timeout = Duration{};
+  EXPECT_NE(FindFault(route), "");
+  route = valid;
+  route.m_target_latency = Duration{};
+  EXPECT_NE(FindFault(route), "");
+  route = valid;
+  route.m_max_attempts = 0;
+  EXPECT_NE(FindFault(route), "");
+  route = valid;
+  route.m_shares[0].m_weight = -1;
+  EXPECT_NE(FindFault(route), "");
+  route = valid;
+  route.m_shares.clear();
+  EXPECT_NE(FindFault(route), "");
 }
 
-TEST(CheckTrafficConfigTest, AcceptsAnObjectiveAboveTheTimeout) {
-  TrafficConfig config = ValidConfig();
-  config.m_routes[0].m_target_latency = 2 * config.m_routes[0].m_timeout;
-  EXPECT_EQ(CollectFindings(config), "");
+TEST(FindRouteFaultTest, AcceptsAnObjectiveAboveTheTimeout) {
+  TrafficRoute route = MakeRoute("a", "/x/");
+  route.m_target_latency = 2 * route.m_timeout;
+  EXPECT_EQ(FindFault(route), "");
 }
 
 }  // namespace
--- a/libs/events/include/sequoiastage/events/explanation.h
+++ b/libs/events/include/sequoiastage/events/explanation.h
@@ -24,6 +24,10 @@
   kServedAfterRetry,
   kNoConfiguration,
   kNoRoute,
+  /// The configuration has the route or account, but it can't be used.
+  kMisconfigured,
+  /// The request has no key, or one that belongs to no account.
+  kUnknownKey,
   kNoInstanceKnown,
   /// Instances are known, but the links to their nodes are lost.
   kPathsCut,
--- a/libs/events/src/explanation.cc
+++ b/libs/events/src/explanation.cc
@@ -85,7 +85,10 @@
 
 bool IsFinalEvent(const LogLine& line) {
   return line.m_event == "request_answered" ||
-         line.m_event == "request_failed" || line.m_event == "request_unrouted";
+         line.m_event == "request_failed" ||
+         line.m_event == "request_unrouted" ||
+         line.m_event == "request_misconfigured" ||
+         line.m_event == "request_unauthorized";
 }
 
 // Cause of a request that certainly did not run.
@@ -175,6 +178,12 @@
                ? FailureCause::kNoConfiguration
                : FailureCause::kNoRoute;
   }
+  if (final_event.m_event == "request_misconfigured") {
+    return FailureCause::kMisconfigured;
+  }
+  if (final_event.m_event == "request_unauthorized") {
+    return FailureCause::kUnknownKey;
+  }
   if (final_event.m_event == "request_answered") {
     return ClassifyFinalResponse(final_event, trail);
   }
@@ -202,6 +211,11 @@
       return "The node had no configuration yet; the request was refused.";
     case FailureCause::kNoRoute:
       return "No route of the configuration in force fits the request.";
+    case FailureCause::kMisconfigured:
+      return "The configuration in force has the route or account of the "
+             "request, but it can't be used; see config_finding.";
+    case FailureCause::kUnknownKey:
+      return "No account has the key of the request, or it has none.";
     case FailureCause::kNoInstanceKnown:
       return "The node knew no instance of the service; the request was "
              "refused.";
@@ -416,6 +430,10 @@
       return "no-configuration";
     case FailureCause::kNoRoute:
       return "no-route";
+    case FailureCause::kMisconfigured:
+      return "misconfigured";
+    case FailureCause::kUnknownKey:
+      return "unknown-key";
     case FailureCause::kNoInstanceKnown:
       return "no-instance-known";
     case FailureCause::kPathsCut:
--- a/libs/events/tests/explanation_test.cc
+++ b/libs/events/tests/explanation_test.cc
@@ -87,6 +87,14 @@
       "request=1 host=a config=";
   EXPECT_EQ(ExplainCause(unrouted + "-1|a\n"), FailureCause::kNoConfiguration);
   EXPECT_EQ(ExplainCause(unrouted + "7|a\n"), FailureCause::kNoRoute);
+  EXPECT_EQ(ExplainCause("time=2026-12-04T03:00:05.000 level=INFO "
+                         "event=request_misconfigured request=1 route=r "
+                         "cause=route config=7|a\n"),
+            FailureCause::kMisconfigured);
+  EXPECT_EQ(ExplainCause("time=2026-12-04T03:00:05.000 level=DEBUG "
+                         "event=request_unauthorized request=1 route=r "
+                         "config=7|a\n"),
+            FailureCause::kUnknownKey);
 }
 
 TEST(ExplanationTest, UnknownOutcomes) {
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -50,6 +50,10 @@
   /// Bounds of the Retry-After field, before it is spread.
   Duration m_min_retry_after = std::chrono::milliseconds(100);
   Duration m_max_retry_after = std::chrono::seconds(2);
+  /// Retry-After of a request for which the configuration is missing or can't
+  /// be used, before it is spread. A node learns of a new version in about a
+  /// second.
+  Duration m_config_retry_after = std::chrono::seconds(1);
 };
 
 struct IngressStats {
@@ -62,6 +66,9 @@
   uint64_t m_unrouted = 0;
   /// Rejected because their key belongs to no account.
   uint64_t m_unauthorized = 0;
+  /// Rejected because the configuration has what they need, but it can't be
+  /// used.
+  uint64_t m_misconfigured = 0;
   /// Ended because the request crashes instances.
   uint64_t m_quarantined = 0;
 };
@@ -187,12 +194,19 @@
   };
 
   ServiceId PickService(const TrafficRoute& route);
-  // Rejects a request without a route or account. Returns whether it did.
+  // Rejects a request without a usable route or account. Returns whether it
+  // did.
   bool RejectUnknown(const HttpRequest& request,
                      const CallerMetadata& metadata,
                      const TrafficRoute* route,
                      const ClientAccount* account,
                      const StreamResponder& responder);
+  // Rejects a request because of a fault of the configuration.
+  void RejectMisconfigured(const CallerMetadata& metadata,
+                           const TrafficRoute* route,
+                           std::string_view cause,
+                           const StreamResponder& responder);
+  HttpResponse BuildConfigRefusal(std::string_view text) const;
   // Sets the account and rank of a new request.
   void ClassifyCall(Call& call, const ClientAccount* account);
   void OfferToNextTarget(const CallPtr& call);
@@ -253,7 +267,8 @@
   std::shared_ptr<const TrafficConfig> m_config;
   PrefixRoutes m_routes;
   AccountTable m_accounts;
-  std::unordered_map<std::string, SplitPicker> m_splits;
+  // Of the configuration in force; several routes may have the same name.
+  std::unordered_map<const TrafficRoute*, SplitPicker> m_splits;
   std::unordered_map<AttemptNumber, CallPtr> m_calls_by_attempt;
   std::unordered_map<NodeId, Incarnation> m_incarnations;
   uint64_t m_next_attempt = 1;
@@ -269,5 +284,6 @@
 
 #include "sequoiastage/mesh/ingress_attempts_inl.h"
 #include "sequoiastage/mesh/ingress_inl.h"
+#include "sequoiastage/mesh/ingress_rejection_inl.h"
 
 #endif  // SEQUOIASTAGE_MESH_INGRESS_H_
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -38,8 +38,8 @@
 template <PlatformCodec Codec>
 void Ingress<Codec>::SetConfig(std::shared_ptr<const TrafficConfig> config) {
   m_config = std::move(config);
-  m_routes = PrefixRoutes(m_config->m_routes);
-  m_accounts = AccountTable(m_config->m_accounts);
+  m_routes = PrefixRoutes(m_config->m_routes, m_config->m_omitted.m_routes);
+  m_accounts = AccountTable(m_config->m_accounts, m_config->m_omitted.m_keys);
   m_splits.clear();
 }
 
@@ -56,51 +56,18 @@
   if (route.m_shares.size() == 1) {
     return route.m_shares.front().m_service;
   }
-  auto split = m_splits.find(route.m_name);
+  auto split = m_splits.find(&route);
   if (split == m_splits.end()) {
     std::vector<double> weights;
     for (const RouteShare& share : route.m_shares) {
       weights.push_back(share.m_weight);
     }
-    split =
-        m_splits
-            .emplace(route.m_name, SplitPicker(std::move(weights), m_random))
-            .first;
+    split = m_splits.emplace(&route, SplitPicker(std::move(weights), m_random))
+                .first;
   }
   return route.m_shares[split->second.Pick()].m_service;
 }
 
-template <PlatformCodec Codec>
-bool Ingress<Codec>::RejectUnknown(const HttpRequest& request,
-                                   const CallerMetadata& metadata,
-                                   const TrafficRoute* route,
-                                   const ClientAccount* account,
-                                   const StreamResponder& responder) {
-  if (route == nullptr) {
-    ++m_stats.m_unrouted;
-    LogEvent(LogLevel::kInfo, "request_unrouted")
-        .Add("request", metadata.m_request_id)
-        .Add("host", request.m_host)
-        .Add("config", m_config
-                           ? static_cast<int64_t>(m_config->m_version.Get())
-                           : int64_t{-1});
-    responder(m_config ? BuildTextResponse(404, "no route\n")
-                       : BuildTextResponse(503, "no configuration yet\n"));
-    return true;
-  }
-  if (account == nullptr && !route->m_is_public &&
-      !m_config->m_accounts.empty()) {
-    ++m_stats.m_unauthorized;
-    LogEvent(LogLevel::kDebug, "request_unauthorized")
-        .Add("request", metadata.m_request_id)
-        .Add("route", route->m_name)
-        .Add("config", static_cast<int64_t>(m_config->m_version.Get()));
-    responder(BuildTextResponse(401, "unknown key\n"));
-    return true;
-  }
-  return false;
-}
-
 template <PlatformCodec Codec>
 void Ingress<Codec>::ClassifyCall(Call& call, const ClientAccount* account) {
   const auto parent = m_hooks.m_find_parent(call.m_id);
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -490,6 +490,8 @@
        .m_config_age = m_config ? now - m_config_applied_at : Duration{},
        .m_knowledge_age = KnowledgeAge(now),
        .m_config_rejects = m_config_rejects,
+       .m_config_findings = m_config ? m_config->m_omitted.m_finding_count : 0,
+       .m_accounts = m_config ? m_config->m_accounts.size() : 0,
        .m_store_era = m_reader.Era().value_or(StoreEra(0)),
        .m_store_era_changes = m_era_changes,
        .m_dropped_log_lines = DroppedLogLines(),
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -100,10 +100,19 @@
        .m_header_timeout = limits.m_header_timeout,
        .m_idle_timeout = limits.m_idle_timeout,
        .m_max_held_bytes = m_settings.m_max_held_bytes});
+  for (const Finding& finding : m_config->m_omitted.m_findings) {
+    LogEvent(LogLevel::kWarn, "config_finding")
+        .Add("version", static_cast<int64_t>(m_config->m_version.Get()))
+        .Add("at", finding.m_pointer)
+        .Add("reason", finding.m_message);
+  }
   LogEvent(LogLevel::kInfo, "config_in_force")
       .Add("version", static_cast<int64_t>(m_config->m_version.Get()))
       .Add("offset", static_cast<int64_t>(OffsetOf(record.m_position).Get()))
       .Add("routes", static_cast<int64_t>(m_config->m_routes.size()))
+      .Add("accounts", static_cast<int64_t>(m_config->m_accounts.size()))
+      .Add("findings",
+           static_cast<int64_t>(m_config->m_omitted.m_finding_count))
       .Add("source", m_reader.IsReading() ? "store" : "relay");
   return true;
 }
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -83,7 +83,9 @@
                         {"not-run", ingress.m_not_run},
                         {"unknown", ingress.m_unknown},
                         {"cancelled", ingress.m_cancelled},
-                        {"unrouted", ingress.m_unrouted}});
+                        {"unrouted", ingress.m_unrouted},
+                        {"unauthorized", ingress.m_unauthorized},
+                        {"misconfigured", ingress.m_misconfigured}});
   families.AddHistogram("request_duration_seconds",
                         "Requests of callers from arrival to end.",
                         metrics.m_request_latencies);
@@ -148,6 +150,11 @@
                       egress.m_quarantined);
   families.AddGauge("config_version", "Configuration in force; 0 when none is.",
                     static_cast<double>(metrics.m_config_version));
+  families.AddGauge("config_findings",
+                    "Its elements that can't be used as they are written.",
+                    static_cast<double>(metrics.m_config_findings));
+  families.AddGauge("accounts", "Its client accounts.",
+                    static_cast<double>(metrics.m_accounts));
   families.AddGauge("config_age_seconds", "Since it came into force here.",
                     ToSeconds(metrics.m_config_age));
   families.AddGauge("knowledge_age_seconds",
