Fleet-wide account limits: pool, credits and exchange

Ruled out: a coordinator that refills buckets by its own clock. Two nodes that both believe to be the coordinator then grant twice the rate. Change: AccountPool (coordinator), AccountCredits (ingress) and AccountExchange (both, with the choice of coordinator) are pure. Each node hands its share of the elapsed time, each moment once, to the coordinator that it uses; buckets grow only by that. Messages carry a number, so that a repeated one is ignored. Loans are in thousandths of a token, since the surplus of a small account is below one. Conclusion: not wired into the mesh yet.

--- /dev/null
+++ b/libs/limits/include/sequoiastage/limits/account_exchange.h
@@ -0,0 +1,159 @@
+#ifndef SEQUOIASTAGE_LIMITS_ACCOUNT_EXCHANGE_H_
+#define SEQUOIASTAGE_LIMITS_ACCOUNT_EXCHANGE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "sequoiastage/limits/account_credits.h"
+#include "sequoiastage/limits/account_pool.h"
+#include "sequoiastage/limits/account_quota.h"
+
+namespace sequoiastage {
+
+struct AccountExchangeOptions {
+  AccountQuotaOptions m_quota{};
+  /// All nodes of the deployment are starting for the first time, so no node
+  /// has granted a token yet.
+  bool m_is_first_start = false;
+  /// Interval at which a node hands its share of time to its coordinator,
+  /// multiplied by the number of shards.
+  Duration m_share_interval = std::chrono::milliseconds(100);
+  /// A coordinator that has not replied for this long is replaced.
+  Duration m_silence_limit = std::chrono::milliseconds(400);
+  /// Time for which a replaced coordinator is not used.
+  Duration m_avoid_period = std::chrono::seconds(2);
+  /// Number of nodes that are tried as the coordinator. When none is usable,
+  /// the node coordinates its own share.
+  size_t m_candidates = 4;
+  /// Nodes of a first deployment know each other after this time.
+  Duration m_settling_time = std::chrono::seconds(3);
+};
+
+struct AccountExchangeStats {
+  uint64_t m_spent = 0;
+  uint64_t m_returned = 0;
+  uint64_t m_coordinator_changes = 0;
+};
+
+/// One node's part of the rate limits of client accounts over all nodes: asks
+/// for tokens as an ingress, grants them as a coordinator, and borrows from and
+/// lends to other regions. Sends and receives through hooks; owns no timer.
+class AccountExchange {
+ public:
+  struct Hooks {
+    /// Sends a message over a link that this node opens; returns false when the
+    /// link is unusable.
+    std::function<bool(NodeId, const Message&)> m_send;
+    std::function<bool(NodeId)> m_is_usable;
+    /// Limit of an account; null when it has none.
+    std::function<const AccountLimit*(AccountId)> m_limit_of;
+    /// Called for each request that no longer waits for a token.
+    std::function<void(const TokenDecision&)> m_on_decision;
+    /// The coordinator of a shard changed.
+    std::function<void(uint32_t shard, NodeId coordinator, std::string_view)>
+        m_on_coordinator;
+    /// Tokens were lent or borrowed.
+    std::function<void(AccountId, NodeId, double tokens, bool is_lent)>
+        m_on_loan;
+  };
+
+  struct Region {
+    std::string m_name;
+    /// Nodes that are not leaving.
+    std::vector<NodeId> m_nodes;
+  };
+
+  AccountExchange(NodeId self,
+                  Incarnation incarnation,
+                  const AccountExchangeOptions& options,
+                  Hooks hooks,
+                  TimePoint now);
+
+  /// Sets the nodes of this node's region, which include it, and of the others.
+  void SetMembers(Region own, std::vector<Region> others, TimePoint now);
+  bool HasMembers() const { return !m_own.m_nodes.empty(); }
+
+  /// These accounts had no limit before, so no node has granted tokens.
+  void AddAccounts(const std::vector<AccountId>& accounts, TimePoint now);
+  /// The first configuration is in force: its accounts are new if the
+  /// deployment is.
+  void StartAccounts(TimePoint now);
+  /// Forgets accounts that no longer have a limit.
+  void DropUnlimited();
+
+  /// The node accepts no more requests and hands out no more of its share.
+  void SetLeaving() { m_is_leaving = true; }
+
+  AccountCredits::Acquisition Acquire(AccountId account,
+                                      TokenWaiterId waiter,
+                                      TimePoint now);
+  void Abandon(AccountId account, TokenWaiterId waiter);
+  void Return(AccountId account);
+
+  /// Handles a message over a connection that `node` opened, and returns the
+  /// reply; empty when there is none.
+  std::optional<Message> OnRequest(NodeId node,
+                                   Incarnation incarnation,
+                                   const Message& message,
+                                   TimePoint now);
+  /// Handles a message over a link that this node opened.
+  void OnReply(NodeId node, const Message& message, TimePoint now);
+  void OnLinkLost(NodeId node, TimePoint now);
+
+  /// Called about every 20 ms, which coalesces the reports of used tokens.
+  void Tick(TimePoint now);
+
+  const AccountPool& Pool() const { return m_pool; }
+  const AccountExchangeStats& Stats() const { return m_stats; }
+  /// Number of shards that this node coordinates for itself or for others.
+  std::optional<NodeId> CoordinatorOf(AccountId account) const;
+
+ private:
+  struct Shard {
+    AccountCredits m_credits;
+    NodeId m_coordinator;
+    std::vector<NodeId> m_order;
+    TimePoint m_next_share_at{};
+    // Since when this node is the first in the order; empty while it is not.
+    std::optional<TimePoint> m_first_since;
+  };
+
+  Shard& ShardOf(AccountId account);
+  void Choose(uint32_t index, TimePoint now);
+  void SendTo(Shard& shard, TimePoint now);
+  void Decide(const std::vector<TokenDecision>& decisions);
+  void UpdateFleet(TimePoint now);
+  void OpenBucket(AccountId account, const AccountLimit& limit, TimePoint now);
+  TokenGrantMessage Grant(NodeId node,
+                          const TokenRequestMessage& message,
+                          TimePoint now);
+  void AskForLoans(TimePoint now);
+  bool IsAvoided(NodeId node, TimePoint now) const;
+
+  NodeId m_self;
+  Incarnation m_incarnation;
+  AccountExchangeOptions m_options;
+  Hooks m_hooks;
+  TimePoint m_started_at{};
+  Region m_own;
+  std::vector<Region> m_others;
+  AccountPool m_pool;
+  std::vector<Shard> m_shards;
+  uint64_t m_next_number = 1;
+  std::unordered_map<NodeId, TimePoint> m_avoided_until;
+  std::optional<TimePoint> m_accounts_started_at;
+  std::unordered_map<AccountId, TimePoint> m_added_at;
+  TimePoint m_next_loans_at{};
+  bool m_is_leaving = false;
+  AccountExchangeStats m_stats;
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_LIMITS_ACCOUNT_EXCHANGE_H_
--- a/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
@@ -7,20 +7,11 @@
 
 #include "sequoiastage/base/ids.h"
 #include "sequoiastage/base/time.h"
+#include "sequoiastage/limits/account_quota.h"
 #include "sequoiastage/limits/retry_allowance.h"
 
 namespace sequoiastage {
 
-/// Tolerance of the rate limits of client accounts over all nodes: in any
-/// window at most (rate x window + burst) x (1 + overage) + slack requests of
-/// an account run.
-struct AccountQuotaOptions {
-  Duration m_window = std::chrono::seconds(5);
-  double m_overage = 0.1;
-  /// Requests.
-  double m_slack = 20;
-};
-
 /// Startup settings of a mesh node. An adapter fills them from the platform's
 /// settings file.
 struct MeshSettings {
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -382,13 +382,24 @@
   uint16_t m_waiting = 0;
   /// Tokens that later requests are expected to need; granted from a surplus.
   uint16_t m_prefetch = 0;
-  /// Unused tokens of earlier grants that are returned.
+  /// Tokens of earlier grants that expired unused.
   uint16_t m_returned = 0;
+  /// Tokens of earlier grants that were used since the last message.
+  uint16_t m_spent = 0;
+  /// Used tokens, counted in m_spent of this or an earlier message, whose
+  /// requests did not run.
+  uint16_t m_not_run = 0;
 
   friend bool operator==(const TokenRequest&, const TokenRequest&) = default;
 };
 
 struct TokenRequestMessage {
+  /// Increases with each message of one incarnation of the sender, so that a
+  /// repeated message is recognised.
+  uint64_t m_number = 0;
+  /// Time for which the sender hands its share of the rates to the receiver. A
+  /// node hands out each moment once.
+  uint32_t m_share_us = 0;
   std::vector<TokenRequest> m_requests;
 
   friend bool operator==(const TokenRequestMessage&,
@@ -407,6 +418,8 @@
 };
 
 struct TokenGrantMessage {
+  /// m_number of the TokenRequestMessage that this one replies to.
+  uint64_t m_number = 0;
   std::vector<TokenGrant> m_grants;
 
   friend bool operator==(const TokenGrantMessage&,
@@ -415,8 +428,10 @@
 
 /// Asks the coordinator of an account in another region for surplus tokens.
 struct TokenLoanRequestMessage {
+  uint64_t m_number = 0;
   AccountId m_account;
-  uint16_t m_wanted = 0;
+  /// Thousandths of a token: the surplus of a small account is below one.
+  uint32_t m_wanted_milli = 0;
 
   friend bool operator==(const TokenLoanRequestMessage&,
                          const TokenLoanRequestMessage&) = default;
@@ -425,8 +440,11 @@
 /// Transfers tokens to the coordinator of another region. The sender has
 /// removed them before, so a lost message never creates tokens.
 struct TokenLoanMessage {
+  /// m_number of the TokenLoanRequestMessage that this one replies to.
+  uint64_t m_number = 0;
   AccountId m_account;
-  uint16_t m_tokens = 0;
+  /// Thousandths of a token.
+  uint32_t m_tokens_milli = 0;
 
   friend bool operator==(const TokenLoanMessage&,
                          const TokenLoanMessage&) = default;
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -138,11 +138,12 @@
 template <class Archive>
 void serialize(Archive& archive, TokenRequest& request) {
   archive(request.m_account, request.m_waiting, request.m_prefetch,
-          request.m_returned);
+          request.m_returned, request.m_spent, request.m_not_run);
 }
 
 template <class Archive>
 void serialize(Archive& archive, TokenRequestMessage& message) {
+  archive(message.m_number, message.m_share_us);
   SerializeBounded(archive, message.m_requests);
 }
 
@@ -153,17 +154,18 @@
 
 template <class Archive>
 void serialize(Archive& archive, TokenGrantMessage& message) {
+  archive(message.m_number);
   SerializeBounded(archive, message.m_grants);
 }
 
 template <class Archive>
 void serialize(Archive& archive, TokenLoanRequestMessage& message) {
-  archive(message.m_account, message.m_wanted);
+  archive(message.m_number, message.m_account, message.m_wanted_milli);
 }
 
 template <class Archive>
 void serialize(Archive& archive, TokenLoanMessage& message) {
-  archive(message.m_account, message.m_tokens);
+  archive(message.m_number, message.m_account, message.m_tokens_milli);
 }
 
 template <class Archive>
