Enforce account limits at the ingress

Change: AccountLimiter runs the exchange over the node's links. A request of an account with a limit takes a token before it is placed; over the limit it gets 429 with Retry-After at once. A request that ends as not run, or whose caller leaves before it started, returns its token. Waiting requests end at their deadline, when their caller leaves and at FailAll.

--- a/libs/events/include/sequoiastage/events/explanation.h
+++ b/libs/events/include/sequoiastage/events/explanation.h
@@ -42,6 +42,8 @@
   kServerError,
   /// The request has crashed several instances; the fleet rejects it.
   kQuarantined,
+  /// The client account was over its rate limit.
+  kOverLimit,
 };
 
 std::string_view ToString(FailureCause cause);
--- a/libs/events/src/explanation.cc
+++ b/libs/events/src/explanation.cc
@@ -85,7 +85,9 @@
 
 bool IsFinalEvent(const LogLine& line) {
   return line.m_event == "request_answered" ||
-         line.m_event == "request_failed" || line.m_event == "request_unrouted";
+         line.m_event == "request_failed" ||
+         line.m_event == "request_limited" ||
+         line.m_event == "request_unrouted";
 }
 
 // Cause of a request that certainly did not run.
@@ -175,6 +177,9 @@
                ? FailureCause::kNoConfiguration
                : FailureCause::kNoRoute;
   }
+  if (final_event.m_event == "request_limited") {
+    return FailureCause::kOverLimit;
+  }
   if (final_event.m_event == "request_answered") {
     return ClassifyFinalResponse(final_event, trail);
   }
@@ -237,6 +242,9 @@
     case FailureCause::kQuarantined:
       return "The request has crashed several instances that executed it; it "
              "was rejected.";
+    case FailureCause::kOverLimit:
+      return "The client account of the request was over its rate limit; the "
+             "request was rejected.";
   }
   return "";
 }
@@ -442,6 +450,8 @@
       return "server-error";
     case FailureCause::kQuarantined:
       return "quarantined";
+    case FailureCause::kOverLimit:
+      return "over-limit";
   }
   return "";
 }
--- a/libs/events/tests/explanation_test.cc
+++ b/libs/events/tests/explanation_test.cc
@@ -36,6 +36,15 @@
   return ExplainRequest(ParseLines(kNodes + text), "1").m_cause;
 }
 
+// A rejection over the limit is the end of the request, not a missing line.
+TEST(ExplanationTest, ClassifiesRequestsOverTheirAccountsLimit) {
+  EXPECT_EQ(ExplainCause("time=2026-12-04T03:00:05.000 level=INFO "
+                         "event=request_limited request=1 account=ferries "
+                         "route=r config=7 retry_ms=400 took_ms=1|a\n"),
+            FailureCause::kOverLimit);
+  EXPECT_EQ(ToString(FailureCause::kOverLimit), "over-limit");
+}
+
 TEST(ExplanationTest, ClassifiesRefusalsByEgressReasons) {
   const std::string not_run =
       "outcome=not-run cause=\"no instance takes it\" latest=busy known=3 "
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -20,6 +21,7 @@
 #include "sequoiastage/http/exchange_connection.h"
 #include "sequoiastage/http/stream_server.h"
 #include "sequoiastage/logging/log_event.h"
+#include "sequoiastage/mesh/account_limiter.h"
 #include "sequoiastage/mesh/egress.h"
 #include "sequoiastage/mesh/mesh_links.h"
 #include "sequoiastage/mesh/platform.h"
@@ -62,6 +64,8 @@
   uint64_t m_unrouted = 0;
   /// Rejected because their key belongs to no account.
   uint64_t m_unauthorized = 0;
+  /// Rejected because their account is over its limit.
+  uint64_t m_over_limit = 0;
   /// Ended because the request crashes instances.
   uint64_t m_quarantined = 0;
 };
@@ -81,6 +85,8 @@
     std::function<std::optional<ParentRequest>(std::string_view)> m_find_parent;
     /// Age of the node's copy of the store.
     std::function<Duration()> m_knowledge_age;
+    /// Limits of client accounts; null: not enforced.
+    AccountLimiter* m_limiter = nullptr;
   };
 
   Ingress(asio::io_context& io,
@@ -118,6 +124,9 @@
     kLost
   };
 
+  /// Token of the account's limit.
+  enum class TokenState : uint8_t { kNone, kWaiting, kTaken };
+
   struct Call;
   using CallPtr = std::shared_ptr<Call>;
 
@@ -153,6 +162,8 @@
     const ClientAccount* m_account = nullptr;
     // Account that the request's slot time is charged to.
     AccountId m_share_account;
+    TokenState m_token = TokenState::kNone;
+    TokenWaiterId m_token_waiter;
     uint8_t m_urgency = 0;
     // Sent by an instance while it executes another request.
     bool m_is_call = false;
@@ -195,6 +206,17 @@
                      const StreamResponder& responder);
   // Sets the account and rank of a new request.
   void ClassifyCall(Call& call, const ClientAccount* account);
+  // Takes a token of the account's limit, then offers the request.
+  void AcquireToken(const CallPtr& call);
+  void OnToken(const CallPtr& call,
+               AccountId account,
+               bool is_granted,
+               Duration retry_after);
+  void RejectOverLimit(const CallPtr& call, Duration retry_after);
+  // Called when the request ends without a response of an instance.
+  void ReleaseToken(const CallPtr& call, bool may_have_executed);
+  // Whether the request has run, or an attempt may still be running.
+  bool MayHaveExecuted(const Call& call) const;
   void OfferToNextTarget(const CallPtr& call);
   // Called after an attempt that may have been executed.
   void RetryOrFail(const CallPtr& call, std::string_view cause);
@@ -256,6 +278,8 @@
   std::unordered_map<std::string, SplitPicker> m_splits;
   std::unordered_map<AttemptNumber, CallPtr> m_calls_by_attempt;
   std::unordered_map<NodeId, Incarnation> m_incarnations;
+  // Calls without attempts, which wait for a token.
+  std::set<CallPtr> m_token_waiters;
   uint64_t m_next_attempt = 1;
   size_t m_request_count = 0;
   mutable std::mt19937_64 m_random{std::random_device()()};
@@ -267,6 +291,7 @@
 
 }  // namespace sequoiastage
 
+#include "sequoiastage/mesh/ingress_accounts_inl.h"
 #include "sequoiastage/mesh/ingress_attempts_inl.h"
 #include "sequoiastage/mesh/ingress_inl.h"
 
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -153,7 +153,7 @@
           OnDeadline(self);
         }
       });
-  OfferToNextTarget(call);
+  AcquireToken(call);
   return [this, weak = std::weak_ptr(call)] {
     if (const CallPtr self = weak.lock()) {
       Cancel(self);
@@ -349,12 +349,7 @@
 template <PlatformCodec Codec>
 void Ingress<Codec>::Fail(const CallPtr& call, std::string_view cause) {
   const bool is_out_of_time = BootNow() >= call->m_deadline;
-  bool may_have_executed = call->m_may_have_executed;
-  for (const auto& [number, attempt] : call->m_attempts) {
-    may_have_executed |= attempt.m_phase == Phase::kStarted ||
-                         attempt.m_phase == Phase::kLost ||
-                         attempt.m_starts_at_once;
-  }
+  const bool may_have_executed = MayHaveExecuted(*call);
   LogFailure(*call, cause, may_have_executed);
   if (call->m_fallback_response) {
     ++m_stats.m_answered;
@@ -371,12 +366,13 @@
     return;
   }
   ++m_stats.m_not_run;
+  ReleaseToken(call, false);
   FinishWithOutcome(call, m_not_run_latency, BuildRefusal(*call));
 }
 
 template <PlatformCodec Codec>
 void Ingress<Codec>::FailAll(std::string_view cause) {
-  std::set<CallPtr> calls;
+  std::set<CallPtr> calls = m_token_waiters;
   for (const auto& [number, call] : m_calls_by_attempt) {
     calls.insert(call);
   }
@@ -473,6 +469,7 @@
   ++m_stats.m_cancelled;
   LogEvent(LogLevel::kDebug, "caller_left").Add("request", call->m_id);
   m_hooks.m_on_failure();
+  ReleaseToken(call, MayHaveExecuted(*call));
   WithdrawAll(call);
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "sequoiastage/http/stream_server.h"
+#include "sequoiastage/mesh/account_limiter.h"
 #include "sequoiastage/mesh/egress.h"
 #include "sequoiastage/mesh/ingress.h"
 #include "sequoiastage/mesh/local_instance.h"
@@ -96,6 +97,7 @@
   PeerKey m_self;
   TargetTable m_targets;
   MeshLinks m_links;
+  AccountLimiter m_limiter;
   SharedQuarantine m_quarantine;
   Egress<Codec> m_egress;
   Ingress<Codec> m_ingress;
@@ -143,5 +145,6 @@
 
 #include "sequoiastage/mesh/mesh_node_inl.h"
 #include "sequoiastage/mesh/mesh_node_relay_inl.h"
+#include "sequoiastage/mesh/mesh_node_shutdown_inl.h"
 
 #endif  // SEQUOIASTAGE_MESH_MESH_NODE_H_
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -88,6 +88,7 @@
                      if (m_subscribed_to == node) {
                        m_subscribed_to.reset();
                      }
+                     m_limiter.OnLinkLost(node);
                      m_ingress.OnLinkLost(node);
                    },
                .m_on_request =
@@ -105,6 +106,13 @@
                      m_subscribers.erase(peer.m_node);
                      m_egress.OnPeerLost(peer);
                    }}),
+      m_limiter(io,
+                m_self,
+                {.m_quota = settings.m_quota,
+                 .m_is_first_start = settings.m_is_first_start},
+                m_targets,
+                m_links,
+                [this] { return m_reader.IsLoaded(); }),
       m_quarantine(m_self.m_node,
                    {},
                    [this] { asio::post(m_io, [this] { PublishMember(); }); }),
@@ -136,7 +144,8 @@
            .m_on_failure = [this] { m_egress.OnLocalFailure(); },
            .m_find_parent =
                [this](std::string_view id) { return m_egress.FindParent(id); },
-           .m_knowledge_age = [this] { return KnowledgeAge(BootNow()); }}),
+           .m_knowledge_age = [this] { return KnowledgeAge(BootNow()); },
+           .m_limiter = &m_limiter}),
       m_reader(
           io,
           store,
@@ -401,6 +410,8 @@
   } else if (std::holds_alternative<DrainingMessage>(message)) {
     m_targets.SetLeaving(peer.m_node);
     m_relay_choice.SetRegion(m_targets.RegionNodes());
+  } else {
+    m_limiter.OnRequest(peer, message, sink);
   }
 }
 
@@ -417,65 +428,17 @@
                                     .m_packed = PackRecordsFrom(
                                         request->m_next_config,
                                         request->m_next_member)});
-  } else {
+  } else if (!m_limiter.OnReply(node, message)) {
     m_ingress.OnReply(node, std::move(message));
   }
 }
 
-template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::StartShutdown() {
-  if (m_is_stopping) {
-    return;
-  }
-  m_is_stopping = true;
-  const TimePoint now = BootNow();
-  m_stop_requested_at = now;
-  LogEvent(LogLevel::kInfo, "node_stopping")
-      .Add("requests", static_cast<int64_t>(m_ingress.RequestCount()))
-      .Add("work", static_cast<int64_t>(m_egress.WorkCount()));
-  m_callers.StartDrain();
-  TickShutdown();
-}
-
-template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::TickShutdown() {
-  const Duration since = BootNow() - m_stop_requested_at;
-  if (since >= mesh_node_detail::kAcceptPeriod && !m_refuses_work) {
-    m_refuses_work = true;
-    m_callers.Stop();
-    m_egress.StartDraining();
-    m_links.Broadcast(DrainingMessage{});
-    PublishMember();
-  }
-  if (since >= std::chrono::duration_cast<Duration>(
-                   m_settings.m_grace * mesh_node_detail::kAnswerFraction)) {
-    m_ingress.FailAll("the node stops");
-  }
-  const bool is_idle =
-      m_ingress.RequestCount() == 0 && m_egress.WorkCount() == 0;
-  const auto longest = std::chrono::duration_cast<Duration>(
-      m_settings.m_grace * mesh_node_detail::kGraceFraction);
-  if (since >= longest ||
-      (is_idle && since >= mesh_node_detail::kMinShutdownTime)) {
-    LogEvent(LogLevel::kInfo, "node_stopped")
-        .Add("requests", static_cast<int64_t>(m_ingress.RequestCount()))
-        .Add("after_ms", WholeMs(since));
-    m_io.stop();
-    return;
-  }
-  m_shutdown_timer.expires_after(std::chrono::milliseconds(50));
-  m_shutdown_timer.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      TickShutdown();
-    }
-  });
-}
-
 template <PlatformCodec Codec, PlatformStore Store>
 std::string MeshNode<Codec, Store>::Metrics() const {
   const TimePoint now = BootNow();
   return RenderNodeMetrics(
       {.m_ingress = m_ingress.Stats(),
+       .m_limits = m_limiter.Stats(),
        .m_egress = m_egress.Stats(),
        .m_load = m_egress.CurrentLoad(),
        .m_stated_limit = m_egress.StatedLimit(),
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -91,6 +91,7 @@
   }
   m_config = std::make_shared<const TrafficConfig>(*std::move(config));
   m_config_applied_at = BootNow();
+  m_limiter.SetConfig(m_config);
   m_ingress.SetConfig(m_config);
   m_egress.SetConfig(m_config);
   const CallerLimits& limits = m_config->m_limits;
--- a/libs/mesh/include/sequoiastage/mesh/node_metrics.h
+++ b/libs/mesh/include/sequoiastage/mesh/node_metrics.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "sequoiastage/base/time.h"
+#include "sequoiastage/mesh/account_limiter.h"
 #include "sequoiastage/mesh/egress.h"
 #include "sequoiastage/mesh/ingress.h"
 #include "sequoiastage/metrics/metric_family.h"
@@ -15,6 +16,7 @@
 /// Snapshot of the metrics of a mesh node.
 struct NodeMetrics {
   IngressStats m_ingress;
+  AccountLimiterStats m_limits;
   EgressStats m_egress;
   EgressLoadReport m_load;
   /// Rate limit that the instance states; empty when it states none.
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -71,6 +71,44 @@
   std::vector<MetricFamily> m_families;
 };
 
+void AddLimits(MetricFamilyList& families, const AccountLimiterStats& limits) {
+  families.AddCounter("limited_requests_total",
+                      "Requests of accounts with a limit.", limits.m_requests);
+  families.AddCounter("limited_requests_refused_total",
+                      "Of these, rejected over the limit.", limits.m_refused);
+  families.AddLabelled(
+      "limit_tokens_total", "Tokens of account limits by their use.",
+      MetricType::kCounter, "use",
+      {{"spent", limits.m_spent},
+       {"returned", limits.m_returned},
+       {"granted", limits.m_granted},
+       {"lent", static_cast<uint64_t>(limits.m_lent)},
+       {"borrowed", static_cast<uint64_t>(limits.m_borrowed)}});
+  families.AddCounter("limit_coordinator_changes_total",
+                      "Changes of the coordinator of a shard of accounts.",
+                      limits.m_coordinator_changes);
+  families.AddGauge("limit_buckets", "Accounts that this node coordinates.",
+                    static_cast<double>(limits.m_buckets));
+  std::vector<std::pair<std::string, uint64_t>> requests;
+  std::vector<std::pair<std::string, uint64_t>> refused;
+  std::vector<std::pair<std::string, uint64_t>> spent;
+  for (const AccountUsage& usage : limits.m_usage) {
+    requests.emplace_back(usage.m_account, usage.m_requests);
+    refused.emplace_back(usage.m_account, usage.m_refused);
+    spent.emplace_back(usage.m_account, usage.m_spent);
+  }
+  families.AddLabelled("account_requests_total",
+                       "Requests of the accounts that were refused or sent "
+                       "most; starts again when an account is dropped.",
+                       MetricType::kCounter, "account", requests);
+  families.AddLabelled("account_refused_total",
+                       "Requests of these accounts over their limit.",
+                       MetricType::kCounter, "account", refused);
+  families.AddLabelled("account_tokens_spent_total",
+                       "Tokens that these accounts used.", MetricType::kCounter,
+                       "account", spent);
+}
+
 }  // namespace
 
 std::string RenderNodeMetrics(const NodeMetrics& metrics) {
@@ -83,6 +121,7 @@
                         {"not-run", ingress.m_not_run},
                         {"unknown", ingress.m_unknown},
                         {"cancelled", ingress.m_cancelled},
+                        {"over-limit", ingress.m_over_limit},
                         {"unrouted", ingress.m_unrouted}});
   families.AddHistogram("request_duration_seconds",
                         "Requests of callers from arrival to end.",
@@ -153,6 +192,7 @@
   families.AddGauge("knowledge_age_seconds",
                     "Since this node, or its relay, heard from the store.",
                     ToSeconds(metrics.m_knowledge_age));
+  AddLimits(families, metrics.m_limits);
   families.AddGauge("ready", "1 when the node takes new callers.",
                     metrics.m_is_ready ? 1 : 0);
   return families.Render();
--- a/libs/mesh/tests/ingress_fixture.h
+++ b/libs/mesh/tests/ingress_fixture.h
@@ -73,7 +73,9 @@
                 {},
                 {.m_on_reply =
                      [this](NodeId node, const Message& message) {
-                       m_ingress.OnReply(node, message);
+                       if (!m_limiter.OnReply(node, message)) {
+                         m_ingress.OnReply(node, message);
+                       }
                      },
                  .m_on_opened =
                      [this](NodeId node, Incarnation incarnation) {
@@ -81,6 +83,7 @@
                      },
                  .m_on_lost =
                      [this](NodeId node, const std::string&) {
+                       m_limiter.OnLinkLost(node);
                        m_ingress.OnLinkLost(node);
                      },
                  .m_on_request =
@@ -104,7 +107,8 @@
                                           .m_urgency = 4,
                                           .m_is_extra_attempt = true};
                    },
-                   .m_knowledge_age = [] { return Duration{}; }}) {}
+                   .m_knowledge_age = [] { return Duration{}; },
+                   .m_limiter = &m_limiter}) {}
 
   void SetConfig(const std::string& text) {
     std::string reason;
@@ -124,6 +128,20 @@
         std::make_shared<const TrafficConfig>(*std::move(config)));
   }
 
+  // As SetConfigWithAccount(); the account has a limit.
+  void SetConfigWithLimit(const AccountLimit& limit) {
+    std::string reason;
+    auto config =
+        FakeCodec::DecodeConfig({.m_value = "1 a /x/ plans"}, &reason);
+    config->m_accounts = {
+        {.m_name = "ferries", .m_keys = {"secret"}, .m_limit = limit}};
+    config->m_routes[0].m_is_public = true;
+    const auto shared =
+        std::make_shared<const TrafficConfig>(*std::move(config));
+    m_limiter.SetConfig(shared);
+    m_ingress.SetConfig(shared);
+  }
+
   void SendRequestWithFields(std::vector<HttpField> fields) {
     m_ingress.OnRequest({.m_method = "POST",
                          .m_host = "a",
@@ -197,6 +215,10 @@
   PeerKey m_self;
   TargetTable m_targets;
   MeshLinks m_links;
+  AccountLimiter m_limiter{
+      m_io,      m_self,  {.m_quota = {.m_slack = 0}, .m_is_first_start = true},
+      m_targets, m_links, [this] { return m_has_members; }};
+  bool m_has_members = true;
   SharedQuarantine m_quarantine{m_self.m_node, {}, [] {}};
   Ingress<FakeCodec> m_ingress;
   std::vector<HttpResponse> m_responses;
--- /dev/null
+++ b/libs/mesh/tests/ingress_limit_test.cc
@@ -0,0 +1,201 @@
+#include <gtest/gtest.h>
+
+#include "ingress_fixture.h"
+#include "sequoiastage/limits/coordinator_choice.h"
+
+namespace sequoiastage {
+namespace {
+
+class MeshIngressLimitTest : public MeshIngressTest {
+ protected:
+  // The record of the local node, which is the only member so far.
+  void AddSelf() { m_targets.SetMember(m_targets.Self()); }
+
+  // Host whose node coordinates all accounts, before the local node.
+  uint8_t CoordinatorHost() const {
+    for (uint8_t host = 2; host < 50; ++host) {
+      const NodeId node(Endpoint{.m_ip = TestIp(host), .m_port = 7000});
+      if (CoordinatorOrder({m_self.m_node, node}, 0, 1)[0] == node) {
+        return host;
+      }
+    }
+    return 0;
+  }
+
+  void SendLimited() {
+    SendRequestWithFields({{"id", "7"}, {"key", "secret"}});
+  }
+
+  size_t CountStatus(uint16_t status) const {
+    return static_cast<size_t>(std::count_if(
+        m_responses.begin(), m_responses.end(),
+        [=](const HttpResponse& r) { return r.m_status == status; }));
+  }
+
+  bool WaitForResponses(size_t count) {
+    return RunUntil(m_io, [=, this] { return m_responses.size() >= count; });
+  }
+};
+
+// Runs every request that it is offered.
+void Answer(const Message& message, const MessageSink& sink) {
+  if (const auto* tagged = std::get_if<TaggedOfferMessage>(&message)) {
+    sink(OfferReplyMessage{.m_attempt = tagged->m_offer.m_attempt,
+                           .m_verdict = OfferVerdict::kReady});
+  } else if (const auto* start = std::get_if<StartMessage>(&message)) {
+    sink(OutcomeMessage{.m_attempt = start->m_attempt,
+                        .m_result = AttemptResult::kAnswered,
+                        .m_response = {.m_status = 200}});
+  }
+}
+
+TEST_F(MeshIngressLimitTest, RejectsOverTheLimitAtOnce) {
+  AddSelf();
+  FakeEgressNode egress(m_io, 2, 5);
+  MemberRecord record = egress.Record();
+  record.m_region = "r2";  // Not a coordinator of the local region.
+  m_targets.SetMember(record);
+  egress.m_script = Answer;
+  SetConfigWithLimit({.m_rate = RequestRate(0.1), .m_burst = 4});
+  for (int i = 0; i < 8; ++i) {
+    SendLimited();
+  }
+  ASSERT_TRUE(WaitForResponses(8));
+  // Half of the nodes are in this region: half of the burst.
+  EXPECT_EQ(CountStatus(200), 2U);
+  EXPECT_EQ(CountStatus(429), 6U);
+  for (const HttpResponse& response : m_responses) {
+    if (response.m_status == 429) {
+      ASSERT_EQ(response.m_fields.back().m_name, "Retry-After");
+      EXPECT_GT(std::stod(response.m_fields.back().m_value), 0.09);
+    }
+  }
+  EXPECT_EQ(m_ingress.Stats().m_over_limit, 6U);
+  const AccountLimiterStats stats = m_limiter.Stats();
+  ASSERT_EQ(stats.m_usage.size(), 1U);
+  EXPECT_EQ(stats.m_usage[0].m_account, "ferries");
+  EXPECT_EQ(stats.m_usage[0].m_requests, 8U);
+  EXPECT_EQ(stats.m_usage[0].m_refused, 6U);
+  EXPECT_EQ(stats.m_usage[0].m_spent, 2U);
+}
+
+// A request that finds no instance must not use up the limit of its account.
+TEST_F(MeshIngressLimitTest, RequestThatDidNotRunReturnsItsToken) {
+  AddSelf();
+  SetConfigWithLimit({.m_rate = RequestRate(0.001), .m_burst = 2});
+  for (size_t i = 1; i <= 10; ++i) {
+    SendLimited();
+    ASSERT_TRUE(WaitForResponses(i));
+    // The returned token is reported within a tick.
+    const uint64_t returned = m_limiter.Stats().m_returned;
+    EXPECT_EQ(returned, i);
+    const auto end = BootNow() + std::chrono::milliseconds(60);
+    RunUntil(m_io, [&] { return BootNow() > end; });
+  }
+  EXPECT_EQ(CountStatus(503), 10U);
+}
+
+TEST_F(MeshIngressLimitTest, RequestWithoutAccountTakesNoToken) {
+  AddSelf();
+  SetConfigWithLimit({.m_rate = RequestRate(0.001), .m_burst = 1});
+  for (int i = 0; i < 5; ++i) {
+    SendRequestWithFields({{"id", "7"}});
+    SendRequestWithFields({{"id", "call"}});
+  }
+  ASSERT_TRUE(WaitForResponses(10));
+  EXPECT_EQ(CountStatus(503), 10U);
+  EXPECT_EQ(m_limiter.Stats().m_requests, 0U);
+}
+
+// A node that knows no other one would take the whole limit for itself.
+TEST_F(MeshIngressLimitTest, NothingIsAdmittedBeforeTheMembersAreKnown) {
+  m_has_members = false;
+  AddSelf();
+  SetConfigWithLimit({.m_rate = RequestRate(10), .m_burst = 10});
+  SendLimited();
+  ASSERT_TRUE(WaitForResponses(1));
+  EXPECT_EQ(m_responses[0].m_status, 503);
+  EXPECT_EQ(m_limiter.Stats().m_requests, 0U);
+}
+
+class SilentCoordinatorTest : public MeshIngressLimitTest {
+ protected:
+  SilentCoordinatorTest() : m_coordinator(m_io, CoordinatorHost(), 5) {
+    AddSelf();
+    MemberRecord record = m_coordinator.Record();
+    record.m_instance.clear();
+    m_targets.SetMember(record);
+    SetConfigWithLimit({.m_rate = RequestRate(0.1), .m_burst = 1});
+  }
+
+  CancelHook SendWaiting() {
+    return m_ingress.OnRequest({.m_method = "POST",
+                                .m_host = "a",
+                                .m_target = "/x/1",
+                                .m_fields = {{"id", "7"}, {"key", "secret"}}},
+                               [this](HttpResponse response) {
+                                 m_responses.push_back(std::move(response));
+                               });
+  }
+
+  bool WaitForTokenRequest() {
+    return RunUntil(m_io, [this] {
+      return std::any_of(
+          m_coordinator.m_messages.begin(), m_coordinator.m_messages.end(),
+          [](const Message& message) {
+            const auto* request = std::get_if<TokenRequestMessage>(&message);
+            return request != nullptr && !request->m_requests.empty();
+          });
+    });
+  }
+
+  FakeEgressNode m_coordinator;
+};
+
+// Requests must not hang on a coordinator that is paused.
+TEST_F(SilentCoordinatorTest, WaitEndsSoon) {
+  SendWaiting();
+  EXPECT_TRUE(m_responses.empty());
+  const TimePoint begin = BootNow();
+  ASSERT_TRUE(WaitForResponses(1));
+  EXPECT_EQ(m_responses[0].m_status, 429);
+  EXPECT_LT(BootNow() - begin, std::chrono::seconds(2));
+  EXPECT_EQ(m_ingress.RequestCount(), 0U);
+}
+
+TEST_F(SilentCoordinatorTest, FailAllEndsWaitingRequests) {
+  SendWaiting();
+  m_ingress.FailAll("the node stops");
+  ASSERT_EQ(m_responses.size(), 1U);
+  EXPECT_EQ(m_responses[0].m_status, 503);
+  EXPECT_EQ(m_ingress.RequestCount(), 0U);
+}
+
+// The token of a caller that has left is used by the next request.
+TEST_F(SilentCoordinatorTest, TokenOfACallerThatLeftIsKept) {
+  const CancelHook cancel = SendWaiting();
+  ASSERT_TRUE(WaitForTokenRequest());
+  cancel();
+  EXPECT_EQ(m_ingress.RequestCount(), 0U);
+  EXPECT_TRUE(m_responses.empty());
+  uint64_t number = 0;
+  for (const Message& message : m_coordinator.m_messages) {
+    const auto* request = std::get_if<TokenRequestMessage>(&message);
+    if (request != nullptr && !request->m_requests.empty()) {
+      number = request->m_number;
+    }
+  }
+  m_limiter.OnReply(
+      m_coordinator.m_self.m_node,
+      TokenGrantMessage{.m_number = number,
+                        .m_grants = {{.m_account = MakeAccountId("ferries"),
+                                      .m_granted = 1}}});
+  SendWaiting();
+  ASSERT_TRUE(WaitForResponses(1));
+  // Admitted: it finds no instance.
+  EXPECT_EQ(m_responses[0].m_status, 503);
+  EXPECT_EQ(m_limiter.Stats().m_spent, 1U);
+}
+
+}  // namespace
+}  // namespace sequoiastage
