--- a/libs/events/src/explanation.cc
+++ b/libs/events/src/explanation.cc
@@ -88,7 +88,8 @@
          line.m_event == "request_failed" ||
          line.m_event == "request_unrouted" ||
          line.m_event == "request_misconfigured" ||
-         line.m_event == "request_unauthorized";
+         line.m_event == "request_unauthorized" ||
+         line.m_event == "request_limited";
 }
 
 // Cause of a request that certainly did not run.
@@ -184,6 +185,9 @@
   if (final_event.m_event == "request_unauthorized") {
     return FailureCause::kUnknownKey;
   }
+  if (final_event.m_event == "request_limited") {
+    return FailureCause::kOverLimit;
+  }
   if (final_event.m_event == "request_answered") {
     return ClassifyFinalResponse(final_event, trail);
   }
@@ -251,6 +255,9 @@
     case FailureCause::kQuarantined:
       return "The request has crashed several instances that executed it; it "
              "was rejected.";
+    case FailureCause::kOverLimit:
+      return "The client account of the request was over its rate limit; the "
+             "request was rejected.";
   }
   return "";
 }
@@ -460,6 +467,8 @@
       return "server-error";
     case FailureCause::kQuarantined:
       return "quarantined";
+    case FailureCause::kOverLimit:
+      return "over-limit";
   }
   return "";
 }
