Rank calls before new work and protect starved accounts

Cause: new requests took the slots, queue space and retries that calls of running requests waited for, and a less urgent account was not served at all while urgent ones asked for more than the capacity. Ruled out: boosting by recent slot time. With a half-life of 10 s an account with one request a minute looks starved for each request, so that many such accounts would displace all urgent ones. Change: SlotGate serves calls first and lets them wait for as long as their deadline allows; StarvationGuard counts what each account is owed; RetryAllowance gives each account an equal part while others ask, and the whole budget to calls.

--- a/libs/limits/include/sequoiastage/limits/retry_allowance.h
+++ b/libs/limits/include/sequoiastage/limits/retry_allowance.h
@@ -4,7 +4,9 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <unordered_map>
 
+#include "sequoiastage/base/ids.h"
 #include "sequoiastage/base/time.h"
 
 namespace sequoiastage {
@@ -25,6 +27,8 @@
   /// Hedged requests are refused once this share of the usable allowance is
   /// consumed, by either kind. The rest is reserved for retries after failures.
   double m_max_hedge_share = 0.7;
+  /// Maximum number of accounts whose retries are counted.
+  size_t m_max_accounts = 256;
 };
 
 /// Kind of an attempt that follows the first attempt of a request.
@@ -35,6 +39,15 @@
   kHedge,
 };
 
+/// Request that asks for a retry or hedge.
+struct ExtraAttemptRequest {
+  uint8_t m_urgency = 0;
+  ExtraAttempt m_kind = ExtraAttempt::kRetry;
+  /// Sent by a running request.
+  bool m_is_call = false;
+  AccountId m_account{};
+};
+
 /// Limits the retries and hedged requests that reach one instance. Each egress
 /// gets an equal share of the service's slack, so the service stays within its
 /// fleet-wide retry budget without coordination between nodes.
@@ -48,6 +61,11 @@
 /// some of its instances refuse or fail requests. Hedged requests would exhaust
 /// the budget, add load, and leave nothing for retries after failures;
 /// therefore they are limited to a small share of the budget.
+///
+/// Load pattern: one client account retries far more than the others. With
+/// SetSharesByAccount(), an account gets at most an equal part of the budget
+/// while others ask for retries, and calls of running requests, whose failure
+/// ends the run that makes them, may use the whole budget.
 class RetryAllowance {
  public:
   explicit RetryAllowance(const RetryAllowanceOptions& options = {})
@@ -72,6 +90,13 @@
   bool TryAcquire(TimePoint now,
                   uint8_t urgency = 0,
                   ExtraAttempt kind = ExtraAttempt::kRetry);
+  bool TryAcquire(TimePoint now, const ExtraAttemptRequest& request);
+
+  /// Whether the accounts share the allowance. Initially they don't.
+  void SetSharesByAccount(bool shares) { m_shares_by_account = shares; }
+
+  /// Number of accounts whose retries are counted.
+  size_t AccountCount() const { return m_accounts.size(); }
 
  private:
   static constexpr size_t kBuckets = 10;
@@ -88,9 +113,25 @@
   Bucket SumWindow(TimePoint now) const;
   int64_t BucketIndex(TimePoint now) const;
 
-  RetryAllowanceOptions m_options;
+  // Extra attempts that an account used since the start of a window, and when
+  // it last asked for one.
+  struct AccountUse {
+    double m_used = 0;
+    TimePoint m_window_start;
+    TimePoint m_asked_at;
+    std::optional<TimePoint> m_call_asked_at;
+  };
+
+  // Records that the account asks. Null when it isn't counted.
+  AccountUse* FindAccount(TimePoint now, const ExtraAttemptRequest& request);
+  // Number of accounts that asked within the window; for a call, those whose
+  // calls asked.
+  size_t AskingAccounts(TimePoint now, bool is_call) const;
   double SlackShare(TimePoint now) const;
 
+  RetryAllowanceOptions m_options;
+  bool m_shares_by_account = false;
+  std::unordered_map<AccountId, AccountUse> m_accounts;
   uint32_t m_instances = 1;
   std::optional<TimePoint> m_restarted_at;
   std::array<Bucket, kBuckets> m_buckets{};
--- a/libs/limits/include/sequoiastage/limits/slot_gate.h
+++ b/libs/limits/include/sequoiastage/limits/slot_gate.h
@@ -5,6 +5,7 @@
 #include <limits>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "sequoiastage/base/ids.h"
@@ -12,6 +13,7 @@
 #include "sequoiastage/base/time.h"
 #include "sequoiastage/limits/fair_shares.h"
 #include "sequoiastage/limits/rate_limiter.h"
+#include "sequoiastage/limits/starvation_guard.h"
 
 namespace sequoiastage {
 
@@ -40,6 +42,7 @@
   double m_service_time_weight = 0.1;
   FairSharesOptions m_fair_shares{};
   RateLimiterOptions m_rate_limiter{};
+  StarvationGuardOptions m_starvation{};
 };
 
 /// Requests that left the queue.
@@ -65,6 +68,8 @@
   uint64_t m_displaced = 0;
   uint64_t m_expired = 0;
   uint64_t m_cancelled = 0;
+  /// Started before more urgent requests because their account was starved.
+  uint64_t m_boosted = 0;
 };
 
 /// Admission control for one instance: a concurrency limit with a short queue.
@@ -80,6 +85,14 @@
 /// instances of a service, and calls that running requests depend on must not
 /// queue behind new requests.
 ///
+/// Calls of running requests go before all new requests. They wait for as long
+/// as their deadline allows, since a refused call ends the run that makes it.
+/// Load pattern: a called service is at capacity, and new requests would take
+/// the slots that the calls of running ones wait for.
+///
+/// With SetProtectsAccounts(), the requests of starved accounts count as the
+/// most urgent new ones; see StarvationGuard.
+///
 /// While a rate limit is set, a request also waits for a token of the
 /// RateLimiter, and the queue holds what the rate allows within the same time.
 class SlotGate {
@@ -88,12 +101,16 @@
 
   /// Starts, queues or refuses a request. `weight`: relative share of the
   /// account when slots are scarce; a value <= 0 counts as 1. `urgency`: 0 is
-  /// the most urgent.
+  /// the most urgent. `is_call`: sent by a running request.
   AdmissionResult Admit(TimePoint now,
                         TimePoint deadline,
                         AccountId account,
                         double weight = 1,
-                        uint8_t urgency = 0);
+                        uint8_t urgency = 0,
+                        bool is_call = false);
+
+  /// Whether starved accounts get precedence. Initially they don't.
+  void SetProtectsAccounts(bool protects);
 
   /// Releases the slot of a request. `is_service_time_sample`: whether to
   /// include its duration in the service time; false after a cancellation or a
@@ -130,12 +147,18 @@
   uint32_t Slots() const { return m_options.m_slots; }
   size_t Running() const { return m_running.size(); }
   size_t Queued() const { return m_queue.size(); }
+  size_t QueuedCalls() const;
+  /// Maximum number of queued requests before new ones are refused.
   size_t QueueLimit() const;
+  /// Number of accounts with precedence because they are starved.
+  size_t StarvedAccounts() const { return m_starvation.StarvedCount(); }
   Duration ServiceTime() const { return m_service_time; }
 
   /// Expected time until a request of this urgency, if admitted now, starts.
   /// Zero when a slot is free and the rate is not limited or not used up.
-  Duration ExpectedWait(TimePoint now, uint8_t urgency = UINT8_MAX) const;
+  Duration ExpectedWait(TimePoint now,
+                        uint8_t urgency = UINT8_MAX,
+                        bool is_call = false) const;
 
   const SlotGateStats& Stats() const { return m_stats; }
 
@@ -145,9 +168,13 @@
     AccountId m_account;
     double m_weight = 1;
     uint8_t m_urgency = 0;
+    bool m_is_call = false;
     TimePoint m_deadline;
   };
 
+  // Order of service; the least goes first.
+  using Rank = std::pair<bool, uint8_t>;
+
   struct RunningWork {
     AccountId m_account;
     TimePoint m_started;
@@ -157,19 +184,26 @@
   bool CanStart(TimePoint now) const {
     return HasFreeSlot() && m_rate.WaitTime(now) == Duration{};
   }
+  static Rank RankOf(bool is_call, uint8_t urgency) {
+    return {!is_call, urgency};
+  }
+  Rank RankOf(const QueuedWork& work) const;
+  bool MakeRoom(const QueuedWork& arrival, TimePoint now, GateChanges& changes);
   double WeightedUsage(const QueuedWork& work, TimePoint now) const;
   double WeightedDemand(const QueuedWork& work, TimePoint now) const;
   bool DisplaceLessUrgent(const QueuedWork& arrival, GateChanges& changes);
   bool DisplaceOtherAccount(const QueuedWork& arrival,
                             TimePoint now,
                             GateChanges& changes);
-  void Start(Ticket ticket, AccountId account, TimePoint now);
+  void Start(Ticket ticket, AccountId account, bool is_call, TimePoint now);
   void FillSlots(TimePoint now, GateChanges& changes);
   void RefuseExpired(TimePoint now, GateChanges& changes);
 
   SlotGateOptions m_options;
   FairShares m_shares;
   RateLimiter m_rate;
+  StarvationGuard m_starvation;
+  bool m_protects_accounts = false;
   Duration m_service_time;
   uint64_t m_next_ticket = 1;
   std::unordered_map<Ticket, RunningWork> m_running;
--- a/libs/limits/src/retry_allowance.cc
+++ b/libs/limits/src/retry_allowance.cc
@@ -13,21 +13,78 @@
 bool RetryAllowance::TryAcquire(TimePoint now,
                                 uint8_t urgency,
                                 ExtraAttempt kind) {
+  return TryAcquire(now, {.m_urgency = urgency, .m_kind = kind});
+}
+
+bool RetryAllowance::TryAcquire(TimePoint now,
+                                const ExtraAttemptRequest& request) {
   const Bucket sum = SumWindow(now);
+  const bool is_less_urgent =
+      !request.m_is_call && request.m_urgency > sum.m_urgency;
+  const bool is_limited_hedge =
+      !request.m_is_call && request.m_kind == ExtraAttempt::kHedge;
   const double allowed =
       m_options.m_used_share *
-      (urgency > sum.m_urgency ? m_options.m_less_urgent_share : 1) *
+      (is_less_urgent ? m_options.m_less_urgent_share : 1) *
       (m_options.m_ratio * sum.m_first_attempts + SlackShare(now));
-  const double available = kind == ExtraAttempt::kHedge
-                               ? m_options.m_max_hedge_share * allowed
-                               : allowed;
+  const double available =
+      is_limited_hedge ? m_options.m_max_hedge_share * allowed : allowed;
+  AccountUse* const account =
+      m_shares_by_account ? FindAccount(now, request) : nullptr;
+  if (account != nullptr) {
+    // At least one, so that accounts are not shut out when there are more of
+    // them than retries.
+    const double part = std::max(
+        1.0, allowed / static_cast<double>(std::max<size_t>(
+                           1, AskingAccounts(now, request.m_is_call))));
+    if (account->m_used + 1 > part) {
+      return false;
+    }
+  }
   if (sum.m_extra_attempts + 1 > available) {
     return false;
   }
   ++BucketAt(now).m_extra_attempts;
+  if (account != nullptr) {
+    account->m_used += 1;
+  }
   return true;
 }
 
+RetryAllowance::AccountUse* RetryAllowance::FindAccount(
+    TimePoint now,
+    const ExtraAttemptRequest& request) {
+  if (!m_accounts.contains(request.m_account) &&
+      m_accounts.size() >= m_options.m_max_accounts) {
+    std::erase_if(m_accounts, [&](const auto& item) {
+      return now - item.second.m_asked_at >= m_options.m_window;
+    });
+    if (m_accounts.size() >= m_options.m_max_accounts) {
+      return nullptr;
+    }
+  }
+  AccountUse& account = m_accounts[request.m_account];
+  if (now - account.m_window_start >= m_options.m_window) {
+    account.m_used = 0;
+    account.m_window_start = now;
+  }
+  account.m_asked_at = now;
+  if (request.m_is_call) {
+    account.m_call_asked_at = now;
+  }
+  return &account;
+}
+
+size_t RetryAllowance::AskingAccounts(TimePoint now, bool is_call) const {
+  return static_cast<size_t>(std::count_if(
+      m_accounts.begin(), m_accounts.end(), [&](const auto& item) {
+        const AccountUse& account = item.second;
+        const std::optional<TimePoint> asked_at =
+            is_call ? account.m_call_asked_at : account.m_asked_at;
+        return asked_at && now - *asked_at < m_options.m_window;
+      }));
+}
+
 double RetryAllowance::SlackShare(TimePoint now) const {
   if (m_instances == 0) {
     return 0;
--- a/libs/limits/src/slot_gate.cc
+++ b/libs/limits/src/slot_gate.cc
@@ -16,35 +16,37 @@
     : m_options(options),
       m_shares(options.m_fair_shares),
       m_rate(options.m_rate_limiter),
+      m_starvation(options.m_starvation),
       m_service_time(options.m_initial_service_time) {}
 
 AdmissionResult SlotGate::Admit(TimePoint now,
                                 TimePoint deadline,
                                 AccountId account,
                                 double weight,
-                                uint8_t urgency) {
+                                uint8_t urgency,
+                                bool is_call) {
+  if (m_protects_accounts && !is_call) {
+    m_starvation.OnAsked(account, now);
+  }
   AdmissionResult result{.m_decision = AdmissionDecision::kRefused,
                          .m_ticket = Ticket(m_next_ticket++),
                          .m_changes = {}};
   RefuseExpired(now, result.m_changes);
   FillSlots(now, result.m_changes);
   if (CanStart(now) && now < deadline) {
-    Start(result.m_ticket, account, now);
+    Start(result.m_ticket, account, is_call, now);
     result.m_decision = AdmissionDecision::kAdmitted;
     return result;
   }
-  if (now + ExpectedWait(now, urgency) + m_service_time > deadline) {
-    ++m_stats.m_refused;
-    return result;
-  }
   const QueuedWork arrival{.m_ticket = result.m_ticket,
                            .m_account = account,
                            .m_weight = weight > 0 ? weight : 1,
                            .m_urgency = urgency,
+                           .m_is_call = is_call,
                            .m_deadline = deadline};
-  if (m_queue.size() >= QueueLimit() &&
-      !DisplaceLessUrgent(arrival, result.m_changes) &&
-      !DisplaceOtherAccount(arrival, now, result.m_changes)) {
+  const Duration wait = ExpectedWait(now, RankOf(arrival).second, is_call);
+  if (now + wait + m_service_time > deadline ||
+      !MakeRoom(arrival, now, result.m_changes)) {
     ++m_stats.m_refused;
     return result;
   }
@@ -54,6 +56,45 @@
   return result;
 }
 
+void SlotGate::SetProtectsAccounts(bool protects) {
+  if (!protects) {
+    m_starvation = StarvationGuard(m_options.m_starvation);
+  }
+  m_protects_accounts = protects;
+}
+
+SlotGate::Rank SlotGate::RankOf(const QueuedWork& work) const {
+  const bool is_boosted = m_protects_accounts && !work.m_is_call &&
+                          m_starvation.IsStarved(work.m_account);
+  return RankOf(work.m_is_call, is_boosted ? uint8_t{0} : work.m_urgency);
+}
+
+// Whether there is room in the queue for `arrival`. Calls take the place of new
+// work above the limit; their own number is bounded by their deadlines and by
+// m_max_queued.
+bool SlotGate::MakeRoom(const QueuedWork& arrival,
+                        TimePoint now,
+                        GateChanges& changes) {
+  if (m_queue.size() < QueueLimit()) {
+    return true;
+  }
+  if (!arrival.m_is_call) {
+    return DisplaceLessUrgent(arrival, changes) ||
+           DisplaceOtherAccount(arrival, now, changes);
+  }
+  const bool has_new_work = QueuedCalls() < m_queue.size();
+  if (!has_new_work && m_queue.size() < m_options.m_max_queued) {
+    return true;
+  }
+  return DisplaceLessUrgent(arrival, changes);
+}
+
+size_t SlotGate::QueuedCalls() const {
+  return static_cast<size_t>(
+      std::count_if(m_queue.begin(), m_queue.end(),
+                    [](const QueuedWork& work) { return work.m_is_call; }));
+}
+
 GateChanges SlotGate::OnFinish(Ticket ticket,
                                TimePoint now,
                                bool is_service_time_sample) {
@@ -145,13 +186,16 @@
                   static_cast<size_t>(m_options.m_max_queued));
 }
 
-Duration SlotGate::ExpectedWait(TimePoint now, uint8_t urgency) const {
+Duration SlotGate::ExpectedWait(TimePoint now,
+                                uint8_t urgency,
+                                bool is_call) const {
   if (m_options.m_slots == 0) {
     return Duration::max() / 4;
   }
+  const Rank rank = RankOf(is_call, urgency);
   const auto queued_ahead = std::count_if(
       m_queue.begin(), m_queue.end(),
-      [urgency](const QueuedWork& work) { return work.m_urgency <= urgency; });
+      [this, rank](const QueuedWork& work) { return RankOf(work) <= rank; });
   const Duration slot_wait = HasFreeSlot()
                                  ? Duration{}
                                  : m_service_time * (queued_ahead + 1) /
@@ -182,16 +226,16 @@
          static_cast<double>(queued) * Seconds(m_service_time) / work.m_weight;
 }
 
-// Displaces the newest queued request of the lowest urgency, if `arrival` is
-// more urgent.
+// Displaces the newest queued request of the last rank, if `arrival` goes
+// before it.
 bool SlotGate::DisplaceLessUrgent(const QueuedWork& arrival,
                                   GateChanges& changes) {
   const auto victim =
       std::max_element(m_queue.begin(), m_queue.end(),
-                       [](const QueuedWork& a, const QueuedWork& b) {
-                         return a.m_urgency <= b.m_urgency;
+                       [this](const QueuedWork& a, const QueuedWork& b) {
+                         return RankOf(a) <= RankOf(b);
                        });
-  if (victim == m_queue.end() || victim->m_urgency <= arrival.m_urgency) {
+  if (victim == m_queue.end() || RankOf(*victim) <= RankOf(arrival)) {
     return false;
   }
   changes.m_refused.push_back(victim->m_ticket);
@@ -201,7 +245,7 @@
 }
 
 // Displaces the newest queued request of the account with the greatest weighted
-// demand among the other accounts at the arrival's urgency, if that demand is
+// demand among the other accounts at the arrival's rank, if that demand is
 // at least the arrival's.
 bool SlotGate::DisplaceOtherAccount(const QueuedWork& arrival,
                                     TimePoint now,
@@ -212,7 +256,7 @@
   for (auto work = m_queue.begin(); work != m_queue.end(); ++work) {
     const double demand = WeightedDemand(*work, now);
     if (work->m_account != arrival.m_account &&
-        work->m_urgency == arrival.m_urgency && demand >= max_demand) {
+        RankOf(*work) == RankOf(arrival) && demand >= max_demand) {
       victim = work;
       max_demand = demand;
     }
@@ -226,7 +270,13 @@
   return true;
 }
 
-void SlotGate::Start(Ticket ticket, AccountId account, TimePoint now) {
+void SlotGate::Start(Ticket ticket,
+                     AccountId account,
+                     bool is_call,
+                     TimePoint now) {
+  if (m_protects_accounts && !is_call) {
+    m_starvation.OnServed(account, now);
+  }
   m_running[ticket] = RunningWork{.m_account = account, .m_started = now};
   m_rate.OnStart(now);
   ++m_stats.m_admitted;
@@ -235,16 +285,20 @@
 void SlotGate::FillSlots(TimePoint now, GateChanges& changes) {
   while (CanStart(now) && !m_queue.empty()) {
     auto next = m_queue.begin();
+    Rank next_rank = RankOf(*next);
     double least_usage = WeightedUsage(*next, now);
     for (auto work = next + 1; work != m_queue.end(); ++work) {
       const double usage = WeightedUsage(*work, now);
-      if (work->m_urgency < next->m_urgency ||
-          (work->m_urgency == next->m_urgency && usage < least_usage)) {
+      const Rank rank = RankOf(*work);
+      if (rank < next_rank || (rank == next_rank && usage < least_usage)) {
         next = work;
+        next_rank = rank;
         least_usage = usage;
       }
     }
-    Start(next->m_ticket, next->m_account, now);
+    m_stats.m_boosted +=
+        next_rank == RankOf(next->m_is_call, next->m_urgency) ? 0 : 1;
+    Start(next->m_ticket, next->m_account, next->m_is_call, now);
     changes.m_started.push_back(next->m_ticket);
     m_queue.erase(next);
   }
