Let calls wait for capacity, and stop requests whose calls find none

Cause: a call that no instance took at once was refused, which ends the run that makes it after up to a second of work; and requests kept starting although a service they call had no capacity. Ruled out: stating the wait in the load report. It concerns one route, and an ingress counts an instance with a wait as full for all others. Change: the ingress offers a refused call again, in rounds of 50 ms, until its deadline; it reports how calls ended to its own egress, which refuses offers of a limited route as downstream-busy. Tagged offers carry the name of the route. Egress and ingress use the ranks of calls and accounts. All of it applies only where the configuration manages load.

--- a/libs/events/include/sequoiastage/events/explanation.h
+++ b/libs/events/include/sequoiastage/events/explanation.h
@@ -32,6 +32,8 @@
   /// The instances were draining or had just been replaced.
   kInstancesChanging,
   kRetryBudget,
+  /// A service that requests of the route call was short of capacity.
+  kDownstreamFull,
   kOutOfTime,
   /// An instance accepted no connection, reset it, or sent an incomplete or
   /// malformed response.
--- a/libs/events/src/explanation.cc
+++ b/libs/events/src/explanation.cc
@@ -122,6 +122,7 @@
         std::pair("suspect", FailureCause::kInstancesHeld),
         std::pair("draining", FailureCause::kInstancesChanging),
         std::pair("retry-budget", FailureCause::kRetryBudget),
+        std::pair("downstream-busy", FailureCause::kDownstreamFull),
         std::pair("connect-failed", FailureCause::kBrokenResponse),
         std::pair("link-lost", FailureCause::kPathsCut)}) {
     if (counts[reason] > most.second) {
@@ -218,6 +219,9 @@
              "the request was refused.";
     case FailureCause::kRetryBudget:
       return "The retry budget of the service was used up.";
+    case FailureCause::kDownstreamFull:
+      return "A service that the request would call was short of capacity; the "
+             "request was refused.";
     case FailureCause::kOutOfTime:
       return "The caller's deadline passed before an instance could run the "
              "request.";
@@ -428,6 +432,8 @@
       return "instances-changing";
     case FailureCause::kRetryBudget:
       return "retry-budget";
+    case FailureCause::kDownstreamFull:
+      return "downstream-full";
     case FailureCause::kOutOfTime:
       return "out-of-time";
     case FailureCause::kBrokenResponse:
--- a/libs/events/src/mesh_events.cc
+++ b/libs/events/src/mesh_events.cc
@@ -138,6 +138,18 @@
                     {"per_s",
                      "requests per second that it accepts from all hosts "
                      "together, or none"}}},
+      {.m_name = "route_limited",
+       .m_level = kInfo,
+       .m_help = "a service that requests of the route call is short of "
+                 "capacity; this node limits how many of them run",
+       .m_fields = {{"route", "limited route"},
+                    {"service", "service whose calls were refused or delayed"},
+                    {"limit", "requests that may run at this node's instance"},
+                    {"running", "requests that run now"}}},
+      {.m_name = "route_unlimited",
+       .m_level = kInfo,
+       .m_help = "the limit of a route is lifted",
+       .m_fields = {{"route", "route that was limited"}}},
       {.m_name = "instance_statement_invalid",
        .m_level = kWarn,
        .m_help = "a response states something about its instance that can't be "
--- a/libs/events/src/trail.cc
+++ b/libs/events/src/trail.cc
@@ -49,7 +49,7 @@
 }
 
 std::string_view DescribeReason(std::string_view reason) {
-  constexpr std::array<std::pair<std::string_view, std::string_view>, 17>
+  constexpr std::array<std::pair<std::string_view, std::string_view>, 18>
       kDescriptions = {{
           {"busy", "the instance was full and its queue too long"},
           {"suspect", "the instance was held after failures"},
@@ -57,6 +57,8 @@
           {"instance-left", "the instance was leaving or had left"},
           {"unknown-instance", "the node had another instance, or none"},
           {"retry-budget", "the retry budget was used up"},
+          {"downstream-busy",
+           "a service that the request would call was short of capacity"},
           {"past-deadline",
            "too little time was left until the caller's deadline"},
           {"shed", "the instance refused to run the request"},
--- a/libs/limits/include/sequoiastage/limits/downstream_gate.h
+++ b/libs/limits/include/sequoiastage/limits/downstream_gate.h
@@ -99,7 +99,10 @@
   /// A request of `route` was admitted. Returns whether it is counted; if so,
   /// OnEnd() must follow.
   bool OnStart(std::string_view route, TimePoint now);
-  void OnEnd(std::string_view route, Duration took, TimePoint now);
+  /// `took`: time that the request ran; empty when it did not run.
+  void OnEnd(std::string_view route,
+             std::optional<Duration> took,
+             TimePoint now);
 
   /// A request of `route` made a call to `service` that has ended.
   void OnCall(std::string_view route,
@@ -110,6 +113,9 @@
   /// Forgets all limits and what was learned; running requests stay counted.
   void Reset();
 
+  /// Running requests that the route may have; empty when it is not limited.
+  std::optional<double> Limit(std::string_view route) const;
+
   /// Calls per request of `route` to `service`; 0 when it is not known.
   double CallsPerRequest(std::string_view route, ServiceId service) const;
 
--- a/libs/limits/src/downstream_gate.cc
+++ b/libs/limits/src/downstream_gate.cc
@@ -57,16 +57,19 @@
 }
 
 void DownstreamGate::OnEnd(std::string_view name,
-                           Duration took,
+                           std::optional<Duration> took,
                            TimePoint now) {
   const auto found = m_routes.find(name);
   if (found == m_routes.end() || found->second.m_running == 0) {
     return;
   }
-  constexpr int64_t kWeight = 8;
   Route& route = found->second;
   route.m_running -= 1;
-  route.m_run_time += (took - route.m_run_time) / kWeight;
+  if (!took) {
+    return;
+  }
+  constexpr int64_t kWeight = 8;
+  route.m_run_time += (*took - route.m_run_time) / kWeight;
   if (route.m_limit && *route.m_limit < 1) {
     const double pauses = 1 / *route.m_limit - 1;
     route.m_paused_until =
@@ -118,6 +121,11 @@
   }
 }
 
+std::optional<double> DownstreamGate::Limit(std::string_view name) const {
+  const auto found = m_routes.find(name);
+  return found == m_routes.end() ? std::nullopt : found->second.m_limit;
+}
+
 double DownstreamGate::CallsPerRequest(std::string_view name,
                                        ServiceId service) const {
   const auto found = m_routes.find(name);
--- a/libs/limits/tests/downstream_load.h
+++ b/libs/limits/tests/downstream_load.h
@@ -215,9 +215,7 @@
       Offer(
           host, request->m_deadline, false,
           [this, request](Ticket ticket) { Begin(request, ticket); },
-          [this, &host] {
-            host.m_downstream.OnEnd(kRoute, Duration{}, m_now);
-          });
+          [this, &host] { host.m_downstream.OnEnd(kRoute, {}, m_now); });
       return;
     }
   }
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -17,6 +17,7 @@
 #include "sequoiastage/config/traffic_config.h"
 #include "sequoiastage/health/instance_hold.h"
 #include "sequoiastage/http/exchange_connection.h"
+#include "sequoiastage/limits/downstream_gate.h"
 #include "sequoiastage/limits/retry_allowance.h"
 #include "sequoiastage/limits/slot_gate.h"
 #include "sequoiastage/logging/log_event.h"
@@ -62,6 +63,7 @@
   /// limits its load, it gets at most m_unproven_slots requests at a time.
   bool m_adopts_instance = false;
   uint32_t m_unproven_slots = 2;
+  DownstreamGateOptions m_downstream{};
 };
 
 /// A request that the instance is executing, as far as it concerns the calls
@@ -71,6 +73,16 @@
   uint8_t m_urgency = 0;
   /// The parent is a retry or hedge.
   bool m_is_extra_attempt = false;
+  /// Route of the parent; empty when it is a call itself.
+  std::string m_route{};
+};
+
+/// End of a call that this host's instance made while it ran a request.
+struct CallEnd {
+  /// Route of the request.
+  std::string m_route;
+  ServiceId m_service;
+  CallResult m_result = CallResult::kServed;
 };
 
 struct EgressStats {
@@ -80,6 +92,14 @@
   uint64_t m_holds = 0;
   uint64_t m_connections = 0;
   uint64_t m_quarantined = 0;
+  /// Refused because a service that they call is short of capacity.
+  uint64_t m_downstream_refused = 0;
+  /// Started before more urgent requests because their account was starved.
+  uint64_t m_boosted = 0;
+  /// Current values.
+  size_t m_queued_calls = 0;
+  size_t m_starved_accounts = 0;
+  std::vector<LimitedRoute> m_limited_routes{};
 };
 
 /// Admission control for the instance on this host: decides which offers run,
@@ -139,6 +159,9 @@
   /// instance was executing at that time is then no evidence against it.
   void OnLocalFailure() { m_last_local_failure_at = BootNow(); }
 
+  /// Called when a call that the instance made has ended.
+  void OnCallEnd(const CallEnd& end);
+
   /// The request that the instance is executing and that sent the request with
   /// this id: calls of instances extend the id of the request that makes them
   /// by a dot and more. Empty when there is none.
@@ -146,7 +169,7 @@
 
   /// Number of accepted offers that are not completed.
   size_t WorkCount() const { return m_work.size(); }
-  const EgressStats& Stats() const { return m_stats; }
+  EgressStats Stats() const;
   /// Duration of attempts at the instance, from start to completion.
   const LatencyBuckets& Latency() const { return m_latency; }
   EgressLoadReport CurrentLoad() const;
@@ -168,6 +191,8 @@
     Phase m_phase = Phase::kQueued;
     Ticket m_ticket;
     bool m_is_trial = false;
+    // Counted by the DownstreamGate.
+    bool m_is_counted = false;
     bool m_is_detached = false;
     TimePoint m_deadline{};
     // End of the time for which the granted slot waits for the start message.
@@ -197,6 +222,16 @@
   };
 
   AttemptReason CheckOffer(const OfferMessage& offer, TimePoint now);
+  // Time until a request of the offer's route may start; empty when the
+  // services that it calls have capacity.
+  std::optional<Duration> DownstreamWait(const OfferMessage& offer,
+                                         TimePoint now);
+  void SetManagesLoad(bool manages);
+  void CountDownstreamStart(Work& work, TimePoint now);
+  void CountDownstreamEnd(Work& work, TimePoint now);
+  void LogLimitChange(std::string_view route,
+                      bool was_limited,
+                      std::string_view service);
   void Refuse(const Key& key,
               const OfferMessage& offer,
               AttemptReason reason,
@@ -248,6 +283,8 @@
   ServiceId m_service;
   std::shared_ptr<const TrafficConfig> m_config;
   PrefixRoutes m_routes;
+  // TrafficConfig::ManagesLoad() of m_config.
+  bool m_manages_load = false;
   bool m_is_draining = false;
   // While pending work is being refused, the slots it frees start no other
   // work.
@@ -256,6 +293,9 @@
   asio::steady_timer m_gate_timer;
   InstanceHold m_hold;
   RetryAllowance m_retry_budget;
+  DownstreamGate m_downstream;
+  // Wait of the offer that CheckOffer() refused last as kDownstreamBusy.
+  Duration m_downstream_wait{};
   TimePoint m_shed_until{};
   // Whether a limit that the instance states would be known.
   bool m_is_proven;
@@ -290,6 +330,7 @@
 
 #include "sequoiastage/mesh/egress_crash_inl.h"
 #include "sequoiastage/mesh/egress_inl.h"
+#include "sequoiastage/mesh/egress_sharing_inl.h"
 #include "sequoiastage/mesh/egress_work_inl.h"
 
 #endif  // SEQUOIASTAGE_MESH_EGRESS_H_
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -33,6 +33,7 @@
       m_gate_timer(io),
       m_hold(options.m_hold),
       m_retry_budget(options.m_retry_budget),
+      m_downstream(options.m_downstream),
       m_is_proven(!options.m_adopts_instance) {
   if (options.m_adopts_instance) {
     m_retry_budget.OnRestart(BootNow());
@@ -83,6 +84,7 @@
 void Egress<Codec>::SetConfig(std::shared_ptr<const TrafficConfig> config) {
   m_config = std::move(config);
   m_routes = PrefixRoutes(m_config->m_routes);
+  SetManagesLoad(m_config->ManagesLoad());
 }
 
 template <PlatformCodec Codec>
@@ -150,9 +152,14 @@
   }
   if (!offer.m_may_wait &&
       (now < m_shed_until ||
-       m_gate.ExpectedWait(now, offer.m_urgency) > Duration{})) {
+       m_gate.ExpectedWait(now, offer.m_urgency, offer.m_is_call) >
+           Duration{})) {
     return AttemptReason::kBusy;
   }
+  if (const auto wait = DownstreamWait(offer, now)) {
+    m_downstream_wait = *wait;
+    return AttemptReason::kDownstreamBusy;
+  }
   // The last free slot, and the rate of an instance that limits it, are
   // reserved for requests that are not running elsewhere.
   if (offer.m_is_hedge &&
@@ -161,8 +168,11 @@
   }
   if (offer.m_is_extra_attempt &&
       !m_retry_budget.TryAcquire(
-          now, offer.m_urgency,
-          offer.m_is_hedge ? ExtraAttempt::kHedge : ExtraAttempt::kRetry)) {
+          now, {.m_urgency = offer.m_urgency,
+                .m_kind = offer.m_is_hedge ? ExtraAttempt::kHedge
+                                           : ExtraAttempt::kRetry,
+                .m_is_call = offer.m_is_call,
+                .m_account = offer.m_share_account})) {
     return AttemptReason::kRetryBudget;
   }
   return AttemptReason::kNone;
@@ -181,10 +191,15 @@
       .Add("running", static_cast<int64_t>(m_gate.Running()))
       .Add("queued", static_cast<int64_t>(m_gate.Queued()))
       .Add("hold_ms", static_cast<int64_t>(CurrentLoad().m_hold_ms));
+  EgressLoadReport load = CurrentLoad();
+  if (reason == AttemptReason::kDownstreamBusy) {
+    ++m_stats.m_downstream_refused;
+    load.m_expected_wait_ms = ToWireMs<uint16_t>(m_downstream_wait);
+  }
   reply(OfferReplyMessage{.m_attempt = key.second,
                           .m_verdict = OfferVerdict::kRefused,
                           .m_reason = reason,
-                          .m_load_report = CurrentLoad()});
+                          .m_load_report = load});
 }
 
 template <PlatformCodec Codec>
@@ -206,7 +221,7 @@
   work->m_is_trial = m_hold.StateAt(now) == HoldState::kTrial;
   const AdmissionResult admission =
       m_gate.Admit(now, work->m_deadline, work->m_offer.m_share_account, 1,
-                   work->m_offer.m_urgency);
+                   work->m_offer.m_urgency, work->m_offer.m_is_call);
   work->m_ticket = admission.m_ticket;
   if (admission.m_decision == AdmissionDecision::kRefused) {
     ApplyGateChanges(admission.m_changes);
@@ -215,6 +230,7 @@
   }
   m_work[key] = work;
   m_by_ticket[work->m_ticket] = work;
+  CountDownstreamStart(*work, now);
   m_trial_count += work->m_is_trial ? 1 : 0;
   ApplyGateChanges(admission.m_changes);
   if (admission.m_decision == AdmissionDecision::kAdmitted) {
@@ -340,7 +356,8 @@
     parent = ParentRequest{
         .m_share_account = offer.m_share_account,
         .m_urgency = offer.m_urgency,
-        .m_is_extra_attempt = is_extra || offer.m_is_extra_attempt};
+        .m_is_extra_attempt = is_extra || offer.m_is_extra_attempt,
+        .m_route = offer.m_route};
   }
   return parent;
 }
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -310,6 +310,7 @@
   work->m_timer.cancel();
   m_work.erase(work->m_key);
   m_by_ticket.erase(work->m_ticket);
+  CountDownstreamEnd(*work, BootNow());
   m_trial_count -= work->m_is_trial ? 1 : 0;
   work->m_is_trial = false;
   if (!m_gate.CancelQueued(work->m_ticket)) {
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -50,6 +51,18 @@
   /// Bounds of the Retry-After field, before it is spread.
   Duration m_min_retry_after = std::chrono::milliseconds(100);
   Duration m_max_retry_after = std::chrono::seconds(2);
+  /// The request fails after this many egresses have refused it because the
+  /// services that it calls are short: the egresses of a service learn alike.
+  uint32_t m_max_downstream_refusals = 3;
+  /// Pause before a call that no instance took is offered again, and maximum
+  /// number of such rounds.
+  Duration m_call_pause = std::chrono::milliseconds(50);
+  uint32_t m_max_call_rounds = 100;
+  /// No further round with less time left: a call needs time to run.
+  Duration m_min_call_time = std::chrono::milliseconds(20);
+  /// A call that waits for more than this part of its time counts as delayed.
+  /// With higher values a request with several calls runs out of time.
+  double m_delayed_call_part = 0.125;
 };
 
 struct IngressStats {
@@ -64,6 +77,10 @@
   uint64_t m_unauthorized = 0;
   /// Ended because the request crashes instances.
   uint64_t m_quarantined = 0;
+  /// Calls of running requests that ended for lack of capacity.
+  uint64_t m_calls_refused = 0;
+  /// Current number of calls that wait to be offered again.
+  size_t m_calls_paused = 0;
 };
 
 /// Receives callers' requests and executes each on an instance of its service.
@@ -81,6 +98,8 @@
     std::function<std::optional<ParentRequest>(std::string_view)> m_find_parent;
     /// Age of the node's copy of the store.
     std::function<Duration()> m_knowledge_age;
+    /// A call of this host's instance has ended.
+    std::function<void(const CallEnd&)> m_on_call_end = [](const CallEnd&) {};
   };
 
   Ingress(asio::io_context& io,
@@ -105,7 +124,11 @@
   void FailAll(std::string_view cause);
 
   size_t RequestCount() const { return m_request_count; }
-  const IngressStats& Stats() const { return m_stats; }
+  IngressStats Stats() const {
+    IngressStats stats = m_stats;
+    stats.m_calls_paused = m_paused_calls.size();
+    return stats;
+  }
   /// Histograms of the time from arrival to completion, by outcome.
   std::vector<MetricSample> Latencies() const;
 
@@ -142,7 +165,7 @@
   // State of a caller's request until its response.
   struct Call {
     explicit Call(asio::io_context& io)
-        : m_deadline_timer(io), m_hedge_timer(io) {}
+        : m_deadline_timer(io), m_hedge_timer(io), m_round_timer(io) {}
 
     HttpRequest m_request;
     std::string m_id;
@@ -154,8 +177,16 @@
     // Account that the request's slot time is charged to.
     AccountId m_share_account;
     uint8_t m_urgency = 0;
-    // Sent by an instance while it executes another request.
+    // Sent by an instance while it executes another request, and the route of
+    // that request; empty when it is a call itself.
     bool m_is_call = false;
+    std::string m_parent_route;
+    uint32_t m_rounds = 0;
+    // TrafficConfig::ManagesLoad() of m_config.
+    bool m_manages_load = false;
+    uint32_t m_downstream_refusals = 0;
+    // Shortest wait stated with these refusals.
+    Duration m_downstream_wait = Duration::max();
     ServiceId m_service;
     Placement m_placement;
     std::map<AttemptNumber, Attempt> m_attempts;
@@ -184,6 +215,7 @@
     TimePoint m_deadline{};
     asio::steady_timer m_deadline_timer;
     asio::steady_timer m_hedge_timer;
+    asio::steady_timer m_round_timer;
   };
 
   ServiceId PickService(const TrafficRoute& route);
@@ -196,6 +228,15 @@
   // Sets the account and rank of a new request.
   void ClassifyCall(Call& call, const ClientAccount* account);
   void OfferToNextTarget(const CallPtr& call);
+  // Schedules another round of offers for a call that no instance took. Returns
+  // whether it did.
+  bool StartPause(const CallPtr& call);
+  // Reports the end of a call as far as it tells the capacity of its service.
+  void ReportCall(const Call& call, CallResult result);
+  void ReportServedCall(const Call& call);
+  void ReportFailedCall(const Call& call);
+  // Placement rules for the request.
+  PlacementOptions PlacementFor(const Call& call) const;
   // Called after an attempt that may have been executed.
   void RetryOrFail(const CallPtr& call, std::string_view cause);
   void SendOffer(const CallPtr& call,
@@ -253,6 +294,10 @@
   std::shared_ptr<const TrafficConfig> m_config;
   PrefixRoutes m_routes;
   AccountTable m_accounts;
+  // TrafficConfig::ManagesLoad() of m_config.
+  bool m_manages_load = false;
+  // Calls without an attempt, until their next round of offers.
+  std::set<CallPtr> m_paused_calls;
   std::unordered_map<std::string, SplitPicker> m_splits;
   std::unordered_map<AttemptNumber, CallPtr> m_calls_by_attempt;
   std::unordered_map<NodeId, Incarnation> m_incarnations;
@@ -268,6 +313,7 @@
 }  // namespace sequoiastage
 
 #include "sequoiastage/mesh/ingress_attempts_inl.h"
+#include "sequoiastage/mesh/ingress_calls_inl.h"
 #include "sequoiastage/mesh/ingress_inl.h"
 
 #endif  // SEQUOIASTAGE_MESH_INGRESS_H_
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -150,7 +150,12 @@
   const auto* reply = std::get_if<OfferReplyMessage>(&message);
   auto* outcome = std::get_if<OutcomeMessage>(&message);
   if (reply != nullptr) {
-    m_targets.UpdateLoad(node, reply->m_load_report, now);
+    EgressLoadReport load = reply->m_load_report;
+    if (reply->m_reason == AttemptReason::kDownstreamBusy) {
+      // That wait concerns one route only.
+      load.m_expected_wait_ms = 0;
+    }
+    m_targets.UpdateLoad(node, load, now);
     number = reply->m_attempt;
   } else if (outcome != nullptr) {
     m_targets.UpdateLoad(node, outcome->m_load_report, now);
@@ -221,6 +226,9 @@
       std::chrono::milliseconds(reply.m_load_report.m_expected_wait_ms);
   const Duration hold =
       std::chrono::milliseconds(reply.m_load_report.m_hold_ms);
+  if (reply.m_reason == AttemptReason::kDownstreamBusy) {
+    call->m_downstream_wait = std::min(call->m_downstream_wait, wait);
+  }
   call->m_shortest_wait = std::min(call->m_shortest_wait, std::max(wait, hold));
   PlacementRefusal refusal = PlacementRefusal::kFinal;
   if (reply.m_reason == AttemptReason::kBusy) {
@@ -242,6 +250,13 @@
     }
     return;
   }
+  if (reply.m_reason == AttemptReason::kDownstreamBusy && !was_hedge &&
+      ++call->m_downstream_refusals >= m_options.m_max_downstream_refusals) {
+    if (call->m_attempts.empty()) {
+      Fail(call, "a called service is short");
+    }
+    return;
+  }
   ContinueAfterRefusal(call, was_hedge);
 }
 
@@ -306,6 +321,7 @@
                                 NodeId node) {
   if (response.m_status >= ingress_detail::kFirstServerError &&
       call->m_route->m_is_idempotent) {
+    ReportServedCall(*call);
     // A later attempt may succeed; otherwise this response is returned.
     call->m_fallback_response = std::move(response);
     RetryOrFail(call, "every attempt ended with a server error");
@@ -322,6 +338,7 @@
       .Add("waited_ms",
            WholeMs(call->m_first_started_at.value_or(now) - call->m_received))
       .Add("took_ms", WholeMs(now - call->m_received));
+  ReportServedCall(*call);
   ++m_stats.m_answered;
   FinishWithOutcome(call, m_answered_latency, std::move(response));
 }
--- /dev/null
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
@@ -0,0 +1,98 @@
+#ifndef SEQUOIASTAGE_MESH_INGRESS_CALLS_INL_H_
+#define SEQUOIASTAGE_MESH_INGRESS_CALLS_INL_H_
+
+// Requests that an instance sends while it runs another one. A refused call
+// ends the run that makes it, so it waits for capacity as long as its deadline
+// allows.
+
+#include <chrono>
+#include <utility>
+
+#include "sequoiastage/mesh/ingress.h"
+#include "sequoiastage/mesh/ingress_inl.h"
+
+namespace sequoiastage {
+
+template <PlatformCodec Codec>
+PlacementOptions Ingress<Codec>::PlacementFor(const Call& call) const {
+  PlacementOptions options = m_options.m_placement;
+  options.m_spreads_queues = call.m_manages_load;
+  return options;
+}
+
+template <PlatformCodec Codec>
+bool Ingress<Codec>::StartPause(const CallPtr& call) {
+  const bool can_run = CanRetry(*call) ||
+                       (call->m_start_count == 0 && !call->m_may_have_executed);
+  if (!call->m_is_call || !can_run || call->m_fallback_response ||
+      call->m_rounds >= m_options.m_max_call_rounds ||
+      FindCandidates(*call).empty()) {
+    return false;
+  }
+  std::uniform_real_distribution<double> spread(0.5, 1.5);
+  const auto pause = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(m_options.m_call_pause) * spread(m_random));
+  if (BootNow() + pause + m_options.m_min_call_time >= call->m_deadline) {
+    return false;
+  }
+  ++call->m_rounds;
+  m_paused_calls.insert(call);
+  call->m_round_timer.expires_after(pause);
+  call->m_round_timer.async_wait(
+      [this, weak = std::weak_ptr(call)](const asio::error_code& error) {
+        const CallPtr self = weak.lock();
+        if (error || !self || self->m_is_done) {
+          return;
+        }
+        m_paused_calls.erase(self);
+        self->m_placement.StartRound();
+        OfferToNextTarget(self);
+      });
+  return true;
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::ReportCall(const Call& call, CallResult result) {
+  if (!call.m_parent_route.empty()) {
+    m_hooks.m_on_call_end({.m_route = call.m_parent_route,
+                           .m_service = call.m_service,
+                           .m_result = result});
+  }
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::ReportServedCall(const Call& call) {
+  if (!call.m_is_call || !call.m_first_started_at) {
+    return;
+  }
+  const std::chrono::duration<double> waited =
+      *call.m_first_started_at - call.m_received;
+  const bool is_delayed = waited > m_options.m_delayed_call_part *
+                                       (call.m_deadline - call.m_received);
+  ReportCall(call, is_delayed ? CallResult::kDelayed : CallResult::kServed);
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::ReportFailedCall(const Call& call) {
+  if (!call.m_is_call) {
+    return;
+  }
+  switch (call.m_last_reason) {
+    // Without a reason it was queued until its deadline.
+    case AttemptReason::kNone:
+    case AttemptReason::kBusy:
+    case AttemptReason::kPastDeadline:
+    case AttemptReason::kShed:
+      if (!FindCandidates(call).empty()) {
+        ++m_stats.m_calls_refused;
+        ReportCall(call, CallResult::kRefused);
+      }
+      return;
+    default:
+      return;
+  }
+}
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_MESH_INGRESS_CALLS_INL_H_
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -40,6 +40,7 @@
   m_config = std::move(config);
   m_routes = PrefixRoutes(m_config->m_routes);
   m_accounts = AccountTable(m_config->m_accounts);
+  m_manages_load = m_config->ManagesLoad();
   m_splits.clear();
 }
 
@@ -107,11 +108,13 @@
   call.m_is_call_of_retry = parent && parent->m_is_extra_attempt;
   call.m_urgency = call.m_route->m_urgency;
   call.m_account = account;
+  call.m_manages_load = m_manages_load;
   if (account != nullptr) {
     call.m_share_account = MakeAccountId(account->m_name);
     call.m_urgency = account->m_urgency.value_or(call.m_urgency);
-  } else if (parent && m_config->ManagesLoad()) {
+  } else if (parent && m_manages_load) {
     call.m_is_call = true;
+    call.m_parent_route = parent->m_route;
     call.m_share_account = parent->m_share_account;
     call.m_urgency = parent->m_urgency;
   }
@@ -140,7 +143,7 @@
   call->m_route = route;
   ClassifyCall(*call, account);
   call->m_service = PickService(*route);
-  call->m_placement = Placement(m_options.m_placement);
+  call->m_placement = Placement(PlacementFor(*call));
   call->m_received = now;
   call->m_deadline =
       now + std::min(route->m_timeout,
@@ -210,7 +213,7 @@
           call->m_placement.Next(FindCandidates(*call), m_random, allows_trial,
                                  call->m_deadline - BootNow())) {
     SendOffer(call, *step);
-  } else if (call->m_attempts.empty()) {
+  } else if (call->m_attempts.empty() && !StartPause(call)) {
     Fail(call, "no instance takes it");
   }
 }
@@ -301,15 +304,17 @@
       .m_request_id = call->m_id,
       .m_account = call->m_account == nullptr ? "" : call->m_account->m_name,
       .m_share_account = call->m_share_account,
-      .m_is_call = call->m_is_call};
+      .m_is_call = call->m_is_call,
+      .m_route = call->m_manages_load && !call->m_is_call
+                     ? call->m_route->m_name
+                     : ""};
   if (attempt.m_starts_at_once) {
     offer.m_request = call->m_request;
   }
   StartReplyTimer(call, attempt);
-  const bool is_tagged =
-      offer.m_share_account != AccountId() || offer.m_is_call;
-  if (!SendTo(node, is_tagged ? Message(TaggedOfferMessage{std::move(offer)})
-                              : Message(std::move(offer)))) {
+  if (!SendTo(node, call->m_manages_load
+                        ? Message(TaggedOfferMessage{std::move(offer)})
+                        : Message(std::move(offer)))) {
     RemoveAttempt(call, number);
     call->m_placement.OnRefused(step.m_key, PlacementRefusal::kFinal, {});
     asio::post(
@@ -336,9 +341,13 @@
   }
   // Not before the shortest queue or hold ends. The random factor spreads the
   // retries of callers that were refused at the same time.
-  const Duration earliest =
+  const Duration shortest =
       std::clamp(call.m_shortest_wait, m_options.m_min_retry_after,
                  m_options.m_max_retry_after);
+  const Duration earliest = call.m_downstream_refusals == 0
+                                ? shortest
+                                : std::clamp(call.m_downstream_wait, shortest,
+                                             m_options.m_max_retry_after);
   std::uniform_real_distribution<double> spread(1, 2);
   const double seconds =
       std::chrono::duration<double>(earliest).count() * spread(m_random);
@@ -371,12 +380,13 @@
     return;
   }
   ++m_stats.m_not_run;
+  ReportFailedCall(*call);
   FinishWithOutcome(call, m_not_run_latency, BuildRefusal(*call));
 }
 
 template <PlatformCodec Codec>
 void Ingress<Codec>::FailAll(std::string_view cause) {
-  std::set<CallPtr> calls;
+  std::set<CallPtr> calls = m_paused_calls;
   for (const auto& [number, call] : m_calls_by_attempt) {
     calls.insert(call);
   }
@@ -453,6 +463,7 @@
   call->m_is_done = true;
   call->m_deadline_timer.cancel();
   call->m_hedge_timer.cancel();
+  m_paused_calls.erase(call);
   --m_request_count;
   WithdrawAll(call);
   if (response.m_status >= ingress_detail::kFirstServerError) {
@@ -469,6 +480,7 @@
   call->m_is_done = true;
   call->m_deadline_timer.cancel();
   call->m_hedge_timer.cancel();
+  m_paused_calls.erase(call);
   --m_request_count;
   ++m_stats.m_cancelled;
   LogEvent(LogLevel::kDebug, "caller_left").Add("request", call->m_id);
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -136,7 +136,9 @@
            .m_on_failure = [this] { m_egress.OnLocalFailure(); },
            .m_find_parent =
                [this](std::string_view id) { return m_egress.FindParent(id); },
-           .m_knowledge_age = [this] { return KnowledgeAge(BootNow()); }}),
+           .m_knowledge_age = [this] { return KnowledgeAge(BootNow()); },
+           .m_on_call_end =
+               [this](const CallEnd& end) { m_egress.OnCallEnd(end); }}),
       m_reader(
           io,
           store,
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -27,6 +27,15 @@
     AddSample(name, help, MetricType::kGauge, value, {});
   }
 
+  void AddLabelledGauge(const std::string& name,
+                        const std::string& help,
+                        const std::string& label,
+                        const std::string& label_value,
+                        double value) {
+    AddSample(name, help, MetricType::kGauge, value,
+              {{.m_name = label, .m_value = label_value}});
+  }
+
   // Adds one sample for each label value.
   void AddLabelled(
       const std::string& name,
@@ -132,6 +141,30 @@
       "stated_limit_per_second",
       "Requests per second that the instance accepts; -1 when not limited.",
       metrics.m_stated_limit ? metrics.m_stated_limit->Get() : -1);
+  families.AddCounter("calls_refused_total",
+                      "Calls of the instance that ended for lack of capacity.",
+                      ingress.m_calls_refused);
+  families.AddGauge("calls_paused",
+                    "Calls of the instance that wait to be offered again.",
+                    static_cast<double>(ingress.m_calls_paused));
+  families.AddGauge("queued_calls",
+                    "Calls of running requests that wait for a slot.",
+                    static_cast<double>(egress.m_queued_calls));
+  families.AddGauge("starved_accounts",
+                    "Accounts with precedence because they were served rarely.",
+                    static_cast<double>(egress.m_starved_accounts));
+  families.AddCounter("boosted_total", "Requests started early for that.",
+                      egress.m_boosted);
+  families.AddCounter(
+      "downstream_refused_total",
+      "Offers refused because a service that they call is short of capacity.",
+      egress.m_downstream_refused);
+  for (const LimitedRoute& limited : egress.m_limited_routes) {
+    families.AddLabelledGauge(
+        "route_limit",
+        "Requests of a route that may run; absent when it is not limited.",
+        "route", limited.m_route, limited.m_limit);
+  }
   families.AddGauge("members", "Nodes known.",
                     static_cast<double>(metrics.m_members));
   families.AddGauge("crash_reports",
--- a/libs/routing/include/sequoiastage/routing/placement.h
+++ b/libs/routing/include/sequoiastage/routing/placement.h
@@ -53,6 +53,10 @@
   uint32_t m_max_queue_offers = 3;
   /// Maximum number of offers to held instances.
   uint32_t m_max_held_offers = 2;
+  /// Draw among queues whose wait is equal or unknown, instead of taking the
+  /// first. Otherwise the requests that enter at one host meet in the same
+  /// queues and their accounts get the fair shares of these alone.
+  bool m_spreads_queues = false;
 };
 
 struct PlacementDecision {
@@ -117,6 +121,10 @@
                  PlacementRefusal refusal,
                  Duration expected_wait);
 
+  /// Starts over with the instances that refused the request, except those that
+  /// can't be used for it anymore. For requests that wait for capacity.
+  void StartRound();
+
   /// The instance may have started to execute the request, so that it is not
   /// selected again.
   void OnMaybeStarted(CandidateKey key);
@@ -139,7 +147,8 @@
       std::mt19937_64& random) const;
   const PlacementCandidate* FindShortestQueue(
       const std::vector<PlacementCandidate>& candidates,
-      Duration limit) const;
+      Duration limit,
+      std::mt19937_64& random) const;
   const PlacementCandidate* FindHeld(
       const std::vector<PlacementCandidate>& candidates) const;
 
--- a/libs/routing/src/placement.cc
+++ b/libs/routing/src/placement.cc
@@ -34,7 +34,8 @@
           FindFreeSlot(candidates, false, prefer_trial, random)) {
     return PlacementDecision{.m_key = local->m_key};
   }
-  const auto* queue = FindShortestQueue(candidates, m_options.m_max_local_wait);
+  const auto* queue =
+      FindShortestQueue(candidates, m_options.m_max_local_wait, random);
   if (queue == nullptr && m_remote_offers < m_options.m_max_remote_offers &&
       time_left >= m_options.m_min_remote_time) {
     if (const auto* remote = FindFreeSlot(candidates, true, false, random)) {
@@ -43,7 +44,7 @@
     }
   }
   if (queue == nullptr) {
-    queue = FindShortestQueue(candidates, Duration::max());
+    queue = FindShortestQueue(candidates, Duration::max(), random);
   }
   if (queue != nullptr && m_queue_offers < m_options.m_max_queue_offers) {
     ++m_queue_offers;
@@ -93,6 +94,14 @@
   }
 }
 
+void Placement::StartRound() {
+  std::erase_if(m_states,
+                [](const auto& item) { return !item.second.m_is_final; });
+  m_remote_offers = 0;
+  m_queue_offers = 0;
+  m_held_offers = 0;
+}
+
 void Placement::OnMaybeStarted(CandidateKey key) {
   m_states[key].m_is_final = true;
 }
@@ -128,9 +137,10 @@
 
 const PlacementCandidate* Placement::FindShortestQueue(
     const std::vector<PlacementCandidate>& candidates,
-    Duration limit) const {
+    Duration limit,
+    std::mt19937_64& random) const {
   const PlacementCandidate* best = nullptr;
-  Duration best_wait{};
+  std::pair<Duration, uint64_t> best_rank;
   for (const PlacementCandidate& candidate : candidates) {
     const CandidateState* state = FindState(candidate.m_key);
     const bool is_busy =
@@ -144,9 +154,11 @@
     const Duration wait =
         (state != nullptr ? state->m_expected_wait : candidate.m_rate_wait) +
         (IsRemote(candidate) ? kRemotePenalty : Duration{});
-    if (wait <= limit && (best == nullptr || wait < best_wait)) {
+    const std::pair rank(wait,
+                         m_options.m_spreads_queues ? random() : uint64_t{0});
+    if (wait <= limit && (best == nullptr || rank < best_rank)) {
       best = &candidate;
-      best_wait = wait;
+      best_rank = rank;
     }
   }
   return best;
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -88,6 +88,9 @@
   kInstanceCrashed = 16,
   /// The request has crashed several instances and is not executed again.
   kQuarantined = 17,
+  /// A service that requests of this route call is short of capacity; see
+  /// DownstreamGate.
+  kDownstreamBusy = 18,
 };
 
 /// Name of a reason as used in logs, for example "busy".
@@ -256,6 +259,8 @@
   /// True: an instance sends the request while it runs another one. Sent only
   /// in a TaggedOfferMessage.
   bool m_is_call = false;
+  /// Name of the route; empty for calls. Sent only in a TaggedOfferMessage.
+  std::string m_route;
 
   friend bool operator==(const OfferMessage&, const OfferMessage&) = default;
 };
--- a/libs/wire/src/messages.cc
+++ b/libs/wire/src/messages.cc
@@ -40,6 +40,8 @@
       return "instance-crashed";
     case AttemptReason::kQuarantined:
       return "quarantined";
+    case AttemptReason::kDownstreamBusy:
+      return "downstream-busy";
   }
   return "invalid";
 }
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -133,6 +133,7 @@
   archive(message.m_offer);
   SerializeBounded(archive, message.m_offer.m_account);
   archive(message.m_offer.m_share_account, message.m_offer.m_is_call);
+  SerializeBounded(archive, message.m_offer.m_route);
 }
 
 template <class Archive>
