--- /dev/null
+++ b/libs/mesh/tests/egress_sharing_test.cc
@@ -0,0 +1,151 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+
+#include "egress_fixture.h"
+
+namespace sequoiastage {
+namespace {
+
+class MeshEgressSharingTest : public MeshEgressTest {
+ protected:
+  // `has_accounts`: whether the configuration manages load.
+  void SetConfig(bool has_accounts) {
+    TrafficConfig config{.m_services = {"plans", "trips"}};
+    if (has_accounts) {
+      config.m_accounts = {{.m_name = "ferries", .m_keys = {"secret"}}};
+    }
+    m_egress.SetConfig(std::make_shared<const TrafficConfig>(config));
+  }
+
+  // Requests stay at the instance.
+  void KeepRequests() {
+    m_instance.m_behavior = [](const HttpRequest&, const StreamResponder&) {
+      return CancelHook();
+    };
+  }
+
+  OfferMessage MakeEntry(uint64_t number, const std::string& route) {
+    OfferMessage offer = MakeOffer(number);
+    offer.m_route = route;
+    return offer;
+  }
+
+  OfferMessage MakeCall(uint64_t number) {
+    OfferMessage offer = MakeOffer(number);
+    offer.m_is_call = true;
+    offer.m_may_wait = true;
+    offer.m_time_left_ms = 5000;
+    return offer;
+  }
+
+  void RefuseCallOf(const std::string& route) {
+    m_egress.OnCallEnd({.m_route = route,
+                        .m_service = MakeServiceId("trips"),
+                        .m_result = CallResult::kRefused});
+  }
+};
+
+// New requests wait for a slot; then a running request makes a call.
+TEST_F(MeshEgressSharingTest, CallGoesBeforeWaitingNewRequests) {
+  SetConfig(true);
+  ASSERT_TRUE(FillSlotsAndQueue());
+  OfferMessage call = MakeCall(9);
+  call.m_urgency = 7;
+  Send(call);
+  ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kQueued);
+  EXPECT_EQ(m_egress.Stats().m_queued_calls, 1U);
+  m_egress.OnWithdraw(kPeer, AttemptNumber(1));
+  ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
+  EXPECT_EQ(m_replies.back().m_attempt, AttemptNumber(9));
+}
+
+// The calls of a route are refused, so further requests would be lost too after
+// they began.
+TEST_F(MeshEgressSharingTest, RequestsOfAShortRouteAreRefusedBeforeTheyStart) {
+  SetConfig(true);
+  KeepRequests();
+  Send(MakeEntry(1, "entry"));
+  ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
+  RefuseCallOf("entry");
+  Send(MakeEntry(2, "entry"));
+  EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kRefused);
+  EXPECT_EQ(m_replies.back().m_reason, AttemptReason::kDownstreamBusy);
+  EXPECT_GE(m_replies.back().m_load_report.m_expected_wait_ms, 100);
+  const EgressStats stats = m_egress.Stats();
+  ASSERT_EQ(stats.m_limited_routes.size(), 1U);
+  EXPECT_EQ(stats.m_limited_routes[0].m_route, "entry");
+  EXPECT_EQ(stats.m_downstream_refused, 1U);
+  Send(MakeEntry(3, "other"));
+  EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
+}
+
+// Services that call each other would block each other if calls were limited.
+TEST_F(MeshEgressSharingTest, CallsAreNeverLimited) {
+  SetConfig(true);
+  KeepRequests();
+  Send(MakeEntry(1, "entry"));
+  RefuseCallOf("entry");
+  OfferMessage call = MakeCall(2);
+  call.m_route = "entry";
+  Send(call);
+  EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
+}
+
+// Running requests must be counted exactly, however they end; otherwise a
+// limited route stays blocked.
+TEST_F(MeshEgressSharingTest, EndedRequestsMakeRoomForOthers) {
+  SetConfig(true);
+  KeepRequests();
+  Send(MakeEntry(1, "entry"));
+  Send(MakeEntry(2, "entry"));
+  OfferMessage queued = MakeEntry(3, "entry");
+  queued.m_may_wait = true;
+  Send(queued);
+  ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kQueued);
+  RefuseCallOf("entry");
+  EXPECT_EQ(m_egress.Stats().m_limited_routes[0].m_running, 3U);
+  m_egress.OnWithdraw(kPeer, AttemptNumber(3));
+  m_egress.OnWithdraw(kPeer, AttemptNumber(1));
+  m_egress.OnWithdraw(kPeer, AttemptNumber(2));
+  EXPECT_EQ(m_egress.Stats().m_limited_routes[0].m_running, 0U);
+  Send(MakeEntry(4, "entry"));
+  EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
+}
+
+TEST_F(MeshEgressSharingTest, NothingIsLimitedWithoutManagedLoad) {
+  SetConfig(false);
+  KeepRequests();
+  Send(MakeEntry(1, "entry"));
+  RefuseCallOf("entry");
+  Send(MakeEntry(2, "entry"));
+  EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
+  EXPECT_TRUE(m_egress.Stats().m_limited_routes.empty());
+}
+
+// A new configuration without accounts must lift what the last one imposed.
+TEST_F(MeshEgressSharingTest, LimitsEndWithManagedLoad) {
+  SetConfig(true);
+  KeepRequests();
+  Send(MakeEntry(1, "entry"));
+  RefuseCallOf("entry");
+  SetConfig(false);
+  Send(MakeEntry(2, "entry"));
+  EXPECT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
+  SetConfig(true);
+  EXPECT_TRUE(m_egress.Stats().m_limited_routes.empty());
+}
+
+TEST_F(MeshEgressSharingTest, ParentTellsItsRoute) {
+  SetConfig(true);
+  KeepRequests();
+  OfferMessage offer = MakeEntry(1, "entry");
+  offer.m_request_id = "a";
+  Send(offer);
+  ASSERT_TRUE(m_egress.FindParent("a.1"));
+  EXPECT_EQ(m_egress.FindParent("a.1")->m_route, "entry");
+}
+
+}  // namespace
+}  // namespace sequoiastage
--- a/libs/mesh/tests/ingress_fixture.h
+++ b/libs/mesh/tests/ingress_fixture.h
@@ -87,24 +87,28 @@
                      [](const PeerKey&, const Message&, const MessageSink&) {},
                  .m_on_peer_opened = [](const PeerKey&, const MessageSink&) {},
                  .m_on_peer_lost = [](const PeerKey&) {}}),
-        m_ingress(m_io,
-                  {},
-                  "homes",
-                  m_targets,
-                  m_links,
-                  m_quarantine,
-                  {.m_send_to_local_egress = [](const Message&) {},
-                   .m_on_failure = [] {},
-                   .m_find_parent =
-                       [](std::string_view id) -> std::optional<ParentRequest> {
-                     if (id != "call") {
-                       return std::nullopt;
-                     }
-                     return ParentRequest{.m_share_account = AccountId(9),
-                                          .m_urgency = 4,
-                                          .m_is_extra_attempt = true};
-                   },
-                   .m_knowledge_age = [] { return Duration{}; }}) {}
+        m_ingress(
+            m_io,
+            {},
+            "homes",
+            m_targets,
+            m_links,
+            m_quarantine,
+            {.m_send_to_local_egress = [](const Message&) {},
+             .m_on_failure = [] {},
+             .m_find_parent =
+                 [](std::string_view id) -> std::optional<ParentRequest> {
+               if (id != "call") {
+                 return std::nullopt;
+               }
+               return ParentRequest{.m_share_account = AccountId(9),
+                                    .m_urgency = 4,
+                                    .m_is_extra_attempt = true,
+                                    .m_route = "entry"};
+             },
+             .m_knowledge_age = [] { return Duration{}; },
+             .m_on_call_end =
+                 [this](const CallEnd& end) { m_call_ends.push_back(end); }}) {}
 
   void SetConfig(const std::string& text) {
     std::string reason;
@@ -200,6 +204,7 @@
   SharedQuarantine m_quarantine{m_self.m_node, {}, [] {}};
   Ingress<FakeCodec> m_ingress;
   std::vector<HttpResponse> m_responses;
+  std::vector<CallEnd> m_call_ends;
 };
 
 }  // namespace sequoiastage
