Send large frames between nodes in pieces

A large message on a link holds up every small one behind it: at 10 Mbit/s a reply queued behind 300 KB waits a quarter of a second, which is the reply timeout within a region.

Frames above 16 KiB are sent as pieces, in turn, between which small frames pass. FrameQueue keeps the order of the messages of one attempt and of relayed records; a small frame that was queued first is sent before a later large one of its attempt. A cancel message drops a large request or response of its attempt wherever it is in the queue, so it can't overtake what it cancels. The transferred frame keeps its own checksum. The sum of unfinished transfers is bounded by one frame of the largest size on both sides. The kernel's unsent data is limited to 4 KiB (TCP_NOTSENT_LOWAT).

Pieces are sent only while the configuration manages load; receiving them is always understood. ByteBudget bounds what links queue: large requests are refused when it is short, responses never.

Ruled out: a second connection for bulk data. Its messages have no order with the others, and the two share the link without turns.

--- a/libs/http/include/sequoiastage/http/tcp_socket.h
+++ b/libs/http/include/sequoiastage/http/tcp_socket.h
@@ -47,6 +47,11 @@
 /// time, which the timeouts of the socket's user bound.
 void TuneSocket(asio::ip::tcp::socket& socket, Duration user_timeout);
 
+/// Sets TCP_NOTSENT_LOWAT: the kernel takes further data only while it has less
+/// than `bytes` unsent. Errors are ignored: without it, later data waits
+/// longer.
+void LimitUnsentBytes(asio::ip::tcp::socket& socket, int bytes);
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_HTTP_TCP_SOCKET_H_
--- a/libs/http/src/tcp_socket.cc
+++ b/libs/http/src/tcp_socket.cc
@@ -114,4 +114,9 @@
              &milliseconds, sizeof(milliseconds));
 }
 
+void LimitUnsentBytes(asio::ip::tcp::socket& socket, int bytes) {
+  setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes,
+             sizeof(bytes));
+}
+
 }  // namespace sequoiastage
--- a/libs/link/src/peer_connection.cc
+++ b/libs/link/src/peer_connection.cc
@@ -15,11 +15,18 @@
 constexpr size_t kMaxQueuedBytes = size_t{64} << 20;
 // The connection is closed when sent data is unacknowledged for this long.
 constexpr Duration kUserTimeout = std::chrono::seconds(3);
+// Data that the kernel takes before it has sent what it has; a small frame
+// waits for it. 3 ms at 10 Mbit/s.
+constexpr int kMaxUnsentBytes = 4 << 10;
 
 }  // namespace
 
-PeerConnection::PeerConnection(asio::ip::tcp::socket socket)
-    : m_socket(std::move(socket)) {}
+PeerConnection::PeerConnection(
+    asio::ip::tcp::socket socket,
+    std::shared_ptr<const PeerConnectionOptions> options)
+    : m_socket(std::move(socket)),
+      m_options(std::move(options)),
+      m_held(m_options->m_budget, HeldKind::kLinks) {}
 
 void PeerConnection::Start(Handlers handlers) {
   m_handlers = std::move(handlers);
@@ -31,23 +38,57 @@
   if (!m_is_open) {
     return false;
   }
+  if (const auto* cancel = std::get_if<CancelMessage>(&message)) {
+    Abandon(cancel->m_attempt);
+  }
   auto frame = EncodeFrame(message);
-  if (!frame || m_queued_bytes + frame->size() > kMaxQueuedBytes) {
+  if (!frame || m_held.Get() + frame->size() > kMaxQueuedBytes ||
+      !IsAdmitted(message, frame->size())) {
     return false;
   }
-  m_queued_bytes += frame->size();
-  m_queue.push_back(std::move(*frame));
+  if (m_options->m_manages_load && !m_limits_unsent) {
+    m_limits_unsent = true;
+    LimitUnsentBytes(m_socket, kMaxUnsentBytes);
+  }
+  m_queue.Push(std::move(*frame), SequenceOf(message),
+               m_options->m_manages_load);
+  UpdateHeldBytes();
   if (!m_is_writing) {
     Write();
   }
   return true;
 }
 
+bool PeerConnection::IsAdmitted(const Message& message, size_t bytes) const {
+  if (!m_options->m_manages_load || !m_options->m_budget ||
+      bytes <= ByteBudget::kSmallBytes) {
+    return true;
+  }
+  const bool is_request = std::holds_alternative<OfferMessage>(message) ||
+                          std::holds_alternative<TaggedOfferMessage>(message) ||
+                          std::holds_alternative<StartMessage>(message);
+  if (!is_request || m_options->m_budget->Admits(bytes, bytes)) {
+    return true;
+  }
+  m_options->m_budget->CountRefusal();
+  return false;
+}
+
+void PeerConnection::Abandon(AttemptNumber attempt) {
+  m_queue.Abandon(SequenceKey(attempt.Get()));
+  UpdateHeldBytes();
+}
+
+void PeerConnection::UpdateHeldBytes() {
+  m_held.Set(m_is_open ? m_queue.Bytes() + m_output.size() : 0);
+}
+
 void PeerConnection::Close(const std::string& reason) {
   if (!m_is_open) {
     return;
   }
   m_is_open = false;
+  UpdateHeldBytes();
   asio::error_code ignored;
   m_socket.close(ignored);
   if (!m_handlers.m_on_closed) {
@@ -84,6 +125,9 @@
     if (!message) {
       break;
     }
+    if (const auto* cancel = std::get_if<CancelMessage>(&*message)) {
+      Abandon(cancel->m_attempt);  // Nobody waits for the response.
+    }
     m_handlers.m_on_message(std::move(*message));
   }
   if (m_decoder.IsBroken()) {
@@ -92,18 +136,22 @@
 }
 
 void PeerConnection::Write() {
+  m_output = m_queue.Next();
+  UpdateHeldBytes();
+  if (m_output.empty()) {
+    return;
+  }
   m_is_writing = true;
   asio::async_write(
-      m_socket, asio::buffer(m_queue.front()),
-      [self = shared_from_this()](const asio::error_code& error, size_t count) {
+      m_socket, asio::buffer(m_output),
+      [self = shared_from_this()](const asio::error_code& error, size_t) {
         self->m_is_writing = false;
+        self->m_output.clear();
         if (error) {
           self->Close(error.message());
           return;
         }
-        self->m_queued_bytes -= count;
-        self->m_queue.pop_front();
-        if (!self->m_queue.empty() && self->m_is_open) {
+        if (self->m_is_open) {
           self->Write();
         }
       });
--- a/libs/mesh/include/sequoiastage/mesh/mesh_links.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_links.h
@@ -28,6 +28,8 @@
   Duration m_max_backoff = std::chrono::seconds(3);
   /// A lost link is reopened automatically for this long after its last use.
   Duration m_reconnect_period = std::chrono::seconds(30);
+  /// Counts the bytes queued on links; may be null.
+  std::shared_ptr<ByteBudget> m_budget;
 };
 
 /// Connections to and from other nodes. Outgoing links are opened on first use
@@ -70,6 +72,12 @@
   /// Returns false while a lost link has not been reopened.
   bool Send(NodeId node, const Message& message);
 
+  /// Whether links send large messages in pieces and refuse large requests
+  /// when the byte budget is short. Applies to open links too.
+  void SetManagesLoad(bool manages_load) {
+    m_connection_options->m_manages_load = manages_load;
+  }
+
   /// Whether Send() would accept a message.
   bool IsUsable(NodeId node) const;
 
@@ -112,6 +120,7 @@
   MeshLinksOptions m_options;
   Handlers m_handlers;
   TcpListener m_listener;
+  std::shared_ptr<PeerConnectionOptions> m_connection_options;
   std::unordered_map<NodeId, LinkPtr> m_links;
   std::unordered_set<std::shared_ptr<PeerConnection>> m_accepted;
   // Newest connection opened by each peer.
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "sequoiastage/base/byte_budget.h"
 #include "sequoiastage/http/stream_server.h"
 #include "sequoiastage/mesh/egress.h"
 #include "sequoiastage/mesh/ingress.h"
@@ -94,6 +95,7 @@
   MeshSettings m_settings;
   Store& m_store;
   PeerKey m_self;
+  std::shared_ptr<ByteBudget> m_budget;
   TargetTable m_targets;
   MeshLinks m_links;
   SharedQuarantine m_quarantine;
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -68,12 +68,13 @@
       m_store(store),
       m_self{.m_node = NodeId(settings.m_peer),
              .m_incarnation = mesh_node_detail::RandomIncarnation()},
+      m_budget(std::make_shared<ByteBudget>(settings.m_byte_budget)),
       m_targets(MemberRecord{.m_node = m_self.m_node,
                              .m_domain = settings.m_domain,
                              .m_region = settings.m_region}),
       m_links(io,
               m_self,
-              {},
+              {.m_budget = m_budget},
               {.m_on_reply =
                    [this](NodeId node, Message message) {
                      OnReply(node, std::move(message));
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -93,6 +93,7 @@
   m_config_applied_at = BootNow();
   m_ingress.SetConfig(m_config);
   m_egress.SetConfig(m_config);
+  m_links.SetManagesLoad(m_config->ManagesLoad());
   const CallerLimits& limits = m_config->m_limits;
   m_callers.SetLimits(
       {.m_message = {.m_max_header_bytes = limits.m_max_header_bytes,
--- a/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
@@ -51,6 +51,9 @@
   /// Limit on callers' request bodies held in memory at a time, in bytes. A
   /// larger body is refused.
   size_t m_max_held_bytes = size_t{24} << 20;
+  /// Budget for all message bytes that the node holds, in effect while the
+  /// configuration manages load; see ByteBudget.
+  size_t m_byte_budget = size_t{64} << 20;
 };
 
 }  // namespace sequoiastage
--- a/libs/mesh/src/mesh_links.cc
+++ b/libs/mesh/src/mesh_links.cc
@@ -23,7 +23,9 @@
       m_self(self),
       m_options(options),
       m_handlers(std::move(handlers)),
-      m_listener(io) {}
+      m_listener(io),
+      m_connection_options(std::make_shared<PeerConnectionOptions>(
+          PeerConnectionOptions{.m_budget = options.m_budget})) {}
 
 MeshLinks::~MeshLinks() {
   Stop();
@@ -96,8 +98,8 @@
 }
 
 void MeshLinks::OnConnected(NodeId node, const LinkPtr& link) {
-  auto connection =
-      std::make_shared<PeerConnection>(std::move(*link->m_socket));
+  auto connection = std::make_shared<PeerConnection>(std::move(*link->m_socket),
+                                                     m_connection_options);
   link->m_connection = connection;
   const std::weak_ptr<Link> weak = link;
   connection->Start(
@@ -191,7 +193,8 @@
 }
 
 void MeshLinks::OnAccepted(asio::ip::tcp::socket socket) {
-  auto connection = std::make_shared<PeerConnection>(std::move(socket));
+  auto connection =
+      std::make_shared<PeerConnection>(std::move(socket), m_connection_options);
   m_accepted.insert(connection);
   auto peer = std::make_shared<std::optional<PeerKey>>();
   const std::weak_ptr<PeerConnection> weak = connection;
--- a/libs/wire/include/sequoiastage/wire/frame.h
+++ b/libs/wire/include/sequoiastage/wire/frame.h
@@ -2,6 +2,7 @@
 #define SEQUOIASTAGE_WIRE_FRAME_H_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,12 +25,18 @@
 /// kMaxPayloadBytes or a list exceeds kMaxListItems.
 std::optional<std::string> EncodeFrame(const Message& message);
 
-/// Decodes a byte stream into messages. After an invalid frame the rest of the
-/// stream can't be trusted: Next() stays empty and IsBroken() returns true.
+class PieceAssembler;
+
+/// Decodes a byte stream into messages. Frames that were sent in pieces (see
+/// piece.h) are messages as soon as their last piece has been received. After
+/// an invalid frame the rest of the stream can't be trusted: Next() stays empty
+/// and IsBroken() returns true.
 class FrameDecoder {
  public:
-  explicit FrameDecoder(size_t max_payload_bytes = kMaxPayloadBytes)
-      : m_max_payload_bytes(max_payload_bytes) {}
+  explicit FrameDecoder(size_t max_payload_bytes = kMaxPayloadBytes);
+  FrameDecoder(const FrameDecoder&) = delete;
+  FrameDecoder& operator=(const FrameDecoder&) = delete;
+  ~FrameDecoder();
 
   /// Appends bytes received from the connection, in any chunk sizes.
   void Feed(std::string_view bytes);
@@ -44,11 +51,21 @@
   const std::string& LastReason() const { return m_last_reason; }
 
  private:
+  struct Frame {
+    uint8_t m_type = 0;
+    std::string_view m_payload;
+  };
+
+  // Frame that `bytes` start with; empty when more bytes are needed or the
+  // frame is invalid.
+  std::optional<Frame> ReadFrame(std::string_view bytes);
+  std::optional<Message> AddPiece(std::string_view payload);
   std::optional<Message> Fail(std::string reason);
 
   size_t m_max_payload_bytes;
   std::string m_buffer;
   size_t m_consumed = 0;
+  std::unique_ptr<PieceAssembler> m_pieces;
   std::string m_last_reason;
 };
 
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -2,6 +2,7 @@
 #define SEQUOIASTAGE_WIRE_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -455,6 +456,15 @@
                              TokenLoanRequestMessage,
                              TokenLoanMessage>;
 
+/// Messages of one sequence are handled in the order in which they were sent,
+/// also when a large one is sent in pieces.
+using SequenceKey = Strong<struct SequenceKeyTag, uint64_t>;
+
+/// Sequence of `message`: the attempt that it belongs to, or relayed records,
+/// whose age holds for all records sent before. Empty for other messages, which
+/// may be handled in any order.
+std::optional<SequenceKey> SequenceOf(const Message& message);
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_WIRE_MESSAGES_H_
--- a/libs/wire/src/frame.cc
+++ b/libs/wire/src/frame.cc
@@ -9,6 +9,9 @@
 #include <type_traits>
 #include <utility>
 
+#include "frame_header_p.h"
+#include "little_endian_p.h"
+#include "sequoiastage/wire/piece.h"
 #include "serialize_p.h"
 
 namespace sequoiastage {
@@ -34,23 +37,6 @@
   }
 };
 
-template <class Number>
-void WriteLittleEndian(std::string& bytes, size_t at, Number number) {
-  for (size_t i = 0; i < sizeof(Number); ++i) {
-    bytes[at + i] = static_cast<char>(number >> (8 * i));
-  }
-}
-
-template <class Number>
-Number ReadLittleEndian(std::string_view bytes, size_t at) {
-  Number number = 0;
-  for (size_t i = 0; i < sizeof(Number); ++i) {
-    number |= static_cast<Number>(static_cast<uint8_t>(bytes[at + i]))
-              << (8 * i);
-  }
-  return number;
-}
-
 uint64_t Checksum(uint8_t type, std::string_view payload) {
   return XXH3_64bits_withSeed(payload.data(), payload.size(), type);
 }
@@ -98,12 +84,16 @@
     return std::nullopt;
   }
   std::string frame = std::move(stream).str();
-  const std::string_view payload =
-      std::string_view(frame).substr(kFrameHeaderBytes);
-  if (payload.size() > kMaxPayloadBytes) {
+  if (frame.size() - kFrameHeaderBytes > kMaxPayloadBytes) {
     return std::nullopt;
   }
-  const auto type = static_cast<uint8_t>(message.index());
+  SealFrame(frame, static_cast<uint8_t>(message.index()));
+  return frame;
+}
+
+void SealFrame(std::string& frame, uint8_t type) {
+  const std::string_view payload =
+      std::string_view(frame).substr(kFrameHeaderBytes);
   const uint64_t checksum = Checksum(type, payload);
   WriteLittleEndian<uint32_t>(frame, 0, kMagic);
   frame[kVersionOffset] = static_cast<char>(kFrameVersion);
@@ -111,9 +101,14 @@
   WriteLittleEndian<uint32_t>(frame, kLengthOffset,
                               static_cast<uint32_t>(payload.size()));
   WriteLittleEndian<uint64_t>(frame, kChecksumOffset, checksum);
-  return frame;
 }
 
+FrameDecoder::FrameDecoder(size_t max_payload_bytes)
+    : m_max_payload_bytes(max_payload_bytes),
+      m_pieces(std::make_unique<PieceAssembler>(max_payload_bytes)) {}
+
+FrameDecoder::~FrameDecoder() = default;
+
 void FrameDecoder::Feed(std::string_view bytes) {
   if (m_consumed > kCompactBytes) {
     m_buffer.erase(0, m_consumed);
@@ -123,52 +118,95 @@
 }
 
 std::optional<Message> FrameDecoder::Next() {
-  if (IsBroken()) {
-    return std::nullopt;
+  while (!IsBroken()) {
+    const std::string_view unread =
+        std::string_view(m_buffer).substr(m_consumed);
+    const auto frame = ReadFrame(unread);
+    if (!frame) {
+      return std::nullopt;
+    }
+    auto message = frame->m_type == kPieceFrameType
+                       ? AddPiece(frame->m_payload)
+                       : DecodePayload(frame->m_type, frame->m_payload);
+    if (!message && frame->m_type != kPieceFrameType) {
+      return Fail("frame payload can't be read");
+    }
+    if (IsBroken()) {
+      return std::nullopt;
+    }
+    m_consumed += kFrameHeaderBytes + frame->m_payload.size();
+    if (m_consumed == m_buffer.size()) {
+      m_buffer.clear();
+      m_consumed = 0;
+    }
+    if (message) {
+      return message;
+    }
   }
-  const std::string_view unread = std::string_view(m_buffer).substr(m_consumed);
-  if (unread.size() < kFrameHeaderBytes) {
+  return std::nullopt;
+}
+
+std::optional<FrameDecoder::Frame> FrameDecoder::ReadFrame(
+    std::string_view bytes) {
+  if (bytes.size() < kFrameHeaderBytes) {
     return std::nullopt;
   }
-  if (ReadLittleEndian<uint32_t>(unread, 0) != kMagic) {
-    return Fail("frame has no magic number");
-  }
-  if (static_cast<uint8_t>(unread[kVersionOffset]) != kFrameVersion) {
-    return Fail("frame version is not supported");
-  }
-  if (ReadLittleEndian<uint16_t>(unread, kZero16Offset) != 0 ||
-      ReadLittleEndian<uint32_t>(unread, kZero32Offset) != 0) {
-    return Fail("frame header has nonzero reserved fields");
-  }
-  const auto length = ReadLittleEndian<uint32_t>(unread, kLengthOffset);
-  if (length > m_max_payload_bytes) {
-    return Fail("frame payload exceeds the size limit");
+  const char* fault = nullptr;
+  const auto length = ReadLittleEndian<uint32_t>(bytes, kLengthOffset);
+  const auto type = static_cast<uint8_t>(bytes[kTypeOffset]);
+  if (ReadLittleEndian<uint32_t>(bytes, 0) != kMagic) {
+    fault = "frame has no magic number";
+  } else if (static_cast<uint8_t>(bytes[kVersionOffset]) != kFrameVersion) {
+    fault = "frame version is not supported";
+  } else if (ReadLittleEndian<uint16_t>(bytes, kZero16Offset) != 0 ||
+             ReadLittleEndian<uint32_t>(bytes, kZero32Offset) != 0) {
+    fault = "frame header has nonzero reserved fields";
+  } else if (length > m_max_payload_bytes) {
+    fault = "frame payload exceeds the size limit";
+  } else if (type == kPieceFrameType &&
+             length > kPieceHeaderBytes + kPieceBytes) {
+    fault = "piece exceeds the size limit";
+  } else if (bytes.size() < kFrameHeaderBytes + length) {
+    return std::nullopt;
+  } else if (ReadLittleEndian<uint64_t>(bytes, kChecksumOffset) !=
+             Checksum(type, bytes.substr(kFrameHeaderBytes, length))) {
+    fault = "frame checksum does not match";
   }
-  if (unread.size() < kFrameHeaderBytes + length) {
+  if (fault != nullptr) {
+    Fail(fault);
     return std::nullopt;
   }
-  const auto type = static_cast<uint8_t>(unread[kTypeOffset]);
-  const std::string_view payload = unread.substr(kFrameHeaderBytes, length);
-  if (ReadLittleEndian<uint64_t>(unread, kChecksumOffset) !=
-      Checksum(type, payload)) {
-    return Fail("frame checksum does not match");
+  return Frame{.m_type = type,
+               .m_payload = bytes.substr(kFrameHeaderBytes, length)};
+}
+
+std::optional<Message> FrameDecoder::AddPiece(std::string_view payload) {
+  std::string whole;
+  switch (m_pieces->Add(payload, &whole)) {
+    case PieceAssembler::Result::kIncomplete:
+      return std::nullopt;
+    case PieceAssembler::Result::kInvalid:
+      return Fail("piece does not continue its transfer");
+    case PieceAssembler::Result::kComplete:
+      break;
+  }
+  const auto frame = ReadFrame(whole);
+  if (!frame || frame->m_payload.size() + kFrameHeaderBytes != whole.size()) {
+    return Fail(IsBroken() ? m_last_reason
+                           : "transferred frame has the wrong length");
   }
-  auto message = DecodePayload(type, payload);
+  auto message = DecodePayload(frame->m_type, frame->m_payload);
   if (!message) {
     return Fail("frame payload can't be read");
   }
-  m_consumed += kFrameHeaderBytes + length;
-  if (m_consumed == m_buffer.size()) {
-    m_buffer.clear();
-    m_consumed = 0;
-  }
   return message;
 }
 
 std::optional<Message> FrameDecoder::Fail(std::string reason) {
   m_last_reason = std::move(reason);
-  m_buffer.clear();
+  m_buffer = {};
   m_consumed = 0;
+  m_pieces = std::make_unique<PieceAssembler>(m_max_payload_bytes);
   return std::nullopt;
 }
 
--- a/libs/wire/src/messages.cc
+++ b/libs/wire/src/messages.cc
@@ -1,5 +1,7 @@
 #include "sequoiastage/wire/messages.h"
 
+#include <type_traits>
+
 namespace sequoiastage {
 
 std::string_view ToString(AttemptReason reason) {
@@ -56,4 +58,24 @@
   return "unknown";
 }
 
+std::optional<SequenceKey> SequenceOf(const Message& message) {
+  return std::visit(
+      [](const auto& value) -> std::optional<SequenceKey> {
+        using Value = std::decay_t<decltype(value)>;
+        if constexpr (std::is_same_v<Value, TaggedOfferMessage>) {
+          return SequenceKey(value.m_offer.m_attempt.Get());
+        } else if constexpr (requires {
+                               requires std::is_same_v<
+                                   decltype(value.m_attempt), AttemptNumber>;
+                             }) {
+          return SequenceKey(value.m_attempt.Get());
+        } else if constexpr (std::is_same_v<Value, RelayMessage>) {
+          // Attempts are numbered from 1 in each incarnation of their ingress.
+          return SequenceKey(UINT64_MAX);
+        }
+        return std::nullopt;
+      },
+      message);
+}
+
 }  // namespace sequoiastage
