Count bodies of callers and slow responses in one byte budget

StreamServer reads a large body once the budget has room for the whole of it, rejects it with 503 after 500 ms without room, and counts responses until their callers have read them. It limits the bytes that the kernel takes in advance, which the budget does not see. Applies only when the limits say so; no deployment uses it yet.

--- a/libs/base/include/sequoiastage/base/byte_budget.h
+++ b/libs/base/include/sequoiastage/base/byte_budget.h
@@ -73,13 +73,13 @@
 
 /// Share of a ByteBudget that is returned on destruction. Without a budget it
 /// only counts.
-class HeldBytes {
+class BudgetShare {
  public:
-  HeldBytes(std::shared_ptr<ByteBudget> budget, HeldKind kind)
+  BudgetShare(std::shared_ptr<ByteBudget> budget, HeldKind kind)
       : m_budget(std::move(budget)), m_kind(kind) {}
-  HeldBytes(const HeldBytes&) = delete;
-  HeldBytes& operator=(const HeldBytes&) = delete;
-  ~HeldBytes() { Set(0); }
+  BudgetShare(const BudgetShare&) = delete;
+  BudgetShare& operator=(const BudgetShare&) = delete;
+  ~BudgetShare() { Set(0); }
 
   void Set(size_t bytes) {
     if (m_budget) {
--- a/libs/http/include/sequoiastage/http/exchange_connection.h
+++ b/libs/http/include/sequoiastage/http/exchange_connection.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "sequoiastage/base/byte_budget.h"
 #include "sequoiastage/base/http_message.h"
 #include "sequoiastage/base/ids.h"
 #include "sequoiastage/base/time.h"
@@ -58,6 +59,9 @@
   MessageLimits m_limits{};
   /// Shared by connections of one thread; null: only m_limits applies.
   std::shared_ptr<BodyBudget> m_budget;
+  /// Counts requests until they are written, and responses being read; may be
+  /// null.
+  std::shared_ptr<ByteBudget> m_byte_budget;
   /// A server on the same host or in the same data center accepts far sooner.
   Duration m_connect_timeout = std::chrono::seconds(1);
   /// Sent data unacknowledged for this long closes the connection
@@ -134,6 +138,8 @@
   std::array<char, size_t{16} << 10> m_chunk{};
   std::string m_output;
   size_t m_held_bytes = 0;
+  BudgetShare m_counted_request;
+  BudgetShare m_counted_response;
   uint32_t m_skipped_responses = 0;
   Filter m_filter;
   Handler m_handler;
--- a/libs/http/include/sequoiastage/http/message_parser.h
+++ b/libs/http/include/sequoiastage/http/message_parser.h
@@ -61,6 +61,9 @@
   /// Body bytes read so far.
   size_t BodyBytes() const { return m_body.size(); }
 
+  /// Length of the body that the header states; 0 when it states none.
+  size_t StatedBodyBytes() const { return m_stated_body_bytes; }
+
  protected:
   MessageParser(http_parser_type type, const MessageLimits& limits);
   ~MessageParser() = default;
@@ -84,6 +87,7 @@
   http_parser_type m_type;
   MessageLimits m_limits;
   size_t m_header_bytes = 0;
+  size_t m_stated_body_bytes = 0;
   uint16_t m_failure_status = 0;
   bool m_keeps_alive = false;
   bool m_in_value = false;
--- a/libs/http/include/sequoiastage/http/stream_server.h
+++ b/libs/http/include/sequoiastage/http/stream_server.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <unordered_set>
 
+#include "sequoiastage/base/byte_budget.h"
 #include "sequoiastage/base/http_message.h"
 #include "sequoiastage/base/ids.h"
 #include "sequoiastage/base/time.h"
@@ -27,6 +28,12 @@
   /// the response. A body that exceeds it is rejected with 503. Further copies
   /// inside the node take up to three times as much again.
   size_t m_max_held_bytes = size_t{24} << 20;
+  /// Apply the byte budget of the server instead of m_max_held_bytes. A large
+  /// body is read once the budget has room for the whole of it; after
+  /// m_max_room_wait without room it is rejected with 503. While responses
+  /// exceed the budget, all requests are.
+  bool m_applies_budget = false;
+  Duration m_max_room_wait = std::chrono::milliseconds(500);
   /// Concurrent requests of one connection; further ones are left unread.
   size_t m_max_pipelined = 32;
 };
@@ -59,6 +66,10 @@
   /// Applies to later connections and requests.
   void SetLimits(const StreamLimits& limits);
 
+  /// Counts request bodies, and responses until their callers have read them.
+  /// Applies to later connections.
+  void SetBudget(std::shared_ptr<ByteBudget> budget);
+
   /// Without a builder such responses have no body.
   void SetErrorResponseBuilder(ErrorResponseBuilder builder);
 
--- a/libs/http/src/exchange_connection.cc
+++ b/libs/http/src/exchange_connection.cc
@@ -111,7 +111,9 @@
       m_timer(io),
       m_server(server),
       m_options(options),
-      m_parser(options.m_limits) {}
+      m_parser(options.m_limits),
+      m_counted_request(options.m_byte_budget, HeldKind::kInstanceRequests),
+      m_counted_response(options.m_byte_budget, HeldKind::kInstanceResponses) {}
 
 ExchangeConnection::~ExchangeConnection() {
   UpdateBudget(0);
@@ -122,6 +124,7 @@
                               Filter filter,
                               Handler handler) {
   m_output = SerializeRequest(request);
+  m_counted_request.Set(m_output.size());
   m_is_head = request.m_method == "HEAD";
   m_filter = std::move(filter);
   m_handler = std::move(handler);
@@ -224,6 +227,9 @@
   asio::async_write(
       m_socket, asio::buffer(m_output),
       [self = shared_from_this()](const asio::error_code& error, size_t) {
+        // Frees the memory of a large request.
+        self->m_output = {};
+        self->m_counted_request.Set(0);
         if (error) {
           // A response may have arrived already; the read reports the error.
           return;
@@ -329,6 +335,7 @@
 }
 
 bool ExchangeConnection::UpdateBudget(size_t held_bytes) {
+  m_counted_response.Set(held_bytes);
   if (!m_options.m_budget) {
     return true;
   }
@@ -359,6 +366,7 @@
 
 void ExchangeConnection::Close() {
   m_is_closed = true;
+  m_counted_request.Set(0);
   UpdateBudget(0);
   StopTimer();
   asio::error_code ignored;
--- a/libs/http/src/message_parser.cc
+++ b/libs/http/src/message_parser.cc
@@ -65,6 +65,9 @@
         !self.m_skips_body) {
       return self.Fail(kBodyTooLarge);
     }
+    if (parser->content_length != UINT64_MAX && !self.m_skips_body) {
+      self.m_stated_body_bytes = parser->content_length;
+    }
     return self.m_skips_body ? kNoBody : 0;
   }
 
@@ -115,6 +118,7 @@
   m_body.clear();
   m_state = ParseState::kIdle;
   m_header_bytes = 0;
+  m_stated_body_bytes = 0;
   m_in_value = false;
   m_skips_body = false;
 }
--- a/libs/http/src/stream_server.cc
+++ b/libs/http/src/stream_server.cc
@@ -1,7 +1,6 @@
 #include "sequoiastage/http/stream_server.h"
 
-#include <fmt/format.h>
-
+#include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/steady_timer.hpp>
@@ -11,14 +10,13 @@
 #include <utility>
 #include <vector>
 
+#include "response_text_p.h"
 #include "sequoiastage/http/tcp_socket.h"
 
 namespace sequoiastage {
 
 namespace {
 
-constexpr uint16_t kNoContent = 204;
-constexpr uint16_t kNotModified = 304;
 constexpr uint16_t kRequestTimeout = 408;
 constexpr uint16_t kUnavailable = 503;
 // Time for the caller to close first after its last response. Closing before it
@@ -27,37 +25,12 @@
 // A caller that does not acknowledge bytes for this long counts as
 // disconnected.
 constexpr Duration kUserTimeout = std::chrono::seconds(10);
-
-// Appends the response in wire format.
-void AppendResponse(std::string& bytes,
-                    const HttpResponse& response,
-                    bool is_head,
-                    bool is_last) {
-  bytes += fmt::format("HTTP/1.1 {} {}\r\n", response.m_status,
-                       HttpStatusText(response.m_status));
-  const bool keeps_length_field = is_head && response.m_body.empty();
-  for (const HttpField& field : response.m_fields) {
-    if (!keeps_length_field &&
-        EqualsIgnoringCase(field.m_name, "Content-Length")) {
-      continue;  // Written below from the actual body.
-    }
-    bytes.append(field.m_name)
-        .append(": ")
-        .append(field.m_value)
-        .append("\r\n");
-  }
-  if (response.m_status != kNoContent && response.m_status != kNotModified &&
-      !keeps_length_field) {
-    bytes += fmt::format("Content-Length: {}\r\n", response.m_body.size());
-  }
-  if (is_last) {
-    bytes += "Connection: close\r\n";
-  }
-  bytes += "\r\n";
-  if (!is_head) {
-    bytes += response.m_body;
-  }
-}
+// Bytes of responses that the kernel takes in advance. Without a limit it takes
+// some megabytes for each slow caller, which the byte budget does not count.
+constexpr int kMaxUnsentBytes = 64 << 10;
+// Interval at which a body that waits for room in the byte budget is tried
+// again.
+constexpr Duration kRoomInterval = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -65,6 +38,7 @@
   Handler m_handler;
   ErrorResponseBuilder m_build_error_response;
   StreamLimits m_limits;
+  std::shared_ptr<ByteBudget> m_budget;
   bool m_is_draining = false;
   // Total over all connections.
   size_t m_held_bytes = 0;
@@ -77,8 +51,11 @@
   Connection(asio::ip::tcp::socket socket, std::shared_ptr<Shared> shared)
       : m_socket(std::move(socket)),
         m_timer(m_socket.get_executor()),
+        m_room_timer(m_socket.get_executor()),
         m_shared(std::move(shared)),
-        m_parser(m_shared->m_limits.m_message) {
+        m_parser(m_shared->m_limits.m_message),
+        m_held_requests(m_shared->m_budget, HeldKind::kCallerRequests),
+        m_held_responses(m_shared->m_budget, HeldKind::kCallerResponses) {
     TuneSocket(m_socket, kUserTimeout);
   }
 
@@ -114,6 +91,7 @@
     asio::error_code ignored;
     m_socket.close(ignored);
     m_timer.cancel();
+    m_room_timer.cancel();
     // A hook can respond synchronously, so the slots are moved out first.
     for (auto& slot : std::exchange(m_slots, {})) {
       if (slot->m_cancel && !slot->m_response) {
@@ -159,7 +137,7 @@
 
   // Reading continues while requests are pending, to detect a disconnect.
   bool ShouldRead() const {
-    return !m_is_closed &&
+    return !m_is_closed && !m_awaits_room &&
            (m_is_closing || m_input.empty() ||
             m_slots.size() < m_shared->m_limits.m_max_pipelined);
   }
@@ -169,7 +147,7 @@
       return;  // Reentered by a synchronous response.
     }
     std::string_view rest = m_input;
-    while (!rest.empty() && !m_is_closing && !m_is_closed &&
+    while (!rest.empty() && !m_is_closing && !m_is_closed && !m_awaits_room &&
            m_slots.size() < m_shared->m_limits.m_max_pipelined) {
       if (m_parser.State() == ParseState::kIdle) {
         m_parser.SetLimits(m_shared->m_limits.m_message);
@@ -177,11 +155,16 @@
       const ParseState before = m_parser.State();
       rest.remove_prefix(m_parser.Feed(rest));
       UpdateHeldBytes();
-      if (m_parser.State() == ParseState::kInBody &&
+      if (!m_shared->m_limits.m_applies_budget &&
+          m_parser.State() == ParseState::kInBody &&
           m_shared->m_held_bytes > m_shared->m_limits.m_max_held_bytes) {
         Reject(kUnavailable);
         break;
       }
+      if (m_shared->m_limits.m_applies_budget && !ReserveRoom()) {
+        AwaitRoom();
+        break;
+      }
       if (m_parser.State() == ParseState::kFailed) {
         Reject(m_parser.FailureStatus());
         break;
@@ -196,6 +179,59 @@
     m_is_parsing = false;
   }
 
+  // Reserves room in the byte budget for the body that the parser has begun.
+  // Returns false when there is none. Waiting for the whole body at once keeps
+  // callers from filling the budget with parts of bodies.
+  bool ReserveRoom() {
+    const ParseState state = m_parser.State();
+    if (!m_shared->m_budget ||
+        (state != ParseState::kInBody && state != ParseState::kComplete)) {
+      return true;
+    }
+    const size_t needed =
+        std::max(m_parser.StatedBodyBytes(), m_parser.BodyBytes());
+    const size_t counted = std::max(m_reserved_bytes, m_parser.BodyBytes());
+    if ((needed > m_reserved_bytes || needed == 0) &&
+        !m_shared->m_budget->Admits(needed - counted, needed)) {
+      return false;
+    }
+    m_reserved_bytes = needed;
+    UpdateHeldBytes();
+    return true;
+  }
+
+  // Stops reading until the budget has room for the large body whose header was
+  // read; rejects it after a while. Other requests are rejected at once.
+  void AwaitRoom() {
+    const bool may_wait = m_parser.State() == ParseState::kInBody &&
+                          m_parser.StatedBodyBytes() > 0 &&
+                          m_room_wait < m_shared->m_limits.m_max_room_wait;
+    if (!may_wait) {
+      m_shared->m_budget->CountRefusal();
+      Reject(kUnavailable);
+      return;
+    }
+    m_awaits_room = true;
+    m_room_wait += kRoomInterval;
+    m_room_timer.expires_after(kRoomInterval);
+    m_room_timer.async_wait(
+        [weak = weak_from_this()](const asio::error_code& error) {
+          const auto self = weak.lock();
+          if (error || !self || self->m_is_closed) {
+            return;
+          }
+          self->m_awaits_room = false;
+          if (!self->m_is_closing && !self->ReserveRoom()) {
+            self->AwaitRoom();
+          } else {
+            self->Parse();
+          }
+          if (self->ShouldRead()) {
+            self->Read();
+          }
+        });
+  }
+
   void OnRequest() {
     const bool keeps_alive = m_parser.KeepsAlive();
     auto slot = std::make_shared<Slot>();
@@ -203,6 +239,8 @@
     slot->m_is_head = request.m_method == "HEAD";
     slot->m_body_bytes = request.m_body.size();
     m_slot_body_bytes += slot->m_body_bytes;
+    m_reserved_bytes = 0;
+    m_room_wait = {};
     m_slots.push_back(slot);
     m_is_closing = !keeps_alive || m_shared->m_is_draining;
     m_has_received_request = true;
@@ -213,6 +251,7 @@
           const auto self = weak.lock();
           if (self && !slot->m_response) {
             slot->m_response = std::move(response);
+            self->m_ready_bytes += slot->m_response->m_body.size();
             self->SendReady();
           }
         });
@@ -229,6 +268,7 @@
     if (status == kUnavailable) {
       slot->m_response->m_fields.push_back({"Retry-After", "1"});
     }
+    m_ready_bytes += slot->m_response->m_body.size();
     m_slots.push_back(std::move(slot));
     SendReady();
   }
@@ -238,10 +278,14 @@
     const size_t held =
         m_is_closed
             ? 0
-            : m_slot_body_bytes + (m_is_closing ? 0 : m_parser.BodyBytes());
+            : m_slot_body_bytes + (m_is_closing ? 0
+                                                : std::max(m_parser.BodyBytes(),
+                                                           m_reserved_bytes));
     m_shared->m_held_bytes += held;
-    m_shared->m_held_bytes -= m_held_bytes;
-    m_held_bytes = held;
+    m_shared->m_held_bytes -= m_held_requests.Get();
+    m_held_requests.Set(held);
+    m_held_responses.Set(
+        m_is_closed ? 0 : m_ready_bytes + m_output.size() + m_unsent.size());
   }
 
   void SendReady() {
@@ -249,6 +293,7 @@
       const auto slot = m_slots.front();
       m_slots.pop_front();
       m_slot_body_bytes -= slot->m_body_bytes;
+      m_ready_bytes -= slot->m_response->m_body.size();
       if (m_shared->m_is_draining && m_slots.empty() &&
           m_parser.State() == ParseState::kIdle) {
         m_is_closing = true;
@@ -272,10 +317,15 @@
       return;
     }
     m_output.swap(m_unsent);
+    if (m_shared->m_limits.m_applies_budget && !m_limits_unsent) {
+      m_limits_unsent = true;
+      LimitUnsentBytes(m_socket, kMaxUnsentBytes);
+    }
     asio::async_write(
         m_socket, asio::buffer(m_output),
         [self = shared_from_this()](const asio::error_code& error, size_t) {
-          self->m_output.clear();
+          self->m_output = {};  // Frees the memory of a large response.
+          self->UpdateHeldBytes();
           if (error) {
             self->Close();
             return;
@@ -335,6 +385,7 @@
 
   asio::ip::tcp::socket m_socket;
   asio::steady_timer m_timer;
+  asio::steady_timer m_room_timer;
   uint64_t m_timer_number = 0;
   std::shared_ptr<Shared> m_shared;
   RequestParser m_parser;
@@ -345,10 +396,19 @@
   std::string m_output;
   std::string m_unsent;
   std::deque<std::shared_ptr<Slot>> m_slots;
-  // Body bytes of m_slots, and the connection's last contribution to
-  // Shared::m_held_bytes, which includes the body being read.
+  // Body bytes of m_slots.
   size_t m_slot_body_bytes = 0;
-  size_t m_held_bytes = 0;
+  // Bytes of responses that wait for earlier ones.
+  size_t m_ready_bytes = 0;
+  // Length of the body being read for which the byte budget has room.
+  size_t m_reserved_bytes = 0;
+  // The connection's contribution to Shared::m_held_bytes, and to the budget.
+  BudgetShare m_held_requests;
+  BudgetShare m_held_responses;
+  bool m_limits_unsent = false;
+  // Reading stopped until the budget has room, and for how long.
+  bool m_awaits_room = false;
+  Duration m_room_wait{};
   bool m_is_reading = false;
   bool m_is_parsing = false;
   // No further request is parsed; closes after the last response.
@@ -387,6 +447,10 @@
   m_shared->m_limits = limits;
 }
 
+void StreamServer::SetBudget(std::shared_ptr<ByteBudget> budget) {
+  m_shared->m_budget = std::move(budget);
+}
+
 void StreamServer::SetErrorResponseBuilder(ErrorResponseBuilder builder) {
   m_shared->m_build_error_response = std::move(builder);
 }
--- a/libs/link/include/sequoiastage/link/peer_connection.h
+++ b/libs/link/include/sequoiastage/link/peer_connection.h
@@ -69,7 +69,7 @@
   FrameQueue m_queue;
   // Being written.
   std::string m_output;
-  HeldBytes m_held;
+  BudgetShare m_held;
   bool m_limits_unsent = false;
   bool m_is_writing = false;
   bool m_is_open = true;
