Pay out the burst of an account once per window under lasting demand

Ruled out: a higher rate with a smaller bucket, which takes the burst from accounts that rest and then send it at once. Change: the part of the burst that no moment of the last window had in stock is added to the rate, spread over the window.

--- a/libs/limits/include/sequoiastage/limits/account_pool.h
+++ b/libs/limits/include/sequoiastage/limits/account_pool.h
@@ -12,6 +12,7 @@
 #include "sequoiastage/base/ids.h"
 #include "sequoiastage/base/time.h"
 #include "sequoiastage/limits/account_quota.h"
+#include "sequoiastage/limits/sliding_maximum.h"
 #include "sequoiastage/wire/messages.h"
 
 namespace sequoiastage {
@@ -54,6 +55,14 @@
 /// of the elapsed time, each moment once, to the coordinator that it uses
 /// (AddShare). However the nodes' views differ, the tokens of all buckets
 /// together grow by the rate; what is lost on the way is lost.
+///
+/// Load pattern: an account sends more than its rate for longer than a window.
+/// In any window it may use its rate and its burst, but a bucket that stays
+/// empty never refills the burst. The part of the burst that no moment of the
+/// last window had in stock is therefore paid out over the window: with M as
+/// the largest stock in the last window, the rate grows by (burst - M) /
+/// window. A window that starts with the stock L uses at most L, the rate, and
+/// burst - M, where M is at least L.
 class AccountPool {
  public:
   explicit AccountPool(const AccountPoolOptions& options)
@@ -148,6 +157,8 @@
   struct Account {
     AccountLimit m_limit;
     double m_level = 0;
+    // Tokens in the bucket and at the ingresses, over the last window.
+    SlidingMaximum m_recent_stock;
     // Value of m_share_time up to which the level has been settled.
     double m_settled_share = 0;
     std::deque<Batch> m_outstanding;
@@ -172,6 +183,8 @@
   };
 
   double DepthOf(const AccountLimit& limit) const;
+  // Tokens per second of all nodes together.
+  double RateOf(const Account& account, TimePoint now) const;
   void Settle(Account& account, TimePoint now);
   uint32_t TakeOutstanding(Account& account, NodeId node, uint32_t count);
   void CountAttached(TimePoint now);
--- a/libs/limits/src/account_pool.cc
+++ b/libs/limits/src/account_pool.cc
@@ -119,6 +119,15 @@
   return m_fleet.m_holds_minimum ? std::max(1.0, depth) : depth;
 }
 
+double AccountPool::RateOf(const Account& account, TimePoint now) const {
+  const double depth = DepthOf(account.m_limit);
+  const double unused =
+      depth > 0 ? std::max(0.0, 1 - account.m_recent_stock.At(now) / depth) : 0;
+  return BudgetOf(account.m_limit, m_options.m_quota).m_rate +
+         unused * account.m_limit.m_burst /
+             std::chrono::duration<double>(m_options.m_quota.m_window).count();
+}
+
 void AccountPool::Settle(Account& account, TimePoint now) {
   CountAttached(now);
   while (!account.m_outstanding.empty() &&
@@ -127,20 +136,26 @@
     account.m_outstanding_count -= account.m_outstanding.front().m_tokens;
     account.m_outstanding.pop_front();
   }
-  account.m_level += (m_share_time - account.m_settled_share) *
-                     BudgetOf(account.m_limit, m_options.m_quota).m_rate;
+  account.m_level +=
+      (m_share_time - account.m_settled_share) * RateOf(account, now);
   account.m_settled_share = m_share_time;
   account.m_level = std::clamp(
       account.m_level, 0.0,
       std::max(0.0, DepthOf(account.m_limit) - account.m_outstanding_count));
+  account.m_recent_stock.Add(account.m_level + account.m_outstanding_count,
+                             now);
 }
 
 void AccountPool::Open(AccountId id,
                        const AccountLimit& limit,
                        bool is_full,
                        TimePoint now) {
+  // An earlier coordinator may have granted a full bucket in this window.
   const auto [found, is_new] = m_accounts.try_emplace(
-      id, Account{.m_limit = limit, .m_settled_share = m_share_time});
+      id, Account{.m_limit = limit,
+                  .m_recent_stock = SlidingMaximum(m_options.m_quota.m_window,
+                                                   DepthOf(limit), now),
+                  .m_settled_share = m_share_time});
   if (is_new) {
     found->second.m_level = is_full ? DepthOf(limit) : 0;
     Settle(found->second, now);
@@ -236,8 +251,7 @@
                  ? asker.m_waiting
                  : 0;
   }
-  const double rate = BudgetOf(account.m_limit, m_options.m_quota).m_rate *
-                          std::max(1U, m_attached_count) /
+  const double rate = RateOf(account, now) * std::max(1U, m_attached_count) /
                           std::max(1U, m_fleet.m_nodes) +
                       BorrowedRate(account, now);
   const Duration wait =
