--- a/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
@@ -84,12 +84,13 @@
   if (!call.m_is_call) {
     return;
   }
+  // An instance that refuses a call although it had a free slot (kShed) tells
+  // nothing about the capacity of its service.
   switch (call.m_last_reason) {
     // Without a reason it was queued until its deadline.
     case AttemptReason::kNone:
     case AttemptReason::kBusy:
     case AttemptReason::kPastDeadline:
-    case AttemptReason::kShed:
       if (!FindCandidates(call).empty()) {
         ++m_stats.m_calls_refused;
         ReportCall(call, CallResult::kRefused);
