--- a/libs/limits/include/sequoiastage/limits/account_exchange.h
+++ b/libs/limits/include/sequoiastage/limits/account_exchange.h
@@ -26,8 +26,10 @@
   Duration m_share_interval = std::chrono::milliseconds(100);
   /// A coordinator that has not replied for this long is replaced.
   Duration m_silence_limit = std::chrono::milliseconds(400);
-  /// Time for which a replaced coordinator is not used.
+  /// Time for which a replaced coordinator is not used; doubled each time that
+  /// it is silent again. The share handed to a silent one is lost.
   Duration m_avoid_period = std::chrono::seconds(2);
+  Duration m_max_avoid_period = std::chrono::seconds(16);
   /// Number of nodes that are tried as the coordinator. When none is usable,
   /// the node coordinates its own share.
   size_t m_candidates = 4;
@@ -124,7 +126,13 @@
     std::optional<TimePoint> m_first_since;
   };
 
+  struct Avoidance {
+    TimePoint m_until{};
+    Duration m_period{};
+  };
+
   Shard& ShardOf(AccountId account);
+  void Avoid(NodeId node, TimePoint now);
   void Choose(uint32_t index, TimePoint now);
   void SendTo(Shard& shard, TimePoint now);
   void Decide(const std::vector<TokenDecision>& decisions);
@@ -146,7 +154,8 @@
   AccountPool m_pool;
   std::vector<Shard> m_shards;
   uint64_t m_next_number = 1;
-  std::unordered_map<NodeId, TimePoint> m_avoided_until;
+  // Coordinators that were silent or lost, until their next reply.
+  std::unordered_map<NodeId, Avoidance> m_avoided;
   std::optional<TimePoint> m_accounts_started_at;
   std::unordered_map<AccountId, TimePoint> m_added_at;
   TimePoint m_next_loans_at{};
--- a/libs/limits/src/account_exchange.cc
+++ b/libs/limits/src/account_exchange.cc
@@ -165,9 +165,17 @@
   }
 }
 
+void AccountExchange::Avoid(NodeId node, TimePoint now) {
+  Avoidance& avoidance = m_avoided[node];
+  avoidance.m_period =
+      std::clamp(2 * avoidance.m_period, m_options.m_avoid_period,
+                 m_options.m_max_avoid_period);
+  avoidance.m_until = now + avoidance.m_period;
+}
+
 bool AccountExchange::IsAvoided(NodeId node, TimePoint now) const {
-  const auto found = m_avoided_until.find(node);
-  return found != m_avoided_until.end() && now < found->second;
+  const auto found = m_avoided.find(node);
+  return found != m_avoided.end() && now < found->second.m_until;
 }
 
 void AccountExchange::Choose(uint32_t index, TimePoint now) {
@@ -293,6 +301,7 @@
                               const Message& message,
                               TimePoint now) {
   if (const auto* grants = std::get_if<TokenGrantMessage>(&message)) {
+    m_avoided.erase(node);
     for (Shard& shard : m_shards) {
       Decide(shard.m_credits.OnGrants(*grants, now));
     }
@@ -305,7 +314,7 @@
 void AccountExchange::OnLinkLost(NodeId node, TimePoint now) {
   for (uint32_t index = 0; index < m_shards.size(); ++index) {
     if (m_shards[index].m_coordinator == node) {
-      m_avoided_until[node] = now + m_options.m_avoid_period;
+      Avoid(node, now);
       Choose(index, now);
       if (m_shards[index].m_credits.HasUrgent()) {
         SendTo(m_shards[index], now);
@@ -342,7 +351,7 @@
   for (uint32_t index = 0; index < m_shards.size(); ++index) {
     Shard& shard = m_shards[index];
     if (shard.m_credits.SilentFor(now) > m_options.m_silence_limit) {
-      m_avoided_until[shard.m_coordinator] = now + m_options.m_avoid_period;
+      Avoid(shard.m_coordinator, now);
     }
     Choose(index, now);
     Decide(shard.m_credits.Tick(now));
@@ -352,8 +361,6 @@
     }
   }
   AskForLoans(now);
-  std::erase_if(m_avoided_until,
-                [now](const auto& entry) { return now >= entry.second; });
 }
 
 }  // namespace sequoiastage
