--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -90,6 +90,14 @@
   Duration KnowledgeAge(TimePoint now) const;
   bool IsReady() const;
 
+  // After a restart, the store's copy may be older than what the peers have. A
+  // configuration with keys serves requests only when the peers that were asked
+  // have answered, or not in time: it may have a key that was removed.
+  void ConfirmConfig();
+  bool IsConfigUsable() const {
+    return m_config && (m_is_config_confirmed || !m_config->RequiresKeys());
+  }
+
   asio::io_context& m_io;
   MeshSettings m_settings;
   Store& m_store;
@@ -122,6 +130,10 @@
   // asked for records that the store lacks.
   std::vector<MessageSink> m_startup_peers;
   size_t m_asked_peers = 0;
+  // Answers of these and others.
+  size_t m_startup_answers = 0;
+  // See ConfirmConfig().
+  bool m_is_config_confirmed = false;
   // Set when a later era was noticed, until lost members have been removed.
   std::optional<TimePoint> m_era_noticed_at;
   uint64_t m_era_changes = 0;
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -27,6 +27,9 @@
 // for records that the store has lost.
 inline constexpr Duration kStartupPeriod = std::chrono::seconds(15);
 inline constexpr size_t kMaxStartupPeers = 3;
+// Peers connect and answer in about 0.3 s. A node without peers serves after
+// this time.
+inline constexpr Duration kConfirmTime = std::chrono::milliseconds(1500);
 inline constexpr Duration kPublishRetry = std::chrono::milliseconds(500);
 // Each failure doubles the delay up to this limit.
 inline constexpr Duration kMaxPublishRetry = std::chrono::seconds(2);
@@ -234,7 +237,7 @@
 
 template <PlatformCodec Codec, PlatformStore Store>
 bool MeshNode<Codec, Store>::IsReady() const {
-  return !m_is_stopping && m_config && m_reader.IsLoaded();
+  return !m_is_stopping && IsConfigUsable() && m_reader.IsLoaded();
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -91,7 +91,9 @@
   }
   m_config = std::make_shared<const TrafficConfig>(*std::move(config));
   m_config_applied_at = BootNow();
-  m_ingress.SetConfig(m_config);
+  if (IsConfigUsable()) {
+    m_ingress.SetConfig(m_config);
+  }
   m_egress.SetConfig(m_config);
   const CallerLimits& limits = m_config->m_limits;
   m_callers.SetLimits(
@@ -117,6 +119,21 @@
   return true;
 }
 
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::ConfirmConfig() {
+  const bool has_answers =
+      m_startup_answers >= std::max<size_t>(1, m_asked_peers);
+  if (m_is_config_confirmed ||
+      !(m_settings.m_is_first_start || has_answers ||
+        BootNow() - m_started_at > mesh_node_detail::kConfirmTime)) {
+    return;
+  }
+  m_is_config_confirmed = true;
+  if (m_config) {
+    m_ingress.SetConfig(m_config);
+  }
+}
+
 template <PlatformCodec Codec, PlatformStore Store>
 bool MeshNode<Codec, Store>::OnMemberRecord(const StoreRecord& record) {
   const auto member = DecodeMember(record.m_value);
@@ -152,7 +169,9 @@
 void MeshNode<Codec, Store>::OnRelay(NodeId node, const RelayMessage& relay) {
   m_relay_choice.OnRelayReport(node, std::chrono::milliseconds(relay.m_age_ms),
                                BootNow());
+  m_startup_answers += relay.m_age_ms == UINT32_MAX ? 1 : 0;
   if (relay.m_packed.empty()) {
+    ConfirmConfig();
     return;
   }
   const auto records = UnpackRecords(relay.m_packed);
@@ -164,6 +183,7 @@
     m_reader.ApplyRelayed(record);
   }
   m_reader.MarkLoaded();
+  ConfirmConfig();
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
@@ -253,6 +273,7 @@
       Subscribe(m_startup_peers[m_asked_peers]);
     }
   }
+  ConfirmConfig();
   if (m_era_noticed_at &&
       now - *m_era_noticed_at > mesh_node_detail::kRewriteTimeout) {
     m_era_noticed_at.reset();
--- a/libs/mesh/include/sequoiastage/mesh/node_metrics.h
+++ b/libs/mesh/include/sequoiastage/mesh/node_metrics.h
@@ -30,7 +30,7 @@
   Duration m_config_age{};
   Duration m_knowledge_age{};
   uint64_t m_config_rejects = 0;
-  /// Elements of the configuration in force that can't be used as written.
+  /// Faults of the configuration in force.
   size_t m_config_findings = 0;
   size_t m_accounts = 0;
   /// Latest known era of the store, and the rises noticed since the start.
