--- a/bench/capacity_bench/main.cc
+++ b/bench/capacity_bench/main.cc
@@ -13,7 +13,7 @@
     section,
     "all",
     "What to measure: all, fleets, groups, domains, versions, members, config, "
-    "replay, routing, quarantine or connections.");
+    "replay, routing, quarantine, accounts or connections.");
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
@@ -34,6 +34,7 @@
   run("config", sequoiastage::MeasureConfig);
   run("replay", sequoiastage::MeasureReplay);
   run("routing", sequoiastage::MeasureRouting);
+  run("accounts", sequoiastage::MeasureAccountTable);
   run("quarantine", sequoiastage::MeasureQuarantine);
   run("versions", sequoiastage::MeasureVersions);
   run("connections", sequoiastage::MeasureConnections);
--- a/bench/capacity_bench/sections.h
+++ b/bench/capacity_bench/sections.h
@@ -38,6 +38,10 @@
 /// processor time of reports and lookups.
 void MeasureQuarantine(uint64_t seed);
 
+/// Configuration documents of the mesh node with client accounts: memory,
+/// lookups, processor time to apply a version.
+void MeasureAccountTable(uint64_t seed);
+
 /// Target selection, subsets, load table and path monitor.
 void MeasureRouting(uint64_t seed);
 
--- a/libs/checkedjson/include/sequoiastage/checkedjson/json_document.h
+++ b/libs/checkedjson/include/sequoiastage/checkedjson/json_document.h
@@ -17,7 +17,7 @@
 /// parsed values.
 class JsonDocument {
  public:
-  /// Largest text that Parse() accepts, in bytes.
+  /// Largest text that Parse() accepts by default, in bytes.
   static constexpr size_t kMaxTextBytes = 8UL * 1024 * 1024;
 
   /// An empty object with an empty source name.
@@ -27,11 +27,12 @@
   static JsonDocument FromValue(std::string source, nlohmann::json value);
 
   /// Parses `text` from `source`, such as a file name. Syntax errors, duplicate
-  /// keys, nesting deeper than 64 levels and a text larger than 8 MiB are added
-  /// to `findings`; the result is then empty.
+  /// keys, nesting deeper than 64 levels and a text larger than `max_bytes` are
+  /// added to `findings`; the result is then empty.
   static std::optional<JsonDocument> Parse(std::string source,
                                            std::string_view text,
-                                           Findings& findings);
+                                           Findings& findings,
+                                           size_t max_bytes = kMaxTextBytes);
 
   /// This document with `patch` applied (JSON Merge Patch, RFC 7396). Values
   /// set by the patch have the source of the patch.
