--- a/libs/config/src/account_table.cc
+++ b/libs/config/src/account_table.cc
@@ -13,12 +13,12 @@
 
 // Drawn once for each process.
 const HashSecret& ProcessSecret() {
-  static const HashSecret s_secret = [] {
+  static const HashSecret kSecret = [] {
     HashSecret secret;
     randombytes_buf(secret.data(), secret.size());
     return secret;
   }();
-  return s_secret;
+  return kSecret;
 }
 
 }  // namespace
