--- a/libs/limits/include/sequoiastage/limits/fair_shares.h
+++ b/libs/limits/include/sequoiastage/limits/fair_shares.h
@@ -30,6 +30,9 @@
   /// Decayed slot time of `account` in seconds; 0 for an untracked account.
   double Usage(AccountId account, TimePoint now) const;
 
+  /// Decayed slot time of all tracked accounts in seconds.
+  double TotalUsage(TimePoint now) const;
+
   size_t AccountCount() const { return m_usage_by_account.size(); }
 
  private:
--- a/libs/limits/include/sequoiastage/limits/slot_gate.h
+++ b/libs/limits/include/sequoiastage/limits/slot_gate.h
@@ -187,11 +187,14 @@
   static Rank RankOf(bool is_call, uint8_t urgency) {
     return {!is_call, urgency};
   }
-  Rank RankOf(const QueuedWork& work) const;
+  Rank RankOf(const QueuedWork& work, TimePoint now) const;
+  void UpdateEqualShare(TimePoint now);
   bool MakeRoom(const QueuedWork& arrival, TimePoint now, GateChanges& changes);
   double WeightedUsage(const QueuedWork& work, TimePoint now) const;
   double WeightedDemand(const QueuedWork& work, TimePoint now) const;
-  bool DisplaceLessUrgent(const QueuedWork& arrival, GateChanges& changes);
+  bool DisplaceLessUrgent(const QueuedWork& arrival,
+                          TimePoint now,
+                          GateChanges& changes);
   bool DisplaceOtherAccount(const QueuedWork& arrival,
                             TimePoint now,
                             GateChanges& changes);
@@ -204,6 +207,10 @@
   RateLimiter m_rate;
   StarvationGuard m_starvation;
   bool m_protects_accounts = false;
+  // Recent slot time in seconds that each account would get if all that ask got
+  // the same.
+  double m_equal_share = 0;
+  TimePoint m_equal_share_at{};
   Duration m_service_time;
   uint64_t m_next_ticket = 1;
   std::unordered_map<Ticket, RunningWork> m_running;
--- a/libs/limits/include/sequoiastage/limits/starvation_guard.h
+++ b/libs/limits/include/sequoiastage/limits/starvation_guard.h
@@ -13,8 +13,8 @@
 struct StarvationGuardOptions {
   /// How often the requests of an account are served at least, relative to all
   /// requests. The requirement is 0.25; the rest covers requests that are
-  /// refused although their account is starved.
-  double m_min_relative_service = 0.3;
+  /// refused although their account is starved, and short runs.
+  double m_min_relative_service = 0.35;
   /// Requests that an account may be owed. Limits what it takes at once after a
   /// long shortage.
   double m_max_owed = 2;
@@ -47,6 +47,9 @@
   /// Number of starved accounts.
   size_t StarvedCount() const;
 
+  /// Number of accounts that asked since `since`.
+  size_t AccountsSince(TimePoint since) const;
+
   size_t AccountCount() const { return m_accounts.size(); }
 
  private:
--- a/libs/limits/src/fair_shares.cc
+++ b/libs/limits/src/fair_shares.cc
@@ -29,6 +29,14 @@
                                            : DecayedSeconds(found->second, now);
 }
 
+double FairShares::TotalUsage(TimePoint now) const {
+  double sum = 0;
+  for (const auto& [account, entry] : m_usage_by_account) {
+    sum += DecayedSeconds(entry, now);
+  }
+  return sum;
+}
+
 double FairShares::DecayedSeconds(const Entry& entry, TimePoint now) const {
   const double half_lives =
       Seconds(now - entry.m_updated_at) / Seconds(m_options.m_half_life);
--- a/libs/limits/src/slot_gate.cc
+++ b/libs/limits/src/slot_gate.cc
@@ -27,6 +27,7 @@
                                 bool is_call) {
   if (m_protects_accounts && !is_call) {
     m_starvation.OnAsked(account, now);
+    UpdateEqualShare(now);
   }
   AdmissionResult result{.m_decision = AdmissionDecision::kRefused,
                          .m_ticket = Ticket(m_next_ticket++),
@@ -44,7 +45,7 @@
                            .m_urgency = urgency,
                            .m_is_call = is_call,
                            .m_deadline = deadline};
-  const Duration wait = ExpectedWait(now, RankOf(arrival).second, is_call);
+  const Duration wait = ExpectedWait(now, RankOf(arrival, now).second, is_call);
   if (now + wait + m_service_time > deadline ||
       !MakeRoom(arrival, now, result.m_changes)) {
     ++m_stats.m_refused;
@@ -63,12 +64,29 @@
   m_protects_accounts = protects;
 }
 
-SlotGate::Rank SlotGate::RankOf(const QueuedWork& work) const {
-  const bool is_boosted = m_protects_accounts && !work.m_is_call &&
-                          m_starvation.IsStarved(work.m_account);
+// An account that asks for much more than others is owed more than its fair
+// share; it gets precedence only for a part of that share.
+SlotGate::Rank SlotGate::RankOf(const QueuedWork& work, TimePoint now) const {
+  const bool is_boosted =
+      m_protects_accounts && !work.m_is_call &&
+      m_starvation.IsStarved(work.m_account) &&
+      WeightedUsage(work, now) <
+          m_options.m_starvation.m_min_relative_service * m_equal_share;
   return RankOf(work.m_is_call, is_boosted ? uint8_t{0} : work.m_urgency);
 }
 
+void SlotGate::UpdateEqualShare(TimePoint now) {
+  constexpr Duration kInterval = std::chrono::milliseconds(500);
+  if (now - m_equal_share_at < kInterval) {
+    return;
+  }
+  const TimePoint since = now - 2 * m_options.m_fair_shares.m_half_life;
+  m_equal_share =
+      m_shares.TotalUsage(now) / static_cast<double>(std::max<size_t>(
+                                     1, m_starvation.AccountsSince(since)));
+  m_equal_share_at = now;
+}
+
 // Whether there is room in the queue for `arrival`. Calls take the place of new
 // work above the limit; their own number is bounded by their deadlines and by
 // m_max_queued.
@@ -79,14 +97,14 @@
     return true;
   }
   if (!arrival.m_is_call) {
-    return DisplaceLessUrgent(arrival, changes) ||
+    return DisplaceLessUrgent(arrival, now, changes) ||
            DisplaceOtherAccount(arrival, now, changes);
   }
   const bool has_new_work = QueuedCalls() < m_queue.size();
   if (!has_new_work && m_queue.size() < m_options.m_max_queued) {
     return true;
   }
-  return DisplaceLessUrgent(arrival, changes);
+  return DisplaceLessUrgent(arrival, now, changes);
 }
 
 size_t SlotGate::QueuedCalls() const {
@@ -195,7 +213,7 @@
   const Rank rank = RankOf(is_call, urgency);
   const auto queued_ahead = std::count_if(
       m_queue.begin(), m_queue.end(),
-      [this, rank](const QueuedWork& work) { return RankOf(work) <= rank; });
+      [&](const QueuedWork& work) { return RankOf(work, now) <= rank; });
   const Duration slot_wait = HasFreeSlot()
                                  ? Duration{}
                                  : m_service_time * (queued_ahead + 1) /
@@ -229,13 +247,14 @@
 // Displaces the newest queued request of the last rank, if `arrival` goes
 // before it.
 bool SlotGate::DisplaceLessUrgent(const QueuedWork& arrival,
+                                  TimePoint now,
                                   GateChanges& changes) {
   const auto victim =
       std::max_element(m_queue.begin(), m_queue.end(),
-                       [this](const QueuedWork& a, const QueuedWork& b) {
-                         return RankOf(a) <= RankOf(b);
+                       [&](const QueuedWork& a, const QueuedWork& b) {
+                         return RankOf(a, now) <= RankOf(b, now);
                        });
-  if (victim == m_queue.end() || RankOf(*victim) <= RankOf(arrival)) {
+  if (victim == m_queue.end() || RankOf(*victim, now) <= RankOf(arrival, now)) {
     return false;
   }
   changes.m_refused.push_back(victim->m_ticket);
@@ -256,7 +275,7 @@
   for (auto work = m_queue.begin(); work != m_queue.end(); ++work) {
     const double demand = WeightedDemand(*work, now);
     if (work->m_account != arrival.m_account &&
-        RankOf(*work) == RankOf(arrival) && demand >= max_demand) {
+        RankOf(*work, now) == RankOf(arrival, now) && demand >= max_demand) {
       victim = work;
       max_demand = demand;
     }
@@ -285,11 +304,11 @@
 void SlotGate::FillSlots(TimePoint now, GateChanges& changes) {
   while (CanStart(now) && !m_queue.empty()) {
     auto next = m_queue.begin();
-    Rank next_rank = RankOf(*next);
+    Rank next_rank = RankOf(*next, now);
     double least_usage = WeightedUsage(*next, now);
     for (auto work = next + 1; work != m_queue.end(); ++work) {
       const double usage = WeightedUsage(*work, now);
-      const Rank rank = RankOf(*work);
+      const Rank rank = RankOf(*work, now);
       if (rank < next_rank || (rank == next_rank && usage < least_usage)) {
         next = work;
         next_rank = rank;
--- a/libs/limits/src/starvation_guard.cc
+++ b/libs/limits/src/starvation_guard.cc
@@ -44,6 +44,12 @@
                     [](const auto& item) { return item.second.m_owed >= 1; }));
 }
 
+size_t StarvationGuard::AccountsSince(TimePoint since) const {
+  return static_cast<size_t>(std::count_if(
+      m_accounts.begin(), m_accounts.end(),
+      [since](const auto& item) { return item.second.m_asked_at >= since; }));
+}
+
 void StarvationGuard::Decay(TimePoint now) {
   if (now <= m_latest) {
     return;
