--- a/libs/limits/tests/downstream_load.h
+++ b/libs/limits/tests/downstream_load.h
@@ -163,14 +163,14 @@
   void Offer(Station& station,
              TimePoint deadline,
              bool is_call,
-             std::function<void(Ticket)> start,
-             std::function<void()> refuse) {
+             const std::function<void(Ticket)>& start,
+             const std::function<void()>& refuse) {
     const AdmissionResult result =
         station.m_gate.Admit(m_now, deadline, AccountId(0), 1, 0,
                              is_call && m_policy != DownstreamPolicy::kNaive);
+    // Before the changes are applied: they may refuse this request at once.
     if (result.m_decision == AdmissionDecision::kQueued) {
-      station.m_waiting[result.m_ticket] = {std::move(start),
-                                            std::move(refuse)};
+      station.m_waiting[result.m_ticket] = {start, refuse};
     }
     Apply(station, result.m_changes);
     if (result.m_decision == AdmissionDecision::kAdmitted) {
--- a/libs/limits/tests/slot_gate_sharing_test.cc
+++ b/libs/limits/tests/slot_gate_sharing_test.cc
@@ -154,6 +154,7 @@
                  .m_initial_service_time = kServiceTime});
   const TimePoint deadline = kStart + seconds(1);
   std::vector<AdmissionResult> calls;
+  calls.reserve(12);
   for (int i = 0; i < 12; ++i) {
     calls.push_back(gate.Admit(kStart, deadline, kUrgent, 1, 0, true));
   }
