--- a/libs/mesh/tests/ingress_call_test.cc
+++ b/libs/mesh/tests/ingress_call_test.cc
@@ -116,12 +116,14 @@
 
 TEST_F(MeshIngressCallTest, CancelledCallIsNotOfferedAgain) {
   FakeEgressNode& egress = AddNode(2, kAlways, AttemptReason::kBusy);
-  const CancelHook cancel = m_ingress.OnRequest(
-      {.m_method = "POST",
-       .m_host = "a",
-       .m_target = "/x/1",
-       .m_fields = {{"id", "call"}}},
-      [this](HttpResponse response) { m_responses.push_back(response); });
+  const CancelHook cancel =
+      m_ingress.OnRequest({.m_method = "POST",
+                           .m_host = "a",
+                           .m_target = "/x/1",
+                           .m_fields = {{"id", "call"}}},
+                          [this](const HttpResponse& response) {
+                            m_responses.push_back(response);
+                          });
   ASSERT_TRUE(
       RunUntil(m_io, [&] { return m_ingress.Stats().m_calls_paused == 1; }));
   cancel();
