Bound the bytes that a node and an instance hold

One ByteBudget per node counts request bodies, responses that callers have not read, frames queued on links, and what the egress holds for its instance. While the configuration manages load, a short budget refuses large requests that have not run, room for a large response is reserved before its request runs, and responses are always taken.

InstanceByteBound learns from crashes with several large requests in flight how many bytes an instance bears (AIMD). Large requests whose bytes explain a crash are not reported to the quarantine; small ones are. A granted slot waits longer for a large start message, and an ingress that is told of a large response in transfer sends no hedge.

Metrics for held bytes by kind, event byte_budget_short.

--- a/libs/events/src/mesh_events.cc
+++ b/libs/events/src/mesh_events.cc
@@ -151,7 +151,12 @@
                      "refused: it broke requests, then refused a connection; "
                      "replaced: another incarnation announced itself"},
                     {"running",
-                     "fingerprints of the requests, separated by spaces"}}},
+                     "fingerprints of the requests, separated by spaces"},
+                    {"large_bytes",
+                     "bytes of the large requests among those that ran"},
+                    {"explained",
+                     "bytes: the large requests together exceeded what the "
+                     "instance bears, and are not listed; otherwise no"}}},
       {.m_name = "request_quarantined",
        .m_level = kWarn,
        .m_help = "a request crashes the instances that execute it; the node "
@@ -197,6 +202,19 @@
        .m_help =
            "a configuration can't be parsed; the previous one stays in force",
        .m_fields = {{"offset", "offset of its record"}, kReason}},
+      {.m_name = "byte_budget_short",
+       .m_level = kWarn,
+       .m_help = "requests were refused because the node holds too many bytes; "
+                 "at most once a second",
+       .m_fields = {{"refused", "requests refused since the last such event"},
+                    {"limit", "byte budget"},
+                    {"held", "bytes held now"},
+                    {"caller_requests", "of these, request bodies of callers"},
+                    {"caller_responses",
+                     "responses that callers have not read, and room reserved "
+                     "for responses"},
+                    {"links", "queued for other nodes"},
+                    {"instance", "requests and responses of the instance"}}},
       {.m_name = "relay_damaged",
        .m_level = kWarn,
        .m_help = "records relayed by another node are malformed",
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -13,10 +13,12 @@
 #include <vector>
 
 #include "sequoiastage/base/boot_clock.h"
+#include "sequoiastage/base/byte_budget.h"
 #include "sequoiastage/base/request_fingerprint.h"
 #include "sequoiastage/config/traffic_config.h"
 #include "sequoiastage/health/instance_hold.h"
 #include "sequoiastage/http/exchange_connection.h"
+#include "sequoiastage/limits/instance_byte_bound.h"
 #include "sequoiastage/limits/retry_allowance.h"
 #include "sequoiastage/limits/slot_gate.h"
 #include "sequoiastage/logging/log_event.h"
@@ -62,6 +64,12 @@
   /// limits its load, it gets at most m_unproven_slots requests at a time.
   bool m_adopts_instance = false;
   uint32_t m_unproven_slots = 2;
+  /// Counts the requests held for the instance, and retained outcomes; may be
+  /// null.
+  std::shared_ptr<ByteBudget> m_budget;
+  /// A granted slot waits longer for a large start message: for its transfer at
+  /// this rate, in bytes per millisecond (1 Mbit/s).
+  size_t m_min_transfer_rate = 125;
 };
 
 /// A request that the instance is executing, as far as it concerns the calls
@@ -80,6 +88,8 @@
   uint64_t m_holds = 0;
   uint64_t m_connections = 0;
   uint64_t m_quarantined = 0;
+  /// Large requests refused because of the bytes that the instance holds.
+  uint64_t m_byte_refusals = 0;
 };
 
 /// Admission control for the instance on this host: decides which offers run,
@@ -152,6 +162,10 @@
   EgressLoadReport CurrentLoad() const;
   /// Rate limit that the instance states; empty when it states none.
   std::optional<RequestRate> StatedLimit() const { return m_stated_limit; }
+  /// Bytes of the large requests accepted for the instance, and their learned
+  /// bound; SIZE_MAX while that is unknown.
+  size_t LargeBytes() const { return m_large_bytes; }
+  size_t LargeBytesBound() const { return m_byte_bound.Bound(); }
   HoldState State() const { return m_hold.StateAt(BootNow()); }
 
  private:
@@ -159,13 +173,25 @@
   enum class Phase : uint8_t { kQueued, kReady, kRunning };
 
   struct Work {
-    Work(asio::io_context& io, Key key_in, OfferMessage offer_in)
-        : m_key(std::move(key_in)), m_offer(std::move(offer_in)), m_timer(io) {}
+    Work(asio::io_context& io,
+         Key key_in,
+         OfferMessage offer_in,
+         const std::shared_ptr<ByteBudget>& budget)
+        : m_key(std::move(key_in)),
+          m_offer(std::move(offer_in)),
+          m_held(budget, HeldKind::kInstanceRequests),
+          m_timer(io) {}
 
     Key m_key;
     OfferMessage m_offer;
     MessageSink m_reply;
     Phase m_phase = Phase::kQueued;
+    // Size of a large body, which is part of m_large_bytes; otherwise 0.
+    size_t m_large_bytes = 0;
+    // Room for the body, until it is sent to the instance.
+    BudgetShare m_held;
+    // Set before a large body is dropped.
+    std::optional<RequestFingerprint> m_fingerprint;
     Ticket m_ticket;
     bool m_is_trial = false;
     bool m_is_detached = false;
@@ -189,6 +215,13 @@
     RequestResult m_result = RequestResult::kBroken;
   };
 
+  // A request that the instance was executing when it broke the connection.
+  struct BrokenRequest {
+    RequestFingerprint m_request;
+    // As Work::m_large_bytes.
+    size_t m_large_bytes = 0;
+  };
+
   struct IdleConnection {
     std::shared_ptr<ExchangeConnection> m_connection;
     TimePoint m_since;
@@ -211,11 +244,24 @@
   // Called when m_instance is about to change. `is_replaced`: another
   // incarnation takes its place.
   void OnIncarnationEnd(bool is_replaced);
-  // Reports requests that the instance was executing when it crashed. May be
-  // called again for the same crash.
+  // Learns from a crash with these requests which amount of bytes the instance
+  // bears.
+  void LearnBytes(const std::vector<BrokenRequest>& running);
+  // Reports requests that the instance was executing when it crashed, except
+  // for large ones when their bytes explain the crash. May be called again for
+  // the same crash.
   void ReportCrash(std::string_view proof,
-                   std::vector<RequestFingerprint> running);
+                   const std::vector<BrokenRequest>& running);
+  // Reason of an attempt that ended with the crash of the instance.
+  AttemptReason CrashReason(const Work& work) const;
   static RequestFingerprint FingerprintOf(const Work& work);
+  // Whether the instance and the byte budget have room for the body of an
+  // offer.
+  bool HasRoomFor(const OfferMessage& offer);
+  // Bytes of the large requests that the instance is executing.
+  size_t RunningLargeBytes() const;
+  // Sets the size of the body of accepted work.
+  void SetLargeBytes(Work& work, size_t body_bytes);
   bool IsQuarantined(const Work& work) const;
   // Handles what the instance states about itself in a response.
   void OnStatements(const Work& work, const ResponseMetadata& metadata);
@@ -272,16 +318,24 @@
   std::vector<IdleConnection> m_idle_connections;
   std::deque<std::pair<TimePoint, std::pair<Key, OutcomeMessage>>>
       m_retained_outcomes;
+  BudgetShare m_retained_bytes;
   // Connection to an instance that broke a response; null when there is none.
   std::shared_ptr<ExchangeConnection> m_probe;
   std::vector<BrokenWork> m_awaiting_probe;
   // The last requests that broke together, unless the instance sent a complete
   // response since.
-  std::vector<RequestFingerprint> m_last_broken;
+  std::vector<BrokenRequest> m_last_broken;
   TimePoint m_last_broken_at{};
   // The current incarnation has refused the probe, and has sent no complete
   // response since.
   bool m_has_crashed = false;
+  // The bytes of large requests explain the last crash.
+  bool m_bytes_explain_crash = false;
+  // Of m_config; see TrafficConfig::ManagesLoad().
+  bool m_manages_load = false;
+  InstanceByteBound m_byte_bound{InstanceByteBoundOptions{}};
+  // Sum over accepted work.
+  size_t m_large_bytes = 0;
   EgressStats m_stats;
   LatencyBuckets m_latency;
 };
--- a/libs/mesh/include/sequoiastage/mesh/egress_crash_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_crash_inl.h
@@ -13,8 +13,10 @@
 
 template <PlatformCodec Codec>
 RequestFingerprint Egress<Codec>::FingerprintOf(const Work& work) {
-  return sequoiastage::FingerprintOf(work.m_offer.m_request,
-                                     work.m_offer.m_caller_service);
+  return work.m_fingerprint
+             ? *work.m_fingerprint
+             : sequoiastage::FingerprintOf(work.m_offer.m_request,
+                                           work.m_offer.m_caller_service);
 }
 
 template <PlatformCodec Codec>
@@ -31,8 +33,9 @@
     return;
   }
   if (m_has_crashed) {
-    ReportCrash("refused", {FingerprintOf(*broken.m_work)});
-    broken.m_outcome.m_reason = AttemptReason::kInstanceCrashed;
+    ReportCrash("refused", {{.m_request = FingerprintOf(*broken.m_work),
+                             .m_large_bytes = broken.m_work->m_large_bytes}});
+    broken.m_outcome.m_reason = CrashReason(*broken.m_work);
     Complete(broken.m_work, std::move(broken.m_outcome), broken.m_result);
     return;
   }
@@ -40,7 +43,8 @@
     m_last_broken.clear();
   }
   m_last_broken_at = now;
-  m_last_broken.push_back(FingerprintOf(*broken.m_work));
+  m_last_broken.push_back({.m_request = FingerprintOf(*broken.m_work),
+                           .m_large_bytes = broken.m_work->m_large_bytes});
   m_awaiting_probe.push_back(std::move(broken));
   if (m_probe) {
     return;
@@ -62,12 +66,16 @@
   }
   if (outcome == ConnectOutcome::kRefused) {
     m_has_crashed = true;
-    std::vector<RequestFingerprint> running;
+    std::vector<BrokenRequest> running;
+    for (const BrokenWork& each : broken) {
+      running.push_back({.m_request = FingerprintOf(*each.m_work),
+                         .m_large_bytes = each.m_work->m_large_bytes});
+    }
+    LearnBytes(running);
     for (BrokenWork& each : broken) {
-      running.push_back(FingerprintOf(*each.m_work));
-      each.m_outcome.m_reason = AttemptReason::kInstanceCrashed;
+      each.m_outcome.m_reason = CrashReason(*each.m_work);
     }
-    ReportCrash("refused", std::move(running));
+    ReportCrash("refused", running);
   }
   for (BrokenWork& each : broken) {
     if (m_work.contains(each.m_work->m_key)) {
@@ -83,16 +91,20 @@
     m_probe.reset();
   }
   if (is_replaced && m_instance) {
-    std::vector<RequestFingerprint> running;
+    std::vector<BrokenRequest> running;
     if (!m_has_crashed) {
       running = std::move(m_last_broken);
     }
     for (const auto& [key, work] : m_work) {
       if (work->m_phase == Phase::kRunning && work->m_connection) {
-        running.push_back(FingerprintOf(*work));
+        running.push_back({.m_request = FingerprintOf(*work),
+                           .m_large_bytes = work->m_large_bytes});
       }
     }
-    ReportCrash("replaced", std::move(running));
+    if (!m_has_crashed) {
+      LearnBytes(running);
+    }
+    ReportCrash("replaced", running);
   }
   m_last_broken.clear();
   m_has_crashed = false;
@@ -107,20 +119,56 @@
   m_awaiting_probe.clear();
 }
 
+template <PlatformCodec Codec>
+void Egress<Codec>::LearnBytes(const std::vector<BrokenRequest>& running) {
+  m_bytes_explain_crash = false;
+  if (!m_manages_load) {
+    return;
+  }
+  size_t bytes = 0;
+  size_t count = 0;
+  for (const BrokenRequest& each : running) {
+    bytes += each.m_large_bytes;
+    count += each.m_large_bytes > 0 ? 1 : 0;
+  }
+  m_bytes_explain_crash = m_byte_bound.OnCrash(bytes, count);
+}
+
+template <PlatformCodec Codec>
+AttemptReason Egress<Codec>::CrashReason(const Work& work) const {
+  // The ingress reports the requests that it is told have crashed an instance.
+  return m_bytes_explain_crash && work.m_large_bytes > 0
+             ? AttemptReason::kIncompleteResponse
+             : AttemptReason::kInstanceCrashed;
+}
+
 template <PlatformCodec Codec>
 void Egress<Codec>::ReportCrash(std::string_view proof,
-                                std::vector<RequestFingerprint> running) {
-  if (running.empty()) {
+                                const std::vector<BrokenRequest>& all) {
+  if (all.empty()) {
     return;
   }
+  std::vector<RequestFingerprint> running;
   std::string requests;
-  for (const RequestFingerprint request : running) {
-    requests.append(requests.empty() ? "" : " ").append(ToString(request));
+  int64_t large_bytes = 0;
+  for (const BrokenRequest& each : all) {
+    large_bytes += static_cast<int64_t>(each.m_large_bytes);
+    if (m_bytes_explain_crash && each.m_large_bytes > 0) {
+      continue;
+    }
+    running.push_back(each.m_request);
+    requests.append(requests.empty() ? "" : " ")
+        .append(ToString(each.m_request));
   }
   LogEvent(LogLevel::kInfo, "instance_crashed")
       .Add("instance", m_instance->m_name)
       .Add("proof", proof)
-      .Add("running", requests);
+      .Add("running", requests)
+      .Add("large_bytes", large_bytes)
+      .Add("explained", m_bytes_explain_crash ? "bytes" : "no");
+  if (running.empty()) {
+    return;
+  }
   const WallTime now = WallNow();
   m_quarantine.OnCrash({.m_node = m_self,
                         .m_instance_start_ms = m_instance->m_start_time_ms,
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -33,7 +33,9 @@
       m_gate_timer(io),
       m_hold(options.m_hold),
       m_retry_budget(options.m_retry_budget),
-      m_is_proven(!options.m_adopts_instance) {
+      m_is_proven(!options.m_adopts_instance),
+      m_retained_bytes(options.m_budget, HeldKind::kInstanceResponses) {
+  m_options.m_exchange.m_byte_budget = options.m_budget;
   if (options.m_adopts_instance) {
     m_retry_budget.OnRestart(BootNow());
   }
@@ -82,6 +84,7 @@
 template <PlatformCodec Codec>
 void Egress<Codec>::SetConfig(std::shared_ptr<const TrafficConfig> config) {
   m_config = std::move(config);
+  m_manages_load = m_config->ManagesLoad();
   m_routes = PrefixRoutes(m_config->m_routes);
 }
 
@@ -153,6 +156,10 @@
        m_gate.ExpectedWait(now, offer.m_urgency) > Duration{})) {
     return AttemptReason::kBusy;
   }
+  if (m_manages_load && !HasRoomFor(offer)) {
+    ++m_stats.m_byte_refusals;
+    return AttemptReason::kBusy;
+  }
   // The last free slot, and the rate of an instance that limits it, are
   // reserved for requests that are not running elsewhere.
   if (offer.m_is_hedge &&
@@ -168,6 +175,38 @@
   return AttemptReason::kNone;
 }
 
+template <PlatformCodec Codec>
+bool Egress<Codec>::HasRoomFor(const OfferMessage& offer) {
+  const size_t bytes =
+      std::max<size_t>(offer.m_body_bytes, offer.m_request.m_body.size());
+  if (bytes <= ByteBudget::kSmallBytes) {
+    return true;
+  }
+  if (m_options.m_budget && !m_options.m_budget->Admits(bytes, bytes)) {
+    m_options.m_budget->CountRefusal();
+    return false;
+  }
+  return m_byte_bound.Admit(m_large_bytes, bytes);
+}
+
+template <PlatformCodec Codec>
+size_t Egress<Codec>::RunningLargeBytes() const {
+  size_t bytes = 0;
+  for (const auto& [key, work] : m_work) {
+    bytes += work->m_phase == Phase::kRunning ? work->m_large_bytes : 0;
+  }
+  return bytes;
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::SetLargeBytes(Work& work, size_t body_bytes) {
+  const size_t large = body_bytes > ByteBudget::kSmallBytes ? body_bytes : 0;
+  m_large_bytes += large;
+  m_large_bytes -= work.m_large_bytes;
+  work.m_large_bytes = large;
+  work.m_held.Set(body_bytes);
+}
+
 template <PlatformCodec Codec>
 void Egress<Codec>::Refuse(const Key& key,
                            const OfferMessage& offer,
@@ -199,7 +238,8 @@
     Refuse(key, offer, reason, reply);
     return;
   }
-  auto work = std::make_shared<Work>(m_io, key, std::move(offer));
+  auto work =
+      std::make_shared<Work>(m_io, key, std::move(offer), m_options.m_budget);
   work->m_reply = std::move(reply);
   work->m_deadline =
       now + std::chrono::milliseconds(work->m_offer.m_time_left_ms);
@@ -213,6 +253,8 @@
     Refuse(key, work->m_offer, AttemptReason::kBusy, work->m_reply);
     return;
   }
+  SetLargeBytes(*work, std::max<size_t>(work->m_offer.m_body_bytes,
+                                        work->m_offer.m_request.m_body.size()));
   m_work[key] = work;
   m_by_ticket[work->m_ticket] = work;
   m_trial_count += work->m_is_trial ? 1 : 0;
@@ -236,8 +278,12 @@
     return;
   }
   work->m_phase = Phase::kReady;
-  work->m_ready_until = BootNow() + m_options.m_ready_timeout;
-  work->m_timer.expires_after(m_options.m_ready_timeout);
+  const Duration timeout =
+      m_options.m_ready_timeout +
+      std::chrono::milliseconds(work->m_offer.m_body_bytes /
+                                m_options.m_min_transfer_rate);
+  work->m_ready_until = BootNow() + timeout;
+  work->m_timer.expires_after(timeout);
   work->m_timer.async_wait(
       [this, weak = std::weak_ptr(work)](const asio::error_code& error) {
         const WorkPtr self = weak.lock();
@@ -272,6 +318,7 @@
   }
   work->m_timer.cancel();
   work->m_offer.m_request = std::move(start.m_request);
+  SetLargeBytes(*work, work->m_offer.m_request.m_body.size());
   work->m_deadline = std::min(
       work->m_deadline, now + std::chrono::milliseconds(start.m_time_left_ms));
   Execute(work);
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -46,6 +46,9 @@
                              .m_caller_service = work->m_offer.m_caller_service,
                              .m_time_left = left,
                              .m_account = work->m_offer.m_account});
+  if (work->m_large_bytes > 0) {
+    work->m_fingerprint = FingerprintOf(*work);
+  }
   work->m_connection = AcquireConnection(*work);
   work->m_connection->Send(
       request, left,
@@ -61,6 +64,10 @@
       [this, work](ExchangeResult result) {
         OnExchangeEnd(work, std::move(result));
       });
+  if (work->m_large_bytes > 0) {
+    request.m_body = {};  // The connection has a copy.
+  }
+  work->m_held.Set(0);
 }
 
 template <PlatformCodec Codec>
@@ -247,6 +254,9 @@
   if (outcome.m_result == AttemptResult::kAnswered && !m_quarantine.IsEmpty()) {
     m_quarantine.OnExecuted(FingerprintOf(*work), WallNow());
   }
+  if (outcome.m_result == AttemptResult::kAnswered && work->m_large_bytes > 0) {
+    m_byte_bound.OnSuccess(RunningLargeBytes());
+  }
   m_stats.m_broken += end == RequestResult::kBroken ? 1 : 0;
   Release(work, end == RequestResult::kSuccess);
   LogHoldChange(before, ToString(outcome.m_reason));
@@ -263,6 +273,12 @@
              work->m_connection ? ToString(FingerprintOf(*work)) : "")
         .Add("took_ms", WholeMs(now - work->m_started_at));
   }
+  if (m_manages_load &&
+      outcome.m_response.m_body.size() > ByteBudget::kSmallBytes) {
+    work->m_reply(OfferReplyMessage{.m_attempt = work->m_key.second,
+                                    .m_verdict = OfferVerdict::kResponding,
+                                    .m_load_report = outcome.m_load_report});
+  }
   work->m_reply(outcome);
   if (!work->m_offer.m_is_idempotent) {
     RetainOutcome(work->m_key, std::move(outcome));
@@ -308,6 +324,7 @@
 template <PlatformCodec Codec>
 void Egress<Codec>::Release(const WorkPtr& work, bool counts) {
   work->m_timer.cancel();
+  SetLargeBytes(*work, 0);
   m_work.erase(work->m_key);
   m_by_ticket.erase(work->m_ticket);
   m_trial_count -= work->m_is_trial ? 1 : 0;
@@ -366,11 +383,19 @@
 template <PlatformCodec Codec>
 void Egress<Codec>::RetainOutcome(const Key& key, OutcomeMessage outcome) {
   const TimePoint now = BootNow();
+  // The outcome of an inquiry is unknown when it was dropped early.
+  const size_t bytes = outcome.m_response.m_body.size();
   while (!m_retained_outcomes.empty() &&
          (m_retained_outcomes.front().first < now ||
-          m_retained_outcomes.size() >= m_options.m_max_retained_outcomes)) {
+          m_retained_outcomes.size() >= m_options.m_max_retained_outcomes ||
+          (m_manages_load && m_options.m_budget &&
+           !m_options.m_budget->Admits(bytes, bytes)))) {
+    m_retained_bytes.Set(
+        m_retained_bytes.Get() -
+        m_retained_outcomes.front().second.second.m_response.m_body.size());
     m_retained_outcomes.pop_front();
   }
+  m_retained_bytes.Set(m_retained_bytes.Get() + bytes);
   m_retained_outcomes.emplace_back(now + m_options.m_outcome_retention,
                                    std::pair(key, std::move(outcome)));
 }
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -14,11 +14,13 @@
 #include <vector>
 
 #include "sequoiastage/base/boot_clock.h"
+#include "sequoiastage/base/byte_budget.h"
 #include "sequoiastage/base/request_fingerprint.h"
 #include "sequoiastage/config/account_table.h"
 #include "sequoiastage/config/traffic_config.h"
 #include "sequoiastage/http/exchange_connection.h"
 #include "sequoiastage/http/stream_server.h"
+#include "sequoiastage/limits/response_sizes.h"
 #include "sequoiastage/logging/log_event.h"
 #include "sequoiastage/mesh/egress.h"
 #include "sequoiastage/mesh/mesh_links.h"
@@ -50,6 +52,9 @@
   /// Bounds of the Retry-After field, before it is spread.
   Duration m_min_retry_after = std::chrono::milliseconds(100);
   Duration m_max_retry_after = std::chrono::seconds(2);
+  /// Room for large responses is reserved here while the configuration manages
+  /// load; may be null.
+  std::shared_ptr<ByteBudget> m_budget;
 };
 
 struct IngressStats {
@@ -132,6 +137,8 @@
     bool m_starts_at_once = false;
     // A hedge of a slow attempt that continues.
     bool m_is_hedge = false;
+    // The instance has responded; its large response is in transfer.
+    bool m_is_responding = false;
     Incarnation m_egress_incarnation{};
     // Age of the load report when the attempt was offered; empty when there was
     // none.
@@ -178,6 +185,8 @@
     // Failed and refused attempts with their reasons, for the log; see the
     // event table.
     std::string m_trail;
+    // Room for the response.
+    std::optional<BudgetShare> m_expected_response;
     // Earliest time at which an attempt may have started.
     std::optional<TimePoint> m_first_started_at;
     TimePoint m_received{};
@@ -195,6 +204,9 @@
                      const StreamResponder& responder);
   // Sets the account and rank of a new request.
   void ClassifyCall(Call& call, const ClientAccount* account);
+  // Reserves room for a large response. Returns false when the byte budget has
+  // none.
+  bool ReserveResponse(Call& call);
   void OfferToNextTarget(const CallPtr& call);
   // Called after an attempt that may have been executed.
   void RetryOrFail(const CallPtr& call, std::string_view cause);
@@ -256,6 +268,9 @@
   std::unordered_map<std::string, SplitPicker> m_splits;
   std::unordered_map<AttemptNumber, CallPtr> m_calls_by_attempt;
   std::unordered_map<NodeId, Incarnation> m_incarnations;
+  // Of m_config; see TrafficConfig::ManagesLoad().
+  bool m_manages_load = false;
+  ResponseSizes m_response_sizes;
   uint64_t m_next_attempt = 1;
   size_t m_request_count = 0;
   mutable std::mt19937_64 m_random{std::random_device()()};
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -212,6 +213,9 @@
       attempt.m_phase = Phase::kStarted;
       MarkStarted(call, attempt);
       return;
+    case OfferVerdict::kResponding:
+      attempt.m_is_responding = true;
+      return;
     case OfferVerdict::kRefused:
       break;
   }
@@ -323,6 +327,9 @@
            WholeMs(call->m_first_started_at.value_or(now) - call->m_received))
       .Add("took_ms", WholeMs(now - call->m_received));
   ++m_stats.m_answered;
+  if (call->m_expected_response) {
+    m_response_sizes.Observe(call->m_route->m_name, response.m_body.size());
+  }
   FinishWithOutcome(call, m_answered_latency, std::move(response));
 }
 
@@ -384,7 +391,10 @@
 
 template <PlatformCodec Codec>
 void Ingress<Codec>::OfferHedge(const CallPtr& call) {
-  if (call->m_hedge_offers >= m_options.m_max_hedge_offers) {
+  const bool is_responding = std::any_of(
+      call->m_attempts.begin(), call->m_attempts.end(),
+      [](const auto& entry) { return entry.second.m_is_responding; });
+  if (is_responding || call->m_hedge_offers >= m_options.m_max_hedge_offers) {
     return;
   }
   const auto step =
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -40,6 +40,7 @@
   m_config = std::move(config);
   m_routes = PrefixRoutes(m_config->m_routes);
   m_accounts = AccountTable(m_config->m_accounts);
+  m_manages_load = m_config->ManagesLoad();
   m_splits.clear();
 }
 
@@ -153,7 +154,11 @@
           OnDeadline(self);
         }
       });
-  OfferToNextTarget(call);
+  if (ReserveResponse(*call)) {
+    OfferToNextTarget(call);
+  } else {
+    Fail(call, "the byte budget is short");
+  }
   return [this, weak = std::weak_ptr(call)] {
     if (const CallPtr self = weak.lock()) {
       Cancel(self);
@@ -161,6 +166,23 @@
   };
 }
 
+template <PlatformCodec Codec>
+bool Ingress<Codec>::ReserveResponse(Call& call) {
+  if (!m_options.m_budget || !m_manages_load ||
+      !call.m_route->m_has_large_bodies) {
+    return true;
+  }
+  const size_t expected = m_response_sizes.Expected(call.m_route->m_name);
+  if (!m_options.m_budget->Admits(expected, expected)) {
+    m_options.m_budget->CountRefusal();
+    return false;
+  }
+  call.m_expected_response
+      .emplace(m_options.m_budget, HeldKind::kCallerResponses)
+      .Set(expected);
+  return true;
+}
+
 template <PlatformCodec Codec>
 bool Ingress<Codec>::CanRetry(const Call& call) const {
   // Pending offers may already be running.
@@ -302,12 +324,16 @@
       .m_account = call->m_account == nullptr ? "" : call->m_account->m_name,
       .m_share_account = call->m_share_account,
       .m_is_call = call->m_is_call};
+  if (m_manages_load &&
+      call->m_request.m_body.size() > ByteBudget::kSmallBytes) {
+    offer.m_body_bytes = static_cast<uint32_t>(call->m_request.m_body.size());
+  }
   if (attempt.m_starts_at_once) {
     offer.m_request = call->m_request;
   }
   StartReplyTimer(call, attempt);
-  const bool is_tagged =
-      offer.m_share_account != AccountId() || offer.m_is_call;
+  const bool is_tagged = offer.m_share_account != AccountId() ||
+                         offer.m_is_call || offer.m_body_bytes > 0;
   if (!SendTo(node, is_tagged ? Message(TaggedOfferMessage{std::move(offer)})
                               : Message(std::move(offer)))) {
     RemoveAttempt(call, number);
@@ -453,6 +479,8 @@
   call->m_is_done = true;
   call->m_deadline_timer.cancel();
   call->m_hedge_timer.cancel();
+  // The server that sends the response counts it from now on.
+  call->m_expected_response.reset();
   --m_request_count;
   WithdrawAll(call);
   if (response.m_status >= ingress_detail::kFirstServerError) {
@@ -470,6 +498,7 @@
   call->m_deadline_timer.cancel();
   call->m_hedge_timer.cancel();
   --m_request_count;
+  call->m_expected_response.reset();
   ++m_stats.m_cancelled;
   LogEvent(LogLevel::kDebug, "caller_left").Add("request", call->m_id);
   m_hooks.m_on_failure();
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -82,6 +82,7 @@
   void OnPeerOpened(const PeerKey& peer, const MessageSink& sink);
   void Subscribe(const MessageSink& sink);
   void Tick();
+  void LogBudgetRefusals(TimePoint now);
   void SendRelayHeartbeats();
   void TickShutdown();
   // Packs the records at or after these offsets. Valid until the next call.
@@ -133,6 +134,9 @@
   TimePoint m_stop_requested_at{};
   TimePoint m_started_at{};
   uint64_t m_config_rejects = 0;
+  // Refusals of m_budget that have been logged.
+  uint64_t m_logged_refusals = 0;
+  TimePoint m_refusals_logged_at{};
   asio::steady_timer m_tick_timer;
   asio::steady_timer m_relay_timer;
   asio::steady_timer m_publish_retry_timer;
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -113,7 +113,8 @@
           io,
           m_self.m_node,
           {.m_retry_budget = settings.m_retry_budget,
-           .m_adopts_instance = !settings.m_is_first_start},
+           .m_adopts_instance = !settings.m_is_first_start,
+           .m_budget = m_budget},
           m_quarantine,
           {.m_on_mismatch =
                [this] {
@@ -127,7 +128,7 @@
                }}),
       m_ingress(
           io,
-          {},
+          {.m_budget = m_budget},
           settings.m_service,
           m_targets,
           m_links,
@@ -194,6 +195,7 @@
 template <PlatformCodec Codec, PlatformStore Store>
 bool MeshNode<Codec, Store>::Start() {
   m_started_at = BootNow();
+  m_callers.SetBudget(m_budget);
   for (const auto& [server, endpoint] :
        {std::pair(&m_callers, m_settings.m_callers),
         std::pair(&m_ready, m_settings.m_ready),
@@ -493,6 +495,9 @@
        .m_config_rejects = m_config_rejects,
        .m_store_era = m_reader.Era().value_or(StoreEra(0)),
        .m_store_era_changes = m_era_changes,
+       .m_budget = *m_budget,
+       .m_large_bytes = m_egress.LargeBytes(),
+       .m_large_bytes_bound = m_egress.LargeBytesBound(),
        .m_dropped_log_lines = DroppedLogLines(),
        .m_is_ready = IsReady()});
 }
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -100,7 +100,8 @@
                      .m_max_body_bytes = limits.m_max_body_bytes},
        .m_header_timeout = limits.m_header_timeout,
        .m_idle_timeout = limits.m_idle_timeout,
-       .m_max_held_bytes = m_settings.m_max_held_bytes});
+       .m_max_held_bytes = m_settings.m_max_held_bytes,
+       .m_applies_budget = m_config->ManagesLoad()});
   LogEvent(LogLevel::kInfo, "config_in_force")
       .Add("version", static_cast<int64_t>(m_config->m_version.Get()))
       .Add("offset", static_cast<int64_t>(OffsetOf(record.m_position).Get()))
@@ -215,10 +216,34 @@
   subscriber.m_sink(message);
 }
 
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::LogBudgetRefusals(TimePoint now) {
+  const uint64_t refusals = m_budget->Refusals();
+  if (refusals == m_logged_refusals ||
+      now - m_refusals_logged_at < std::chrono::seconds(1)) {
+    return;
+  }
+  LogEvent(LogLevel::kWarn, "byte_budget_short")
+      .Add("refused", static_cast<int64_t>(refusals - m_logged_refusals))
+      .Add("limit", static_cast<int64_t>(m_budget->Limit()))
+      .Add("held", static_cast<int64_t>(m_budget->Held()))
+      .Add("caller_requests",
+           static_cast<int64_t>(m_budget->Held(HeldKind::kCallerRequests)))
+      .Add("caller_responses",
+           static_cast<int64_t>(m_budget->Held(HeldKind::kCallerResponses)))
+      .Add("links", static_cast<int64_t>(m_budget->Held(HeldKind::kLinks)))
+      .Add("instance",
+           static_cast<int64_t>(m_budget->Held(HeldKind::kInstanceRequests) +
+                                m_budget->Held(HeldKind::kInstanceResponses)));
+  m_logged_refusals = refusals;
+  m_refusals_logged_at = now;
+}
+
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::Tick() {
   FlushLogs();
   const TimePoint now = BootNow();
+  LogBudgetRefusals(now);
   const auto relay = m_relay_choice.Relay(now);
   if (relay != m_subscribed_to) {
     m_subscribed_to.reset();
--- a/libs/mesh/include/sequoiastage/mesh/node_metrics.h
+++ b/libs/mesh/include/sequoiastage/mesh/node_metrics.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "sequoiastage/base/byte_budget.h"
 #include "sequoiastage/base/time.h"
 #include "sequoiastage/mesh/egress.h"
 #include "sequoiastage/mesh/ingress.h"
@@ -33,6 +34,11 @@
   /// Latest known era of the store, and the rises noticed since the start.
   StoreEra m_store_era;
   uint64_t m_store_era_changes = 0;
+  ByteBudget m_budget{0};
+  /// Bytes of the large requests accepted for the instance, and their learned
+  /// bound; SIZE_MAX while that is unknown.
+  size_t m_large_bytes = 0;
+  size_t m_large_bytes_bound = SIZE_MAX;
   uint64_t m_dropped_log_lines = 0;
   bool m_is_ready = false;
 };
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -146,6 +146,35 @@
   families.AddCounter("attempts_quarantined_total",
                       "Attempts at this node's instance rejected for that.",
                       egress.m_quarantined);
+  const ByteBudget& budget = metrics.m_budget;
+  families.AddLabelled(
+      "held_bytes", "Message bytes held, by what holds them.",
+      MetricType::kGauge, "kind",
+      {{"caller-requests", budget.Held(HeldKind::kCallerRequests)},
+       {"caller-responses", budget.Held(HeldKind::kCallerResponses)},
+       {"links", budget.Held(HeldKind::kLinks)},
+       {"instance-requests", budget.Held(HeldKind::kInstanceRequests)},
+       {"instance-responses", budget.Held(HeldKind::kInstanceResponses)}});
+  families.AddGauge("held_bytes_limit",
+                    "Byte budget; applies while the configuration manages "
+                    "load.",
+                    static_cast<double>(budget.Limit()));
+  families.AddGauge("held_bytes_peak", "Most message bytes held at a time.",
+                    static_cast<double>(budget.Peak()));
+  families.AddCounter("byte_refusals_total",
+                      "Requests refused because the byte budget was short.",
+                      budget.Refusals());
+  families.AddGauge("instance_large_bytes",
+                    "Bytes of large requests accepted for the instance.",
+                    static_cast<double>(metrics.m_large_bytes));
+  families.AddGauge("instance_large_bytes_bound",
+                    "Learned bound of these bytes; -1 while unknown.",
+                    metrics.m_large_bytes_bound == SIZE_MAX
+                        ? -1
+                        : static_cast<double>(metrics.m_large_bytes_bound));
+  families.AddCounter("instance_byte_refusals_total",
+                      "Large offers refused because of held bytes.",
+                      egress.m_byte_refusals);
   families.AddGauge("config_version", "Configuration in force; 0 when none is.",
                     static_cast<double>(metrics.m_config_version));
   families.AddGauge("config_age_seconds", "Since it came into force here.",
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -257,6 +257,9 @@
   /// True: an instance sends the request while it runs another one. Sent only
   /// in a TaggedOfferMessage.
   bool m_is_call = false;
+  /// Size of a large body that the StartMessage will carry; 0 for small ones.
+  /// Sent only in a TaggedOfferMessage.
+  uint32_t m_body_bytes = 0;
 
   friend bool operator==(const OfferMessage&, const OfferMessage&) = default;
 };
@@ -280,6 +283,9 @@
   kStarted = 2,
   /// Not started and never will be.
   kRefused = 3,
+  /// The instance has responded; a large OutcomeMessage is being sent. Follows
+  /// kReady or kStarted; sent only while the configuration manages load.
+  kResponding = 4,
 };
 
 /// Reply to OfferMessage; a kQueued offer gets a second one.
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -132,7 +132,8 @@
 void serialize(Archive& archive, TaggedOfferMessage& message) {
   archive(message.m_offer);
   SerializeBounded(archive, message.m_offer.m_account);
-  archive(message.m_offer.m_share_account, message.m_offer.m_is_call);
+  archive(message.m_offer.m_share_account, message.m_offer.m_is_call,
+          message.m_offer.m_body_bytes);
 }
 
 template <class Archive>
