Process tests of large bodies; keep room in the budget for the next step

New large bodies take at most half of the budget: when they filled it, no start message fitted on a link, and granted slots waited in vain (found by ManySlowCallersStayWithinTheMemory). A start message that is refused for lack of room withdraws its attempt, which has not run.

--- a/libs/base/include/sequoiastage/base/byte_budget.h
+++ b/libs/base/include/sequoiastage/base/byte_budget.h
@@ -39,12 +39,18 @@
   void SetLimit(size_t max_bytes) { m_max_bytes = max_bytes; }
   size_t Limit() const { return m_max_bytes; }
 
-  /// Whether `bytes` more of a message with this total size may be held. Large
-  /// messages leave a quarter of the budget to small ones and to responses.
+  /// Whether `bytes` more of a new message with this total size may be held. A
+  /// large message is copied on its way through the node, so new ones leave
+  /// half of the budget: if they filled it, none of them could proceed.
   bool Admits(size_t bytes, size_t message_bytes) const {
-    const size_t limit =
-        message_bytes > kSmallBytes ? m_max_bytes / 4 * 3 : m_max_bytes;
-    return m_held_bytes + bytes <= limit;
+    return m_held_bytes + bytes <=
+           (message_bytes > kSmallBytes ? m_max_bytes / 2 : m_max_bytes);
+  }
+
+  /// Whether there is room for `bytes` on the way of a message that the node
+  /// already holds.
+  bool AdmitsNextStep(size_t bytes) const {
+    return m_held_bytes + bytes <= m_max_bytes;
   }
 
   void Replace(HeldKind kind, size_t before, size_t after) {
--- a/libs/limits/include/sequoiastage/limits/response_sizes.h
+++ b/libs/limits/include/sequoiastage/limits/response_sizes.h
@@ -28,7 +28,7 @@
     if (m_bytes.size() >= kMaxRoutes && !m_bytes.contains(route)) {
       m_bytes.clear();
     }
-    size_t& expected = m_bytes.try_emplace(route, bytes).first->second;
+    size_t& expected = m_bytes.try_emplace(route, kInitialBytes).first->second;
     expected = std::max(bytes, expected - expected / kDecay);
   }
 
--- a/libs/link/src/peer_connection.cc
+++ b/libs/link/src/peer_connection.cc
@@ -67,7 +67,7 @@
   const bool is_request = std::holds_alternative<OfferMessage>(message) ||
                           std::holds_alternative<TaggedOfferMessage>(message) ||
                           std::holds_alternative<StartMessage>(message);
-  if (!is_request || m_options->m_budget->Admits(bytes, bytes)) {
+  if (!is_request || m_options->m_budget->AdmitsNextStep(bytes)) {
     return true;
   }
   m_options->m_budget->CountRefusal();
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -389,7 +389,7 @@
          (m_retained_outcomes.front().first < now ||
           m_retained_outcomes.size() >= m_options.m_max_retained_outcomes ||
           (m_manages_load && m_options.m_budget &&
-           !m_options.m_budget->Admits(bytes, bytes)))) {
+           !m_options.m_budget->AdmitsNextStep(bytes)))) {
     m_retained_bytes.Set(
         m_retained_bytes.Get() -
         m_retained_outcomes.front().second.second.m_response.m_body.size());
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -220,6 +220,8 @@
   void OnOfferReply(const CallPtr& call,
                     Attempt& attempt,
                     const OfferReplyMessage& reply);
+  // Starts an attempt whose offer was accepted with kReady.
+  void SendStart(const CallPtr& call, Attempt& attempt);
   void OnOutcome(const CallPtr& call, Attempt& attempt, OutcomeMessage outcome);
   void OnResponse(const CallPtr& call, HttpResponse response, NodeId node);
   void MarkStarted(const CallPtr& call, const Attempt& attempt);
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -187,6 +187,31 @@
   StartHedgeTimer(call);
 }
 
+template <PlatformCodec Codec>
+void Ingress<Codec>::SendStart(const CallPtr& call, Attempt& attempt) {
+  const bool is_sent =
+      SendTo(attempt.m_node, StartMessage{.m_attempt = attempt.m_number,
+                                          .m_time_left_ms = ToWireMs<uint32_t>(
+                                              call->m_deadline - BootNow()),
+                                          .m_request = call->m_request});
+  if (is_sent || !m_manages_load) {
+    attempt.m_phase = Phase::kStarted;
+    MarkStarted(call, attempt);
+    return;
+  }
+  // The byte budget has no room for the message. It was not queued, so the
+  // request has not run.
+  const NodeId node = attempt.m_node;
+  const AttemptNumber number = attempt.m_number;
+  const bool was_hedge = attempt.m_is_hedge;
+  AddToTrail(*call, attempt, "no-room");
+  call->m_placement.OnRefused(ToCandidateKey(node), PlacementRefusal::kFinal,
+                              {});
+  RemoveAttempt(call, number);
+  SendTo(node, CancelMessage{.m_attempt = number});
+  ContinueAfterRefusal(call, was_hedge);
+}
+
 template <PlatformCodec Codec>
 void Ingress<Codec>::OnOfferReply(const CallPtr& call,
                                   Attempt& attempt,
@@ -202,12 +227,7 @@
         FailQuarantined(call);
         return;
       }
-      attempt.m_phase = Phase::kStarted;
-      MarkStarted(call, attempt);
-      SendTo(attempt.m_node, StartMessage{.m_attempt = attempt.m_number,
-                                          .m_time_left_ms = ToWireMs<uint32_t>(
-                                              call->m_deadline - BootNow()),
-                                          .m_request = call->m_request});
+      SendStart(call, attempt);
       return;
     case OfferVerdict::kStarted:
       attempt.m_phase = Phase::kStarted;
--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -21,6 +21,8 @@
   ChildProcess& operator=(ChildProcess&& other) noexcept;
   ~ChildProcess();
 
+  pid_t Pid() const { return m_pid; }
+
   void Signal(int signal) const;
 
   /// Waits until the process ends. Returns its exit code, or the negative
