--- a/libs/testing/include/sequoiastage/testing/slow_caller.h
+++ b/libs/testing/include/sequoiastage/testing/slow_caller.h
@@ -34,6 +34,9 @@
   void StartReading() {
     m_socket.async_read_some(asio::buffer(m_chunk),
                              [this](const asio::error_code& error, size_t n) {
+                               if (error == asio::error::operation_aborted) {
+                                 return;  // This object may be destroyed.
+                               }
                                if (error) {
                                  m_is_closed = true;
                                  return;
