--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -15,11 +15,13 @@
 #include <vector>
 
 #include "sequoiastage/base/boot_clock.h"
+#include "sequoiastage/base/byte_budget.h"
 #include "sequoiastage/base/request_fingerprint.h"
 #include "sequoiastage/config/account_table.h"
 #include "sequoiastage/config/traffic_config.h"
 #include "sequoiastage/http/exchange_connection.h"
 #include "sequoiastage/http/stream_server.h"
+#include "sequoiastage/limits/response_sizes.h"
 #include "sequoiastage/logging/log_event.h"
 #include "sequoiastage/mesh/account_limiter.h"
 #include "sequoiastage/mesh/egress.h"
@@ -72,6 +74,9 @@
   /// A call that waits for more than this part of its time counts as delayed.
   /// With higher values a request with several calls runs out of time.
   double m_delayed_call_part = 0.125;
+  /// Room for large responses is reserved here while the configuration manages
+  /// load; may be null.
+  std::shared_ptr<ByteBudget> m_budget;
 };
 
 struct IngressStats {
@@ -174,6 +179,8 @@
     bool m_starts_at_once = false;
     // A hedge of a slow attempt that continues.
     bool m_is_hedge = false;
+    // The instance has responded; its large response is in transfer.
+    bool m_is_responding = false;
     Incarnation m_egress_incarnation{};
     // Age of the load report when the attempt was offered; empty when there was
     // none.
@@ -230,6 +237,8 @@
     // Failed and refused attempts with their reasons, for the log; see the
     // event table.
     std::string m_trail;
+    // Room for the response.
+    std::optional<BudgetShare> m_expected_response;
     // Earliest time at which an attempt may have started.
     std::optional<TimePoint> m_first_started_at;
     TimePoint m_received{};
@@ -266,6 +275,9 @@
   void ReleaseToken(const CallPtr& call, bool may_have_executed);
   // Whether the request has run, or an attempt may still be running.
   bool MayHaveExecuted(const Call& call) const;
+  // Reserves room for a large response. Returns false when the byte budget has
+  // none.
+  bool ReserveResponse(Call& call);
   void OfferToNextTarget(const CallPtr& call);
   // Schedules another round of offers for a call that no instance took. Returns
   // whether it did.
@@ -288,6 +300,8 @@
   void OnOfferReply(const CallPtr& call,
                     Attempt& attempt,
                     const OfferReplyMessage& reply);
+  // Starts an attempt whose offer was accepted with kReady.
+  void SendStart(const CallPtr& call, Attempt& attempt);
   void OnOutcome(const CallPtr& call, Attempt& attempt, OutcomeMessage outcome);
   void OnResponse(const CallPtr& call, HttpResponse response, NodeId node);
   void MarkStarted(const CallPtr& call, const Attempt& attempt);
@@ -343,6 +357,7 @@
   std::unordered_map<NodeId, Incarnation> m_incarnations;
   // Calls without attempts, which wait for a token.
   std::set<CallPtr> m_token_waiters;
+  ResponseSizes m_response_sizes;
   uint64_t m_next_attempt = 1;
   size_t m_request_count = 0;
   mutable std::mt19937_64 m_random{std::random_device()()};
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -191,6 +192,31 @@
   StartHedgeTimer(call);
 }
 
+template <PlatformCodec Codec>
+void Ingress<Codec>::SendStart(const CallPtr& call, Attempt& attempt) {
+  const bool is_sent =
+      SendTo(attempt.m_node, StartMessage{.m_attempt = attempt.m_number,
+                                          .m_time_left_ms = ToWireMs<uint32_t>(
+                                              call->m_deadline - BootNow()),
+                                          .m_request = call->m_request});
+  if (is_sent || !m_manages_load) {
+    attempt.m_phase = Phase::kStarted;
+    MarkStarted(call, attempt);
+    return;
+  }
+  // The byte budget has no room for the message. It was not queued, so the
+  // request has not run.
+  const NodeId node = attempt.m_node;
+  const AttemptNumber number = attempt.m_number;
+  const bool was_hedge = attempt.m_is_hedge;
+  AddToTrail(*call, attempt, "no-room");
+  call->m_placement.OnRefused(ToCandidateKey(node), PlacementRefusal::kFinal,
+                              {});
+  RemoveAttempt(call, number);
+  SendTo(node, CancelMessage{.m_attempt = number});
+  ContinueAfterRefusal(call, was_hedge);
+}
+
 template <PlatformCodec Codec>
 void Ingress<Codec>::OnOfferReply(const CallPtr& call,
                                   Attempt& attempt,
@@ -206,17 +232,15 @@
         FailQuarantined(call);
         return;
       }
-      attempt.m_phase = Phase::kStarted;
-      MarkStarted(call, attempt);
-      SendTo(attempt.m_node, StartMessage{.m_attempt = attempt.m_number,
-                                          .m_time_left_ms = ToWireMs<uint32_t>(
-                                              call->m_deadline - BootNow()),
-                                          .m_request = call->m_request});
+      SendStart(call, attempt);
       return;
     case OfferVerdict::kStarted:
       attempt.m_phase = Phase::kStarted;
       MarkStarted(call, attempt);
       return;
+    case OfferVerdict::kResponding:
+      attempt.m_is_responding = true;
+      return;
     case OfferVerdict::kRefused:
       break;
   }
@@ -340,6 +364,9 @@
       .Add("took_ms", WholeMs(now - call->m_received));
   ReportServedCall(*call);
   ++m_stats.m_answered;
+  if (call->m_expected_response) {
+    m_response_sizes.Observe(call->m_route->m_name, response.m_body.size());
+  }
   FinishWithOutcome(call, m_answered_latency, std::move(response));
 }
 
@@ -401,7 +428,10 @@
 
 template <PlatformCodec Codec>
 void Ingress<Codec>::OfferHedge(const CallPtr& call) {
-  if (call->m_hedge_offers >= m_options.m_max_hedge_offers) {
+  const bool is_responding = std::any_of(
+      call->m_attempts.begin(), call->m_attempts.end(),
+      [](const auto& entry) { return entry.second.m_is_responding; });
+  if (is_responding || call->m_hedge_offers >= m_options.m_max_hedge_offers) {
     return;
   }
   const auto step =
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -123,7 +123,11 @@
           OnDeadline(self);
         }
       });
-  AcquireToken(call);
+  if (ReserveResponse(*call)) {
+    AcquireToken(call);
+  } else {
+    Fail(call, "the byte budget is short");
+  }
   return [this, weak = std::weak_ptr(call)] {
     if (const CallPtr self = weak.lock()) {
       Cancel(self);
@@ -131,6 +135,23 @@
   };
 }
 
+template <PlatformCodec Codec>
+bool Ingress<Codec>::ReserveResponse(Call& call) {
+  if (!m_options.m_budget || !m_manages_load ||
+      !call.m_route->m_has_large_bodies) {
+    return true;
+  }
+  const size_t expected = m_response_sizes.Expected(call.m_route->m_name);
+  if (!m_options.m_budget->Admits(expected, expected)) {
+    m_options.m_budget->CountRefusal();
+    return false;
+  }
+  call.m_expected_response
+      .emplace(m_options.m_budget, HeldKind::kCallerResponses)
+      .Set(expected);
+  return true;
+}
+
 template <PlatformCodec Codec>
 bool Ingress<Codec>::CanRetry(const Call& call) const {
   // Pending offers may already be running.
@@ -275,6 +296,10 @@
       .m_route = call->m_manages_load && !call->m_is_call
                      ? call->m_route->m_name
                      : ""};
+  if (call->m_manages_load &&
+      call->m_request.m_body.size() > ByteBudget::kSmallBytes) {
+    offer.m_body_bytes = static_cast<uint32_t>(call->m_request.m_body.size());
+  }
   if (attempt.m_starts_at_once) {
     offer.m_request = call->m_request;
   }
@@ -428,6 +453,8 @@
   call->m_deadline_timer.cancel();
   call->m_hedge_timer.cancel();
   m_paused_calls.erase(call);
+  // The server that sends the response counts it from now on.
+  call->m_expected_response.reset();
   --m_request_count;
   WithdrawAll(call);
   if (response.m_status >= ingress_detail::kFirstServerError) {
@@ -446,6 +473,7 @@
   call->m_hedge_timer.cancel();
   m_paused_calls.erase(call);
   --m_request_count;
+  call->m_expected_response.reset();
   ++m_stats.m_cancelled;
   LogEvent(LogLevel::kDebug, "caller_left").Add("request", call->m_id);
   m_hooks.m_on_failure();
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -124,7 +124,8 @@
           io,
           m_self.m_node,
           {.m_retry_budget = settings.m_retry_budget,
-           .m_adopts_instance = !settings.m_is_first_start},
+           .m_adopts_instance = !settings.m_is_first_start,
+           .m_budget = m_budget},
           m_quarantine,
           {.m_on_mismatch =
                [this] {
@@ -138,7 +139,7 @@
                }}),
       m_ingress(
           io,
-          {},
+          {.m_budget = m_budget},
           settings.m_service,
           m_targets,
           m_links,
@@ -208,6 +209,7 @@
 template <PlatformCodec Codec, PlatformStore Store>
 bool MeshNode<Codec, Store>::Start() {
   m_started_at = BootNow();
+  m_callers.SetBudget(m_budget);
   for (const auto& [server, endpoint] :
        {std::pair(&m_callers, m_settings.m_callers),
         std::pair(&m_ready, m_settings.m_ready),
@@ -463,6 +465,9 @@
        .m_accounts = m_config ? m_config->m_accounts.size() : 0,
        .m_store_era = m_reader.Era().value_or(StoreEra(0)),
        .m_store_era_changes = m_era_changes,
+       .m_budget = *m_budget,
+       .m_large_bytes = m_egress.LargeBytes(),
+       .m_large_bytes_bound = m_egress.LargeBytesBound(),
        .m_dropped_log_lines = DroppedLogLines(),
        .m_is_ready = IsReady()});
 }
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -262,6 +262,9 @@
   bool m_is_call = false;
   /// Name of the route; empty for calls. Sent only in a TaggedOfferMessage.
   std::string m_route;
+  /// Size of a large body that the StartMessage will carry; 0 for small ones.
+  /// Sent only in a TaggedOfferMessage.
+  uint32_t m_body_bytes = 0;
 
   friend bool operator==(const OfferMessage&, const OfferMessage&) = default;
 };
@@ -285,6 +288,9 @@
   kStarted = 2,
   /// Not started and never will be.
   kRefused = 3,
+  /// The instance has responded; a large OutcomeMessage is being sent. Follows
+  /// kReady or kStarted; sent only while the configuration manages load.
+  kResponding = 4,
 };
 
 /// Reply to OfferMessage; a kQueued offer gets a second one.
