--- a/libs/http/tests/message_parser_test.cc
+++ b/libs/http/tests/message_parser_test.cc
@@ -73,11 +73,11 @@
   EXPECT_EQ(parser.FailureStatus(), 400);
 }
 
-// "X-Key : 1" would reach an instance as a forged field that the node did not
-// remove, and "Content-Length : 5" as a second length.
+// "X-Secret : 1" would reach an instance as a forged field that the node did
+// not remove, and "Content-Length : 5" as a second length.
 TEST(RequestParserTest, RejectsSpacesInFieldNames) {
   for (const std::string field :
-       {"X-Key : 1", "Content-Length : 0", "A b: 1", "X-Key\t: 1"}) {
+       {"X-Secret : 1", "Content-Length : 0", "A b: 1", "X-Secret\t: 1"}) {
     RequestParser parser(MessageLimits{});
     parser.Feed("GET / HTTP/1.1\r\nHost: a\r\n");
     parser.Feed(field + "\r\n\r\n");
