--- a/libs/http/include/sequoiastage/http/exchange_connection.h
+++ b/libs/http/include/sequoiastage/http/exchange_connection.h
@@ -153,8 +153,8 @@
   TimePoint m_idle_until{};
 };
 
-/// Returns the bytes of `request` with its fields unchanged, plus Content-Length
-/// if it has a body or its method is POST, PUT or PATCH.
+/// Returns the bytes of `request` with its fields unchanged, plus
+/// Content-Length if it has a body or its method is POST, PUT or PATCH.
 std::string SerializeRequest(const HttpRequest& request);
 
 /// Removes the hop-by-hop fields (RFC 9110, 7.6.1): Connection, the fields it
--- a/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
@@ -18,11 +18,10 @@
   PlacementOptions options = m_options.m_placement;
   options.m_spreads_queues = call.m_manages_load;
   if (call.m_route->m_has_large_bodies) {
-    options.m_max_local_wait =
-        std::max(options.m_max_local_wait,
-                 std::chrono::duration_cast<Duration>(
-                     call.m_route->m_target_latency *
-                     m_options.m_large_body_wait_fraction));
+    options.m_max_local_wait = std::max(
+        options.m_max_local_wait, std::chrono::duration_cast<Duration>(
+                                      call.m_route->m_target_latency *
+                                      m_options.m_large_body_wait_fraction));
   }
   return options;
 }
