--- a/libs/limits/src/account_quota.cc
+++ b/libs/limits/src/account_quota.cc
@@ -12,9 +12,11 @@
 constexpr double kRatePart = 0.35;
 constexpr double kDepthPart = 0.3;
 constexpr double kLatePart = 0.35;
-// Parts of the slack: the bucket, and whole tokens at nodes whose share is
-// smaller.
-constexpr double kSlackDepthPart = 0.8;
+// Parts of the slack: the bucket, a higher rate, and whole tokens at nodes
+// whose share is smaller. At the usual slack the rate part is one request in
+// each window, which matters only for accounts with a small limit.
+constexpr double kSlackDepthPart = 0.75;
+constexpr double kSlackRatePart = 0.05;
 constexpr double kHolderPart = 0.15;
 // Without overage, messages still take some time.
 constexpr Duration kMinShareAge = std::chrono::milliseconds(50);
@@ -29,7 +31,8 @@
                        const AccountQuotaOptions& quota) {
   const double rate = limit.m_rate.Get();
   return {
-      .m_rate = rate * (1 + kRatePart * quota.m_overage),
+      .m_rate = rate * (1 + kRatePart * quota.m_overage) +
+                kSlackRatePart * quota.m_slack / Seconds(quota.m_window),
       .m_depth = limit.m_burst + kSlackDepthPart * quota.m_slack +
                  kDepthPart * quota.m_overage * rate * Seconds(quota.m_window)};
 }
