--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -23,13 +23,6 @@
 // All nodes of a first deployment start within this time. A node that reads the
 // members afterwards finds all of them in one read.
 inline constexpr Duration kStartSpread = std::chrono::milliseconds(400);
-// A node that has just started asks this many of the nodes that connect to it
-// for records that the store has lost.
-inline constexpr Duration kStartupPeriod = std::chrono::seconds(15);
-inline constexpr size_t kMaxStartupPeers = 3;
-// Peers connect and answer in about 0.3 s. A node without peers serves after
-// this time.
-inline constexpr Duration kConfirmTime = std::chrono::milliseconds(1500);
 inline constexpr Duration kPublishRetry = std::chrono::milliseconds(500);
 // Each failure doubles the delay up to this limit.
 inline constexpr Duration kMaxPublishRetry = std::chrono::seconds(2);
@@ -52,9 +45,6 @@
 inline constexpr double kAnswerFraction = 0.9;
 inline constexpr double kGraceFraction = 0.94;
 
-// Minimum time between two messages with changes to one subscriber.
-inline constexpr Duration kMinRelaySpacing = std::chrono::milliseconds(700);
-
 inline Incarnation RandomIncarnation() {
   std::random_device device;
   return Incarnation(uint64_t{device()} << 32 | device());
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -15,6 +15,20 @@
 
 namespace sequoiastage {
 
+namespace mesh_node_detail {
+
+// A node that has just started asks this many of the nodes that connect to it
+// for records that the store has lost.
+inline constexpr Duration kStartupPeriod = std::chrono::seconds(15);
+inline constexpr size_t kMaxStartupPeers = 3;
+// Peers connect and answer in about 0.3 s. A node without peers serves after
+// this time.
+inline constexpr Duration kConfirmTime = std::chrono::milliseconds(1500);
+// Minimum time between two messages with changes to one subscriber.
+inline constexpr Duration kMinRelaySpacing = std::chrono::milliseconds(700);
+
+}  // namespace mesh_node_detail
+
 template <PlatformCodec Codec, PlatformStore Store>
 bool MeshNode<Codec, Store>::OnRecord(const StoreRecord& record) {
   return record.m_topic == StoreTopic::kConfig ? OnConfigRecord(record)
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -150,8 +150,7 @@
                       egress.m_quarantined);
   families.AddGauge("config_version", "Configuration in force; 0 when none is.",
                     static_cast<double>(metrics.m_config_version));
-  families.AddGauge("config_findings",
-                    "Its faults; what has them is left out.",
+  families.AddGauge("config_findings", "Its faults; what has them is left out.",
                     static_cast<double>(metrics.m_config_findings));
   families.AddGauge("accounts", "Its client accounts.",
                     static_cast<double>(metrics.m_accounts));
