--- a/libs/events/tests/explanation_test.cc
+++ b/libs/events/tests/explanation_test.cc
@@ -59,6 +59,17 @@
             FailureCause::kRetryBudget);
 }
 
+// The instances had room; the shortage was in a service that they call.
+TEST(ExplanationTest, TellsAShortageOfACalledService) {
+  EXPECT_EQ(
+      ExplainCause(FailedRequestLine(
+          "outcome=not-run cause=\"a called service is short\" "
+          "latest=downstream-busy known=3 held=0 full=0 cut=0 started=0 "
+          "took_ms=4 trail=\"10.0.0.2:7000=downstream-busy;load=1+0/3 "
+          "10.0.0.3:7000=downstream-busy;load=0+0/3 10.0.0.4:7000=busy\"")),
+      FailureCause::kDownstreamFull);
+}
+
 TEST(ExplanationTest, QuarantinedRequestsAndCrashes) {
   EXPECT_EQ(ExplainCause(FailedRequestLine(
                 "outcome=not-run cause=\"the request crashes instances\" "
