--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -15,6 +15,23 @@
 
 namespace sequoiastage {
 
+template <PlatformCodec Codec>
+bool Ingress<Codec>::ReserveResponse(Call& call) {
+  if (!m_options.m_budget || !m_manages_load ||
+      !call.m_route->m_has_large_bodies) {
+    return true;
+  }
+  const size_t expected = m_response_sizes.Expected(call.m_route->m_name);
+  if (!m_options.m_budget->Admits(expected, expected)) {
+    m_options.m_budget->CountRefusal();
+    return false;
+  }
+  call.m_expected_response
+      .emplace(m_options.m_budget, HeldKind::kCallerResponses)
+      .Set(expected);
+  return true;
+}
+
 template <PlatformCodec Codec>
 void Ingress<Codec>::StartReplyTimer(const CallPtr& call, Attempt& attempt) {
   if (IsSelf(attempt.m_node)) {
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -359,16 +359,6 @@
       });
 }
 
-template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::UpdateInstanceCount() {
-  const InstanceAnnouncement* instance = m_local_instance.ActiveInstance();
-  const ServiceId service = MakeServiceId(
-      instance == nullptr ? m_settings.m_service : instance->m_service);
-  // A node that knows no other member would take the whole budget.
-  m_egress.SetInstanceCount(
-      m_reader.IsLoaded() ? m_targets.InstanceCount(service) : 0);
-}
-
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::OnLocalOffer(Message message) {
   // Replies are posted so that the ingress is not reentered from its own call.
