--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -29,6 +29,16 @@
 
 }  // namespace mesh_node_detail
 
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::UpdateInstanceCount() {
+  const InstanceAnnouncement* instance = m_local_instance.ActiveInstance();
+  const ServiceId service = MakeServiceId(
+      instance == nullptr ? m_settings.m_service : instance->m_service);
+  // A node that knows no other member would take the whole budget.
+  m_egress.SetInstanceCount(
+      m_reader.IsLoaded() ? m_targets.InstanceCount(service) : 0);
+}
+
 template <PlatformCodec Codec, PlatformStore Store>
 bool MeshNode<Codec, Store>::OnRecord(const StoreRecord& record) {
   return record.m_topic == StoreTopic::kConfig ? OnConfigRecord(record)
