--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -66,6 +66,9 @@
   bool m_adopts_instance = false;
   uint32_t m_unproven_slots = 2;
   DownstreamGateOptions m_downstream{};
+  /// Whether requests whose called services are short of capacity are refused;
+  /// otherwise the limits are only measured.
+  bool m_limits_callers = true;
   /// Counts the requests held for the instance, and retained outcomes; may be
   /// null.
   std::shared_ptr<ByteBudget> m_budget;
--- a/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
@@ -34,7 +34,7 @@
   const bool was_limited = m_downstream.Limit(offer.m_route).has_value();
   const auto wait = m_downstream.TimeToStart(offer.m_route, now);
   LogLimitChange(offer.m_route, was_limited, "");
-  return wait;
+  return m_options.m_limits_callers ? wait : std::nullopt;
 }
 
 template <PlatformCodec Codec>
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -115,6 +115,7 @@
           m_self.m_node,
           {.m_retry_budget = settings.m_retry_budget,
            .m_adopts_instance = !settings.m_is_first_start,
+           .m_limits_callers = settings.m_limits_callers,
            .m_budget = m_budget},
           m_quarantine,
           {.m_on_mismatch =
--- a/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
@@ -39,6 +39,9 @@
   Duration m_grace = std::chrono::seconds(6);
   RetryAllowanceOptions m_retry_budget{};
   AccountQuotaOptions m_quota{};
+  /// See EgressOptions::m_limits_callers. Off: where instances shed at random,
+  /// the limits refused requests that would have been served.
+  bool m_limits_callers = false;
   /// Limit on callers' request bodies held in memory at a time, in bytes. A
   /// larger body is refused.
   size_t m_max_held_bytes = size_t{24} << 20;
