--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -13,6 +13,7 @@
 names='X-Target-Instance|X-Caller-Service|X-Not-Executed|X-Deadline-Ms'
 names+='|X-Response-Signature|X-Server-Load|Server-Limit|Server-Leaving|Instances\.(Heartbeat|Deregister)'
 names+='|SEQUOIASTAGE_BOOT|log-(append|read|newest|trim)'
+names+='|X-Key|X-Tenant|ratePerS|apiKeys|quotaWindowS'
 names+='|keyed\.(op|servers|status)|pathPrefix|trafficSplit|targetLatencyS'
 if git grep -nE "$names" -- libs apps bench tests examples standins \
   ':!standins/platform_store'; then
