--- a/libs/http/tests/stream_budget_test.cc
+++ b/libs/http/tests/stream_budget_test.cc
@@ -33,12 +33,13 @@
 class StreamBudgetTest : public testing::Test {
  protected:
   StreamBudgetTest()
-      : m_server(m_io, [this](HttpRequest request, StreamResponder responder) {
-          ++m_requests;
-          m_request_bytes += request.m_body.size();
-          m_responders.push_back(std::move(responder));
-          return CancelHook();
-        }) {
+      : m_server(m_io,
+                 [this](const HttpRequest& request, StreamResponder responder) {
+                   ++m_requests;
+                   m_request_bytes += request.m_body.size();
+                   m_responders.push_back(std::move(responder));
+                   return CancelHook();
+                 }) {
     m_server.SetBudget(m_budget);
     m_server.SetLimits({.m_applies_budget = true});
     EXPECT_TRUE(m_server.Start(TestEndpoint())) << m_server.LastReason();
--- a/libs/mesh/include/sequoiastage/mesh/egress_crash_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_crash_inl.h
@@ -67,6 +67,7 @@
   if (outcome == ConnectOutcome::kRefused) {
     m_has_crashed = true;
     std::vector<BrokenRequest> running;
+    running.reserve(broken.size());
     for (const BrokenWork& each : broken) {
       running.push_back({.m_request = FingerprintOf(*each.m_work),
                          .m_large_bytes = each.m_work->m_large_bytes});
--- a/libs/mesh/tests/egress_bytes_test.cc
+++ b/libs/mesh/tests/egress_bytes_test.cc
@@ -18,7 +18,7 @@
 class EgressBytesTest : public testing::Test {
  protected:
   EgressBytesTest()
-      : m_instance(std::make_unique<FakeInstance>(m_io, kInstance())),
+      : m_instance(std::make_unique<FakeInstance>(m_io, InstanceAddress())),
         m_egress(m_io,
                  kSelf,
                  {.m_budget = m_budget},
@@ -35,11 +35,13 @@
     };
   }
 
-  static Endpoint kInstance() { return {.m_ip = TestIp(1), .m_port = 9000}; }
+  static Endpoint InstanceAddress() {
+    return {.m_ip = TestIp(1), .m_port = 9000};
+  }
 
   void Announce(uint64_t start_time_ms) {
     const InstanceAnnouncement announcement{.m_name = "i-1",
-                                            .m_address = kInstance(),
+                                            .m_address = InstanceAddress(),
                                             .m_service = "plans",
                                             .m_slots = 8,
                                             .m_start_time_ms = start_time_ms};
@@ -122,7 +124,7 @@
     m_instance->Crash();
     EXPECT_TRUE(WaitForOutcomes(outcomes));
     const auto behavior = m_instance->m_behavior;
-    m_instance = std::make_unique<FakeInstance>(m_io, kInstance());
+    m_instance = std::make_unique<FakeInstance>(m_io, InstanceAddress());
     m_instance->m_behavior = behavior;
     Announce(++m_start_time_ms);
   }
