--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -262,6 +262,11 @@
                            std::string_view cause,
                            const StreamResponder& responder);
   HttpResponse BuildConfigRefusal(std::string_view text) const;
+  // Adds a Retry-After of `earliest` times a random factor from 1 to
+  // `max_factor`, so that callers rejected together do not return together.
+  void AddRetryAfter(HttpResponse& response,
+                     Duration earliest,
+                     double max_factor) const;
   // Sets the account and rank of a new request.
   void ClassifyCall(Call& call, const ClientAccount* account);
   // Takes a token of the account's limit, then offers the request.
--- a/libs/mesh/include/sequoiastage/mesh/ingress_accounts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_accounts_inl.h
@@ -72,13 +72,6 @@
 void Ingress<Codec>::RejectOverLimit(const CallPtr& call,
                                      Duration retry_after) {
   ++m_stats.m_over_limit;
-  // The random factor spreads the retries of callers that were rejected at the
-  // same time.
-  std::uniform_real_distribution<double> spread(1, 2);
-  const double seconds = std::chrono::duration<double>(
-                             std::max(retry_after, m_options.m_min_retry_after))
-                             .count() *
-                         spread(m_random);
   LogEvent(LogLevel::kInfo, "request_limited")
       .Add("request", call->m_id)
       .Add("account", call->m_account->m_name)
@@ -88,7 +81,8 @@
       .Add("took_ms", WholeMs(BootNow() - call->m_received));
   HttpResponse response =
       BuildTextResponse(429, "the account is over its limit\n");
-  response.m_fields.push_back({"Retry-After", fmt::format("{:.2f}", seconds)});
+  AddRetryAfter(response, std::max(retry_after, m_options.m_min_retry_after),
+                2);
   FinishWithOutcome(call, m_not_run_latency, std::move(response));
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -314,8 +314,7 @@
          fmt::format("{:.0f}", std::chrono::duration<double>(*left).count())});
     return response;
   }
-  // Not before the shortest queue or hold ends. The random factor spreads the
-  // retries of callers that were refused at the same time.
+  // Not before the shortest queue or hold ends.
   const Duration shortest =
       std::clamp(call.m_shortest_wait, m_options.m_min_retry_after,
                  m_options.m_max_retry_after);
@@ -323,10 +322,7 @@
                                 ? shortest
                                 : std::clamp(call.m_downstream_wait, shortest,
                                              m_options.m_max_retry_after);
-  std::uniform_real_distribution<double> spread(1, 2);
-  const double seconds =
-      std::chrono::duration<double>(earliest).count() * spread(m_random);
-  response.m_fields.push_back({"Retry-After", fmt::format("{:.2f}", seconds)});
+  AddRetryAfter(response, earliest, 2);
   return response;
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/ingress_rejection_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_rejection_inl.h
@@ -14,13 +14,18 @@
 template <PlatformCodec Codec>
 HttpResponse Ingress<Codec>::BuildConfigRefusal(std::string_view text) const {
   HttpResponse response = BuildTextResponse(503, text);
-  // Callers that were refused together should not return together.
-  std::uniform_real_distribution<double> spread(1, 1.5);
+  AddRetryAfter(response, m_options.m_config_retry_after, 1.5);
+  return response;
+}
+
+template <PlatformCodec Codec>
+void Ingress<Codec>::AddRetryAfter(HttpResponse& response,
+                                   Duration earliest,
+                                   double max_factor) const {
+  std::uniform_real_distribution<double> spread(1, max_factor);
   const double seconds =
-      std::chrono::duration<double>(m_options.m_config_retry_after).count() *
-      spread(m_random);
+      std::chrono::duration<double>(earliest).count() * spread(m_random);
   response.m_fields.push_back({"Retry-After", fmt::format("{:.2f}", seconds)});
-  return response;
 }
 
 template <PlatformCodec Codec>
