Keep retries and waiting calls off held instances; let broken requests wait for a retry

The retry budget of the service was used up, and 352 idempotent requests that had lost their first attempt ended with 502 after 100 ms. Change: retries and later rounds use held instances only when all usable ones are held; a broken idempotent request is offered again for a quarter of its objective. Only while the configuration manages load.

--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -65,8 +65,8 @@
   /// The request fails after this many egresses have refused it because the
   /// services that it calls are short: the egresses of a service learn alike.
   uint32_t m_max_downstream_refusals = 3;
-  /// Pause before a call that no instance took is offered again, and maximum
-  /// number of such rounds.
+  /// Pause before a call or retry that no instance took is offered again, and
+  /// maximum number of such rounds.
   Duration m_call_pause = std::chrono::milliseconds(50);
   uint32_t m_max_call_rounds = 100;
   /// No further round with less time left: a call needs time to run.
@@ -284,7 +284,8 @@
   // none.
   bool ReserveResponse(Call& call);
   void OfferToNextTarget(const CallPtr& call);
-  // Schedules another round of offers for a call that no instance took. Returns
+  // Schedules another round of offers for a call that no instance took, or for
+  // a request whose attempt failed and that no instance retries now. Returns
   // whether it did.
   bool StartPause(const CallPtr& call);
   // Reports the end of a call as far as it tells the capacity of its service.
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -286,7 +286,9 @@
   RemoveAttempt(call, attempt.m_number);
   if (reply.m_reason == AttemptReason::kRetryBudget && !was_hedge &&
       ++call->m_budget_refusals >= m_options.m_max_budget_refusals) {
-    if (call->m_attempts.empty()) {
+    // A call does not wait for the budget: the run that makes it would hold its
+    // slot meanwhile, and the budget is short for the whole window.
+    if (call->m_attempts.empty() && (call->m_is_call || !StartPause(call))) {
       Fail(call, "the retry budget is used up");
     }
     return;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
@@ -1,10 +1,13 @@
 #ifndef SEQUOIASTAGE_MESH_INGRESS_CALLS_INL_H_
 #define SEQUOIASTAGE_MESH_INGRESS_CALLS_INL_H_
 
-// Requests that an instance sends while it runs another one. A refused call
-// ends the run that makes it, so it waits for capacity as long as its deadline
-// allows.
+// Requests that an instance sends while it runs another one, and further rounds
+// of offers. A refused call ends the run that makes it, so it waits for
+// capacity as long as its deadline allows. A request whose first attempt an
+// instance broke waits for another one: it may have run, so that it can't be
+// rejected.
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -17,6 +20,7 @@
 PlacementOptions Ingress<Codec>::PlacementFor(const Call& call) const {
   PlacementOptions options = m_options.m_placement;
   options.m_spreads_queues = call.m_manages_load;
+  options.m_spares_held = call.m_manages_load;
   if (call.m_route->m_has_large_bodies) {
     options.m_max_local_wait = std::max(
         options.m_max_local_wait, std::chrono::duration_cast<Duration>(
@@ -30,18 +34,31 @@
 bool Ingress<Codec>::StartPause(const CallPtr& call) {
   const bool can_run = CanRetry(*call) ||
                        (call->m_start_count == 0 && !call->m_may_have_executed);
-  if (!call->m_is_call || !can_run || call->m_fallback_response ||
+  const bool may_wait =
+      call->m_is_call || (call->m_manages_load && call->m_may_have_executed);
+  if (!may_wait || !can_run || call->m_fallback_response ||
       call->m_rounds >= m_options.m_max_call_rounds ||
       FindCandidates(*call).empty()) {
     return false;
   }
   std::uniform_real_distribution<double> spread(0.5, 1.5);
+  // New requests are many; they back off so that their offers do not add to the
+  // load.
+  const uint32_t factor =
+      call->m_is_call ? 1 : 1U << std::min(call->m_rounds, 3U);
   const auto pause = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(m_options.m_call_pause) * spread(m_random));
-  if (BootNow() + pause + m_options.m_min_call_time >= call->m_deadline) {
+      std::chrono::duration<double>(m_options.m_call_pause) * factor *
+      spread(m_random));
+  const TimePoint end =
+      call->m_is_call
+          ? call->m_deadline
+          : std::min(call->m_deadline,
+                     call->m_received + call->m_route->m_target_latency / 4);
+  if (BootNow() + pause + m_options.m_min_call_time >= end) {
     return false;
   }
   ++call->m_rounds;
+  call->m_budget_refusals = 0;
   m_paused_calls.insert(call);
   call->m_round_timer.expires_after(pause);
   call->m_round_timer.async_wait(
--- a/libs/mesh/tests/ingress_call_test.cc
+++ b/libs/mesh/tests/ingress_call_test.cc
@@ -11,12 +11,15 @@
 
 class MeshIngressCallTest : public MeshIngressTest {
  protected:
-  MeshIngressCallTest() {
+  MeshIngressCallTest() { SetPublicRoute(std::chrono::seconds(1)); }
+
+  void SetPublicRoute(Duration target_latency) {
     std::string reason;
     auto config =
         FakeCodec::DecodeConfig({.m_value = "2 a /x/ plans"}, &reason);
     config->m_accounts = {{.m_name = "ferries", .m_keys = {"secret"}}};
     config->m_routes[0].m_is_public = true;
+    config->m_routes[0].m_target_latency = target_latency;
     m_ingress.SetConfig(std::make_shared<const TrafficConfig>(*config));
   }
 
@@ -54,6 +57,49 @@
 
 constexpr size_t kAlways = 1000000;
 
+// Load pattern: many instances fail at once and the retry budget is used up for
+// a moment. An idempotent request whose attempt was broken must not end with an
+// unknown outcome while its objective leaves time for a retry.
+TEST_F(MeshIngressCallTest, BrokenRequestWaitsForTheRetryBudget) {
+  SetPublicRoute(std::chrono::seconds(8));
+  FakeEgressNode broken(m_io, 2, 5);
+  FakeEgressNode other(m_io, 3, 5);
+  m_targets.SetMember(broken.Record());
+  m_targets.SetMember(other.Record());
+  broken.m_script = [](const Message& message, const MessageSink& sink) {
+    if (const auto* tagged = std::get_if<TaggedOfferMessage>(&message)) {
+      ReplyReady(tagged->m_offer, sink);
+    }
+    if (const auto* start = std::get_if<StartMessage>(&message)) {
+      sink(OutcomeMessage{.m_attempt = start->m_attempt,
+                          .m_result = AttemptResult::kOutcomeUnknown,
+                          .m_reason = AttemptReason::kIncompleteResponse});
+    }
+  };
+  size_t budget_refusals = 0;
+  other.m_script = [&](const Message& message, const MessageSink& sink) {
+    if (const auto* tagged = std::get_if<TaggedOfferMessage>(&message)) {
+      OfferReplyMessage reply{.m_attempt = tagged->m_offer.m_attempt,
+                              .m_verdict = OfferVerdict::kRefused,
+                              .m_reason = AttemptReason::kBusy};
+      if (tagged->m_offer.m_is_extra_attempt) {
+        reply.m_reason = AttemptReason::kRetryBudget;
+        if (++budget_refusals > 2) {
+          reply.m_verdict = OfferVerdict::kReady;
+        }
+      }
+      sink(reply);
+    }
+    if (const auto* start = std::get_if<StartMessage>(&message)) {
+      SendResponse(start->m_attempt, 200, sink);
+    }
+  };
+  SendRequest();
+  ASSERT_TRUE(WaitForResponse());
+  EXPECT_EQ(m_responses[0].m_status, 200);
+  EXPECT_EQ(budget_refusals, 3U);
+}
+
 // The called service is full for a moment. The call must not end the run that
 // makes it, and new requests must not wait.
 TEST_F(MeshIngressCallTest, OnlyCallsWaitUntilThereIsCapacity) {
--- a/libs/routing/include/sequoiastage/routing/placement.h
+++ b/libs/routing/include/sequoiastage/routing/placement.h
@@ -53,6 +53,10 @@
   uint32_t m_max_queue_offers = 3;
   /// Maximum number of offers to held instances.
   uint32_t m_max_held_offers = 2;
+  /// Offer retries, and requests in later rounds, to held instances only when
+  /// every usable instance is held. Otherwise held ones are always tried once
+  /// all others are busy.
+  bool m_spares_held = false;
   /// Draw among queues whose wait is equal or unknown, instead of taking the
   /// first. Otherwise the requests that enter at one host meet in the same
   /// queues and their accounts get the fair shares of these alone.
@@ -92,6 +96,10 @@
 ///   never queued or sent to another region.
 /// - Every instance of a service fails. The request is offered to at most two
 ///   held instances instead of being refused.
+/// - A service is at capacity while some of its instances are held. Retries and
+///   waiting calls that overflow to the held ones are broken there and use up
+///   the retry budget. The first attempt of a request costs no budget and may
+///   still succeed; see `m_spares_held`.
 class Placement {
  public:
   explicit Placement(const PlacementOptions& options = {})
@@ -149,11 +157,15 @@
       const std::vector<PlacementCandidate>& candidates,
       Duration limit,
       std::mt19937_64& random) const;
+  // Whether an instance that can be used for the request is not held.
+  bool HasOpenInstance(const std::vector<PlacementCandidate>& candidates) const;
   const PlacementCandidate* FindHeld(
       const std::vector<PlacementCandidate>& candidates) const;
 
   PlacementOptions m_options;
   std::unordered_map<CandidateKey, CandidateState> m_states;
+  // An attempt may have started, or this is not the first round.
+  bool m_was_tried = false;
   uint32_t m_remote_offers = 0;
   uint32_t m_queue_offers = 0;
   uint32_t m_held_offers = 0;
--- a/libs/routing/src/placement.cc
+++ b/libs/routing/src/placement.cc
@@ -51,7 +51,9 @@
     m_states[queue->m_key].m_was_offered_queue = true;
     return PlacementDecision{.m_key = queue->m_key, .m_may_wait = true};
   }
-  if (m_held_offers < m_options.m_max_held_offers) {
+  if (m_held_offers < m_options.m_max_held_offers &&
+      !(m_options.m_spares_held && m_was_tried &&
+        HasOpenInstance(candidates))) {
     if (const auto* held = FindHeld(candidates)) {
       ++m_held_offers;
       m_states[held->m_key].m_was_offered_held = true;
@@ -100,9 +102,11 @@
   m_remote_offers = 0;
   m_queue_offers = 0;
   m_held_offers = 0;
+  m_was_tried = true;
 }
 
 void Placement::OnMaybeStarted(CandidateKey key) {
+  m_was_tried = true;
   m_states[key].m_is_final = true;
 }
 
@@ -164,6 +168,18 @@
   return best;
 }
 
+bool Placement::HasOpenInstance(
+    const std::vector<PlacementCandidate>& candidates) const {
+  return std::any_of(
+      candidates.begin(), candidates.end(),
+      [this](const PlacementCandidate& candidate) {
+        const CandidateState* state = FindState(candidate.m_key);
+        return candidate.m_is_reachable &&
+               candidate.m_hold_remaining <= Duration{} &&
+               (state == nullptr || (!state->m_is_final && !state->m_is_held));
+      });
+}
+
 const PlacementCandidate* Placement::FindHeld(
     const std::vector<PlacementCandidate>& candidates) const {
   const PlacementCandidate* best = nullptr;
--- a/libs/routing/tests/placement_test.cc
+++ b/libs/routing/tests/placement_test.cc
@@ -133,6 +133,37 @@
   EXPECT_FALSE(Next());
 }
 
+// Load pattern: the open instances of a service are full. A retry that
+// overflows to a held one is broken there and uses up the retry budget.
+TEST_F(PlacementTest, RetriesUseHeldInstancesOnlyWhenAllAreHeld) {
+  m_placement = Placement({.m_spares_held = true});
+  m_candidates[0].m_hold_remaining = milliseconds(500);
+  m_candidates[1].m_used_slots = 3;
+  m_placement.OnMaybeStarted(CandidateKey(3));
+  const auto queued = Next();
+  ASSERT_TRUE(queued);
+  EXPECT_EQ(queued->m_key, CandidateKey(2));
+  EXPECT_TRUE(queued->m_may_wait);
+  m_placement.OnRefused(CandidateKey(2), PlacementRefusal::kBusy, {});
+  EXPECT_FALSE(Next());
+  m_placement.OnRefused(CandidateKey(2), PlacementRefusal::kHeld, {});
+  EXPECT_TRUE(Next()->m_accepts_held);
+}
+
+TEST_F(PlacementTest, LaterRoundsUseHeldInstancesOnlyWhenAllAreHeld) {
+  m_placement = Placement({.m_spares_held = true});
+  m_candidates.resize(2);
+  m_candidates[0].m_hold_remaining = milliseconds(500);
+  m_candidates[1].m_used_slots = 3;
+  EXPECT_EQ(Next()->m_key, CandidateKey(2));
+  m_placement.OnRefused(CandidateKey(2), PlacementRefusal::kBusy, {});
+  EXPECT_TRUE(Next()->m_accepts_held);
+  m_placement.StartRound();
+  EXPECT_EQ(Next()->m_key, CandidateKey(2));
+  m_placement.OnRefused(CandidateKey(2), PlacementRefusal::kBusy, {});
+  EXPECT_FALSE(Next());
+}
+
 TEST_F(PlacementTest, NeverReturnsToInstanceThatMayHaveStartedTheRequest) {
   m_placement.OnMaybeStarted(CandidateKey(1));
   m_placement.OnMaybeStarted(CandidateKey(2));
