Offer a retry again to egresses whose retry budget was short

Ruled out: treating it as busy; the request would join the queue there at once. Change: such a refusal counts for one round.

--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -276,6 +276,8 @@
     refusal = PlacementRefusal::kBusy;
   } else if (reply.m_reason == AttemptReason::kSuspect) {
     refusal = PlacementRefusal::kHeld;
+  } else if (reply.m_reason == AttemptReason::kRetryBudget) {
+    refusal = PlacementRefusal::kThisRound;
   }
   call->m_placement.OnRefused(key, refusal, wait);
   if (reply.m_reason == AttemptReason::kInstanceLeft) {
--- a/libs/mesh/tests/ingress_call_test.cc
+++ b/libs/mesh/tests/ingress_call_test.cc
@@ -82,6 +82,7 @@
       OfferReplyMessage reply{.m_attempt = tagged->m_offer.m_attempt,
                               .m_verdict = OfferVerdict::kRefused,
                               .m_reason = AttemptReason::kBusy};
+      reply.m_load_report.m_slots = 3;
       if (tagged->m_offer.m_is_extra_attempt) {
         reply.m_reason = AttemptReason::kRetryBudget;
         if (++budget_refusals > 2) {
--- a/libs/routing/include/sequoiastage/routing/placement.h
+++ b/libs/routing/include/sequoiastage/routing/placement.h
@@ -75,6 +75,8 @@
 enum class PlacementRefusal : uint8_t {
   kBusy,
   kHeld,
+  /// The candidate can't be used in this round of offers.
+  kThisRound,
   /// The candidate can't be used for this request anymore.
   kFinal,
 };
@@ -140,6 +142,8 @@
  private:
   struct CandidateState {
     bool m_is_final = false;
+    // Final in this round only.
+    bool m_ends_with_round = false;
     bool m_is_busy = false;
     bool m_is_held = false;
     bool m_was_offered_queue = false;
--- a/libs/routing/src/placement.cc
+++ b/libs/routing/src/placement.cc
@@ -90,6 +90,10 @@
     case PlacementRefusal::kHeld:
       state.m_is_held = true;
       return;
+    case PlacementRefusal::kThisRound:
+      state.m_is_final = true;
+      state.m_ends_with_round = true;
+      return;
     case PlacementRefusal::kFinal:
       state.m_is_final = true;
       return;
@@ -97,8 +101,9 @@
 }
 
 void Placement::StartRound() {
-  std::erase_if(m_states,
-                [](const auto& item) { return !item.second.m_is_final; });
+  std::erase_if(m_states, [](const auto& item) {
+    return !item.second.m_is_final || item.second.m_ends_with_round;
+  });
   m_remote_offers = 0;
   m_queue_offers = 0;
   m_held_offers = 0;
