--- a/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
@@ -58,7 +58,9 @@
     return false;
   }
   ++call->m_rounds;
-  call->m_budget_refusals = 0;
+  if (!call->m_is_call) {
+    call->m_budget_refusals = 0;
+  }
   m_paused_calls.insert(call);
   call->m_round_timer.expires_after(pause);
   call->m_round_timer.async_wait(
