PlannedStopTest sends all requests to the node that stops

Change: LoadOptions::m_pause_after_failure, 0 by default; the test uses 20 ms and sends to the stopping node alone.

--- a/tests/load.cc
+++ b/tests/load.cc
@@ -64,6 +64,14 @@
   // request.
   bool RecordResponse(const CallerResponse& response,
                       const std::string& expected) {
+    const bool is_answered = Record(response, expected);
+    if (!is_answered) {
+      std::this_thread::sleep_for(m_load.m_options.m_pause_after_failure);
+    }
+    return is_answered;
+  }
+
+  bool Record(const CallerResponse& response, const std::string& expected) {
     const std::string outcome = response.Outcome();
     if (!response.IsComplete()) {
       ++(response.m_is_unsent ? m_result.m_unsent : m_result.m_no_response);
--- a/tests/load.h
+++ b/tests/load.h
@@ -25,6 +25,8 @@
   /// node.
   int m_max_sends = 4;
   std::chrono::milliseconds m_deadline{3000};
+  /// Pause of a caller after each request that was not answered.
+  std::chrono::milliseconds m_pause_after_failure{0};
   uint64_t m_seed = 1;
 };
 
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -23,9 +23,11 @@
                   .m_status,
               200);
   }
-  // Each caller always has a request in flight. Those that the stopping node
-  // rejects go to the other one.
-  Load load(fleet, {.m_nodes = {0, 1}, .m_callers = 24});
+  // All requests go to the stopping node, so that each one answered after the
+  // signal was in it at the time or arrived later.
+  Load load(fleet, {.m_nodes = {0},
+                    .m_callers = 24,
+                    .m_pause_after_failure = milliseconds(20)});
   ASSERT_TRUE(WaitUntil(milliseconds(20'000),
                         [&load] { return load.Answered() >= 100; }));
   const int answered_before = load.Answered();
