Account limits: a pause of the own process is not the peer's silence

The timer of the open timeout was then handled before the reply that had already arrived, so the link was dropped together with the queued token request. The node replaced the coordinator by itself, and no token request was ever sent.

A request stays queued at the link when its wait has ended: with a pause of 300 ms the unchanged code passes. With a pause of 500 ms the token request arrives too, but the caller has been given 429, although the coordinator had no chance to answer.

Change: - MeshLinks waits for the open timeout in three steps while load is managed. A pause ends one step only, so replies are read before the link is dropped. A timer that expired together with the first reply no longer drops the link. - AccountExchange leaves a pause of more than 100 ms between two ticks out of the coordinator's silence and of the wait of the requests. The validity of tokens and the age of share time still count it. - The configuration sets ManagesLoad at the links before the limiter opens any.

The check of the test is unchanged; it now also runs with pauses of 300, 500 and 700 ms.

--- a/libs/limits/include/sequoiastage/limits/account_credits.h
+++ b/libs/limits/include/sequoiastage/limits/account_credits.h
@@ -90,6 +90,11 @@
   std::vector<TokenDecision> OnGrants(const TokenGrantMessage& message,
                                       TimePoint now);
 
+  /// This node did not run for `pause` and has not read what was sent to it in
+  /// that time: neither the coordinator's silence nor the wait of the requests
+  /// counts it. The validity of tokens does.
+  void ExcludePause(Duration pause, TimePoint now);
+
   /// Ends waits that took too long, and drops expired tokens.
   std::vector<TokenDecision> Tick(TimePoint now);
 
@@ -135,6 +140,8 @@
 
   struct Pending {
     TimePoint m_sent_at{};
+    // Start of the coordinator's silence: m_sent_at without later pauses.
+    TimePoint m_silent_since{};
     std::vector<TokenRequest> m_requests;
     // Sent to the current coordinator.
     bool m_is_current = true;
--- a/libs/limits/include/sequoiastage/limits/account_exchange.h
+++ b/libs/limits/include/sequoiastage/limits/account_exchange.h
@@ -161,6 +161,7 @@
   std::optional<TimePoint> m_accounts_started_at;
   std::unordered_map<AccountId, TimePoint> m_added_at;
   TimePoint m_next_loans_at{};
+  TimePoint m_ticked_at{};
   bool m_is_leaving = false;
   AccountExchangeStats m_stats;
 };
--- a/libs/limits/src/account_credits.cc
+++ b/libs/limits/src/account_credits.cc
@@ -115,7 +115,9 @@
     }
   }
   m_is_urgent = false;
-  m_pending[number] = {.m_sent_at = now, .m_requests = message.m_requests};
+  m_pending[number] = {.m_sent_at = now,
+                       .m_silent_since = now,
+                       .m_requests = message.m_requests};
   return message;
 }
 
@@ -202,6 +204,17 @@
   return decisions;
 }
 
+void AccountCredits::ExcludePause(Duration pause, TimePoint now) {
+  for (auto& [number, pending] : m_pending) {
+    pending.m_silent_since = std::min(now, pending.m_silent_since + pause);
+  }
+  for (auto& [id, account] : m_accounts) {
+    for (Waiter& waiter : account.m_waiters) {
+      waiter.m_since = std::min(now, waiter.m_since + pause);
+    }
+  }
+}
+
 std::vector<TokenDecision> AccountCredits::Tick(TimePoint now) {
   std::vector<TokenDecision> decisions;
   std::erase_if(m_pending, [&](const auto& entry) {
@@ -228,7 +241,7 @@
   Duration longest{};
   for (const auto& [number, pending] : m_pending) {
     if (pending.m_is_current) {
-      longest = std::max(longest, now - pending.m_sent_at);
+      longest = std::max(longest, now - pending.m_silent_since);
     }
   }
   return longest;
--- a/libs/limits/src/account_exchange.cc
+++ b/libs/limits/src/account_exchange.cc
@@ -11,6 +11,9 @@
 
 // Interval at which the buckets are checked for loans that they need.
 constexpr Duration kLoanCheckInterval = std::chrono::milliseconds(40);
+// A longer time between two ticks is a pause of this node. Hosts whose CPU
+// quota is exhausted wait for up to 100 ms.
+constexpr Duration kMinPause = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -24,7 +27,8 @@
       m_options(options),
       m_hooks(std::move(hooks)),
       m_started_at(now),
-      m_pool({.m_quota = options.m_quota}) {}
+      m_pool({.m_quota = options.m_quota}),
+      m_ticked_at(now) {}
 
 void AccountExchange::SetMembers(Region own,
                                  std::vector<Region> others,
@@ -348,6 +352,12 @@
 
 void AccountExchange::Tick(TimePoint now) {
   UpdateFleet(now);
+  const Duration since_last = now - std::exchange(m_ticked_at, now);
+  if (since_last > kMinPause) {
+    for (Shard& shard : m_shards) {
+      shard.m_credits.ExcludePause(since_last, now);
+    }
+  }
   for (uint32_t index = 0; index < m_shards.size(); ++index) {
     Shard& shard = m_shards[index];
     if (shard.m_credits.SilentFor(now) > m_options.m_silence_limit) {
--- a/libs/mesh/include/sequoiastage/mesh/mesh_links.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_links.h
@@ -111,6 +111,11 @@
   using LinkPtr = std::shared_ptr<Link>;
 
   void Open(NodeId node, const LinkPtr& link);
+  // Drops the link unless it is open after `steps` times `step`.
+  void AwaitOpen(NodeId node,
+                 const LinkPtr& link,
+                 Duration step,
+                 uint32_t steps);
   void OnConnected(NodeId node, const LinkPtr& link);
   void OnLost(NodeId node, const LinkPtr& link, const std::string& reason);
   void OnAccepted(asio::ip::tcp::socket socket);
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -115,12 +115,13 @@
   }
   m_config = std::make_shared<const TrafficConfig>(*std::move(config));
   m_config_applied_at = BootNow();
+  // Before the limiter, which opens links.
+  m_links.SetManagesLoad(m_config->ManagesLoad());
   m_limiter.SetConfig(m_config);
   if (IsConfigUsable()) {
     m_ingress.SetConfig(m_config);
   }
   m_egress.SetConfig(m_config);
-  m_links.SetManagesLoad(m_config->ManagesLoad());
   const CallerLimits& limits = m_config->m_limits;
   m_callers.SetLimits(
       {.m_message = {.m_max_header_bytes = limits.m_max_header_bytes,
--- a/libs/mesh/src/mesh_links.cc
+++ b/libs/mesh/src/mesh_links.cc
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr uint32_t kMaxBackoffDoublings = 6;
+// While load is managed, the open timeout is waited for in this number of
+// steps. A pause of this process ends one step only, so what the other node
+// sent in the meantime is read before the link counts as lost.
+constexpr uint32_t kOpenSteps = 3;
 
 }  // namespace
 
@@ -70,15 +74,8 @@
 void MeshLinks::Open(NodeId node, const LinkPtr& link) {
   link->m_state = link->m_failures == 0 ? State::kOpening : State::kLost;
   link->m_socket = std::make_shared<asio::ip::tcp::socket>(m_io);
-  link->m_timer.expires_after(m_options.m_open_timeout);
-  link->m_timer.async_wait(
-      [this, node, weak = std::weak_ptr(link),
-       socket = link->m_socket](const asio::error_code& error) {
-        const LinkPtr self = weak.lock();
-        if (!error && self && self->m_socket == socket) {
-          OnLost(node, self, "the node does not answer");
-        }
-      });
+  const uint32_t steps = m_connection_options->m_manages_load ? kOpenSteps : 1;
+  AwaitOpen(node, link, m_options.m_open_timeout / steps, steps);
   const Endpoint& endpoint = node.Get();
   link->m_socket->async_connect(
       asio::ip::tcp::endpoint(asio::ip::address_v4(endpoint.m_ip),
@@ -97,6 +94,28 @@
       });
 }
 
+void MeshLinks::AwaitOpen(NodeId node,
+                          const LinkPtr& link,
+                          Duration step,
+                          uint32_t steps) {
+  link->m_timer.expires_after(step);
+  link->m_timer.async_wait(
+      [this, node, step, steps, weak = std::weak_ptr(link),
+       socket = link->m_socket](const asio::error_code& error) {
+        const LinkPtr self = weak.lock();
+        // The link may have opened after the timer expired and before this.
+        if (error || !self || self->m_socket != socket ||
+            self->m_state == State::kOpen) {
+          return;
+        }
+        if (steps > 1) {
+          AwaitOpen(node, self, step, steps - 1);
+        } else {
+          OnLost(node, self, "the node does not answer");
+        }
+      });
+}
+
 void MeshLinks::OnConnected(NodeId node, const LinkPtr& link) {
   auto connection = std::make_shared<PeerConnection>(std::move(*link->m_socket),
                                                      m_connection_options);
--- a/libs/mesh/tests/ingress_limit_test.cc
+++ b/libs/mesh/tests/ingress_limit_test.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <thread>
+
 #include "ingress_fixture.h"
 #include "sequoiastage/limits/coordinator_choice.h"
 
@@ -125,6 +128,7 @@
     MemberRecord record = m_coordinator.Record();
     record.m_instance.clear();
     m_targets.SetMember(record);
+    m_links.SetManagesLoad(true);  // As the node does for such a configuration.
     SetConfigWithLimit({.m_rate = RequestRate(0.1), .m_burst = 1});
   }
 
@@ -149,6 +153,35 @@
     });
   }
 
+  // Receives the token of a request whose caller has left, and uses it for
+  // another one. `pause`: time for which this process does not run while the
+  // link to the coordinator is opened.
+  void UseTokenOfACallerThatLeft(std::chrono::milliseconds pause) {
+    const CancelHook cancel = SendWaiting();
+    std::this_thread::sleep_for(pause);
+    ASSERT_TRUE(WaitForTokenRequest());
+    cancel();
+    EXPECT_EQ(m_ingress.RequestCount(), 0U);
+    EXPECT_TRUE(m_responses.empty());
+    uint64_t number = 0;
+    for (const Message& message : m_coordinator.m_messages) {
+      const auto* request = std::get_if<TokenRequestMessage>(&message);
+      if (request != nullptr && !request->m_requests.empty()) {
+        number = request->m_number;
+      }
+    }
+    m_limiter.OnReply(
+        m_coordinator.m_self.m_node,
+        TokenGrantMessage{.m_number = number,
+                          .m_grants = {{.m_account = MakeAccountId("ferries"),
+                                        .m_granted = 1}}});
+    SendWaiting();
+    ASSERT_TRUE(WaitForResponses(1));
+    // Admitted: it finds no instance.
+    EXPECT_EQ(m_responses[0].m_status, 503);
+    EXPECT_EQ(m_limiter.Stats().m_spent, 1U);
+  }
+
   FakeEgressNode m_coordinator;
 };
 
@@ -173,28 +206,19 @@
 
 // The token of a caller that has left is used by the next request.
 TEST_F(SilentCoordinatorTest, TokenOfACallerThatLeftIsKept) {
-  const CancelHook cancel = SendWaiting();
-  ASSERT_TRUE(WaitForTokenRequest());
-  cancel();
-  EXPECT_EQ(m_ingress.RequestCount(), 0U);
-  EXPECT_TRUE(m_responses.empty());
-  uint64_t number = 0;
-  for (const Message& message : m_coordinator.m_messages) {
-    const auto* request = std::get_if<TokenRequestMessage>(&message);
-    if (request != nullptr && !request->m_requests.empty()) {
-      number = request->m_number;
-    }
-  }
-  m_limiter.OnReply(
-      m_coordinator.m_self.m_node,
-      TokenGrantMessage{.m_number = number,
-                        .m_grants = {{.m_account = MakeAccountId("ferries"),
-                                      .m_granted = 1}}});
-  SendWaiting();
-  ASSERT_TRUE(WaitForResponses(1));
-  // Admitted: it finds no instance.
-  EXPECT_EQ(m_responses[0].m_status, 503);
-  EXPECT_EQ(m_limiter.Stats().m_spent, 1U);
+  UseTokenOfACallerThatLeft({});
+}
+
+// Guards against a coordinator that counts as silent, a link that counts as
+// lost, or a wait that ends, because this process did not run on a busy host.
+TEST_F(SilentCoordinatorTest, PauseOfThisProcessIsNotSilence) {
+  UseTokenOfACallerThatLeft(std::chrono::milliseconds(300));
+}
+TEST_F(SilentCoordinatorTest, PauseOfThisProcessEndsNoWait) {
+  UseTokenOfACallerThatLeft(std::chrono::milliseconds(500));
+}
+TEST_F(SilentCoordinatorTest, PauseOfThisProcessLosesNoLink) {
+  UseTokenOfACallerThatLeft(std::chrono::milliseconds(700));
 }
 
 }  // namespace
