--- a/libs/limits/include/sequoiastage/limits/account_exchange.h
+++ b/libs/limits/include/sequoiastage/limits/account_exchange.h
@@ -28,13 +28,17 @@
   /// two scheduling periods of a host whose CPU quota is exhausted, and short
   /// enough that requests that wait can ask another one.
   Duration m_silence_limit = std::chrono::milliseconds(200);
-  /// Time for which a replaced coordinator is not used; doubled each time that
-  /// it is silent again. The share handed to a silent one is lost.
+  /// A node that was silent or lost is asked for a sign of life after this
+  /// time, then at the interval, and is not used before it has replied. The
+  /// share handed to a silent coordinator would be lost, and the requests that
+  /// wait for it late.
   Duration m_avoid_period = std::chrono::seconds(2);
-  Duration m_max_avoid_period = std::chrono::seconds(16);
+  Duration m_probe_interval = std::chrono::milliseconds(500);
   /// Number of nodes that are tried as the coordinator. When none is usable,
-  /// the node coordinates its own share.
-  size_t m_candidates = 4;
+  /// the node coordinates its own share. When 35% of the nodes are cut off
+  /// together, none of four is among them in one case of five, and none of 16
+  /// in one of a thousand.
+  size_t m_candidates = 16;
   /// Nodes of a first deployment know each other after this time.
   Duration m_settling_time = std::chrono::seconds(3);
 };
@@ -123,14 +127,17 @@
     AccountCredits m_credits;
     NodeId m_coordinator;
     std::vector<NodeId> m_order;
+    // Nodes that may hold tokens of the shard: m_order, and the one before the
+    // last change of the members.
+    std::vector<NodeId> m_former;
     TimePoint m_next_share_at{};
     // Since when this node is the first in the order; empty while it is not.
     std::optional<TimePoint> m_first_since;
   };
 
-  struct Avoidance {
-    TimePoint m_until{};
-    Duration m_period{};
+  struct SentLoan {
+    NodeId m_node;
+    TimePoint m_sent_at{};
   };
 
   Shard& ShardOf(AccountId account);
@@ -144,7 +151,13 @@
                           const TokenRequestMessage& message,
                           TimePoint now);
   void AskForLoans(TimePoint now);
-  bool IsAvoided(NodeId node, TimePoint now) const;
+  void AskFormerCoordinators(TimePoint now);
+  // Whether this node has handed over the shard to the node that asks.
+  bool HasHandedOver(AccountId account, NodeId node);
+  void AvoidSilentNodes(TimePoint now);
+  void ProbeCandidates(const Shard& shard, TimePoint now);
+  void ProbeAvoided(TimePoint now);
+  bool IsMember(NodeId node) const;
 
   NodeId m_self;
   Incarnation m_incarnation;
@@ -156,8 +169,13 @@
   AccountPool m_pool;
   std::vector<Shard> m_shards;
   uint64_t m_next_number = 1;
-  // Coordinators that were silent or lost, until their next reply.
-  std::unordered_map<NodeId, Avoidance> m_avoided;
+  // Nodes that were silent or lost, until their next reply, with the time at
+  // which they are asked for one.
+  std::unordered_map<NodeId, TimePoint> m_avoided;
+  // Nodes that were asked for a sign of life together, without a reply.
+  std::unordered_map<NodeId, TimePoint> m_probed;
+  // Requests for loans without a reply.
+  std::unordered_map<uint64_t, SentLoan> m_sent_loans;
   std::optional<TimePoint> m_accounts_started_at;
   std::unordered_map<AccountId, TimePoint> m_added_at;
   TimePoint m_next_loans_at{};
--- a/libs/limits/include/sequoiastage/limits/account_pool.h
+++ b/libs/limits/include/sequoiastage/limits/account_pool.h
@@ -37,6 +37,10 @@
   Duration m_loan_timeout = std::chrono::milliseconds(150);
   /// Loans that left the bucket empty are not waited for again for this long.
   Duration m_loan_pause = std::chrono::milliseconds(500);
+  /// A new coordinator asks the former ones for their tokens after this time.
+  /// The nodes of its region have sent it a message by then; the depth of its
+  /// buckets depends on them.
+  Duration m_takeover_delay = std::chrono::milliseconds(150);
 };
 
 struct AccountPoolStats {
@@ -108,8 +112,24 @@
   std::vector<TokenLoanRequestMessage> WantedLoans(uint32_t regions,
                                                    TimePoint now);
 
-  /// Removes tokens from the bucket for another region; none without a surplus.
-  TokenLoanMessage Lend(const TokenLoanRequestMessage& request, TimePoint now);
+  /// This node has become the coordinator.
+  ///
+  /// Load pattern: a coordinator stops or comes back while the account sends
+  /// nearly its limit. The new one starts with an empty bucket, and the tokens
+  /// of the former one would be of no use to anyone.
+  void StartTakeover(TimePoint now);
+  /// Returns the accounts whose former coordinators have to be asked for their
+  /// tokens now; each is returned once after StartTakeover() or Open().
+  std::vector<AccountId> DueTakeovers(TimePoint now);
+  /// Asks one former coordinator for all that it holds.
+  TokenLoanRequestMessage AskFormer(AccountId account, TimePoint now);
+
+  /// Removes tokens from the bucket for another coordinator; none without a
+  /// surplus. `lends_all`: this node is no longer the coordinator of `request`,
+  /// so its own requests need no part of the bucket.
+  TokenLoanMessage Lend(const TokenLoanRequestMessage& request,
+                        TimePoint now,
+                        bool lends_all = false);
 
   /// Adds a loan. One that was not asked for, or that is repeated, is ignored.
   /// Returns the tokens received.
@@ -174,12 +194,15 @@
     // Tokens per second of recent loans, at m_borrowed_at.
     double m_borrowed_rate = 0;
     TimePoint m_borrowed_at{};
+    // When the former coordinators are asked for their tokens.
+    std::optional<TimePoint> m_takeover_at;
   };
 
   struct PendingLoan {
     AccountId m_account;
     double m_wanted = 0;
     TimePoint m_asked_at{};
+    bool m_is_takeover = false;
   };
 
   double DepthOf(const AccountLimit& limit) const;
--- a/libs/limits/src/account_exchange.cc
+++ b/libs/limits/src/account_exchange.cc
@@ -15,6 +15,10 @@
 // quota is exhausted wait for up to 100 ms.
 constexpr Duration kMinPause = std::chrono::milliseconds(100);
 
+// Average time between two probes of silent nodes. A node that is cut off from
+// all others sends 0.5 KB/s of them.
+constexpr Duration kMinProbeGap = std::chrono::milliseconds(100);
+
 }  // namespace
 
 AccountExchange::AccountExchange(NodeId self,
@@ -61,8 +65,15 @@
   }
   for (uint32_t index = 0; index < shards; ++index) {
     Shard& shard = m_shards[index];
-    shard.m_order =
-        CoordinatorOrder(m_own.m_nodes, index, m_options.m_candidates);
+    shard.m_former = std::exchange(
+        shard.m_order,
+        CoordinatorOrder(m_own.m_nodes, index, m_options.m_candidates));
+    for (const NodeId node : shard.m_order) {
+      if (std::find(shard.m_former.begin(), shard.m_former.end(), node) ==
+          shard.m_former.end()) {
+        shard.m_former.push_back(node);
+      }
+    }
     if (shard.m_order.empty() || shard.m_order.front() != m_self) {
       shard.m_first_since.reset();
     } else if (!shard.m_first_since) {
@@ -170,16 +181,61 @@
 }
 
 void AccountExchange::Avoid(NodeId node, TimePoint now) {
-  Avoidance& avoidance = m_avoided[node];
-  avoidance.m_period =
-      std::clamp(2 * avoidance.m_period, m_options.m_avoid_period,
-                 m_options.m_max_avoid_period);
-  avoidance.m_until = now + avoidance.m_period;
+  if (node != m_self) {
+    m_avoided[node] = now + m_options.m_avoid_period;
+  }
+}
+
+void AccountExchange::ProbeCandidates(const Shard& shard, TimePoint now) {
+  // A coordinator that is silent may be cut off together with many nodes. To
+  // wait for each of the next ones in turn would take seconds.
+  for (const NodeId node : shard.m_order) {
+    if (node != m_self && !m_avoided.contains(node) &&
+        m_probed.try_emplace(node, now).second) {
+      m_hooks.m_send(node, TokenLoanRequestMessage{});
+    }
+  }
+}
+
+void AccountExchange::AvoidSilentNodes(TimePoint now) {
+  std::erase_if(m_probed, [&](const auto& entry) {
+    const bool is_late = now - entry.second > m_options.m_silence_limit;
+    if (is_late) {
+      Avoid(entry.first, now);
+    }
+    return is_late;
+  });
+  std::erase_if(m_sent_loans, [&](const auto& entry) {
+    const bool is_late =
+        now - entry.second.m_sent_at > m_options.m_silence_limit;
+    if (is_late) {
+      Avoid(entry.second.m_node, now);
+    }
+    return is_late;
+  });
+}
+
+void AccountExchange::ProbeAvoided(TimePoint now) {
+  std::erase_if(m_avoided,
+                [this](const auto& entry) { return !IsMember(entry.first); });
+  const Duration interval =
+      std::max(m_options.m_probe_interval,
+               kMinProbeGap * static_cast<int64_t>(m_avoided.size()));
+  for (auto& [node, probe_at] : m_avoided) {
+    if (probe_at <= now) {
+      probe_at = now + interval;
+      // Asks for no tokens and hands over no share.
+      m_hooks.m_send(node, TokenLoanRequestMessage{});
+    }
+  }
 }
 
-bool AccountExchange::IsAvoided(NodeId node, TimePoint now) const {
-  const auto found = m_avoided.find(node);
-  return found != m_avoided.end() && now < found->second.m_until;
+bool AccountExchange::IsMember(NodeId node) const {
+  const auto has = [node](const Region& region) {
+    return std::find(region.m_nodes.begin(), region.m_nodes.end(), node) !=
+           region.m_nodes.end();
+  };
+  return has(m_own) || std::any_of(m_others.begin(), m_others.end(), has);
 }
 
 void AccountExchange::Choose(uint32_t index, TimePoint now) {
@@ -187,7 +243,7 @@
   NodeId chosen = m_self;
   for (const NodeId node : shard.m_order) {
     if (node == m_self ||
-        (m_hooks.m_is_usable(node) && !IsAvoided(node, now))) {
+        (m_hooks.m_is_usable(node) && !m_avoided.contains(node))) {
       chosen = node;
       break;
     }
@@ -196,6 +252,9 @@
     return;
   }
   shard.m_coordinator = chosen;
+  if (chosen == m_self) {
+    m_pool.StartTakeover(now);
+  }
   ++m_stats.m_coordinator_changes;
   shard.m_credits.OnCoordinatorChanged();
   m_hooks.m_on_coordinator(index, chosen,
@@ -289,10 +348,13 @@
     const AccountLimit* limit = m_hooks.m_limit_of(loan->m_account);
     TokenLoanMessage reply{.m_number = loan->m_number,
                            .m_account = loan->m_account};
+    if (loan->m_wanted_milli == 0) {
+      return reply;  // Only asks whether this node replies.
+    }
     if (limit != nullptr && !m_shards.empty()) {
       OpenBucket(loan->m_account, *limit, now);
       const double before = m_pool.Stats().m_lent;
-      reply = m_pool.Lend(*loan, now);
+      reply = m_pool.Lend(*loan, now, HasHandedOver(loan->m_account, node));
       m_hooks.m_on_loan(loan->m_account, node, m_pool.Stats().m_lent - before,
                         true);
     }
@@ -306,10 +368,14 @@
                               TimePoint now) {
   if (const auto* grants = std::get_if<TokenGrantMessage>(&message)) {
     m_avoided.erase(node);
+    m_probed.erase(node);
     for (Shard& shard : m_shards) {
       Decide(shard.m_credits.OnGrants(*grants, now));
     }
   } else if (const auto* loan = std::get_if<TokenLoanMessage>(&message)) {
+    m_avoided.erase(node);
+    m_probed.erase(node);
+    m_sent_loans.erase(loan->m_number);
     const double tokens = m_pool.OnLoan(*loan, now);
     m_hooks.m_on_loan(loan->m_account, node, tokens, false);
   }
@@ -327,11 +393,40 @@
   }
 }
 
+bool AccountExchange::HasHandedOver(AccountId account, NodeId node) {
+  const Shard& shard = ShardOf(account);
+  return (shard.m_coordinator != m_self || m_is_leaving) &&
+         std::find(m_own.m_nodes.begin(), m_own.m_nodes.end(), node) !=
+             m_own.m_nodes.end();
+}
+
+void AccountExchange::AskFormerCoordinators(TimePoint now) {
+  for (const AccountId account : m_pool.DueTakeovers(now)) {
+    const Shard& shard = ShardOf(account);
+    if (shard.m_coordinator != m_self) {
+      continue;
+    }
+    for (const NodeId node : shard.m_former) {
+      if (node == m_self || !m_hooks.m_is_usable(node)) {
+        continue;
+      }
+      const TokenLoanRequestMessage request = m_pool.AskFormer(account, now);
+      if (request.m_wanted_milli > 0) {
+        m_hooks.m_send(node, request);
+      }
+    }
+  }
+}
+
 void AccountExchange::AskForLoans(TimePoint now) {
-  if (now < m_next_loans_at || m_others.empty()) {
+  if (now < m_next_loans_at || m_shards.empty()) {
     return;
   }
   m_next_loans_at = now + kLoanCheckInterval;
+  AskFormerCoordinators(now);
+  if (m_others.empty()) {
+    return;
+  }
   // The messages for one account are in sequence, one for each other region.
   size_t region = 0;
   for (const TokenLoanRequestMessage& loan :
@@ -342,8 +437,9 @@
         AccountShardOf(loan.m_account, AccountShardCount(nodes.size()));
     for (const NodeId node :
          CoordinatorOrder(nodes, shard, m_options.m_candidates)) {
-      if (m_hooks.m_is_usable(node)) {
+      if (m_hooks.m_is_usable(node) && !m_avoided.contains(node)) {
         m_hooks.m_send(node, loan);
+        m_sent_loans[loan.m_number] = {.m_node = node, .m_sent_at = now};
         break;
       }
     }
@@ -357,11 +453,16 @@
     for (Shard& shard : m_shards) {
       shard.m_credits.ExcludePause(since_last, now);
     }
+    m_sent_loans.clear();
+    m_probed.clear();
   }
+  AvoidSilentNodes(now);
+  ProbeAvoided(now);
   for (uint32_t index = 0; index < m_shards.size(); ++index) {
     Shard& shard = m_shards[index];
     if (shard.m_credits.SilentFor(now) > m_options.m_silence_limit) {
       Avoid(shard.m_coordinator, now);
+      ProbeCandidates(shard, now);
     }
     Choose(index, now);
     Decide(shard.m_credits.Tick(now));
--- a/libs/limits/src/account_pool.cc
+++ b/libs/limits/src/account_pool.cc
@@ -158,6 +158,9 @@
                   .m_settled_share = m_share_time});
   if (is_new) {
     found->second.m_level = is_full ? DepthOf(limit) : 0;
+    if (!is_full) {
+      found->second.m_takeover_at = now + m_options.m_takeover_delay;
+    }
     Settle(found->second, now);
   }
 }
@@ -307,8 +310,41 @@
   return wanted;
 }
 
+void AccountPool::StartTakeover(TimePoint now) {
+  for (auto& [id, account] : m_accounts) {
+    account.m_takeover_at = now + m_options.m_takeover_delay;
+  }
+}
+
+std::vector<AccountId> AccountPool::DueTakeovers(TimePoint now) {
+  std::vector<AccountId> due;
+  for (auto& [id, account] : m_accounts) {
+    if (account.m_takeover_at && *account.m_takeover_at <= now) {
+      account.m_takeover_at.reset();
+      due.push_back(id);
+    }
+  }
+  return due;
+}
+
+TokenLoanRequestMessage AccountPool::AskFormer(AccountId id, TimePoint now) {
+  Account& account = m_accounts.at(id);
+  Settle(account, now);
+  const double missing =
+      std::max(0.0, DepthOf(account.m_limit) - account.m_level -
+                        account.m_outstanding_count);
+  const uint64_t number = m_next_loan++;
+  m_loans[number] = {.m_account = id,
+                     .m_wanted = missing,
+                     .m_asked_at = now,
+                     .m_is_takeover = true};
+  return {
+      .m_number = number, .m_account = id, .m_wanted_milli = ToMilli(missing)};
+}
+
 TokenLoanMessage AccountPool::Lend(const TokenLoanRequestMessage& request,
-                                   TimePoint now) {
+                                   TimePoint now,
+                                   bool lends_all) {
   TokenLoanMessage loan{.m_number = request.m_number,
                         .m_account = request.m_account};
   const auto found = m_accounts.find(request.m_account);
@@ -320,8 +356,9 @@
   std::erase_if(account.m_askers, [&](const auto& entry) {
     return now - entry.second.m_asked_at > m_options.m_active_period;
   });
-  const double kept =
-      account.m_askers.empty() ? 0 : kLendPart * DepthOf(account.m_limit);
+  const double kept = lends_all || account.m_askers.empty()
+                          ? 0
+                          : kLendPart * DepthOf(account.m_limit);
   loan.m_tokens_milli =
       std::min(request.m_wanted_milli, ToMilli(account.m_level - kept));
   account.m_level -= FromMilli(loan.m_tokens_milli);
@@ -331,7 +368,7 @@
 
 bool AccountPool::EndLoan(const PendingLoan& loan) {
   const auto found = m_accounts.find(loan.m_account);
-  if (found == m_accounts.end()) {
+  if (found == m_accounts.end() || loan.m_is_takeover) {
     return true;
   }
   Account& account = found->second;
@@ -347,6 +384,7 @@
   }
   const bool is_last = EndLoan(pending->second);
   const double wanted = pending->second.m_wanted;
+  const bool is_takeover = pending->second.m_is_takeover;
   m_loans.erase(pending);
   const auto found = m_accounts.find(loan.m_account);
   if (found == m_accounts.end()) {
@@ -354,17 +392,18 @@
   }
   Account& account = found->second;
   const double tokens = FromMilli(loan.m_tokens_milli);
-  if (tokens >= kPlentyPart * wanted) {
-    account.m_loan_interval = m_options.m_min_loan_interval;
-  } else {
-    account.m_loan_interval = m_options.m_loan_interval;
-  }
-  account.m_borrowed_rate = BorrowedRate(account, now) + tokens;
-  account.m_borrowed_at = now;
   account.m_level += tokens;
+  // The tokens of a former coordinator come once; they are no rate.
+  if (!is_takeover) {
+    account.m_loan_interval = tokens >= kPlentyPart * wanted
+                                  ? m_options.m_min_loan_interval
+                                  : m_options.m_loan_interval;
+    account.m_borrowed_rate = BorrowedRate(account, now) + tokens;
+    account.m_borrowed_at = now;
+  }
   if (account.m_level >= 1) {
     account.m_vain_loan_at.reset();
-  } else if (is_last) {
+  } else if (is_last && !is_takeover) {
     account.m_vain_loan_at = now;
   }
   Settle(account, now);
--- a/libs/limits/tests/account_calm_test.cc
+++ b/libs/limits/tests/account_calm_test.cc
@@ -54,6 +54,54 @@
       (load.m_rate * 5 + load.m_burst) * (1 + quota.m_overage) + quota.m_slack);
 }
 
+struct RemoteLoad {
+  uint32_t m_accounts = 1;
+  AccountLimit m_limit{};
+  // Requests sent, as a part of all limits together.
+  double m_part = 0;
+  // Nodes that the requests arrive at.
+  uint32_t m_nodes = 1;
+};
+
+class AccountBytesTest : public testing::TestWithParam<RemoteLoad> {};
+
+// Guards against loans that cost more traffic between regions than A6 allows:
+// requests at one node only or above the limit keep its region borrowing.
+TEST_P(AccountBytesTest, TrafficBetweenRegionsIsSmall) {
+  constexpr double kMaxBytesPerNodeAndSecond = 500;
+  constexpr seconds kTime(30);
+  const RemoteLoad& load = GetParam();
+  AccountFleet fleet(
+      {.m_nodes = 104, .m_accounts = load.m_accounts, .m_limit = load.m_limit});
+  std::vector<uint32_t> nodes(load.m_nodes);
+  std::iota(nodes.begin(), nodes.end(), 0);
+  fleet.SendLoad(nodes,
+                 load.m_part * load.m_accounts * load.m_limit.m_rate.Get());
+  fleet.RunUntil(AccountFleet::kStart + kTime);
+  const double bytes = static_cast<double>(fleet.RemoteBytes()) / 104 /
+                       static_cast<double>(kTime.count());
+  fmt::print(
+      "{} accounts, rate {} burst {}, {} of the limit at {} of 104 nodes: "
+      "{:.1f} "
+      "bytes/s per node between regions\n",
+      load.m_accounts, load.m_limit.m_rate.Get(), load.m_limit.m_burst,
+      load.m_part, load.m_nodes, bytes);
+  EXPECT_LT(bytes, kMaxBytesPerNodeAndSecond);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Loads,
+    AccountBytesTest,
+    testing::Values(
+        RemoteLoad{1, {.m_rate = RequestRate(2), .m_burst = 2}, 0.9, 104},
+        RemoteLoad{1, {.m_rate = RequestRate(50), .m_burst = 20}, 0.9, 1},
+        RemoteLoad{1, {.m_rate = RequestRate(1000)}, 0.9, 1},
+        RemoteLoad{1, {.m_rate = RequestRate(1000)}, 0.9, 104},
+        RemoteLoad{1, {.m_rate = RequestRate(50), .m_burst = 20}, 3, 1},
+        RemoteLoad{1, {.m_rate = RequestRate(50), .m_burst = 20}, 3, 104},
+        RemoteLoad{10, {.m_rate = RequestRate(50), .m_burst = 20}, 0.9, 3},
+        RemoteLoad{10, {.m_rate = RequestRate(50), .m_burst = 20}, 3, 104}));
+
 INSTANTIATE_TEST_SUITE_P(Loads,
                          AccountCalmTest,
                          testing::Values(CalmLoad{2, 2, 1, seconds(1200)},
--- a/libs/limits/tests/account_fleet.h
+++ b/libs/limits/tests/account_fleet.h
@@ -13,12 +13,15 @@
 #include <vector>
 
 #include "sequoiastage/limits/account_exchange.h"
+#include "sequoiastage/wire/frame.h"
 
 namespace sequoiastage {
 
 struct AccountFleetOptions {
   uint32_t m_nodes = 12;
   uint32_t m_regions = 3;
+  /// Accounts with this limit, which send the same number of requests.
+  uint32_t m_accounts = 1;
   AccountLimit m_limit{};
   AccountQuotaOptions m_quota{};
   uint64_t m_seed = 1;
@@ -29,6 +32,8 @@
   Duration m_max_delay = std::chrono::seconds(2);
   /// Fraction of the requests that take a token and do not run.
   double m_not_run = 0;
+  /// Links break as soon as the other node is killed, as TCP connections do.
+  bool m_breaks_links = false;
 };
 
 /// Nodes that exchange tokens of one account over faulty links, in simulated
@@ -64,7 +69,32 @@
     m_now = end;
   }
 
-  void Kill(uint32_t index) { m_nodes[index].m_exchange.reset(); }
+  void Kill(uint32_t index) {
+    m_nodes[index].m_exchange.reset();
+    if (!m_options.m_breaks_links) {
+      return;
+    }
+    At(m_now + std::chrono::milliseconds(1), [this, index] {
+      for (Node& node : m_nodes) {
+        if (node.m_exchange) {
+          node.m_exchange->OnLinkLost(IdOf(index), m_now);
+        }
+      }
+    });
+  }
+  /// The node stops as planned: it accepts no more requests, and the others
+  /// learn of it within 400 ms.
+  void Leave(uint32_t index) {
+    m_nodes[index].m_is_leaving = true;
+    m_nodes[index].m_exchange->SetLeaving();
+    AnnounceMembers();
+  }
+  /// A node that was stopped as planned starts again.
+  void Return(uint32_t index) {
+    m_nodes[index].m_is_leaving = false;
+    Start(index, false);
+    AnnounceMembers();
+  }
   void Restart(uint32_t index) { Start(index, false); }
   bool IsUp(uint32_t index) const {
     return m_nodes[index].m_exchange != nullptr;
@@ -76,6 +106,17 @@
   /// only.
   void Cut(uint32_t from, uint32_t to) { m_cuts.insert({from, to}); }
   void Heal() { m_cuts.clear(); }
+  /// Messages between these nodes and the others are lost until Heal().
+  void CutOff(const std::set<uint32_t>& group) {
+    for (const uint32_t inside : group) {
+      for (uint32_t other = 0; other < m_options.m_nodes; ++other) {
+        if (!group.contains(other)) {
+          Cut(inside, other);
+          Cut(other, inside);
+        }
+      }
+    }
+  }
   void SetLimit(uint32_t index, const AccountLimit& limit) {
     m_nodes[index].m_limit = limit;
   }
@@ -83,16 +124,20 @@
   /// A request of the account arrives at this node.
   void Request(uint32_t index) {
     Node& node = m_nodes[index];
-    if (!node.m_exchange || node.m_paused_until > m_now) {
+    if (!node.m_exchange || node.m_is_leaving || node.m_paused_until > m_now) {
       return;
     }
     ++m_requests;
     const TokenWaiterId waiter(m_next_waiter++);
-    const auto acquisition = node.m_exchange->Acquire(kAccount, waiter, m_now);
+    const AccountId account =
+        m_options.m_accounts > 1
+            ? AccountId(kAccount.Get() + m_random() % m_options.m_accounts)
+            : kAccount;
+    const auto acquisition = node.m_exchange->Acquire(account, waiter, m_now);
     if (acquisition.m_result == AccountCredits::Result::kTaken) {
       Run(index);
     } else if (acquisition.m_result == AccountCredits::Result::kRefused) {
-      ++m_refused;
+      m_refusals.push_back(m_now);
     }
   }
 
@@ -113,9 +158,12 @@
 
   const std::vector<TimePoint>& Runs() const { return m_runs; }
   uint64_t Requests() const { return m_requests; }
-  uint64_t Refused() const { return m_refused; }
+  uint64_t Refused() const { return m_refusals.size(); }
+  const std::vector<TimePoint>& Refusals() const { return m_refusals; }
   uint64_t Messages() const { return m_messages; }
   uint64_t RemoteMessages() const { return m_remote_messages; }
+  /// Encoded bytes of the messages between regions.
+  uint64_t RemoteBytes() const { return m_remote_bytes; }
 
   std::mt19937_64& Random() { return m_random; }
 
@@ -137,6 +185,7 @@
     Incarnation m_incarnation;
     AccountLimit m_limit;
     TimePoint m_paused_until{};
+    bool m_is_leaving = false;
   };
 
   struct Load {
@@ -194,18 +243,34 @@
                   if (decision.m_is_granted) {
                     Run(index);
                   } else {
-                    ++m_refused;
+                    m_refusals.push_back(m_now);
                   }
                 },
             .m_on_coordinator = [](uint32_t, NodeId, std::string_view) {},
             .m_on_loan = [](AccountId, NodeId, double, bool) {}},
         m_now);
+    SetMembers(index);
+    node.m_exchange->StartAccounts(m_now);
+  }
+
+  void AnnounceMembers() {
+    for (uint32_t index = 0; index < m_options.m_nodes; ++index) {
+      At(m_now + Duration(static_cast<int64_t>(m_random() % 400'000)),
+         [this, index] {
+           if (m_nodes[index].m_exchange) {
+             SetMembers(index);
+           }
+         });
+    }
+  }
+
+  void SetMembers(uint32_t index) {
     AccountExchange::Region own;
     std::vector<AccountExchange::Region> others;
     for (uint32_t region = 0; region < m_options.m_regions; ++region) {
       AccountExchange::Region members;
       for (uint32_t other = 0; other < m_options.m_nodes; ++other) {
-        if (RegionOf(other) == region) {
+        if (RegionOf(other) == region && !m_nodes[other].m_is_leaving) {
           members.m_nodes.push_back(IdOf(other));
         }
       }
@@ -215,8 +280,8 @@
         others.push_back(std::move(members));
       }
     }
-    node.m_exchange->SetMembers(std::move(own), std::move(others), m_now);
-    node.m_exchange->StartAccounts(m_now);
+    m_nodes[index].m_exchange->SetMembers(std::move(own), std::move(others),
+                                          m_now);
   }
 
   void Run(uint32_t index) {
@@ -239,9 +304,13 @@
   // Calls `deliver` at the other node, not at all, twice or late.
   void Transfer(uint32_t from,
                 uint32_t to,
+                const Message& message,
                 const std::function<void()>& deliver) {
     ++m_messages;
-    m_remote_messages += RegionOf(from) == RegionOf(to) ? 0 : 1;
+    if (RegionOf(from) != RegionOf(to)) {
+      ++m_remote_messages;
+      m_remote_bytes += EncodeFrame(message)->size();
+    }
     if (m_cuts.contains({from, to}) || Draw(m_options.m_loss)) {
       return;
     }
@@ -277,11 +346,11 @@
 
   void SendRequest(uint32_t from, uint32_t to, const Message& message) {
     const Incarnation incarnation = m_nodes[from].m_incarnation;
-    Transfer(from, to, [this, from, to, incarnation, message] {
+    Transfer(from, to, message, [this, from, to, incarnation, message] {
       const auto reply = m_nodes[to].m_exchange->OnRequest(
           IdOf(from), incarnation, message, m_now);
       if (reply && m_nodes[from].m_incarnation == incarnation) {
-        Transfer(to, from, [this, from, to, reply = *reply] {
+        Transfer(to, from, *reply, [this, from, to, reply = *reply] {
           m_nodes[from].m_exchange->OnReply(IdOf(to), reply, m_now);
         });
       }
@@ -298,9 +367,10 @@
   std::vector<TimePoint> m_runs;
   uint64_t m_next_waiter = 1;
   uint64_t m_requests = 0;
-  uint64_t m_refused = 0;
+  std::vector<TimePoint> m_refusals;
   uint64_t m_messages = 0;
   uint64_t m_remote_messages = 0;
+  uint64_t m_remote_bytes = 0;
 };
 
 /// Largest number of the runs in any window; the times are in order.
--- a/libs/limits/tests/account_pool_test.cc
+++ b/libs/limits/tests/account_pool_test.cc
@@ -134,6 +134,27 @@
   EXPECT_EQ(loan.m_tokens_milli, 24'000U);
 }
 
+// Guards against tokens that stay at a node which is no longer the coordinator.
+TEST(AccountPoolTest, NewCoordinatorTakesAllTokensOfTheFormerOne) {
+  AccountPool former = MakePool();
+  former.AddShare(NodeNumber(1), milliseconds(100), kStart);
+  former.Open(kAccount, kLimit, true, kStart);
+  EXPECT_EQ(Ask(former, 10, kStart), 10);
+  AccountPool next = MakePool();
+  next.AddShare(NodeNumber(1), milliseconds(100), kStart);
+  next.Open(kAccount, kLimit, false, kStart);
+  EXPECT_TRUE(next.DueTakeovers(kStart).empty());
+  const TimePoint now = kStart + seconds(1);
+  ASSERT_EQ(next.DueTakeovers(now), std::vector<AccountId>{kAccount});
+  EXPECT_TRUE(next.DueTakeovers(now).empty());
+  const TokenLoanRequestMessage request = next.AskFormer(kAccount, now);
+  const TokenLoanMessage loan = former.Lend(request, now, true);
+  EXPECT_NEAR(next.OnLoan(loan, now), 40, 0.01);
+  EXPECT_NEAR(next.Level(kAccount), 40, 0.01);
+  EXPECT_NEAR(former.Level(kAccount), 0, 0.01);
+  EXPECT_EQ(next.OnLoan(loan, now), 0);
+}
+
 TEST(AccountPoolTest, LoweredLimitCutsTheBucketAtOnce) {
   AccountPool pool = MakePool();
   pool.Open(kAccount, kLimit, true, kStart);
