Account limits: look up silent nodes among the members only when asked

Cause: with silent nodes, every tick compared each of them with all members, which costs processor time at thousands of nodes. Messages were also sent while the list of silent nodes was walked, although a hook may change it.

Change: membership is checked when a node is due to be asked, and the messages are sent after the walk.

The processor time at the design size was not measured.

--- a/libs/limits/src/account_exchange.cc
+++ b/libs/limits/src/account_exchange.cc
@@ -216,16 +216,22 @@
 }
 
 void AccountExchange::ProbeAvoided(TimePoint now) {
-  std::erase_if(m_avoided,
-                [this](const auto& entry) { return !IsMember(entry.first); });
   const Duration interval =
       std::max(m_options.m_probe_interval,
                kMinProbeGap * static_cast<int64_t>(m_avoided.size()));
+  std::vector<NodeId> due;
   for (auto& [node, probe_at] : m_avoided) {
     if (probe_at <= now) {
       probe_at = now + interval;
+      due.push_back(node);
+    }
+  }
+  for (const NodeId node : due) {
+    if (IsMember(node)) {
       // Asks for no tokens and hands over no share.
       m_hooks.m_send(node, TokenLoanRequestMessage{});
+    } else {
+      m_avoided.erase(node);
     }
   }
 }
