Placement by bytes: light requests make room, heavy ones wait

Change: PlacementOptions states whether a request is heavy and how often a light one may make room. Heavy requests wait in their region for a quarter of the objective, in rounds, and are not offered to held or nearly full instances of other regions. Light requests go to another region with clear room while their region is nearly full. Nothing sets these options yet.

--- a/libs/routing/include/sequoiastage/routing/placement.h
+++ b/libs/routing/include/sequoiastage/routing/placement.h
@@ -37,6 +37,10 @@
   /// Expected wait of an instance that limits its request rate and counts as
   /// full until then; zero otherwise.
   Duration m_rate_wait{};
+  /// Executing and queued requests in the last load report, of any age.
+  uint32_t m_reported_slots = 0;
+  /// Age of that report; empty when there is none.
+  std::optional<Duration> m_report_age{};
 };
 
 struct PlacementOptions {
@@ -57,6 +61,23 @@
   /// first. Otherwise the requests that enter at one host meet in the same
   /// queues and their accounts get the fair shares of these alone.
   bool m_spreads_queues = false;
+  /// Round trip time to another region, an upper estimate.
+  Duration m_round_trip = std::chrono::milliseconds(60);
+  /// The request has a large body or response. While the region has reachable
+  /// instances, it is not offered to instances of other regions that are held
+  /// or nearly full, and it waits in the region for m_max_local_wait or a
+  /// quarter of the time to its deadline, whichever is less.
+  bool m_is_heavy = false;
+  /// Maximum number of offers to other regions that make room in the request's
+  /// region for heavy requests.
+  uint32_t m_max_moves = 0;
+  /// Part of the slots in use from which an instance or region is nearly full.
+  double m_nearly_full = 0.75;
+  /// An instance of another region takes light requests that make room while a
+  /// smaller part of its slots is in use.
+  double m_clear_room = 0.5;
+  /// Older load reports say nothing about free slots.
+  Duration m_max_report_age = std::chrono::seconds(2);
 };
 
 struct PlacementDecision {
@@ -65,6 +86,8 @@
   bool m_may_wait = false;
   /// Execute there even if the instance is held.
   bool m_accepts_held = false;
+  /// Sent to another region to make room for heavy requests.
+  bool m_makes_room = false;
 };
 
 /// Why a candidate refused the request.
@@ -90,6 +113,9 @@
 /// - The service is near capacity, so that many requests are slow. A hedged
 ///   request goes only to an instance of the region with spare slots; it is
 ///   never queued or sent to another region.
+/// - Links between regions are narrow, and light requests take the slots that
+///   heavy ones wait for. Light requests go to another region with clearly free
+///   slots while the region is nearly full; heavy ones wait in their region.
 /// - Every instance of a service fails. The request is offered to at most two
 ///   held instances instead of being refused.
 class Placement {
@@ -108,6 +134,10 @@
       bool prefer_trial = false,
       Duration time_left = Duration::max());
 
+  /// Whether Next() returned nothing because a heavy request is to wait for its
+  /// region and to start another round after a pause.
+  bool WaitsInRegion() const { return m_waits_in_region; }
+
   /// Returns an instance of the region with more than one free slot for a
   /// hedged request; empty when there is none and no hedged request is to be
   /// sent.
@@ -140,6 +170,29 @@
   };
 
   const CandidateState* FindState(CandidateKey key) const;
+  bool HasRecentReport(const PlacementCandidate& candidate) const;
+  // Latest known number of slots in use, with queued requests.
+  uint32_t KnownUse(const PlacementCandidate& candidate) const;
+  // Whether the instances of the region that accept requests are nearly full.
+  bool IsRegionNearlyFull(
+      const std::vector<PlacementCandidate>& candidates) const;
+  // Instance of another region with clearly free slots for a light request that
+  // makes room for heavy ones; empty when it stays in its region.
+  std::optional<CandidateKey> FindRoomElsewhere(
+      const std::vector<PlacementCandidate>& candidates,
+      std::mt19937_64& random) const;
+  // Whether the instance is one that a heavy request kept in its region is not
+  // offered to.
+  bool IsClosedToHeavy(const PlacementCandidate& candidate) const;
+  // Whether a heavy request has time left to wait for instances of its region
+  // that are merely busy.
+  bool MayWaitInRegion(const std::vector<PlacementCandidate>& candidates,
+                       Duration time_left) const;
+  // Longest wait in a queue that is preferred over a free slot in another
+  // region; negative when a heavy request may use no further queue.
+  Duration LocalWaitLimit(Duration time_left) const;
+  // Time that a heavy request may still wait in its region.
+  Duration HeavyWaitLeft(Duration time_left) const;
   const PlacementCandidate* FindFreeSlot(
       const std::vector<PlacementCandidate>& candidates,
       bool is_remote,
@@ -157,6 +210,12 @@
   uint32_t m_remote_offers = 0;
   uint32_t m_queue_offers = 0;
   uint32_t m_held_offers = 0;
+  uint32_t m_moves = 0;
+  // A heavy request whose region has reachable instances.
+  bool m_is_kept_in_region = false;
+  bool m_waits_in_region = false;
+  // Of the first decision.
+  std::optional<Duration> m_initial_time_left;
 };
 
 }  // namespace sequoiastage
--- a/libs/routing/src/placement.cc
+++ b/libs/routing/src/placement.cc
@@ -30,12 +30,31 @@
     std::mt19937_64& random,
     bool prefer_trial,
     Duration time_left) {
+  m_initial_time_left = m_initial_time_left.value_or(time_left);
+  m_is_kept_in_region =
+      m_options.m_is_heavy &&
+      std::any_of(candidates.begin(), candidates.end(),
+                  [](const PlacementCandidate& candidate) {
+                    return !IsRemote(candidate) && candidate.m_is_reachable;
+                  });
+  if (m_moves < m_options.m_max_moves &&
+      time_left >= m_options.m_min_remote_time) {
+    if (const auto remote = FindRoomElsewhere(candidates, random)) {
+      ++m_moves;
+      return PlacementDecision{.m_key = *remote, .m_makes_room = true};
+    }
+  }
   if (const auto* local =
           FindFreeSlot(candidates, false, prefer_trial, random)) {
     return PlacementDecision{.m_key = local->m_key};
   }
   const auto* queue =
-      FindShortestQueue(candidates, m_options.m_max_local_wait, random);
+      FindShortestQueue(candidates, LocalWaitLimit(time_left), random);
+  m_waits_in_region =
+      queue == nullptr && MayWaitInRegion(candidates, time_left);
+  if (m_waits_in_region) {
+    return std::nullopt;
+  }
   if (queue == nullptr && m_remote_offers < m_options.m_max_remote_offers &&
       time_left >= m_options.m_min_remote_time) {
     if (const auto* remote = FindFreeSlot(candidates, true, false, random)) {
@@ -100,6 +119,7 @@
   m_remote_offers = 0;
   m_queue_offers = 0;
   m_held_offers = 0;
+  m_moves = 0;
 }
 
 void Placement::OnMaybeStarted(CandidateKey key) {
@@ -111,6 +131,92 @@
   return found == m_states.end() ? nullptr : &found->second;
 }
 
+bool Placement::HasRecentReport(const PlacementCandidate& candidate) const {
+  return candidate.m_report_age &&
+         *candidate.m_report_age <= m_options.m_max_report_age;
+}
+
+uint32_t Placement::KnownUse(const PlacementCandidate& candidate) const {
+  return HasRecentReport(candidate)
+             ? std::max(candidate.m_used_slots, candidate.m_reported_slots)
+             : candidate.m_used_slots;
+}
+
+bool Placement::IsRegionNearlyFull(
+    const std::vector<PlacementCandidate>& candidates) const {
+  uint32_t used = 0;
+  uint32_t slots = 0;
+  for (const PlacementCandidate& candidate : candidates) {
+    const CandidateState* state = FindState(candidate.m_key);
+    if (IsRemote(candidate) || !candidate.m_is_reachable ||
+        candidate.m_hold_remaining > Duration{} ||
+        (state != nullptr ? state->m_is_held || state->m_is_final
+                          : !HasRecentReport(candidate))) {
+      continue;
+    }
+    slots += candidate.m_slots;
+    used += state != nullptr ? candidate.m_slots
+                             : std::min(KnownUse(candidate), candidate.m_slots);
+  }
+  return slots > 0 && used >= m_options.m_nearly_full * slots;
+}
+
+std::optional<CandidateKey> Placement::FindRoomElsewhere(
+    const std::vector<PlacementCandidate>& candidates,
+    std::mt19937_64& random) const {
+  if (!IsRegionNearlyFull(candidates)) {
+    return std::nullopt;
+  }
+  std::vector<PlacementCandidate> clear;
+  std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(clear),
+               [this](const PlacementCandidate& candidate) {
+                 return HasRecentReport(candidate) &&
+                        KnownUse(candidate) <
+                            m_options.m_clear_room * candidate.m_slots;
+               });
+  const auto* found = FindFreeSlot(clear, true, false, random);
+  return found == nullptr ? std::nullopt : std::optional(found->m_key);
+}
+
+bool Placement::MayWaitInRegion(
+    const std::vector<PlacementCandidate>& candidates,
+    Duration time_left) const {
+  if (!m_is_kept_in_region || HeavyWaitLeft(time_left) <= Duration{}) {
+    return false;
+  }
+  return std::any_of(
+      candidates.begin(), candidates.end(),
+      [this](const PlacementCandidate& candidate) {
+        const CandidateState* state = FindState(candidate.m_key);
+        return !IsRemote(candidate) && candidate.m_is_reachable &&
+               candidate.m_hold_remaining == Duration{} &&
+               (state == nullptr || (!state->m_is_held && !state->m_is_final));
+      });
+}
+
+bool Placement::IsClosedToHeavy(const PlacementCandidate& candidate) const {
+  return m_is_kept_in_region && IsRemote(candidate) &&
+         (candidate.m_hold_remaining > Duration{} ||
+          KnownUse(candidate) >= m_options.m_nearly_full * candidate.m_slots ||
+          FindState(candidate.m_key) != nullptr);
+}
+
+Duration Placement::LocalWaitLimit(Duration time_left) const {
+  if (!m_options.m_is_heavy) {
+    return m_options.m_max_local_wait;
+  }
+  return m_queue_offers < m_options.m_max_queue_offers
+             ? HeavyWaitLeft(time_left)
+             : Duration(-1);
+}
+
+Duration Placement::HeavyWaitLeft(Duration time_left) const {
+  const Duration initial = m_initial_time_left.value_or(time_left);
+  // A request with a close deadline needs time for the other region.
+  return std::min(m_options.m_max_local_wait, initial / 4) -
+         (initial - time_left);
+}
+
 const PlacementCandidate* Placement::FindFreeSlot(
     const std::vector<PlacementCandidate>& candidates,
     bool is_remote,
@@ -122,7 +228,7 @@
     if (IsRemote(candidate) != is_remote || !candidate.m_is_reachable ||
         candidate.m_hold_remaining > Duration{} ||
         candidate.m_used_slots >= candidate.m_slots ||
-        FindState(candidate.m_key) != nullptr) {
+        IsClosedToHeavy(candidate) || FindState(candidate.m_key) != nullptr) {
       continue;
     }
     const std::tuple rank(candidate.m_needs_trial != prefer_trial,
@@ -147,7 +253,7 @@
         state != nullptr ? state->m_is_busy && !state->m_is_final &&
                                !state->m_is_held && !state->m_was_offered_queue
                          : candidate.m_used_slots >= candidate.m_slots;
-    if (!is_busy || !candidate.m_is_reachable ||
+    if (!is_busy || !candidate.m_is_reachable || IsClosedToHeavy(candidate) ||
         candidate.m_hold_remaining > Duration{}) {
       continue;
     }
@@ -171,6 +277,7 @@
   for (const PlacementCandidate& candidate : candidates) {
     const CandidateState* state = FindState(candidate.m_key);
     if (!candidate.m_is_reachable ||
+        (m_is_kept_in_region && IsRemote(candidate)) ||
         (state != nullptr &&
          (state->m_is_final || state->m_was_offered_held))) {
       continue;
