Ingress: place requests by expected bytes while load is managed

Change: ResponseSizes learns the usual response size of every route while load is managed. The ingress passes own body plus usual response, the latency objective and whether the service has heavy requests. Candidates state the last load report and its age. Attempts of moved light and of crossing heavy requests are counted in region_crossings_total and moved ones are marked in the trail. The rule that a route with large bodies waits for an eighth of its objective is replaced by the quarter for heavy requests.

Conclusion: with load not managed the options are as before.

--- a/libs/events/src/mesh_events.cc
+++ b/libs/events/src/mesh_events.cc
@@ -18,7 +18,8 @@
 const EventField kTrail{
     "trail",
     "nodes that refused it or did not complete it, in order: "
-    "NODE=REASON;told=MS;load=R+Q/S;hold=MS, where told is the age of the load "
+    "NODE=REASON;moved;told=MS;load=R+Q/S;hold=MS, where moved states that a "
+    "light request made room for heavy ones, told is the age of the load "
     "report at the ingress, and load (running + queued / slots) and hold are "
     "from the reply of the egress"};
 
--- a/libs/limits/include/sequoiastage/limits/response_sizes.h
+++ b/libs/limits/include/sequoiastage/limits/response_sizes.h
@@ -3,37 +3,55 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
 namespace sequoiastage {
 
-/// Expected size of the responses of routes with large bodies, so that room for
-/// a response is reserved before its request runs. Follows larger responses at
-/// once and smaller ones slowly.
+/// Sizes of the responses of each route. The expected size, for which room is
+/// reserved before a request runs, follows larger responses at once and smaller
+/// ones slowly. The usual size is a moving average.
 class ResponseSizes {
  public:
   /// Expected until the first response of a route.
   static constexpr size_t kInitialBytes = size_t{256} << 10;
-  /// Weight of a smaller response, as a fraction of 1.
+  /// Inverse weight of a response in the usual size, and of a smaller one in
+  /// the expected size.
   static constexpr size_t kDecay = 16;
   static constexpr size_t kMaxRoutes = 4096;
 
+  /// In bytes.
   size_t Expected(const std::string& route) const {
-    const auto found = m_bytes.find(route);
-    return found == m_bytes.end() ? kInitialBytes : found->second;
+    const auto found = m_sizes.find(route);
+    return found == m_sizes.end() ? kInitialBytes : found->second.m_expected;
+  }
+
+  /// In bytes; empty until the first response of the route.
+  std::optional<size_t> Usual(const std::string& route) const {
+    const auto found = m_sizes.find(route);
+    return found == m_sizes.end() ? std::nullopt
+                                  : std::optional(found->second.m_usual);
   }
 
   void Observe(const std::string& route, size_t bytes) {
-    if (m_bytes.size() >= kMaxRoutes && !m_bytes.contains(route)) {
-      m_bytes.clear();
+    if (m_sizes.size() >= kMaxRoutes && !m_sizes.contains(route)) {
+      m_sizes.clear();
     }
-    size_t& expected = m_bytes.try_emplace(route, kInitialBytes).first->second;
-    expected = std::max(bytes, expected - expected / kDecay);
+    Sizes& sizes =
+        m_sizes.try_emplace(route, Sizes{.m_usual = bytes}).first->second;
+    sizes.m_expected =
+        std::max(bytes, sizes.m_expected - sizes.m_expected / kDecay);
+    sizes.m_usual = sizes.m_usual - sizes.m_usual / kDecay + bytes / kDecay;
   }
 
  private:
-  std::unordered_map<std::string, size_t> m_bytes;
+  struct Sizes {
+    size_t m_expected = kInitialBytes;
+    size_t m_usual = 0;
+  };
+
+  std::unordered_map<std::string, Sizes> m_sizes;
 };
 
 }  // namespace sequoiastage
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -30,6 +30,7 @@
 #include "sequoiastage/mesh/shared_quarantine.h"
 #include "sequoiastage/mesh/target_table.h"
 #include "sequoiastage/metrics/latency_buckets.h"
+#include "sequoiastage/routing/placement_traffic.h"
 #include "sequoiastage/routing/split_picker.h"
 
 namespace sequoiastage {
@@ -49,10 +50,6 @@
   /// Fraction of the route's target latency after which a running idempotent
   /// request is hedged.
   double m_hedge_fraction = 0.5;
-  /// Fraction of the route's target latency that a request with a large request
-  /// or response body waits in a queue of its region before it goes to another
-  /// region. Links between regions are narrow and paid by volume.
-  double m_large_body_wait_fraction = 0.125;
   /// Maximum number of egresses that one hedge is offered to in sequence.
   uint32_t m_max_hedge_offers = 3;
   /// Bounds of the Retry-After field, before it is spread.
@@ -68,6 +65,8 @@
   /// Pause before a call that no instance took is offered again, and maximum
   /// number of such rounds.
   Duration m_call_pause = std::chrono::milliseconds(50);
+  /// The same pause for a request that waits in its region because it is heavy.
+  Duration m_heavy_pause = std::chrono::milliseconds(100);
   uint32_t m_max_call_rounds = 100;
   /// No further round with less time left: a call needs time to run.
   Duration m_min_call_time = std::chrono::milliseconds(20);
@@ -98,8 +97,12 @@
   uint64_t m_quarantined = 0;
   /// Calls of running requests that ended for lack of capacity.
   uint64_t m_calls_refused = 0;
-  /// Current number of calls that wait to be offered again.
+  /// Current number of calls and heavy requests that wait to be offered again.
   size_t m_calls_paused = 0;
+  /// Light requests sent to another region to make room for heavy ones.
+  uint64_t m_light_moved = 0;
+  /// Heavy requests sent to another region.
+  uint64_t m_heavy_crossed = 0;
 };
 
 /// Receives callers' requests and executes each on an instance of its service.
@@ -179,6 +182,9 @@
     bool m_starts_at_once = false;
     // A hedge of a slow attempt that continues.
     bool m_is_hedge = false;
+    bool m_is_remote = false;
+    // Sent to another region to make room for heavy requests.
+    bool m_makes_room = false;
     // The instance has responded; its large response is in transfer.
     bool m_is_responding = false;
     Incarnation m_egress_incarnation{};
@@ -212,6 +218,8 @@
     uint32_t m_rounds = 0;
     // TrafficConfig::ManagesLoad() of m_config.
     bool m_manages_load = false;
+    // Its body and response are expected to be large; see kHeavyBytes.
+    bool m_is_heavy = false;
     uint32_t m_downstream_refusals = 0;
     // Shortest wait stated with these refusals.
     Duration m_downstream_wait = Duration::max();
@@ -284,15 +292,19 @@
   // none.
   bool ReserveResponse(Call& call);
   void OfferToNextTarget(const CallPtr& call);
-  // Schedules another round of offers for a call that no instance took. Returns
-  // whether it did.
+  // Schedules another round of offers for a call that no instance took, or a
+  // heavy request that waits in its region. Returns whether it did.
   bool StartPause(const CallPtr& call);
   // Reports the end of a call as far as it tells the capacity of its service.
   void ReportCall(const Call& call, CallResult result);
   void ReportServedCall(const Call& call);
   void ReportFailedCall(const Call& call);
-  // Placement rules for the request.
-  PlacementOptions PlacementFor(const Call& call) const;
+  // Placement rules for the request; sets m_is_heavy.
+  PlacementOptions PlacementFor(Call& call);
+  // Own body and usual response of the route, in bytes.
+  size_t ExpectedBytes(const Call& call) const;
+  // Counts an attempt that may have started in another region.
+  void CountCrossing(const Call& call, const Attempt& attempt);
   // Called after an attempt that may have been executed.
   void RetryOrFail(const CallPtr& call, std::string_view cause);
   void SendOffer(const CallPtr& call,
@@ -363,6 +375,7 @@
   // Calls without attempts, which wait for a token.
   std::set<CallPtr> m_token_waiters;
   ResponseSizes m_response_sizes;
+  HeavyServices m_heavy_services;
   uint64_t m_next_attempt = 1;
   size_t m_request_count = 0;
   mutable std::mt19937_64 m_random{std::random_device()()};
@@ -378,6 +391,7 @@
 #include "sequoiastage/mesh/ingress_attempts_inl.h"
 #include "sequoiastage/mesh/ingress_calls_inl.h"
 #include "sequoiastage/mesh/ingress_inl.h"
+#include "sequoiastage/mesh/ingress_placement_inl.h"
 #include "sequoiastage/mesh/ingress_rejection_inl.h"
 
 #endif  // SEQUOIASTAGE_MESH_INGRESS_H_
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -203,6 +203,7 @@
     ++m_stats.m_extra_attempts;
   }
   ++call->m_start_count;
+  CountCrossing(*call, attempt);
   call->m_has_reached_instance = true;
   call->m_first_started_at = call->m_first_started_at.value_or(BootNow());
   call->m_placement.OnMaybeStarted(ToCandidateKey(attempt.m_node));
@@ -381,7 +382,7 @@
       .Add("took_ms", WholeMs(now - call->m_received));
   ReportServedCall(*call);
   ++m_stats.m_answered;
-  if (call->m_expected_response) {
+  if (call->m_manages_load) {
     m_response_sizes.Observe(call->m_route->m_name, response.m_body.size());
   }
   FinishWithOutcome(call, m_answered_latency, std::move(response));
@@ -412,6 +413,9 @@
       .append(ToString(attempt.m_node))
       .append("=")
       .append(reason);
+  if (attempt.m_makes_room) {
+    trail += ";moved";
+  }
   if (attempt.m_load_age) {
     trail += fmt::format(";told={}", WholeMs(*attempt.m_load_age));
   }
--- a/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
@@ -13,31 +13,22 @@
 
 namespace sequoiastage {
 
-template <PlatformCodec Codec>
-PlacementOptions Ingress<Codec>::PlacementFor(const Call& call) const {
-  PlacementOptions options = m_options.m_placement;
-  options.m_spreads_queues = call.m_manages_load;
-  if (call.m_route->m_has_large_bodies) {
-    options.m_max_local_wait = std::max(
-        options.m_max_local_wait, std::chrono::duration_cast<Duration>(
-                                      call.m_route->m_target_latency *
-                                      m_options.m_large_body_wait_fraction));
-  }
-  return options;
-}
-
 template <PlatformCodec Codec>
 bool Ingress<Codec>::StartPause(const CallPtr& call) {
   const bool can_run = CanRetry(*call) ||
                        (call->m_start_count == 0 && !call->m_may_have_executed);
-  if (!call->m_is_call || !can_run || call->m_fallback_response ||
+  const bool waits_in_region = call->m_placement.WaitsInRegion();
+  if ((!call->m_is_call && !waits_in_region) || !can_run ||
+      call->m_fallback_response ||
       call->m_rounds >= m_options.m_max_call_rounds ||
       FindCandidates(*call).empty()) {
     return false;
   }
   std::uniform_real_distribution<double> spread(0.5, 1.5);
   const auto pause = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(m_options.m_call_pause) * spread(m_random));
+      std::chrono::duration<double>(call->m_is_call ? m_options.m_call_pause
+                                                    : m_options.m_heavy_pause) *
+      spread(m_random));
   if (BootNow() + pause + m_options.m_min_call_time >= call->m_deadline) {
     return false;
   }
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -42,6 +42,15 @@
   m_accounts = AccountTable(m_config->m_accounts, m_config->m_omitted.m_keys);
   m_manages_load = m_config->ManagesLoad();
   m_splits.clear();
+  std::set<ServiceId> heavy;
+  for (const TrafficRoute& route : m_config->m_routes) {
+    for (const RouteShare& share : route.m_shares) {
+      if (route.m_has_large_bodies) {
+        heavy.insert(share.m_service);
+      }
+    }
+  }
+  m_heavy_services = HeavyServices(std::move(heavy));
 }
 
 template <PlatformCodec Codec>
@@ -245,6 +254,8 @@
   attempt.m_sent_at = now;
   attempt.m_load_age = m_targets.LoadAge(node, now);
   attempt.m_is_hedge = is_hedge;
+  attempt.m_is_remote = is_remote;
+  attempt.m_makes_room = step.m_makes_room;
   // A separate start message costs a round trip, which is expensive between
   // regions. Idempotent requests do not need the proof of non-execution that it
   // provides.
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -185,9 +185,18 @@
   families.AddCounter("calls_refused_total",
                       "Calls of the instance that ended for lack of capacity.",
                       ingress.m_calls_refused);
-  families.AddGauge("calls_paused",
-                    "Calls of the instance that wait to be offered again.",
-                    static_cast<double>(ingress.m_calls_paused));
+  families.AddGauge(
+      "calls_paused",
+      "Calls of the instance, and heavy requests, that wait to be "
+      "offered again.",
+      static_cast<double>(ingress.m_calls_paused));
+  families.AddLabelled(
+      "region_crossings_total",
+      "Attempts in another region: light requests that make room for heavy "
+      "ones, and heavy requests.",
+      MetricType::kCounter, "kind",
+      {{"light-moved", ingress.m_light_moved},
+       {"heavy", ingress.m_heavy_crossed}});
   families.AddGauge("queued_calls",
                     "Calls of running requests that wait for a slot.",
                     static_cast<double>(egress.m_queued_calls));
--- a/libs/mesh/src/target_table.cc
+++ b/libs/mesh/src/target_table.cc
@@ -120,14 +120,17 @@
     const uint32_t slots = std::max(1U, member.m_slots);
     const uint32_t used =
         rate_wait > Duration{} ? slots : std::max(reported, target.m_in_flight);
-    candidates.push_back({.m_key = ToCandidateKey(node),
-                          .m_distance = DistanceBetween(m_self, member),
-                          .m_is_reachable = is_usable(node),
-                          .m_hold_remaining = std::max(Duration{}, hold - age),
-                          .m_needs_trial = hold > Duration{} && age >= hold,
-                          .m_used_slots = used,
-                          .m_slots = slots,
-                          .m_rate_wait = rate_wait});
+    candidates.push_back(
+        {.m_key = ToCandidateKey(node),
+         .m_distance = DistanceBetween(m_self, member),
+         .m_is_reachable = is_usable(node),
+         .m_hold_remaining = std::max(Duration{}, hold - age),
+         .m_needs_trial = hold > Duration{} && age >= hold,
+         .m_used_slots = used,
+         .m_slots = slots,
+         .m_rate_wait = rate_wait,
+         .m_reported_slots = load.m_running + uint32_t{load.m_queued},
+         .m_report_age = LoadAge(node, now)});
   }
   return candidates;
 }
--- a/libs/routing/src/placement.cc
+++ b/libs/routing/src/placement.cc
@@ -31,6 +31,7 @@
     bool prefer_trial,
     Duration time_left) {
   m_initial_time_left = m_initial_time_left.value_or(time_left);
+  m_waits_in_region = false;
   m_is_kept_in_region =
       m_options.m_is_heavy &&
       std::any_of(candidates.begin(), candidates.end(),
