Bound the wait of new requests by their latency objective

The remaining wait is the new last field of TaggedOfferMessage. SlotGate refuses at once when the expected wait is longer, and by a tick when the request has waited that long. Without accounts in the configuration, the least urgent requests are rejected without an offer while all load reports are fresh and longer. The Retry-After is spread by 1 to 1.5. Calls, work that may have run and configurations that do not manage load are as before.

Ruled out: rejection by load reports for all requests. The reports tell the wait behind all queued work, so that urgent requests and starved accounts would be kept from the gates that give them precedence.

--- a/libs/limits/include/sequoiastage/limits/slot_gate.h
+++ b/libs/limits/include/sequoiastage/limits/slot_gate.h
@@ -34,7 +34,8 @@
   uint32_t m_slots = 3;
   /// Maximum queue length, regardless of the expected wait.
   uint32_t m_max_queued = std::numeric_limits<uint32_t>::max();
-  /// Expected queue wait that limits the queue length.
+  /// Expected queue wait that limits the queue length; for requests that state
+  /// no bound of their own.
   Duration m_max_wait = std::chrono::milliseconds(300);
   /// Service time assumed before the first measurement.
   Duration m_initial_service_time = std::chrono::milliseconds(50);
@@ -49,8 +50,8 @@
 struct GateChanges {
   /// Requests that hold a slot now and must be started.
   std::vector<Ticket> m_started;
-  /// Requests that can't meet their deadline or were displaced. They were never
-  /// started; respond immediately.
+  /// Requests that can't meet their deadline, have waited up to their bound or
+  /// were displaced. They were never started; respond immediately.
   std::vector<Ticket> m_refused;
 };
 
@@ -93,6 +94,12 @@
 /// With SetProtectsAccounts(), the requests of starved accounts count as the
 /// most urgent new ones; see StarvationGuard.
 ///
+/// A new request may state how long it waits at most. It is refused at once
+/// when its expected wait is longer, and later when it has waited that long;
+/// the queue is as long as the longest bound in it allows. Load pattern: demand
+/// above the capacity for a few seconds. Requests with a long latency objective
+/// wait for the end of the wave, those with a short one are refused early.
+///
 /// While a rate limit is set, a request also waits for a token of the
 /// RateLimiter, and the queue holds what the rate allows within the same time.
 class SlotGate {
@@ -101,13 +108,16 @@
 
   /// Starts, queues or refuses a request. `weight`: relative share of the
   /// account when slots are scarce; a value <= 0 counts as 1. `urgency`: 0 is
-  /// the most urgent. `is_call`: sent by a running request.
+  /// the most urgent. `is_call`: sent by a running request. `max_wait`: bound
+  /// on the wait of a new request in the queue; empty: m_max_wait limits the
+  /// queue length, and only the deadline the wait. Ignored for calls.
   AdmissionResult Admit(TimePoint now,
                         TimePoint deadline,
                         AccountId account,
                         double weight = 1,
                         uint8_t urgency = 0,
-                        bool is_call = false);
+                        bool is_call = false,
+                        std::optional<Duration> max_wait = std::nullopt);
 
   /// Whether starved accounts get precedence. Initially they don't.
   void SetProtectsAccounts(bool protects);
@@ -123,12 +133,13 @@
   /// example because it is running.
   bool CancelQueued(Ticket ticket);
 
-  /// Refuses queued requests that can't meet their deadline anymore, and starts
-  /// those that waited for the rate limit.
+  /// Refuses queued requests that can't meet their deadline anymore or have
+  /// waited up to their bound, and starts those that waited for the rate limit.
   GateChanges OnTick(TimePoint now);
 
-  /// Time until OnTick() can start the next queued request; empty when none
-  /// waits for the rate limit alone.
+  /// Time until OnTick() can start a queued request that waits for the rate
+  /// limit alone, or refuses one whose wait is bounded; empty when there is
+  /// neither.
   std::optional<Duration> TimeToTick(TimePoint now) const;
 
   /// Sets the rate at which requests may start; empty: not limited.
@@ -148,8 +159,9 @@
   size_t Running() const { return m_running.size(); }
   size_t Queued() const { return m_queue.size(); }
   size_t QueuedCalls() const;
-  /// Maximum number of queued requests before new ones are refused.
-  size_t QueueLimit() const;
+  /// Maximum number of queued requests before new ones without a bound on their
+  /// wait are refused.
+  size_t QueueLimit() const { return QueueLimit(m_options.m_max_wait); }
   /// Number of accounts with precedence because they are starved.
   size_t StarvedAccounts() const { return m_starvation.StarvedCount(); }
   Duration ServiceTime() const { return m_service_time; }
@@ -170,6 +182,9 @@
     uint8_t m_urgency = 0;
     bool m_is_call = false;
     TimePoint m_deadline;
+    // Bound on the wait, and its end; empty when it is not bounded.
+    std::optional<Duration> m_max_wait;
+    TimePoint m_wait_until = TimePoint::max();
   };
 
   // Order of service; the least goes first.
@@ -189,7 +204,14 @@
   }
   Rank RankOf(const QueuedWork& work, TimePoint now) const;
   void UpdateEqualShare(TimePoint now);
-  bool MakeRoom(const QueuedWork& arrival, TimePoint now, GateChanges& changes);
+  size_t QueueLimit(Duration max_wait) const;
+  // Longest bound on the wait of queued requests, at least `at_least`.
+  Duration LongestBound(Duration at_least) const;
+  bool HasRoom(const QueuedWork& arrival, Duration expected_wait) const;
+  bool MakeRoom(const QueuedWork& arrival,
+                Duration expected_wait,
+                TimePoint now,
+                GateChanges& changes);
   double WeightedUsage(const QueuedWork& work, TimePoint now) const;
   double WeightedDemand(const QueuedWork& work, TimePoint now) const;
   bool DisplaceLessUrgent(const QueuedWork& arrival,
--- a/libs/limits/src/slot_gate.cc
+++ b/libs/limits/src/slot_gate.cc
@@ -24,7 +24,8 @@
                                 AccountId account,
                                 double weight,
                                 uint8_t urgency,
-                                bool is_call) {
+                                bool is_call,
+                                std::optional<Duration> max_wait) {
   if (m_protects_accounts && !is_call) {
     m_starvation.OnAsked(account, now);
     UpdateEqualShare(now);
@@ -39,15 +40,19 @@
     result.m_decision = AdmissionDecision::kAdmitted;
     return result;
   }
-  const QueuedWork arrival{.m_ticket = result.m_ticket,
-                           .m_account = account,
-                           .m_weight = weight > 0 ? weight : 1,
-                           .m_urgency = urgency,
-                           .m_is_call = is_call,
-                           .m_deadline = deadline};
+  QueuedWork arrival{.m_ticket = result.m_ticket,
+                     .m_account = account,
+                     .m_weight = weight > 0 ? weight : 1,
+                     .m_urgency = urgency,
+                     .m_is_call = is_call,
+                     .m_deadline = deadline};
+  if (max_wait && !is_call) {
+    arrival.m_max_wait = max_wait;
+    arrival.m_wait_until = now + *max_wait;
+  }
   const Duration wait = ExpectedWait(now, RankOf(arrival, now).second, is_call);
   if (now + wait + m_service_time > deadline ||
-      !MakeRoom(arrival, now, result.m_changes)) {
+      !MakeRoom(arrival, wait, now, result.m_changes)) {
     ++m_stats.m_refused;
     return result;
   }
@@ -87,13 +92,30 @@
   m_equal_share_at = now;
 }
 
+Duration SlotGate::LongestBound(Duration at_least) const {
+  for (const QueuedWork& work : m_queue) {
+    at_least = std::max(at_least, work.m_max_wait.value_or(Duration{}));
+  }
+  return at_least;
+}
+
+bool SlotGate::HasRoom(const QueuedWork& arrival,
+                       Duration expected_wait) const {
+  if (arrival.m_max_wait && expected_wait > *arrival.m_max_wait) {
+    return false;
+  }
+  return m_queue.size() < QueueLimit(LongestBound(arrival.m_max_wait.value_or(
+                              m_options.m_max_wait)));
+}
+
 // Whether there is room in the queue for `arrival`. Calls take the place of new
 // work above the limit; their own number is bounded by their deadlines and by
 // m_max_queued.
 bool SlotGate::MakeRoom(const QueuedWork& arrival,
+                        Duration expected_wait,
                         TimePoint now,
                         GateChanges& changes) {
-  if (m_queue.size() < QueueLimit()) {
+  if (HasRoom(arrival, expected_wait)) {
     return true;
   }
   if (!arrival.m_is_call) {
@@ -153,16 +175,26 @@
 }
 
 std::optional<Duration> SlotGate::TimeToTick(TimePoint now) const {
-  if (!HasFreeSlot() || m_queue.empty()) {
+  if (m_queue.empty()) {
     return std::nullopt;
   }
-  return m_rate.WaitTime(now);
+  std::optional<Duration> time;
+  if (HasFreeSlot()) {
+    time = m_rate.WaitTime(now);
+  }
+  for (const QueuedWork& work : m_queue) {
+    if (work.m_max_wait) {
+      const Duration left = std::max(Duration{}, work.m_wait_until - now);
+      time = std::min(time.value_or(left), left);
+    }
+  }
+  return time;
 }
 
 GateChanges SlotGate::SetRate(std::optional<RequestRate> rate, TimePoint now) {
   m_rate.SetRate(rate, now);
   GateChanges changes = OnTick(now);
-  while (m_queue.size() > QueueLimit()) {
+  while (m_queue.size() > QueueLimit(LongestBound(m_options.m_max_wait))) {
     changes.m_refused.push_back(m_queue.back().m_ticket);
     m_queue.pop_back();
     ++m_stats.m_refused;
@@ -189,16 +221,16 @@
   return changes;
 }
 
-// The number of requests that the slots process within m_max_wait, at least one
+// The number of requests that the slots process within `max_wait`, at least one
 // per slot, at most m_max_queued. With a rate limit at most what the rate
 // allows in that time, at least one.
-size_t SlotGate::QueueLimit() const {
+size_t SlotGate::QueueLimit(Duration max_wait) const {
   const double rounds =
-      Seconds(m_options.m_max_wait) / std::max(1e-6, Seconds(m_service_time));
+      Seconds(max_wait) / std::max(1e-6, Seconds(m_service_time));
   double limit = static_cast<double>(m_options.m_slots) * std::max(1.0, rounds);
   if (m_rate.Rate()) {
-    limit = std::min(limit, std::max(1.0, m_rate.Rate()->Get() *
-                                              Seconds(m_options.m_max_wait)));
+    limit = std::min(limit,
+                     std::max(1.0, m_rate.Rate()->Get() * Seconds(max_wait)));
   }
   return std::min(static_cast<size_t>(limit),
                   static_cast<size_t>(m_options.m_max_queued));
@@ -325,7 +357,7 @@
 
 void SlotGate::RefuseExpired(TimePoint now, GateChanges& changes) {
   std::erase_if(m_queue, [&](const QueuedWork& work) {
-    if (now + m_service_time <= work.m_deadline) {
+    if (now + m_service_time <= work.m_deadline && now < work.m_wait_until) {
       return false;
     }
     changes.m_refused.push_back(work.m_ticket);
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -258,6 +258,8 @@
   };
 
   AttemptReason CheckOffer(const OfferMessage& offer, TimePoint now);
+  // Bound on the wait in the queue that the offer states; empty for none.
+  std::optional<Duration> QueueBound(const OfferMessage& offer) const;
   // Time until a request of the offer's route may start; empty when the
   // services that it calls have capacity.
   std::optional<Duration> DownstreamWait(const OfferMessage& offer,
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -262,7 +262,8 @@
   work->m_is_trial = m_hold.StateAt(now) == HoldState::kTrial;
   const AdmissionResult admission =
       m_gate.Admit(now, work->m_deadline, work->m_offer.m_share_account, 1,
-                   work->m_offer.m_urgency, work->m_offer.m_is_call);
+                   work->m_offer.m_urgency, work->m_offer.m_is_call,
+                   QueueBound(work->m_offer));
   work->m_ticket = admission.m_ticket;
   if (admission.m_decision == AdmissionDecision::kRefused) {
     ApplyGateChanges(admission.m_changes);
--- a/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
@@ -23,6 +23,15 @@
   }
 }
 
+template <PlatformCodec Codec>
+std::optional<Duration> Egress<Codec>::QueueBound(
+    const OfferMessage& offer) const {
+  return m_manages_load && offer.m_max_wait_ms > 0
+             ? std::optional<Duration>(
+                   std::chrono::milliseconds(offer.m_max_wait_ms))
+             : std::nullopt;
+}
+
 template <PlatformCodec Codec>
 std::optional<Duration> Egress<Codec>::DownstreamWait(const OfferMessage& offer,
                                                       TimePoint now) {
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -31,11 +31,16 @@
 #include "sequoiastage/mesh/target_table.h"
 #include "sequoiastage/metrics/latency_buckets.h"
 #include "sequoiastage/routing/split_picker.h"
+#include "sequoiastage/routing/wait_budget.h"
 
 namespace sequoiastage {
 
 struct IngressOptions {
   PlacementOptions m_placement{};
+  /// Wait of new requests for capacity while the configuration manages load.
+  WaitBudgetOptions m_wait_budget{};
+  /// Load reports up to this age can show that no queue is short enough.
+  Duration m_max_wait_report_age = std::chrono::milliseconds(500);
   /// Timeout for the reply to an offer, in the same region and in another one;
   /// then another target is tried. Covers many round trips and two scheduling
   /// periods of a host whose CPU quota is exhausted.
@@ -94,6 +99,8 @@
   uint64_t m_misconfigured = 0;
   /// Rejected because their account is over its limit.
   uint64_t m_over_limit = 0;
+  /// New requests that found no capacity within their WaitBudget.
+  uint64_t m_out_of_wait = 0;
   /// Ended because the request crashes instances.
   uint64_t m_quarantined = 0;
   /// Calls of running requests that ended for lack of capacity.
@@ -217,6 +224,8 @@
     Duration m_downstream_wait = Duration::max();
     ServiceId m_service;
     Placement m_placement;
+    // Empty when the wait is bounded by the deadline alone.
+    std::optional<WaitBudget> m_wait_budget;
     std::map<AttemptNumber, Attempt> m_attempts;
     // Number of attempts that may have started.
     uint32_t m_start_count = 0;
@@ -284,6 +293,14 @@
   // none.
   bool ReserveResponse(Call& call);
   void OfferToNextTarget(const CallPtr& call);
+  // Time for which a request that has not run may still wait for capacity;
+  // empty when only its deadline bounds that.
+  std::optional<Duration> WaitLeft(const Call& call) const;
+  // Rejects a request whose wait has reached its bound, or would in any queue.
+  // Returns whether it did.
+  bool RejectForWait(const CallPtr& call);
+  // Whether no route is less urgent.
+  bool IsLeastUrgent(const Call& call) const;
   // Schedules another round of offers for a call that no instance took. Returns
   // whether it did.
   bool StartPause(const CallPtr& call);
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -206,6 +206,9 @@
   call->m_has_reached_instance = true;
   call->m_first_started_at = call->m_first_started_at.value_or(BootNow());
   call->m_placement.OnMaybeStarted(ToCandidateKey(attempt.m_node));
+  if (call->m_wait_budget) {
+    call->m_wait_budget->StopWaiting(BootNow());
+  }
   StartHedgeTimer(call);
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -85,6 +85,10 @@
     call.m_share_account = parent->m_share_account;
     call.m_urgency = parent->m_urgency;
   }
+  if (m_manages_load && !call.m_is_call) {
+    call.m_wait_budget =
+        WaitBudget(m_options.m_wait_budget, call.m_route->m_target_latency);
+  }
 }
 
 template <PlatformCodec Codec>
@@ -177,6 +181,12 @@
     }
     return;
   }
+  if (call->m_wait_budget) {
+    call->m_wait_budget->StartWaiting(BootNow());
+    if (RejectForWait(call)) {
+      return;
+    }
+  }
   const bool allows_trial = call->m_route->m_is_idempotent &&
                             !call->m_has_reached_instance &&
                             call->m_route->m_max_attempts > 1;
@@ -235,6 +245,7 @@
   const NodeId node = ToNodeId(step.m_key);
   const MemberRecord* member = m_targets.Find(node);
   const AttemptNumber number(m_next_attempt++);
+  const auto wait_left = WaitLeft(*call);
   const bool is_remote =
       DistanceBetween(m_targets.Self(), *member) == Distance::kRemote;
   Attempt& attempt = call->m_attempts[number];
@@ -283,6 +294,9 @@
       call->m_request.m_body.size() > ByteBudget::kSmallBytes) {
     offer.m_body_bytes = static_cast<uint32_t>(call->m_request.m_body.size());
   }
+  if (wait_left) {
+    offer.m_max_wait_ms = std::max(1U, ToWireMs<uint32_t>(*wait_left));
+  }
   if (attempt.m_starts_at_once) {
     offer.m_request = call->m_request;
   }
@@ -322,7 +336,10 @@
                                 ? shortest
                                 : std::clamp(call.m_downstream_wait, shortest,
                                              m_options.m_max_retry_after);
-  AddRetryAfter(response, earliest, 2);
+  constexpr double kSpread = 2;
+  constexpr double kBoundedWaitSpread = 1.5;
+  AddRetryAfter(response, earliest,
+                call.m_wait_budget ? kBoundedWaitSpread : kSpread);
   return response;
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/ingress_rejection_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_rejection_inl.h
@@ -1,10 +1,12 @@
 #ifndef SEQUOIASTAGE_MESH_INGRESS_REJECTION_INL_H_
 #define SEQUOIASTAGE_MESH_INGRESS_REJECTION_INL_H_
 
-// Requests that are rejected on arrival because of their route or their key.
+// Requests that are rejected on arrival because of their route or their key,
+// and those that find no capacity in time.
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <random>
 
 #include "sequoiastage/mesh/ingress.h"
@@ -86,6 +88,51 @@
   return true;
 }
 
+template <PlatformCodec Codec>
+std::optional<Duration> Ingress<Codec>::WaitLeft(const Call& call) const {
+  return call.m_wait_budget && call.m_start_count == 0 && !MayHaveExecuted(call)
+             ? std::optional(call.m_wait_budget->Left(BootNow()))
+             : std::nullopt;
+}
+
+template <PlatformCodec Codec>
+bool Ingress<Codec>::RejectForWait(const CallPtr& call) {
+  const auto left = WaitLeft(*call);
+  if (!left || !call->m_attempts.empty()) {
+    return false;
+  }
+  if (*left > Duration{}) {
+    // The reports tell the wait behind all queued requests. More urgent
+    // requests and accounts that are served less go before these, so only an
+    // offer tells the wait of theirs.
+    const auto shortest =
+        call->m_config->m_accounts.empty() && IsLeastUrgent(*call)
+            ? m_targets.ShortestWait(
+                  call->m_service, BootNow(), m_options.m_max_wait_report_age,
+                  [this](NodeId node) {
+                    return IsSelf(node) || m_links.IsUsable(node);
+                  })
+            : std::nullopt;
+    if (!shortest || *shortest <= *left) {
+      return false;
+    }
+    call->m_last_reason = AttemptReason::kBusy;
+    call->m_shortest_wait = std::min(call->m_shortest_wait, *shortest);
+  }
+  ++m_stats.m_out_of_wait;
+  Fail(call, "no capacity within its wait");
+  return true;
+}
+
+template <PlatformCodec Codec>
+bool Ingress<Codec>::IsLeastUrgent(const Call& call) const {
+  const auto& routes = call.m_config->m_routes;
+  return std::all_of(routes.begin(), routes.end(),
+                     [&call](const TrafficRoute& route) {
+                       return route.m_urgency <= call.m_urgency;
+                     });
+}
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_MESH_INGRESS_REJECTION_INL_H_
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -130,7 +130,7 @@
                }}),
       m_ingress(
           io,
-          {.m_budget = m_budget},
+          {.m_wait_budget = settings.m_wait_budget, .m_budget = m_budget},
           settings.m_service,
           m_targets,
           m_links,
--- a/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
@@ -9,6 +9,7 @@
 #include "sequoiastage/base/time.h"
 #include "sequoiastage/limits/account_quota.h"
 #include "sequoiastage/limits/retry_allowance.h"
+#include "sequoiastage/routing/wait_budget.h"
 
 namespace sequoiastage {
 
@@ -39,6 +40,8 @@
   Duration m_grace = std::chrono::seconds(6);
   RetryAllowanceOptions m_retry_budget{};
   AccountQuotaOptions m_quota{};
+  /// See IngressOptions::m_wait_budget.
+  WaitBudgetOptions m_wait_budget{};
   /// See EgressOptions::m_limits_callers. Off: where instances shed at random,
   /// the limits refused requests that would have been served.
   bool m_limits_callers = false;
--- a/libs/mesh/include/sequoiastage/mesh/target_table.h
+++ b/libs/mesh/include/sequoiastage/mesh/target_table.h
@@ -56,6 +56,15 @@
       TimePoint now,
       const std::function<bool(NodeId)>& is_usable) const;
 
+  /// Shortest expected queue wait among the instances of `service` that can be
+  /// used and are not held. Empty unless all of them have reported one within
+  /// `max_age`.
+  std::optional<Duration> ShortestWait(
+      ServiceId service,
+      TimePoint now,
+      Duration max_age,
+      const std::function<bool(NodeId)>& is_usable) const;
+
   /// Age of the last load report of the egress; empty when there is none.
   std::optional<Duration> LoadAge(NodeId node, TimePoint now) const;
 
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -134,6 +134,9 @@
                         {"unauthorized", ingress.m_unauthorized},
                         {"misconfigured", ingress.m_misconfigured},
                         {"over-limit", ingress.m_over_limit}});
+  families.AddCounter("requests_out_of_wait_total",
+                      "New requests that found no capacity within their wait.",
+                      ingress.m_out_of_wait);
   families.AddHistogram("request_duration_seconds",
                         "Requests of callers from arrival to end.",
                         metrics.m_request_latencies);
--- a/libs/mesh/src/target_table.cc
+++ b/libs/mesh/src/target_table.cc
@@ -132,6 +132,35 @@
   return candidates;
 }
 
+std::optional<Duration> TargetTable::ShortestWait(
+    ServiceId service,
+    TimePoint now,
+    Duration max_age,
+    const std::function<bool(NodeId)>& is_usable) const {
+  std::optional<Duration> shortest;
+  const auto nodes = m_by_service.find(service);
+  if (nodes == m_by_service.end()) {
+    return shortest;
+  }
+  for (const NodeId node : nodes->second) {
+    const Target& target = m_targets.at(node);
+    const Duration age = now - target.m_load_reported_at;
+    if (target.m_member.m_is_leaving || HasLeavingInstance(target.m_member) ||
+        age < std::chrono::milliseconds(target.m_load.m_hold_ms) ||
+        !is_usable(node)) {
+      continue;
+    }
+    if (age > max_age) {
+      return std::nullopt;
+    }
+    const Duration wait = std::max(
+        Duration{},
+        std::chrono::milliseconds(target.m_load.m_expected_wait_ms) - age);
+    shortest = std::min(shortest.value_or(wait), wait);
+  }
+  return shortest;
+}
+
 std::optional<Duration> TargetTable::LoadAge(NodeId node, TimePoint now) const {
   const auto found = m_targets.find(node);
   if (found == m_targets.end() ||
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -250,21 +250,22 @@
   /// Empty unless m_starts_immediately is set: under load most offers are
   /// refused, and the request can be large.
   HttpRequest m_request;
+  // The following are sent only in a TaggedOfferMessage.
   /// Name of the client account that the request belongs to; empty when it
-  /// belongs to none. Sent only in a TaggedOfferMessage.
+  /// belongs to none.
   std::string m_account;
   /// Account that the slot time is charged to; 0 for none. A call belongs to no
-  /// account and is charged to that of the request that makes it. Sent only in
-  /// a TaggedOfferMessage.
+  /// account and is charged to that of the request that makes it.
   AccountId m_share_account;
-  /// True: an instance sends the request while it runs another one. Sent only
-  /// in a TaggedOfferMessage.
+  /// True: an instance sends the request while it runs another one.
   bool m_is_call = false;
-  /// Name of the route; empty for calls. Sent only in a TaggedOfferMessage.
+  /// Name of the route; empty for calls.
   std::string m_route;
   /// Size of a large body that the StartMessage will carry; 0 for small ones.
-  /// Sent only in a TaggedOfferMessage.
   uint32_t m_body_bytes = 0;
+  /// Maximum wait in the egress's queue in milliseconds; 0: the egress's own
+  /// bound.
+  uint32_t m_max_wait_ms = 0;
 
   friend bool operator==(const OfferMessage&, const OfferMessage&) = default;
 };
--- a/libs/wire/src/serialize_p.h
+++ b/libs/wire/src/serialize_p.h
@@ -135,6 +135,7 @@
   archive(message.m_offer.m_share_account, message.m_offer.m_is_call,
           message.m_offer.m_body_bytes);
   SerializeBounded(archive, message.m_offer.m_route);
+  archive(message.m_offer.m_max_wait_ms);
 }
 
 template <class Archive>
