--- a/libs/limits/include/sequoiastage/limits/slot_gate.h
+++ b/libs/limits/include/sequoiastage/limits/slot_gate.h
@@ -95,10 +95,12 @@
 /// most urgent new ones; see StarvationGuard.
 ///
 /// A new request may state how long it waits at most. It is refused at once
-/// when its expected wait is longer, and later when it has waited that long;
-/// the queue is as long as the longest bound in it allows. Load pattern: demand
-/// above the capacity for a few seconds. Requests with a long latency objective
-/// wait for the end of the wave, those with a short one are refused early.
+/// when its expected wait is longer, and later when it has waited that long.
+/// The queue is as long as the longest bound in it allows. Among equal requests
+/// the one whose bound ends first starts first, so that those with long bounds
+/// do not keep out those with short ones. Load pattern: demand above the
+/// capacity for a few seconds. Requests with a long latency objective wait for
+/// the end of the wave, those with a short one are refused early.
 ///
 /// While a rate limit is set, a request also waits for a token of the
 /// RateLimiter, and the queue holds what the rate allows within the same time.
@@ -187,7 +189,8 @@
     TimePoint m_wait_until = TimePoint::max();
   };
 
-  // Order of service; the least goes first.
+  // Order of service; the least goes first. Within a rank it is by account and
+  // then by the end of the bound on the wait.
   using Rank = std::pair<bool, uint8_t>;
 
   struct RunningWork {
@@ -217,9 +220,15 @@
   bool DisplaceLessUrgent(const QueuedWork& arrival,
                           TimePoint now,
                           GateChanges& changes);
+  bool DisplaceLaterBound(const QueuedWork& arrival,
+                          TimePoint now,
+                          GateChanges& changes);
   bool DisplaceOtherAccount(const QueuedWork& arrival,
                             TimePoint now,
                             GateChanges& changes);
+  // As ExpectedWait(); among requests of the same rank behind those whose bound
+  // ends by `wait_until`.
+  Duration ExpectedWait(TimePoint now, Rank rank, TimePoint wait_until) const;
   void Start(Ticket ticket, AccountId account, bool is_call, TimePoint now);
   void FillSlots(TimePoint now, GateChanges& changes);
   void RefuseExpired(TimePoint now, GateChanges& changes);
--- a/libs/limits/src/slot_gate.cc
+++ b/libs/limits/src/slot_gate.cc
@@ -1,6 +1,7 @@
 #include "sequoiastage/limits/slot_gate.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace sequoiastage {
 
@@ -50,7 +51,8 @@
     arrival.m_max_wait = max_wait;
     arrival.m_wait_until = now + *max_wait;
   }
-  const Duration wait = ExpectedWait(now, RankOf(arrival, now).second, is_call);
+  const Duration wait =
+      ExpectedWait(now, RankOf(arrival, now), arrival.m_wait_until);
   if (now + wait + m_service_time > deadline ||
       !MakeRoom(arrival, wait, now, result.m_changes)) {
     ++m_stats.m_refused;
@@ -119,7 +121,11 @@
     return true;
   }
   if (!arrival.m_is_call) {
-    return DisplaceLessUrgent(arrival, now, changes) ||
+    // Otherwise the queue ahead is too long, which these do not shorten.
+    const bool fits =
+        !arrival.m_max_wait || expected_wait <= *arrival.m_max_wait;
+    return (fits && (DisplaceLessUrgent(arrival, now, changes) ||
+                     DisplaceLaterBound(arrival, now, changes))) ||
            DisplaceOtherAccount(arrival, now, changes);
   }
   const bool has_new_work = QueuedCalls() < m_queue.size();
@@ -239,13 +245,20 @@
 Duration SlotGate::ExpectedWait(TimePoint now,
                                 uint8_t urgency,
                                 bool is_call) const {
+  return ExpectedWait(now, RankOf(is_call, urgency), TimePoint::max());
+}
+
+Duration SlotGate::ExpectedWait(TimePoint now,
+                                Rank rank,
+                                TimePoint wait_until) const {
   if (m_options.m_slots == 0) {
     return Duration::max() / 4;
   }
-  const Rank rank = RankOf(is_call, urgency);
   const auto queued_ahead = std::count_if(
-      m_queue.begin(), m_queue.end(),
-      [&](const QueuedWork& work) { return RankOf(work, now) <= rank; });
+      m_queue.begin(), m_queue.end(), [&](const QueuedWork& work) {
+        return std::pair(RankOf(work, now), work.m_wait_until) <=
+               std::pair(rank, wait_until);
+      });
   const Duration slot_wait = HasFreeSlot()
                                  ? Duration{}
                                  : m_service_time * (queued_ahead + 1) /
@@ -295,6 +308,31 @@
   return true;
 }
 
+// Displaces the newest queued request of the same account and rank whose bound
+// ends last, if that is after the arrival's. Requests without a bound are not
+// displaced.
+bool SlotGate::DisplaceLaterBound(const QueuedWork& arrival,
+                                  TimePoint now,
+                                  GateChanges& changes) {
+  auto victim = m_queue.end();
+  TimePoint latest = arrival.m_wait_until;
+  for (auto work = m_queue.begin(); work != m_queue.end(); ++work) {
+    if (work->m_max_wait && work->m_wait_until > arrival.m_wait_until &&
+        work->m_wait_until >= latest && work->m_account == arrival.m_account &&
+        RankOf(*work, now) == RankOf(arrival, now)) {
+      victim = work;
+      latest = work->m_wait_until;
+    }
+  }
+  if (victim == m_queue.end()) {
+    return false;
+  }
+  changes.m_refused.push_back(victim->m_ticket);
+  m_queue.erase(victim);
+  ++m_stats.m_displaced;
+  return true;
+}
+
 // Displaces the newest queued request of the account with the greatest weighted
 // demand among the other accounts at the arrival's rank, if that demand is
 // at least the arrival's.
@@ -341,7 +379,8 @@
     for (auto work = next + 1; work != m_queue.end(); ++work) {
       const double usage = WeightedUsage(*work, now);
       const Rank rank = RankOf(*work, now);
-      if (rank < next_rank || (rank == next_rank && usage < least_usage)) {
+      if (std::tuple(rank, usage, work->m_wait_until) <
+          std::tuple(next_rank, least_usage, next->m_wait_until)) {
         next = work;
         next_rank = rank;
         least_usage = usage;
--- a/libs/limits/tests/slot_gate_wait_test.cc
+++ b/libs/limits/tests/slot_gate_wait_test.cc
@@ -19,7 +19,7 @@
 // One slot that takes 100 ms; its queue holds four requests without a bound.
 class SlotGateWaitTest : public testing::Test {
  protected:
-  SlotGateWaitTest() { m_gate.Admit(kStart, kLate, kOne); }
+  SlotGateWaitTest() : m_running(m_gate.Admit(kStart, kLate, kOne)) {}
 
   AdmissionResult Admit(std::optional<Duration> max_wait,
                         uint8_t urgency = 1,
@@ -39,6 +39,7 @@
   SlotGate m_gate{{.m_slots = 1,
                    .m_max_wait = milliseconds(400),
                    .m_initial_service_time = milliseconds(100)}};
+  AdmissionResult m_running;
 };
 
 // A fixed bound refuses requests that had the time to wait for the end of a
@@ -78,6 +79,22 @@
   EXPECT_EQ(m_gate.Queued(), 10U);
 }
 
+// Of two equal routes, the one with the long objective must not fill the queue
+// so that all requests of the other one are refused.
+TEST_F(SlotGateWaitTest, ShortBoundGoesBeforeLongOnes) {
+  const auto first = Admit(seconds(1));
+  while (Admit(seconds(1)).m_decision == AdmissionDecision::kQueued) {
+  }
+  ASSERT_EQ(m_gate.Queued(), 10U);
+  const auto urgent = Admit(milliseconds(200));
+  ASSERT_EQ(urgent.m_decision, AdmissionDecision::kQueued);
+  ASSERT_EQ(urgent.m_changes.m_refused.size(), 1U);
+  EXPECT_NE(urgent.m_changes.m_refused[0], first.m_ticket);
+  const GateChanges changes =
+      m_gate.OnFinish(m_running.m_ticket, kStart + milliseconds(100));
+  EXPECT_EQ(changes.m_started, std::vector{urgent.m_ticket});
+}
+
 // Queues of an account with long bounds must not keep out an account that uses
 // less.
 TEST_F(SlotGateWaitTest, AccountWithLessUsageDisplacesLongQueue) {
--- a/libs/mesh/tests/target_table_test.cc
+++ b/libs/mesh/tests/target_table_test.cc
@@ -54,6 +54,33 @@
   EXPECT_EQ(targets.InstanceCount(MakeServiceId("plans")), 1U);
 }
 
+// A stale or missing report must not reject a request that an instance may
+// have room for.
+TEST(TargetTableTest, ShortestWaitNeedsFreshReportsOfAllUsableInstances) {
+  using std::chrono::milliseconds;
+  const TimePoint start{std::chrono::hours(1)};
+  const auto shortest = [](const TargetTable& targets, TimePoint now,
+                           NodeId unusable = {}) {
+    return targets.ShortestWait(
+        MakeServiceId("plans"), now, milliseconds(500),
+        [unusable](NodeId node) { return node != unusable; });
+  };
+  TargetTable targets(Record(1, "bookings"));
+  EXPECT_FALSE(shortest(targets, start));
+  targets.SetMember(Record(2, "plans"));
+  targets.SetMember(Record(3, "plans"));
+  targets.UpdateLoad(Node(2), {.m_expected_wait_ms = 800}, start);
+  EXPECT_FALSE(shortest(targets, start));
+  EXPECT_EQ(shortest(targets, start, Node(3)), milliseconds(800));
+  targets.UpdateLoad(Node(3), {.m_expected_wait_ms = 900},
+                     start + milliseconds(300));
+  EXPECT_EQ(shortest(targets, start + milliseconds(300)), milliseconds(500));
+  EXPECT_FALSE(shortest(targets, start + milliseconds(501)));
+  // A held instance is not used, however long ago it said so.
+  targets.UpdateLoad(Node(2), {.m_hold_ms = 5000}, start);
+  EXPECT_EQ(shortest(targets, start + milliseconds(700)), milliseconds(500));
+}
+
 // A node restarts without knowing that its instance leaves, and announces it.
 TEST(TargetTableTest, LeavingInstanceIsNoCandidateUntilAnotherReplacesIt) {
   TargetTable targets(Record(1, "plans"));
