Admit requests for short called services by probability

Cause: DownstreamGate limited the running requests of a route in steps of whole requests.

Change: a proportional-integral controller for each route and called service acts on the logarithm of the probability. Ranks share the probability, the least urgent is lowered first, starved accounts go first. The ingress reports the wait of a call and the time it had instead of a class. route_limited and the metric route_admission state the probability. The switch stays off.

--- a/libs/events/src/mesh_events.cc
+++ b/libs/events/src/mesh_events.cc
@@ -167,10 +167,10 @@
       {.m_name = "route_limited",
        .m_level = kInfo,
        .m_help = "a service that requests of the route call is short of "
-                 "capacity; this node limits how many of them run",
+                 "capacity; this node admits a part of them",
        .m_fields = {{"route", "limited route"},
                     {"service", "service whose calls were refused or delayed"},
-                    {"limit", "requests that may run at this node's instance"},
+                    {"probability", "part of the offers that is admitted"},
                     {"running", "requests that run now"}}},
       {.m_name = "route_unlimited",
        .m_level = kInfo,
--- a/libs/limits/src/downstream_gate.cc
+++ b/libs/limits/src/downstream_gate.cc
@@ -7,80 +7,73 @@
 
 namespace {
 
-// What one call counts of a change by 1 in a round of calls. Below 1 the change
-// is relative, so that a small limit is not overshot.
-double PartOfRound(double limit) {
-  return std::min(limit, 1 / limit);
+// The calls of a request share its time. With an exponent of 1, the short waves
+// below the capacity of a service with four calls per request reach the target
+// too often; with 0.5, requests with four calls run out of time.
+constexpr double kCallsExponent = 0.75;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
 }
 
 }  // namespace
 
-std::optional<Duration> DownstreamGate::TimeToStart(std::string_view name,
+double CallSample::WaitPart() const {
+  if (m_is_refused || m_available <= Duration{}) {
+    return 1;
+  }
+  return std::clamp(Seconds(m_waited) / Seconds(m_available), 0.0, 1.0);
+}
+
+DownstreamGate::DownstreamGate(const DownstreamGateOptions& options)
+    : m_options(options),
+      m_starvation(options.m_starvation),
+      m_random(options.m_seed) {}
+
+std::optional<Duration> DownstreamGate::TimeToStart(const EntryRequest& request,
                                                     TimePoint now) {
-  const auto found = m_routes.find(name);
-  if (found == m_routes.end() || !found->second.m_limit) {
+  const auto found = m_routes.find(request.m_route);
+  if (found == m_routes.end()) {
     return std::nullopt;
   }
   Route& route = found->second;
-  if (LiftIfUnused(route, now)) {
+  RaiseIdle(route, now);
+  const Callee* const callee = Shortest(route);
+  if (callee == nullptr) {
     return std::nullopt;
   }
-  const bool is_paused = now < route.m_paused_until;
-  if (!is_paused && route.m_running < std::max(1.0, *route.m_limit)) {
+  m_starvation.OnAsked(request.m_account, now);
+  const size_t rank = RankOf(request);
+  DecayCounts(route, now);
+  route.m_offers[rank] += 1;
+  const double probability =
+      RankProbability(route, callee->m_probability, rank);
+  if (std::uniform_real_distribution<double>()(m_random) < probability) {
     return std::nullopt;
   }
-  DecayCounts(route, now);
-  route.m_rejected += 1;
-  route.m_rejected_at = now;
-  // As long as the requests that want to run need at the rate at which the
-  // limit lets them start.
-  const double seconds =
-      std::chrono::duration<double>(route.m_run_time).count() /
-      std::max(m_options.m_min_limit, *route.m_limit) *
-      std::max(1.0, route.m_rejected / std::max(1.0, route.m_started));
-  const auto wait = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(std::min(seconds, 1e3)));
-  const Duration pause = is_paused ? route.m_paused_until - now : Duration{};
-  return std::clamp(std::max(wait, pause), m_options.m_min_wait,
-                    m_options.m_max_wait);
+  // What waits at the called service has to be served first, and only a part of
+  // the requests is admitted then.
+  const auto wait =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          Seconds(callee->m_mean_wait) / probability));
+  return std::clamp(wait, m_options.m_min_wait, m_options.m_max_wait);
 }
 
-bool DownstreamGate::OnStart(std::string_view name, TimePoint now) {
-  Route* const route = FindOrAdd(name, now);
+void DownstreamGate::OnStart(const EntryRequest& request, TimePoint now) {
+  Route* const route = FindOrAdd(request.m_route, now);
   if (route == nullptr) {
-    return false;
+    return;
   }
   DecayCounts(*route, now);
   route->m_started += 1;
-  route->m_running += 1;
-  return true;
-}
-
-void DownstreamGate::OnEnd(std::string_view name,
-                           std::optional<Duration> took,
-                           TimePoint now) {
-  const auto found = m_routes.find(name);
-  if (found == m_routes.end() || found->second.m_running == 0) {
-    return;
-  }
-  Route& route = found->second;
-  route.m_running -= 1;
-  if (!took) {
-    return;
-  }
-  constexpr int64_t kWeight = 8;
-  route.m_run_time += (*took - route.m_run_time) / kWeight;
-  if (route.m_limit && *route.m_limit < 1) {
-    const double pauses = 1 / *route.m_limit - 1;
-    route.m_paused_until =
-        now + std::chrono::duration_cast<Duration>(
-                  pauses * std::chrono::duration<double>(route.m_run_time));
+  if (Shortest(*route) != nullptr) {
+    m_starvation.OnServed(request.m_account, now);
   }
 }
 
 void DownstreamGate::OnCall(std::string_view name,
                             ServiceId service,
-                            CallResult result,
+                            const CallSample& sample,
                             TimePoint now) {
   Route* const route = FindOrAdd(name, now);
   Callee* const callee =
@@ -88,42 +81,43 @@
   if (callee == nullptr) {
     return;
   }
+  const double part = sample.WaitPart();
+  // A refused call may have been refused early; it would have waited longer.
+  const Duration waited = sample.m_is_refused
+                              ? std::max(sample.m_waited, sample.m_available)
+                              : sample.m_waited;
   callee->m_calls += 1;
-  callee->m_refused += result == CallResult::kRefused ? 1 : 0;
-  callee->m_short += result == CallResult::kServed ? 0 : 1;
-  if (result == CallResult::kServed) {
-    Raise(*route, now);
-    return;
-  }
-  const bool is_refused = result == CallResult::kRefused;
-  const bool is_short =
-      is_refused
-          ? callee->m_refused >= m_options.m_min_refused_part * callee->m_calls
-          : callee->m_short >= m_options.m_min_delayed_part * callee->m_calls;
-  if (!route->m_limit && !is_short) {
-    return;
-  }
-  route->m_short_at = now;
-  if (is_refused) {
-    Reduce(*route, now);
-  } else {
-    Lower(*route, now);
+  callee->m_refused += sample.m_is_refused ? 1 : 0;
+  callee->m_wait_parts += part;
+  callee->m_samples += 1;
+  callee->m_mean_wait += std::chrono::duration_cast<Duration>(
+      m_options.m_wait_weight * (waited - callee->m_mean_wait));
+  if (now - callee->m_changed_at >= m_options.m_interval) {
+    Change(*route, *callee, now);
   }
 }
 
 void DownstreamGate::Reset() {
-  std::erase_if(m_routes,
-                [](const auto& item) { return item.second.m_running == 0; });
-  for (auto& [name, route] : m_routes) {
-    const uint32_t running = route.m_running;
-    route = Route{};
-    route.m_running = running;
-  }
+  m_routes.clear();
+  m_starvation = StarvationGuard(m_options.m_starvation);
 }
 
-std::optional<double> DownstreamGate::Limit(std::string_view name) const {
+std::optional<double> DownstreamGate::Probability(std::string_view name) const {
   const auto found = m_routes.find(name);
-  return found == m_routes.end() ? std::nullopt : found->second.m_limit;
+  const Callee* const callee =
+      found == m_routes.end() ? nullptr : Shortest(found->second);
+  return callee == nullptr ? std::nullopt
+                           : std::optional(callee->m_probability);
+}
+
+double DownstreamGate::RankProbability(const EntryRequest& request) const {
+  const auto found = m_routes.find(request.m_route);
+  const Callee* const callee =
+      found == m_routes.end() ? nullptr : Shortest(found->second);
+  return callee == nullptr
+             ? 1
+             : RankProbability(found->second, callee->m_probability,
+                               RankOf(request));
 }
 
 double DownstreamGate::CallsPerRequest(std::string_view name,
@@ -132,26 +126,19 @@
   if (found == m_routes.end()) {
     return 0;
   }
-  const Route& route = found->second;
-  const auto callee = route.m_callees.find(service);
-  if (callee == route.m_callees.end() || route.m_started <= 0) {
-    return 0;
-  }
-  // Both counts decay alike; they may have been updated at different times.
-  const TimePoint now =
-      std::max(route.m_counted_at, callee->second.m_updated_at);
-  return callee->second.m_calls *
-         DecayFactor(callee->second.m_updated_at, now) /
-         (route.m_started * DecayFactor(route.m_counted_at, now));
+  const auto callee = found->second.m_callees.find(service);
+  return callee == found->second.m_callees.end()
+             ? 0
+             : CallsPerRequest(found->second, callee->second);
 }
 
 std::vector<LimitedRoute> DownstreamGate::LimitedRoutes() const {
   std::vector<LimitedRoute> limited;
   for (const auto& [name, route] : m_routes) {
-    if (route.m_limit) {
+    if (const Callee* const callee = Shortest(route)) {
       limited.push_back({.m_route = name,
-                         .m_limit = *route.m_limit,
-                         .m_running = route.m_running});
+                         .m_probability = callee->m_probability,
+                         .m_wait = callee->m_mean_wait});
     }
   }
   return limited;
@@ -159,14 +146,15 @@
 
 double DownstreamGate::DecayFactor(TimePoint since, TimePoint now) const {
   return std::exp2(
-      -std::max(0.0, std::chrono::duration<double>(now - since) /
-                         std::chrono::duration<double>(m_options.m_half_life)));
+      -std::max(0.0, Seconds(now - since) / Seconds(m_options.m_half_life)));
 }
 
 void DownstreamGate::DecayCounts(Route& route, TimePoint now) const {
   const double factor = DecayFactor(route.m_counted_at, now);
   route.m_started *= factor;
-  route.m_rejected *= factor;
+  for (double& offers : route.m_offers) {
+    offers *= factor;
+  }
   route.m_counted_at = now;
 }
 
@@ -176,8 +164,7 @@
   if (found == m_routes.end()) {
     if (m_routes.size() >= m_options.m_max_routes) {
       std::erase_if(m_routes, [&](const auto& item) {
-        return item.second.m_running == 0 &&
-               now - item.second.m_used_at >= m_options.m_retention;
+        return now - item.second.m_used_at >= m_options.m_retention;
       });
       if (m_routes.size() >= m_options.m_max_routes) {
         return nullptr;
@@ -185,9 +172,7 @@
     }
     found = m_routes.emplace(name, Route{}).first;
   } else if (now - found->second.m_used_at >= m_options.m_retention) {
-    const uint32_t running = found->second.m_running;
     found->second = Route{};
-    found->second.m_running = running;
   }
   found->second.m_used_at = now;
   return &found->second;
@@ -206,61 +191,99 @@
     }
   }
   Callee& callee = route.m_callees[service];
+  if (now - callee.m_updated_at >= m_options.m_retention) {
+    callee = Callee{};
+  }
   const double factor = DecayFactor(callee.m_updated_at, now);
   callee.m_calls *= factor;
   callee.m_refused *= factor;
-  callee.m_short *= factor;
   callee.m_updated_at = now;
   return &callee;
 }
 
-void DownstreamGate::Reduce(Route& route, TimePoint now) {
-  if (route.m_limit &&
-      now - route.m_reduced_at < m_options.m_min_reduction_gap) {
-    return;
+const DownstreamGate::Callee* DownstreamGate::Shortest(const Route& route) {
+  const Callee* shortest = nullptr;
+  for (const auto& [service, callee] : route.m_callees) {
+    if (callee.m_probability <
+        (shortest == nullptr ? 1 : shortest->m_probability)) {
+      shortest = &callee;
+    }
   }
-  // What runs above the limit was admitted before.
-  const double running = std::max(1.0, static_cast<double>(route.m_running));
-  route.m_limit =
-      std::max(m_options.m_min_limit,
-               m_options.m_refused_factor *
-                   std::min(running, route.m_limit.value_or(running)));
-  route.m_reduced_at = now;
+  return shortest;
 }
 
-void DownstreamGate::Lower(Route& route, TimePoint now) {
-  if (!route.m_limit) {
-    route.m_limit = std::max(1.0, static_cast<double>(route.m_running));
-    route.m_reduced_at = now;
-  }
-  *route.m_limit = std::max(
-      m_options.m_min_limit,
-      *route.m_limit - m_options.m_delayed_step * PartOfRound(*route.m_limit));
+double DownstreamGate::CallsPerRequest(const Route& route,
+                                       const Callee& callee) const {
+  // Both counts decay alike; they may have been updated at different times.
+  const TimePoint now = std::max(route.m_counted_at, callee.m_updated_at);
+  const double started = route.m_started * DecayFactor(route.m_counted_at, now);
+  return started <= 0
+             ? 0
+             : callee.m_calls * DecayFactor(callee.m_updated_at, now) / started;
 }
 
-void DownstreamGate::Raise(Route& route, TimePoint now) {
-  if (!route.m_limit || now - route.m_reduced_at < m_options.m_recovery ||
-      LiftIfUnused(route, now)) {
-    return;
+size_t DownstreamGate::RankOf(const EntryRequest& request) const {
+  return m_starvation.IsStarved(request.m_account)
+             ? 0
+             : std::min<size_t>(size_t{request.m_urgency} + 1, kRanks - 1);
+}
+
+double DownstreamGate::RankProbability(const Route& route,
+                                       double probability,
+                                       size_t rank) const {
+  double all = 0;
+  double before = 0;
+  for (size_t i = 0; i < kRanks; ++i) {
+    all += route.m_offers[i];
+    before += i < rank ? route.m_offers[i] : 0;
   }
-  // A limit that is not used tells nothing about the capacity.
-  if (route.m_running + 1 < *route.m_limit) {
+  const double own = route.m_offers[rank];
+  if (own <= 0) {
+    return std::max(probability, m_options.m_min_probability);
+  }
+  return std::clamp((probability * all - before) / own,
+                    m_options.m_min_probability, 1.0);
+}
+
+void DownstreamGate::Change(const Route& route,
+                            Callee& callee,
+                            TimePoint now) const {
+  const double part = callee.m_wait_parts / callee.m_samples;
+  const double gap_s =
+      Seconds(std::min(now - callee.m_changed_at, m_options.m_max_gap));
+  const double difference = part - callee.m_wait_part;
+  callee.m_wait_part = part;
+  callee.m_changed_at = now;
+  callee.m_wait_parts = 0;
+  callee.m_samples = 0;
+  const double calls = std::max(1.0, CallsPerRequest(route, callee));
+  const double target =
+      m_options.m_target_wait_part / std::pow(calls, kCallsExponent);
+  if (callee.m_probability >= 1) {
+    const bool is_rare_refusal =
+        callee.m_refused > 0 &&
+        callee.m_refused < m_options.m_min_refused_part * callee.m_calls;
+    if (part > m_options.m_first_factor * target && !is_rare_refusal) {
+      callee.m_probability = m_options.m_first_probability;
+    }
     return;
   }
-  const double factor =
-      std::min(m_options.m_max_step_factor,
-               std::chrono::duration<double>(now - route.m_short_at) /
-                   std::chrono::duration<double>(m_options.m_recovery));
-  *route.m_limit += m_options.m_step * factor * PartOfRound(*route.m_limit);
+  const double change = m_options.m_integral_gain * gap_s * (part - target) +
+                        m_options.m_proportional_gain * difference;
+  callee.m_probability = std::clamp(callee.m_probability * std::exp(-change),
+                                    m_options.m_min_probability, 1.0);
 }
 
-bool DownstreamGate::LiftIfUnused(Route& route, TimePoint now) const {
-  if (now - std::max(route.m_short_at, route.m_rejected_at) <
-      m_options.m_lift_after) {
-    return false;
+void DownstreamGate::RaiseIdle(Route& route, TimePoint now) const {
+  for (auto& [service, callee] : route.m_callees) {
+    const Duration idle = now - callee.m_changed_at - m_options.m_max_gap;
+    if (callee.m_probability < 1 && idle >= m_options.m_interval) {
+      callee.m_changed_at += idle;
+      callee.m_probability =
+          std::min(1.0, callee.m_probability *
+                            std::exp(m_options.m_idle_rise * Seconds(idle)));
+    }
   }
-  route.m_limit.reset();
-  return true;
 }
 
 }  // namespace sequoiastage
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -93,7 +93,7 @@
   /// Route of the request.
   std::string m_route;
   ServiceId m_service;
-  CallResult m_result = CallResult::kServed;
+  CallSample m_sample{};
 };
 
 struct EgressStats {
@@ -220,8 +220,6 @@
     std::optional<RequestFingerprint> m_fingerprint;
     Ticket m_ticket;
     bool m_is_trial = false;
-    // Counted by the DownstreamGate.
-    bool m_is_counted = false;
     bool m_is_detached = false;
     TimePoint m_deadline{};
     // End of the time for which the granted slot waits for the start message.
@@ -263,8 +261,8 @@
   std::optional<Duration> DownstreamWait(const OfferMessage& offer,
                                          TimePoint now);
   void SetManagesLoad(bool manages);
-  void CountDownstreamStart(Work& work, TimePoint now);
-  void CountDownstreamEnd(Work& work, TimePoint now);
+  static EntryRequest EntryOf(const OfferMessage& offer);
+  void CountDownstreamStart(const OfferMessage& offer, TimePoint now);
   void LogLimitChange(std::string_view route,
                       bool was_limited,
                       std::string_view service);
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -273,7 +273,7 @@
                                         work->m_offer.m_request.m_body.size()));
   m_work[key] = work;
   m_by_ticket[work->m_ticket] = work;
-  CountDownstreamStart(*work, now);
+  CountDownstreamStart(work->m_offer, now);
   m_trial_count += work->m_is_trial ? 1 : 0;
   ApplyGateChanges(admission.m_changes);
   if (admission.m_decision == AdmissionDecision::kAdmitted) {
--- a/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
@@ -31,30 +31,25 @@
       (offer.m_is_extra_attempt && !offer.m_is_hedge)) {
     return std::nullopt;
   }
-  const bool was_limited = m_downstream.Limit(offer.m_route).has_value();
-  const auto wait = m_downstream.TimeToStart(offer.m_route, now);
+  const bool was_limited = m_downstream.Probability(offer.m_route).has_value();
+  const auto wait = m_downstream.TimeToStart(EntryOf(offer), now);
   LogLimitChange(offer.m_route, was_limited, "");
   return m_options.m_limits_callers ? wait : std::nullopt;
 }
 
 template <PlatformCodec Codec>
-void Egress<Codec>::CountDownstreamStart(Work& work, TimePoint now) {
-  const OfferMessage& offer = work.m_offer;
-  work.m_is_counted = m_manages_load && !offer.m_is_call &&
-                      !offer.m_route.empty() &&
-                      m_downstream.OnStart(offer.m_route, now);
+EntryRequest Egress<Codec>::EntryOf(const OfferMessage& offer) {
+  return {.m_route = offer.m_route,
+          .m_urgency = offer.m_urgency,
+          .m_account = offer.m_share_account};
 }
 
 template <PlatformCodec Codec>
-void Egress<Codec>::CountDownstreamEnd(Work& work, TimePoint now) {
-  if (!work.m_is_counted) {
-    return;
+void Egress<Codec>::CountDownstreamStart(const OfferMessage& offer,
+                                         TimePoint now) {
+  if (m_manages_load && !offer.m_is_call && !offer.m_route.empty()) {
+    m_downstream.OnStart(EntryOf(offer), now);
   }
-  work.m_is_counted = false;
-  m_downstream.OnEnd(
-      work.m_offer.m_route,
-      work.m_connection ? std::optional(now - work.m_started_at) : std::nullopt,
-      now);
 }
 
 template <PlatformCodec Codec>
@@ -62,9 +57,9 @@
   if (!m_manages_load) {
     return;
   }
-  const bool was_limited = m_downstream.Limit(end.m_route).has_value();
-  m_downstream.OnCall(end.m_route, end.m_service, end.m_result, BootNow());
-  if (m_downstream.Limit(end.m_route).has_value() == was_limited) {
+  const bool was_limited = m_downstream.Probability(end.m_route).has_value();
+  m_downstream.OnCall(end.m_route, end.m_service, end.m_sample, BootNow());
+  if (m_downstream.Probability(end.m_route).has_value() == was_limited) {
     return;
   }
   const auto service =
@@ -80,18 +75,18 @@
 void Egress<Codec>::LogLimitChange(std::string_view route,
                                    bool was_limited,
                                    std::string_view service) {
-  const auto limit = m_downstream.Limit(route);
-  if (limit.has_value() == was_limited) {
+  const auto probability = m_downstream.Probability(route);
+  if (probability.has_value() == was_limited) {
     return;
   }
-  if (!limit) {
+  if (!probability) {
     LogEvent(LogLevel::kInfo, "route_unlimited").Add("route", route);
     return;
   }
   LogEvent(LogLevel::kInfo, "route_limited")
       .Add("route", route)
       .Add("service", service)
-      .Add("limit", fmt::format("{:.1f}", *limit))
+      .Add("probability", fmt::format("{:.2f}", *probability))
       .Add("running", static_cast<int64_t>(m_gate.Running()));
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -327,7 +327,6 @@
   SetLargeBytes(*work, 0);
   m_work.erase(work->m_key);
   m_by_ticket.erase(work->m_ticket);
-  CountDownstreamEnd(*work, BootNow());
   m_trial_count -= work->m_is_trial ? 1 : 0;
   work->m_is_trial = false;
   if (!m_gate.CancelQueued(work->m_ticket)) {
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -71,9 +71,6 @@
   uint32_t m_max_call_rounds = 100;
   /// No further round with less time left: a call needs time to run.
   Duration m_min_call_time = std::chrono::milliseconds(20);
-  /// A call that waits for more than this part of its time counts as delayed.
-  /// With higher values a request with several calls runs out of time.
-  double m_delayed_call_part = 0.125;
   /// Room for large responses is reserved here while the configuration manages
   /// load; may be null.
   std::shared_ptr<ByteBudget> m_budget;
@@ -288,7 +285,7 @@
   // whether it did.
   bool StartPause(const CallPtr& call);
   // Reports the end of a call as far as it tells the capacity of its service.
-  void ReportCall(const Call& call, CallResult result);
+  void ReportCall(const Call& call, const CallSample& sample);
   void ReportServedCall(const Call& call);
   void ReportFailedCall(const Call& call);
   // Placement rules for the request.
--- a/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
@@ -58,11 +58,11 @@
 }
 
 template <PlatformCodec Codec>
-void Ingress<Codec>::ReportCall(const Call& call, CallResult result) {
+void Ingress<Codec>::ReportCall(const Call& call, const CallSample& sample) {
   if (!call.m_parent_route.empty()) {
     m_hooks.m_on_call_end({.m_route = call.m_parent_route,
                            .m_service = call.m_service,
-                           .m_result = result});
+                           .m_sample = sample});
   }
 }
 
@@ -71,11 +71,8 @@
   if (!call.m_is_call || !call.m_first_started_at) {
     return;
   }
-  const std::chrono::duration<double> waited =
-      *call.m_first_started_at - call.m_received;
-  const bool is_delayed = waited > m_options.m_delayed_call_part *
-                                       (call.m_deadline - call.m_received);
-  ReportCall(call, is_delayed ? CallResult::kDelayed : CallResult::kServed);
+  ReportCall(call, {.m_waited = *call.m_first_started_at - call.m_received,
+                    .m_available = call.m_deadline - call.m_received});
 }
 
 template <PlatformCodec Codec>
@@ -92,7 +89,9 @@
     case AttemptReason::kPastDeadline:
       if (!FindCandidates(call).empty()) {
         ++m_stats.m_calls_refused;
-        ReportCall(call, CallResult::kRefused);
+        ReportCall(call, {.m_is_refused = true,
+                          .m_waited = BootNow() - call.m_received,
+                          .m_available = call.m_deadline - call.m_received});
       }
       return;
     default:
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -202,9 +202,10 @@
       egress.m_downstream_refused);
   for (const LimitedRoute& limited : egress.m_limited_routes) {
     families.AddLabelledGauge(
-        "route_limit",
-        "Requests of a route that may run; absent when it is not limited.",
-        "route", limited.m_route, limited.m_limit);
+        "route_admission",
+        "Part of the offers of a route that is admitted; absent when it is not "
+        "limited.",
+        "route", limited.m_route, limited.m_probability);
   }
   families.AddGauge("members", "Nodes known.",
                     static_cast<double>(metrics.m_members));
