--- a/libs/limits/include/sequoiastage/limits/retry_allowance.h
+++ b/libs/limits/include/sequoiastage/limits/retry_allowance.h
@@ -66,6 +66,12 @@
 /// SetSharesByAccount(), an account gets at most an equal part of the budget
 /// while others ask for retries, and calls of running requests, whose failure
 /// ends the run that makes them, may use the whole budget.
+///
+/// Load pattern: a called service refuses half of its requests at random, and
+/// requests make several calls, one after the other. A retry of the last call
+/// saves the whole request; one of the first call is lost when a later call
+/// fails. Calls that are less urgent than another call that asks for a retry are
+/// limited to `m_less_urgent_share`.
 class RetryAllowance {
  public:
   explicit RetryAllowance(const RetryAllowanceOptions& options = {})
@@ -81,8 +87,9 @@
   /// Any number of restarts then stays within the budget.
   void OnRestart(TimePoint now) { m_restarted_at = now; }
 
-  /// Records the first attempt of a request.
-  void OnFirstAttempt(TimePoint now, uint8_t urgency = 0);
+  /// Records the first attempt of a request. `is_call`: sent by a running
+  /// request; its urgency then counts among calls only.
+  void OnFirstAttempt(TimePoint now, uint8_t urgency = 0, bool is_call = false);
 
   /// Consumes one retry or hedged request from the allowance. Returns false
   /// when the allowance is exhausted. A request that is less urgent than
@@ -105,8 +112,11 @@
     int64_t m_index = -1;
     uint32_t m_first_attempts = 0;
     uint32_t m_extra_attempts = 0;
-    // Urgency of the most urgent first attempt; 0 is the highest.
+    // Urgency of the most urgent first attempt other than of a call; 0 is the
+    // highest.
     uint8_t m_urgency = UINT8_MAX;
+    // Urgency of the most urgent call that asked for an extra attempt.
+    uint8_t m_call_urgency = UINT8_MAX;
   };
 
   Bucket& BucketAt(TimePoint now);
--- a/libs/limits/src/retry_allowance.cc
+++ b/libs/limits/src/retry_allowance.cc
@@ -4,10 +4,14 @@
 
 namespace sequoiastage {
 
-void RetryAllowance::OnFirstAttempt(TimePoint now, uint8_t urgency) {
+void RetryAllowance::OnFirstAttempt(TimePoint now,
+                                    uint8_t urgency,
+                                    bool is_call) {
   Bucket& bucket = BucketAt(now);
   ++bucket.m_first_attempts;
-  bucket.m_urgency = std::min(bucket.m_urgency, urgency);
+  if (!is_call) {
+    bucket.m_urgency = std::min(bucket.m_urgency, urgency);
+  }
 }
 
 bool RetryAllowance::TryAcquire(TimePoint now,
@@ -18,9 +22,14 @@
 
 bool RetryAllowance::TryAcquire(TimePoint now,
                                 const ExtraAttemptRequest& request) {
+  if (request.m_is_call) {
+    Bucket& bucket = BucketAt(now);
+    bucket.m_call_urgency = std::min(bucket.m_call_urgency, request.m_urgency);
+  }
   const Bucket sum = SumWindow(now);
   const bool is_less_urgent =
-      !request.m_is_call && request.m_urgency > sum.m_urgency;
+      request.m_urgency >
+      (request.m_is_call ? sum.m_call_urgency : sum.m_urgency);
   const bool is_limited_hedge =
       !request.m_is_call && request.m_kind == ExtraAttempt::kHedge;
   const double allowed =
@@ -121,6 +130,8 @@
       sum.m_first_attempts += bucket.m_first_attempts;
       sum.m_extra_attempts += bucket.m_extra_attempts;
       sum.m_urgency = std::min(sum.m_urgency, bucket.m_urgency);
+      sum.m_call_urgency =
+          std::min(sum.m_call_urgency, bucket.m_call_urgency);
     }
   }
   return sum;
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -86,6 +86,8 @@
   bool m_is_extra_attempt = false;
   /// Route of the parent; empty when it is a call itself.
   std::string m_route{};
+  /// An earlier call of the parent has been served.
+  bool m_has_served_call = false;
 };
 
 /// End of a call that this host's instance made while it ran a request.
@@ -94,6 +96,8 @@
   std::string m_route;
   ServiceId m_service;
   CallResult m_result = CallResult::kServed;
+  /// Id of the call, which extends that of the request.
+  std::string m_request_id{};
 };
 
 struct EgressStats {
@@ -222,6 +226,8 @@
     bool m_is_trial = false;
     // Counted by the DownstreamGate.
     bool m_is_counted = false;
+    // A call that the instance made for this request was served.
+    bool m_has_served_call = false;
     bool m_is_detached = false;
     TimePoint m_deadline{};
     // End of the time for which the granted slot waits for the start message.
@@ -258,6 +264,9 @@
   };
 
   AttemptReason CheckOffer(const OfferMessage& offer, TimePoint now);
+  // Whether the instance executes `work` and the id is that of one of its
+  // calls.
+  static bool IsParentOf(const Work& work, std::string_view request_id);
   // Time until a request of the offer's route may start; empty when the
   // services that it calls have capacity.
   std::optional<Duration> DownstreamWait(const OfferMessage& offer,
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -387,25 +387,32 @@
                        .m_load_report = CurrentLoad()});
 }
 
+template <PlatformCodec Codec>
+bool Egress<Codec>::IsParentOf(const Work& work, std::string_view request_id) {
+  const std::string& id = work.m_offer.m_request_id;
+  return work.m_phase == Phase::kRunning && !id.empty() &&
+         request_id.size() > id.size() && request_id[id.size()] == '.' &&
+         request_id.starts_with(id);
+}
+
 template <PlatformCodec Codec>
 std::optional<ParentRequest> Egress<Codec>::FindParent(
     std::string_view request_id) const {
   std::optional<ParentRequest> parent;
   for (const auto& [key, work] : m_work) {
     const OfferMessage& offer = work->m_offer;
-    const std::string& id = offer.m_request_id;
-    if (work->m_phase != Phase::kRunning || id.empty() ||
-        request_id.size() <= id.size() || request_id[id.size()] != '.' ||
-        !request_id.starts_with(id)) {
+    if (!IsParentOf(*work, request_id)) {
       continue;
     }
     // Two attempts of one request may run here; either may have sent the call.
     const bool is_extra = parent && parent->m_is_extra_attempt;
+    const bool had_served_call = parent && parent->m_has_served_call;
     parent = ParentRequest{
         .m_share_account = offer.m_share_account,
         .m_urgency = offer.m_urgency,
         .m_is_extra_attempt = is_extra || offer.m_is_extra_attempt,
-        .m_route = offer.m_route};
+        .m_route = offer.m_route,
+        .m_has_served_call = had_served_call || work->m_has_served_call};
   }
   return parent;
 }
--- a/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
@@ -62,6 +62,14 @@
   if (!m_manages_load) {
     return;
   }
+  if (end.m_result != CallResult::kRefused) {
+    for (const auto& [key, work] : m_work) {
+      work->m_has_served_call |= IsParentOf(*work, end.m_request_id);
+    }
+  }
+  if (end.m_route.empty()) {
+    return;
+  }
   const bool was_limited = m_downstream.Limit(end.m_route).has_value();
   m_downstream.OnCall(end.m_route, end.m_service, end.m_result, BootNow());
   if (m_downstream.Limit(end.m_route).has_value() == was_limited) {
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -36,7 +36,8 @@
     return;
   }
   if (!work->m_offer.m_is_extra_attempt) {
-    m_retry_budget.OnFirstAttempt(now, work->m_offer.m_urgency);
+    m_retry_budget.OnFirstAttempt(now, work->m_offer.m_urgency,
+                                  work->m_offer.m_is_call);
   }
   ++m_stats.m_started;
   work->m_run = m_hold.OnStart(KindOf(work->m_offer), now);
--- a/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
@@ -78,11 +78,10 @@
 
 template <PlatformCodec Codec>
 void Ingress<Codec>::ReportCall(const Call& call, CallResult result) {
-  if (!call.m_parent_route.empty()) {
-    m_hooks.m_on_call_end({.m_route = call.m_parent_route,
-                           .m_service = call.m_service,
-                           .m_result = result});
-  }
+  m_hooks.m_on_call_end({.m_route = call.m_parent_route,
+                         .m_service = call.m_service,
+                         .m_result = result,
+                         .m_request_id = call.m_id});
 }
 
 template <PlatformCodec Codec>
