Tests for the precedence of later calls

Tests of the parent's state in the egress and of the offered urgency in the ingress. The ingress fixture has a second call id, whose parent has a served call.

--- a/libs/mesh/tests/egress_sharing_test.cc
+++ b/libs/mesh/tests/egress_sharing_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "egress_fixture.h"
@@ -45,6 +46,19 @@
                         .m_service = MakeServiceId("trips"),
                         .m_result = CallResult::kRefused});
   }
+
+  void EndCall(const std::string& id, CallResult result) {
+    m_egress.OnCallEnd({.m_route = "entry",
+                        .m_service = MakeServiceId("trips"),
+                        .m_result = result,
+                        .m_request_id = id});
+  }
+
+  // Empty when no running request has made the call.
+  std::optional<bool> HasServedCall(const std::string& call_id) const {
+    const auto parent = m_egress.FindParent(call_id);
+    return parent ? std::optional(parent->m_has_served_call) : std::nullopt;
+  }
 };
 
 // New requests wait for a slot; then a running request makes a call.
@@ -147,5 +161,62 @@
   EXPECT_EQ(m_egress.FindParent("a.1")->m_route, "entry");
 }
 
+// Precedence must be given only to requests that lose work already done. "1"
+// and "11" check that ids are compared as a whole.
+TEST_F(MeshEgressSharingTest, ParentTellsWhetherACallWasServed) {
+  SetConfig(true);
+  KeepRequests();
+  Send(MakeEntry(1, "entry"));
+  Send(MakeEntry(11, "entry"));
+  ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
+  EXPECT_EQ(HasServedCall("1.1"), false);
+  EndCall("1.1", CallResult::kRefused);
+  EXPECT_EQ(HasServedCall("1.2"), false);
+  EndCall("11.1", CallResult::kServed);
+  EXPECT_EQ(HasServedCall("1.2"), false);
+  EXPECT_EQ(HasServedCall("11.2"), true);
+  EndCall("1.2", CallResult::kServed);
+  EXPECT_EQ(HasServedCall("1.3"), true);
+  EXPECT_EQ(HasServedCall("2.1"), std::nullopt);
+}
+
+// A call that waited long has done its work as well, and a refused call
+// afterwards does not undo it.
+TEST_F(MeshEgressSharingTest, DelayedCallCountsAsServed) {
+  SetConfig(true);
+  KeepRequests();
+  Send(MakeEntry(1, "entry"));
+  EndCall("1.1", CallResult::kDelayed);
+  EXPECT_EQ(HasServedCall("1.2"), true);
+  EndCall("1.2", CallResult::kRefused);
+  EXPECT_EQ(HasServedCall("1.3"), true);
+}
+
+// Calls of calls have no route. All of them together must not become a route
+// that is limited.
+TEST_F(MeshEgressSharingTest, CallsOfCallsAreNotLearnedAsARoute) {
+  SetConfig(true);
+  KeepRequests();
+  Send(MakeCall(1));
+  ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
+  m_egress.OnCallEnd({.m_service = MakeServiceId("trips"),
+                      .m_result = CallResult::kRefused,
+                      .m_request_id = "1.1"});
+  EXPECT_TRUE(m_egress.Stats().m_limited_routes.empty());
+  m_egress.OnCallEnd(
+      {.m_service = MakeServiceId("trips"), .m_request_id = "1.2"});
+  EXPECT_TRUE(m_egress.Stats().m_limited_routes.empty());
+  EXPECT_EQ(HasServedCall("1.3"), true);
+}
+
+// Earlier deployments must be served as before.
+TEST_F(MeshEgressSharingTest, ServedCallsAreNotRecordedWithoutManagedLoad) {
+  SetConfig(false);
+  KeepRequests();
+  Send(MakeEntry(1, "entry"));
+  EndCall("1.1", CallResult::kServed);
+  EXPECT_EQ(HasServedCall("1.2"), false);
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/mesh/tests/ingress_call_test.cc
+++ b/libs/mesh/tests/ingress_call_test.cc
@@ -141,6 +141,26 @@
   EXPECT_EQ(m_call_ends[0].m_result, CallResult::kDelayed);
 }
 
+// A failed last call loses all work of its request. It must go before first
+// calls, which keep the urgency of the request.
+TEST_F(MeshIngressCallTest, LaterCallsAreOfferedWithTheHighestUrgency) {
+  FakeEgressNode& egress = AddNode(2, 0, AttemptReason::kNone);
+  for (const std::string id : {"call", "later-call"}) {
+    m_responses.clear();
+    egress.m_messages.clear();
+    SendRequestWithFields({{"id", id}});
+    ASSERT_TRUE(WaitForResponse());
+    ASSERT_FALSE(egress.m_messages.empty());
+    const auto* tagged =
+        std::get_if<TaggedOfferMessage>(&egress.m_messages.front());
+    ASSERT_NE(tagged, nullptr);
+    EXPECT_TRUE(tagged->m_offer.m_is_call);
+    EXPECT_EQ(tagged->m_offer.m_urgency, id == "call" ? 4 : 0);
+    EXPECT_EQ(tagged->m_offer.m_share_account, AccountId(9));
+    EXPECT_EQ(m_call_ends.back().m_request_id, id);
+  }
+}
+
 TEST_F(MeshIngressCallTest, CallOfAnUnknownServiceDoesNotWait) {
   SendRequestWithFields({{"id", "call"}});
   ASSERT_EQ(m_responses.size(), 1U);
--- a/libs/mesh/tests/ingress_fixture.h
+++ b/libs/mesh/tests/ingress_fixture.h
@@ -101,13 +101,14 @@
              .m_on_failure = [] {},
              .m_find_parent =
                  [](std::string_view id) -> std::optional<ParentRequest> {
-               if (id != "call") {
+               if (id != "call" && id != "later-call") {
                  return std::nullopt;
                }
                return ParentRequest{.m_share_account = AccountId(9),
                                     .m_urgency = 4,
                                     .m_is_extra_attempt = true,
-                                    .m_route = "entry"};
+                                    .m_route = "entry",
+                                    .m_has_served_call = id == "later-call"};
              },
              .m_knowledge_age = [] { return Duration{}; },
              .m_limiter = &m_limiter,
