Only successful calls give precedence to later calls

Cause: a server error was reported as a served call, since it shows that the called service had capacity. The egress took it for work that a later call could lose, so a request whose first call had failed went before others. Ruled out: not reporting server errors, which DownstreamGate needs for its counts. Change: CallEnd states whether the response was a success; precedence depends on that alone. Tests: MeshEgressSharingTest.ServerErrorIsNoServedCall, MeshIngressCallTest.ServerErrorIsReportedWithoutSuccess.

--- a/libs/limits/include/sequoiastage/limits/retry_allowance.h
+++ b/libs/limits/include/sequoiastage/limits/retry_allowance.h
@@ -70,8 +70,8 @@
 /// Load pattern: a called service refuses half of its requests at random, and
 /// requests make several calls, one after the other. A retry of the last call
 /// saves the whole request; one of the first call is lost when a later call
-/// fails. Calls that are less urgent than another call that asks for a retry are
-/// limited to `m_less_urgent_share`.
+/// fails. Calls that are less urgent than another call that asks for a retry
+/// are limited to `m_less_urgent_share`.
 class RetryAllowance {
  public:
   explicit RetryAllowance(const RetryAllowanceOptions& options = {})
@@ -88,12 +88,13 @@
   void OnRestart(TimePoint now) { m_restarted_at = now; }
 
   /// Records the first attempt of a request. `is_call`: sent by a running
-  /// request; its urgency then counts among calls only.
+  /// request; its urgency then limits nothing.
   void OnFirstAttempt(TimePoint now, uint8_t urgency = 0, bool is_call = false);
 
   /// Consumes one retry or hedged request from the allowance. Returns false
-  /// when the allowance is exhausted. A request that is less urgent than
-  /// another one in the window is limited to `m_less_urgent_share`.
+  /// when the allowance is exhausted. Limited to `m_less_urgent_share` are new
+  /// requests less urgent than the first attempt of another one in the window,
+  /// and calls less urgent than another one that asked in the window.
   bool TryAcquire(TimePoint now,
                   uint8_t urgency = 0,
                   ExtraAttempt kind = ExtraAttempt::kRetry);
--- a/libs/limits/src/retry_allowance.cc
+++ b/libs/limits/src/retry_allowance.cc
@@ -130,8 +130,7 @@
       sum.m_first_attempts += bucket.m_first_attempts;
       sum.m_extra_attempts += bucket.m_extra_attempts;
       sum.m_urgency = std::min(sum.m_urgency, bucket.m_urgency);
-      sum.m_call_urgency =
-          std::min(sum.m_call_urgency, bucket.m_call_urgency);
+      sum.m_call_urgency = std::min(sum.m_call_urgency, bucket.m_call_urgency);
     }
   }
   return sum;
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -92,10 +92,13 @@
 
 /// End of a call that this host's instance made while it ran a request.
 struct CallEnd {
-  /// Route of the request.
+  /// Route of the request; empty when that is a call itself.
   std::string m_route;
   ServiceId m_service;
+  /// Capacity of the called service. A server error counts as served.
   CallResult m_result = CallResult::kServed;
+  /// The instance received a response other than a server error.
+  bool m_is_success = false;
   /// Id of the call, which extends that of the request.
   std::string m_request_id{};
 };
--- a/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
@@ -62,7 +62,7 @@
   if (!m_manages_load) {
     return;
   }
-  if (end.m_result != CallResult::kRefused) {
+  if (end.m_is_success) {
     for (const auto& [key, work] : m_work) {
       work->m_has_served_call |= IsParentOf(*work, end.m_request_id);
     }
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -289,8 +289,8 @@
   // whether it did.
   bool StartPause(const CallPtr& call);
   // Reports the end of a call as far as it tells the capacity of its service.
-  void ReportCall(const Call& call, CallResult result);
-  void ReportServedCall(const Call& call);
+  void ReportCall(const Call& call, CallResult result, bool is_success);
+  void ReportServedCall(const Call& call, bool is_success);
   void ReportFailedCall(const Call& call);
   // Placement rules for the request.
   PlacementOptions PlacementFor(const Call& call) const;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -366,7 +366,7 @@
                                 NodeId node) {
   if (response.m_status >= ingress_detail::kFirstServerError &&
       call->m_route->m_is_idempotent) {
-    ReportServedCall(*call);
+    ReportServedCall(*call, false);
     // A later attempt may succeed; otherwise this response is returned.
     call->m_fallback_response = std::move(response);
     RetryOrFail(call, "every attempt ended with a server error");
@@ -383,7 +383,8 @@
       .Add("waited_ms",
            WholeMs(call->m_first_started_at.value_or(now) - call->m_received))
       .Add("took_ms", WholeMs(now - call->m_received));
-  ReportServedCall(*call);
+  ReportServedCall(*call,
+                   response.m_status < ingress_detail::kFirstServerError);
   ++m_stats.m_answered;
   if (call->m_expected_response) {
     m_response_sizes.Observe(call->m_route->m_name, response.m_body.size());
--- a/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_calls_inl.h
@@ -77,15 +77,18 @@
 }
 
 template <PlatformCodec Codec>
-void Ingress<Codec>::ReportCall(const Call& call, CallResult result) {
+void Ingress<Codec>::ReportCall(const Call& call,
+                                CallResult result,
+                                bool is_success) {
   m_hooks.m_on_call_end({.m_route = call.m_parent_route,
                          .m_service = call.m_service,
                          .m_result = result,
+                         .m_is_success = is_success,
                          .m_request_id = call.m_id});
 }
 
 template <PlatformCodec Codec>
-void Ingress<Codec>::ReportServedCall(const Call& call) {
+void Ingress<Codec>::ReportServedCall(const Call& call, bool is_success) {
   if (!call.m_is_call || !call.m_first_started_at) {
     return;
   }
@@ -93,7 +96,8 @@
       *call.m_first_started_at - call.m_received;
   const bool is_delayed = waited > m_options.m_delayed_call_part *
                                        (call.m_deadline - call.m_received);
-  ReportCall(call, is_delayed ? CallResult::kDelayed : CallResult::kServed);
+  ReportCall(call, is_delayed ? CallResult::kDelayed : CallResult::kServed,
+             is_success);
 }
 
 template <PlatformCodec Codec>
@@ -110,7 +114,7 @@
     case AttemptReason::kPastDeadline:
       if (!FindCandidates(call).empty()) {
         ++m_stats.m_calls_refused;
-        ReportCall(call, CallResult::kRefused);
+        ReportCall(call, CallResult::kRefused, false);
       }
       return;
     default:
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -83,8 +83,7 @@
     call.m_is_call = true;
     call.m_parent_route = parent->m_route;
     call.m_share_account = parent->m_share_account;
-    // The last call of a request decides on all of its work, the first one only
-    // on a part.
+    // A failed later call loses the work of the calls before it as well.
     call.m_urgency = parent->m_has_served_call ? 0 : parent->m_urgency;
   }
 }
--- a/libs/mesh/tests/egress_sharing_test.cc
+++ b/libs/mesh/tests/egress_sharing_test.cc
@@ -47,10 +47,11 @@
                         .m_result = CallResult::kRefused});
   }
 
-  void EndCall(const std::string& id, CallResult result) {
+  void EndCall(const std::string& id, CallResult result, bool is_success) {
     m_egress.OnCallEnd({.m_route = "entry",
                         .m_service = MakeServiceId("trips"),
                         .m_result = result,
+                        .m_is_success = is_success,
                         .m_request_id = id});
   }
 
@@ -170,12 +171,12 @@
   Send(MakeEntry(11, "entry"));
   ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
   EXPECT_EQ(HasServedCall("1.1"), false);
-  EndCall("1.1", CallResult::kRefused);
+  EndCall("1.1", CallResult::kRefused, false);
   EXPECT_EQ(HasServedCall("1.2"), false);
-  EndCall("11.1", CallResult::kServed);
+  EndCall("11.1", CallResult::kServed, true);
   EXPECT_EQ(HasServedCall("1.2"), false);
   EXPECT_EQ(HasServedCall("11.2"), true);
-  EndCall("1.2", CallResult::kServed);
+  EndCall("1.2", CallResult::kServed, true);
   EXPECT_EQ(HasServedCall("1.3"), true);
   EXPECT_EQ(HasServedCall("2.1"), std::nullopt);
 }
@@ -186,12 +187,22 @@
   SetConfig(true);
   KeepRequests();
   Send(MakeEntry(1, "entry"));
-  EndCall("1.1", CallResult::kDelayed);
+  EndCall("1.1", CallResult::kDelayed, true);
   EXPECT_EQ(HasServedCall("1.2"), true);
-  EndCall("1.2", CallResult::kRefused);
+  EndCall("1.2", CallResult::kRefused, false);
   EXPECT_EQ(HasServedCall("1.3"), true);
 }
 
+// A request whose first call ended with a server error has no work of an
+// earlier call to lose.
+TEST_F(MeshEgressSharingTest, ServerErrorIsNoServedCall) {
+  SetConfig(true);
+  KeepRequests();
+  Send(MakeEntry(1, "entry"));
+  EndCall("1.1", CallResult::kServed, false);
+  EXPECT_EQ(HasServedCall("1.2"), false);
+}
+
 // Calls of calls have no route. All of them together must not become a route
 // that is limited.
 TEST_F(MeshEgressSharingTest, CallsOfCallsAreNotLearnedAsARoute) {
@@ -203,8 +214,9 @@
                       .m_result = CallResult::kRefused,
                       .m_request_id = "1.1"});
   EXPECT_TRUE(m_egress.Stats().m_limited_routes.empty());
-  m_egress.OnCallEnd(
-      {.m_service = MakeServiceId("trips"), .m_request_id = "1.2"});
+  m_egress.OnCallEnd({.m_service = MakeServiceId("trips"),
+                      .m_is_success = true,
+                      .m_request_id = "1.2"});
   EXPECT_TRUE(m_egress.Stats().m_limited_routes.empty());
   EXPECT_EQ(HasServedCall("1.3"), true);
 }
@@ -214,7 +226,7 @@
   SetConfig(false);
   KeepRequests();
   Send(MakeEntry(1, "entry"));
-  EndCall("1.1", CallResult::kServed);
+  EndCall("1.1", CallResult::kServed, true);
   EXPECT_EQ(HasServedCall("1.2"), false);
 }
 
--- a/libs/mesh/tests/ingress_call_test.cc
+++ b/libs/mesh/tests/ingress_call_test.cc
@@ -158,6 +158,27 @@
     EXPECT_EQ(tagged->m_offer.m_urgency, id == "call" ? 4 : 0);
     EXPECT_EQ(tagged->m_offer.m_share_account, AccountId(9));
     EXPECT_EQ(m_call_ends.back().m_request_id, id);
+    EXPECT_TRUE(m_call_ends.back().m_is_success);
+  }
+}
+
+// A server error must not give precedence to the later calls of its request.
+TEST_F(MeshIngressCallTest, ServerErrorIsReportedWithoutSuccess) {
+  FakeEgressNode& egress = AddNode(2, 0, AttemptReason::kNone);
+  egress.m_script = [](const Message& message, const MessageSink& sink) {
+    if (const auto* tagged = std::get_if<TaggedOfferMessage>(&message)) {
+      ReplyReady(tagged->m_offer, sink);
+    }
+    if (const auto* start = std::get_if<StartMessage>(&message)) {
+      SendResponse(start->m_attempt, 500, sink);
+    }
+  };
+  SendRequestWithFields({{"id", "call"}});
+  ASSERT_TRUE(WaitForResponse());
+  EXPECT_EQ(m_responses[0].m_status, 500);
+  ASSERT_FALSE(m_call_ends.empty());
+  for (const CallEnd& end : m_call_ends) {
+    EXPECT_FALSE(end.m_is_success);
   }
 }
 
