Retry budget: precedence and parts of accounts by demand

An account is held to an equal part (one retry in 10 s with some tens of accounts), first calls to 0.6 as soon as one later call asks, and 0.35 of the budget covers calls that are now recognized by their ids.

Ruled out: no precedence and no parts at all.

Change, only where load is managed: - A call may use what more urgent calls did not ask for in the window. - An account beyond its equal part may use what the others leave, up to 0.8. - A granted retry that does not reach the instance is given back. - 0.85 of the budget is used while calls are recognized, else 0.65.

--- a/libs/limits/include/sequoiastage/limits/retry_allowance.h
+++ b/libs/limits/include/sequoiastage/limits/retry_allowance.h
@@ -2,6 +2,7 @@
 #define SEQUOIASTAGE_LIMITS_RETRY_ALLOWANCE_H_
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
@@ -22,8 +23,19 @@
   /// and those downstream calls of retried requests that can't be recognised by
   /// their ids.
   double m_used_share = 0.65;
-  /// Share of the usable allowance that is available to less urgent requests.
+  /// The same while calls are recognized by their ids, so that those of retried
+  /// requests draw on the allowance too. The rest covers windows that begin
+  /// between two buckets, and nodes that know fewer instances than there are.
+  double m_used_share_with_calls = 0.85;
+  /// Share of the usable allowance that is available to new requests less
+  /// urgent than another one.
   double m_less_urgent_share = 0.6;
+  /// An account that has used its equal part is refused once this share of the
+  /// usable allowance is consumed, unless no other account asks.
+  double m_over_part_share = 0.8;
+  /// Time for which the rest of the equal part of an account that asked for a
+  /// retry is kept for it. An account that is short asks more often than this.
+  Duration m_claim_period = std::chrono::seconds(1);
   /// Hedged requests are refused once this share of the usable allowance is
   /// consumed, by either kind. The rest is reserved for retries after failures.
   double m_max_hedge_share = 0.7;
@@ -63,15 +75,20 @@
 /// therefore they are limited to a small share of the budget.
 ///
 /// Load pattern: one client account retries far more than the others. With
-/// SetSharesByAccount(), an account gets at most an equal part of the budget
-/// while others ask for retries, and calls of running requests, whose failure
-/// ends the run that makes them, may use the whole budget.
+/// SetSharesByAccount(), each account that asks gets an equal part of the
+/// budget first, and more only while the others leave some of theirs. Calls of
+/// running requests, whose failure ends the run that makes them, may use the
+/// whole budget.
 ///
 /// Load pattern: a called service refuses half of its requests at random, and
 /// requests make several calls, one after the other. A retry of the last call
 /// saves the whole request; one of the first call is lost when a later call
-/// fails. Calls that are less urgent than another call that asks for a retry
-/// are limited to `m_less_urgent_share`.
+/// fails. Calls may use only what more urgent calls of the window did not ask
+/// for.
+///
+/// Load pattern: few requests fail, those of many accounts, and some of their
+/// calls are retried. The budget has room for all of them, so neither
+/// precedence nor the parts of the accounts may refuse any.
 class RetryAllowance {
  public:
   explicit RetryAllowance(const RetryAllowanceOptions& options = {})
@@ -92,14 +109,22 @@
   void OnFirstAttempt(TimePoint now, uint8_t urgency = 0, bool is_call = false);
 
   /// Consumes one retry or hedged request from the allowance. Returns false
-  /// when the allowance is exhausted. Limited to `m_less_urgent_share` are new
-  /// requests less urgent than the first attempt of another one in the window,
-  /// and calls less urgent than another one that asked in the window.
+  /// when the allowance is exhausted. New requests less urgent than the first
+  /// attempt of another one in the window are limited to `m_less_urgent_share`,
+  /// and calls to what more urgent ones did not ask for in the window.
   bool TryAcquire(TimePoint now,
                   uint8_t urgency = 0,
                   ExtraAttempt kind = ExtraAttempt::kRetry);
   bool TryAcquire(TimePoint now, const ExtraAttemptRequest& request);
 
+  /// Gives back what TryAcquire() granted at `granted_at`: the attempt did not
+  /// reach the instance.
+  void Return(TimePoint granted_at, const ExtraAttemptRequest& request);
+
+  /// A request was recognized as a call of a running request. Every request
+  /// with `m_is_call` counts as well.
+  void OnRecognizedCall(TimePoint now) { m_recognized_call_at = now; }
+
   /// Whether the accounts share the allowance. Initially they don't.
   void SetSharesByAccount(bool shares) { m_shares_by_account = shares; }
 
@@ -108,6 +133,14 @@
 
  private:
   static constexpr size_t kBuckets = 10;
+  // Lower urgencies count as the last one.
+  static constexpr size_t kUrgencies = 8;
+
+  // Extra attempts that calls of one urgency asked for and were granted.
+  struct CallUse {
+    uint32_t m_asked = 0;
+    uint32_t m_granted = 0;
+  };
 
   struct Bucket {
     int64_t m_index = -1;
@@ -116,8 +149,7 @@
     // Urgency of the most urgent first attempt other than of a call; 0 is the
     // highest.
     uint8_t m_urgency = UINT8_MAX;
-    // Urgency of the most urgent call that asked for an extra attempt.
-    uint8_t m_call_urgency = UINT8_MAX;
+    std::array<CallUse, kUrgencies> m_calls{};
   };
 
   Bucket& BucketAt(TimePoint now);
@@ -133,18 +165,34 @@
     std::optional<TimePoint> m_call_asked_at;
   };
 
+  // Index of an urgency in Bucket::m_calls.
+  static size_t LevelOf(uint8_t urgency);
+  // Whether `usable` has room for a call of this level beside what more urgent
+  // calls asked for in the window.
+  static bool HasRoomForCall(const Bucket& window, double usable, size_t level);
+  // Part of `usable` that is available to this new request.
+  double AvailableToNewRequest(const Bucket& window,
+                               double usable,
+                               const ExtraAttemptRequest& request) const;
   // Records that the account asks. Null when it isn't counted.
   AccountUse* FindAccount(TimePoint now, const ExtraAttemptRequest& request);
-  // Number of accounts that asked within the window; for a call, those whose
-  // calls asked.
-  size_t AskingAccounts(TimePoint now, bool is_call) const;
+  // Whether an account may use another retry: of its equal part, or of what is
+  // left of the others' parts. `is_call`: among accounts whose calls ask.
+  bool MayUse(const AccountUse& account,
+              double usable,
+              double used,
+              bool is_call,
+              TimePoint now) const;
   double SlackShare(TimePoint now) const;
+  // Extra attempts that may be used within the window.
+  double Usable(const Bucket& window, TimePoint now) const;
 
   RetryAllowanceOptions m_options;
   bool m_shares_by_account = false;
   std::unordered_map<AccountId, AccountUse> m_accounts;
   uint32_t m_instances = 1;
   std::optional<TimePoint> m_restarted_at;
+  std::optional<TimePoint> m_recognized_call_at;
   std::array<Bucket, kBuckets> m_buckets{};
 };
 
--- a/libs/limits/tests/retry_account_test.cc
+++ b/libs/limits/tests/retry_account_test.cc
@@ -37,6 +37,61 @@
   EXPECT_EQ(AcquireAll(allowance, {.m_account = AccountId(1)}), 40);
 }
 
+// Many accounts retry once each. What they leave must not stay unused while
+// another account needs it.
+TEST(RetryAccountTest, AccountMayUseWhatOthersLeave) {
+  RetryAllowance allowance = MakeAllowance();
+  for (uint64_t account = 1; account <= 20; ++account) {
+    EXPECT_TRUE(allowance.TryAcquire(
+        kNow, {.m_is_call = true, .m_account = AccountId(account)}));
+  }
+  const TimePoint later = kNow + seconds(2);
+  int used = 0;
+  while (allowance.TryAcquire(later,
+                              {.m_is_call = true, .m_account = AccountId(1)})) {
+    ++used;
+  }
+  // Up to 0.8 of the allowance.
+  EXPECT_EQ(used, 12);
+  // The rest is left for accounts that have used less than their part.
+  for (uint64_t account = 2; account <= 9; ++account) {
+    EXPECT_TRUE(allowance.TryAcquire(
+        later, {.m_is_call = true, .m_account = AccountId(account)}));
+  }
+}
+
+// The calls of a few large accounts fail more often than those of many small
+// ones. None may be refused while the allowance has room for all of them.
+TEST(RetryAccountTest, UnevenAccountsAreNotRefusedWhileThereIsRoom) {
+  RetryAllowance allowance = MakeAllowance();
+  TimePoint now = kNow;
+  for (int i = 0; i < 32; ++i) {
+    const auto account = static_cast<uint64_t>(i % 3 == 0 ? i : i % 2);
+    EXPECT_TRUE(allowance.TryAcquire(
+        now, {.m_is_call = true, .m_account = AccountId(account)}))
+        << i;
+    now += std::chrono::milliseconds(250);
+  }
+}
+
+// An attempt that was queued and then rejected did not reach the instance.
+TEST(RetryAccountTest, ReturnedRetryIsAvailableAgain) {
+  RetryAllowance allowance = MakeAllowance();
+  constexpr ExtraAttemptRequest kRequest{.m_is_call = true,
+                                         .m_account = AccountId(1)};
+  EXPECT_EQ(AcquireAll(allowance, kRequest), 40);
+  allowance.Return(kNow, kRequest);
+  EXPECT_EQ(AcquireAll(allowance, kRequest), 1);
+  // It no longer counts in a later window.
+  EXPECT_TRUE(allowance.TryAcquire(kNow + seconds(11), kRequest));
+  allowance.Return(kNow, kRequest);
+  int used = 1;
+  while (allowance.TryAcquire(kNow + seconds(11), kRequest)) {
+    ++used;
+  }
+  EXPECT_EQ(used, 40);
+}
+
 // A refused call ends the run that makes it. New work that is more urgent must
 // not reserve a part of the budget against calls.
 TEST(RetryAccountTest, CallsMayUseTheWholeAllowance) {
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -227,6 +227,9 @@
     std::optional<RequestFingerprint> m_fingerprint;
     Ticket m_ticket;
     bool m_is_trial = false;
+    // When the retry budget granted it; empty for a first attempt, and once the
+    // attempt is sent to the instance.
+    std::optional<TimePoint> m_retry_granted_at;
     // Counted by the DownstreamGate.
     bool m_is_counted = false;
     // A call that the instance made for this request was served.
@@ -307,6 +310,9 @@
   static RequestFingerprint FingerprintOf(const Work& work);
   // Whether the instance and the byte budget have room for the body of an
   // offer.
+  static ExtraAttemptRequest ExtraAttemptOf(const OfferMessage& offer);
+  // Gives back the retry of work that did not reach the instance.
+  void ReturnRetry(Work& work);
   bool HasRoomFor(const OfferMessage& offer);
   // Bytes of the large requests that the instance is executing.
   size_t RunningLargeBytes() const;
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -2,6 +2,8 @@
 #define SEQUOIASTAGE_MESH_EGRESS_INL_H_
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 #include "sequoiastage/mesh/egress.h"
 #include "sequoiastage/mesh/wire_time.h"
@@ -175,17 +177,29 @@
     return AttemptReason::kBusy;
   }
   if (offer.m_is_extra_attempt &&
-      !m_retry_budget.TryAcquire(
-          now, {.m_urgency = offer.m_urgency,
-                .m_kind = offer.m_is_hedge ? ExtraAttempt::kHedge
-                                           : ExtraAttempt::kRetry,
-                .m_is_call = offer.m_is_call,
-                .m_account = offer.m_share_account})) {
+      !m_retry_budget.TryAcquire(now, ExtraAttemptOf(offer))) {
     return AttemptReason::kRetryBudget;
   }
   return AttemptReason::kNone;
 }
 
+template <PlatformCodec Codec>
+ExtraAttemptRequest Egress<Codec>::ExtraAttemptOf(const OfferMessage& offer) {
+  return {
+      .m_urgency = offer.m_urgency,
+      .m_kind = offer.m_is_hedge ? ExtraAttempt::kHedge : ExtraAttempt::kRetry,
+      .m_is_call = offer.m_is_call,
+      .m_account = offer.m_share_account};
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::ReturnRetry(Work& work) {
+  const auto granted_at = std::exchange(work.m_retry_granted_at, std::nullopt);
+  if (granted_at && m_manages_load) {
+    m_retry_budget.Return(*granted_at, ExtraAttemptOf(work.m_offer));
+  }
+}
+
 template <PlatformCodec Codec>
 bool Egress<Codec>::HasRoomFor(const OfferMessage& offer) {
   const size_t bytes =
@@ -260,11 +274,15 @@
   work->m_deadline =
       now + std::chrono::milliseconds(work->m_offer.m_time_left_ms);
   work->m_is_trial = m_hold.StateAt(now) == HoldState::kTrial;
+  if (work->m_offer.m_is_extra_attempt) {
+    work->m_retry_granted_at = now;
+  }
   const AdmissionResult admission =
       m_gate.Admit(now, work->m_deadline, work->m_offer.m_share_account, 1,
                    work->m_offer.m_urgency, work->m_offer.m_is_call);
   work->m_ticket = admission.m_ticket;
   if (admission.m_decision == AdmissionDecision::kRefused) {
+    ReturnRetry(*work);
     ApplyGateChanges(admission.m_changes);
     Refuse(key, work->m_offer, AttemptReason::kBusy, work->m_reply);
     return;
--- a/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
@@ -62,6 +62,7 @@
   if (!m_manages_load) {
     return;
   }
+  m_retry_budget.OnRecognizedCall(BootNow());
   if (end.m_is_success) {
     for (const auto& [key, work] : m_work) {
       work->m_has_served_call |= IsParentOf(*work, end.m_request_id);
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -35,6 +35,7 @@
              RequestResult::kNoEvidence);
     return;
   }
+  work->m_retry_granted_at.reset();
   if (!work->m_offer.m_is_extra_attempt) {
     m_retry_budget.OnFirstAttempt(now, work->m_offer.m_urgency,
                                   work->m_offer.m_is_call);
@@ -329,6 +330,7 @@
   m_work.erase(work->m_key);
   m_by_ticket.erase(work->m_ticket);
   CountDownstreamEnd(*work, BootNow());
+  ReturnRetry(*work);
   m_trial_count -= work->m_is_trial ? 1 : 0;
   work->m_is_trial = false;
   if (!m_gate.CancelQueued(work->m_ticket)) {
--- a/libs/mesh/tests/egress_sharing_test.cc
+++ b/libs/mesh/tests/egress_sharing_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -152,6 +153,37 @@
   EXPECT_TRUE(m_egress.Stats().m_limited_routes.empty());
 }
 
+// Retries that are queued and then withdrawn did not reach the instance. They
+// used up the budget of the window.
+TEST_F(MeshEgressSharingTest, RetryThatDidNotStartIsGivenBack) {
+  SetConfig(true);
+  KeepRequests();
+  Send(MakeCall(1));
+  Send(MakeCall(2));
+  uint64_t number = 3;
+  const auto count_queued = [&] {
+    const uint64_t first = number;
+    m_replies.clear();
+    for (; number < first + 80; ++number) {
+      OfferMessage retry = MakeCall(number);
+      retry.m_is_extra_attempt = true;
+      Send(std::move(retry));
+    }
+    for (uint64_t sent = first; sent < number; ++sent) {
+      m_egress.OnWithdraw(kPeer, AttemptNumber(sent));
+    }
+    return std::count_if(m_replies.begin(), m_replies.end(),
+                         [](const OfferReplyMessage& reply) {
+                           return reply.m_verdict == OfferVerdict::kQueued;
+                         });
+  };
+  const auto granted = count_queued();
+  EXPECT_GT(granted, 0);
+  EXPECT_LT(granted, 80);
+  EXPECT_EQ(m_replies.back().m_reason, AttemptReason::kRetryBudget);
+  EXPECT_EQ(count_queued(), granted);
+}
+
 TEST_F(MeshEgressSharingTest, ParentTellsItsRoute) {
   SetConfig(true);
   KeepRequests();
