Account limits: cut stale buckets when the number of nodes falls

Cause: a bucket was cut to its depth only at its next use. When the nodes return before that, it grants the tokens of before their absence beside those of the coordinator they used meanwhile. The random schedules of AccountFaultTest don't find it: they send three times the limit, so no bucket stays full.

Change: counting the attached nodes (every 200 ms) settles all buckets when fewer nodes count for the depth than before.

The cost of settling 3,600 buckets was not measured.

--- a/libs/limits/include/sequoiastage/limits/account_pool.h
+++ b/libs/limits/include/sequoiastage/limits/account_pool.h
@@ -205,11 +205,15 @@
     bool m_is_takeover = false;
   };
 
+  // Nodes whose part of the depth the buckets hold.
+  uint32_t DepthNodes() const;
   double DepthOf(const AccountLimit& limit) const;
   // Tokens per second of all nodes together.
   double RateOf(const Account& account, TimePoint now) const;
   void Settle(Account& account, TimePoint now);
   uint32_t TakeOutstanding(Account& account, NodeId node, uint32_t count);
+  // Counts the attached nodes at most every 200 ms, and cuts all buckets to
+  // their depth when there are fewer than before.
   void CountAttached(TimePoint now);
   void DropOldPeers(TimePoint now);
   Duration WaitFor(const Account& account, NodeId node, TimePoint now) const;
@@ -224,6 +228,8 @@
   TimePoint m_peers_dropped_at{};
   std::unordered_map<NodeId, Attachment> m_attachments;
   uint32_t m_attached_count = 0;
+  // DepthNodes() at the last count.
+  uint32_t m_depth_nodes = 0;
   TimePoint m_attached_counted_at{};
   // Sum of the share time handed over, in seconds of the whole fleet.
   double m_share_time = 0;
--- a/libs/limits/src/account_pool.cc
+++ b/libs/limits/src/account_pool.cc
@@ -104,18 +104,31 @@
     return;
   }
   m_attached_counted_at = now;
+  // AddShare() and SetFleet() change the number between two counts.
+  const uint32_t before = std::max(m_depth_nodes, DepthNodes());
   m_attached_count = static_cast<uint32_t>(std::count_if(
       m_attachments.begin(), m_attachments.end(), [&](const auto& entry) {
         return now - entry.second.m_heard_at <= m_options.m_attach_period;
       }));
+  m_depth_nodes = DepthNodes();
+  if (m_depth_nodes < before) {
+    // The next use of a bucket may come after the nodes have returned. They
+    // have then used the tokens of another coordinator in the same window.
+    for (auto& [id, account] : m_accounts) {
+      Settle(account, now);
+    }
+  }
+}
+
+uint32_t AccountPool::DepthNodes() const {
+  return std::min(std::max(1U, m_fleet.m_nodes),
+                  std::max(m_attached_count, m_fleet.m_assumed));
 }
 
 double AccountPool::DepthOf(const AccountLimit& limit) const {
   const uint32_t nodes = std::max(1U, m_fleet.m_nodes);
-  const uint32_t attached =
-      std::min(nodes, std::max(m_attached_count, m_fleet.m_assumed));
   const double depth =
-      BudgetOf(limit, m_options.m_quota).m_depth * attached / nodes;
+      BudgetOf(limit, m_options.m_quota).m_depth * DepthNodes() / nodes;
   return m_fleet.m_holds_minimum ? std::max(1.0, depth) : depth;
 }
 
--- a/libs/limits/tests/account_fault_test.cc
+++ b/libs/limits/tests/account_fault_test.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <numeric>
+#include <set>
 #include <vector>
 
 #include "account_fleet.h"
@@ -177,5 +178,62 @@
   EXPECT_GT(fleet.Runs().size() - before, 650U);
 }
 
+// Sends 40 requests over 300 ms to different nodes of the first 80. None of
+// them waits any more when it returns, 1 s after the first one.
+void PlayBurst(AccountFleet& fleet) {
+  const TimePoint start = fleet.Now();
+  for (uint32_t i = 0; i < 40; ++i) {
+    fleet.At(start + i * milliseconds(7),
+             [&fleet, i] { fleet.Request(2 * i); });
+  }
+  fleet.RunUntil(start + seconds(1));
+}
+
+// Guards against coordinators that keep the tokens of nodes which use another
+// one: more than one of three buckets, of 17 tokens each, is then granted in
+// one window.
+TEST(AccountFaultTest, ReturningNodesGetNoTokensOfBeforeTheCut) {
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    const AccountFleetOptions options{
+        .m_nodes = 100,
+        .m_regions = 1,
+        .m_limit = {.m_rate = RequestRate(2), .m_burst = 2},
+        .m_seed = seed};
+    AccountFleet fleet(options);
+    // Each bucket is opened by one request and fills up.
+    const auto use_coordinator = [&fleet] {
+      fleet.RunUntil(fleet.Now() + seconds(5));
+      fleet.Request(0);
+      fleet.RunUntil(fleet.Now() + seconds(25));
+      return fleet.Coordinator();
+    };
+    const uint32_t first = use_coordinator();
+    fleet.CutOff({first});
+    const uint32_t second = use_coordinator();
+    fleet.CutOff({second});
+    const uint32_t third = use_coordinator();
+    ASSERT_EQ((std::set{0U, first, second, third}).size(), 4U);
+    PlayBurst(fleet);
+    const size_t before = fleet.Runs().size();
+    // The nodes ask silent ones for a sign of life about every 500 ms, and use
+    // them after their reply.
+    fleet.Heal();
+    fleet.CutOff({first});
+    fleet.RunUntil(fleet.Now() + seconds(1));
+    ASSERT_EQ(fleet.Coordinator(), second);
+    PlayBurst(fleet);
+    fleet.Heal();
+    fleet.RunUntil(fleet.Now() + seconds(1));
+    ASSERT_EQ(fleet.Coordinator(), first);
+    PlayBurst(fleet);
+    const size_t most = MaxRunsInWindow(fleet.Runs(), options.m_quota.m_window);
+    fmt::print("seed {}: {} requests run after the return, {} in a window\n",
+               seed, fleet.Runs().size() - before, most);
+    EXPECT_LE(static_cast<double>(most),
+              Allowed(options.m_limit, options.m_quota))
+        << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/limits/tests/account_pool_test.cc
+++ b/libs/limits/tests/account_pool_test.cc
@@ -309,5 +309,35 @@
   }
 }
 
+// Guards against a bucket that is cut only when it is next used: it keeps the
+// tokens of nodes that have used another coordinator in the meantime.
+TEST(AccountPoolTest, BucketIsCutWhenTheNumberOfNodesFalls) {
+  constexpr uint32_t kNodes = 100;
+  AccountPool pool({});
+  pool.SetFleet({.m_nodes = kNodes});
+  for (uint32_t node = 0; node < kNodes; ++node) {
+    pool.AddShare(NodeNumber(node), milliseconds(100), kStart);
+  }
+  pool.Open(kAccount, kLimit, true, kStart);
+  const double depth = pool.Level(kAccount);
+  // Half of the nodes use another coordinator.
+  for (int i = 1; i <= 30; ++i) {
+    for (uint32_t node = 0; node < kNodes / 2; ++node) {
+      pool.AddShare(NodeNumber(node), milliseconds(100),
+                    kStart + i * milliseconds(100));
+    }
+  }
+  EXPECT_EQ(pool.AttachedCount(), kNodes / 2);
+  EXPECT_LE(pool.Level(kAccount), depth / 2);
+  // All of them do, and return together before the account's next request.
+  const TimePoint returned = kStart + seconds(33);
+  for (uint32_t node = 0; node < kNodes; ++node) {
+    pool.AddShare(NodeNumber(node), Duration{}, returned);
+  }
+  pool.AddShare(NodeNumber(0), Duration{}, returned + milliseconds(300));
+  EXPECT_EQ(pool.AttachedCount(), kNodes);
+  EXPECT_LE(Ask(pool, 1000, returned + milliseconds(300)), depth / kNodes);
+}
+
 }  // namespace
 }  // namespace sequoiastage
