--- a/libs/mesh/tests/fake_platform.h
+++ b/libs/mesh/tests/fake_platform.h
@@ -21,13 +21,17 @@
 
 namespace sequoiastage {
 
-// Loopback address number `host` in a subnet that is unique to this process.
-inline uint32_t TestIp(uint8_t host) {
-  const auto pid = static_cast<uint32_t>(getpid());
+// Loopback address number `host` in the subnet of the process with this id.
+inline uint32_t TestIpOf(uint32_t pid, uint8_t host) {
   return 0x7f000000U | (64 + pid / 250 % 100) << 16 | (1 + pid % 250) << 8 |
          host;
 }
 
+// Loopback address number `host` in a subnet that is unique to this process.
+inline uint32_t TestIp(uint8_t host) {
+  return TestIpOf(static_cast<uint32_t>(getpid()), host);
+}
+
 // Runs `io` until `done` returns true or `limit` has passed. Returns the final
 // result of `done`.
 inline bool RunUntil(
--- a/libs/mesh/tests/ingress_fixture.h
+++ b/libs/mesh/tests/ingress_fixture.h
@@ -37,7 +37,8 @@
                      },
                  .m_on_peer_opened = [](const PeerKey&, const MessageSink&) {},
                  .m_on_peer_lost = [](const PeerKey&) {}}) {
-    m_links.Start(m_self.m_node.Get());
+    EXPECT_TRUE(m_links.Start(m_self.m_node.Get()))
+        << "cannot listen on " << ToString(m_self.m_node);
   }
 
   MemberRecord Record() const {
@@ -64,8 +65,9 @@
 
 class MeshIngressTest : public testing::Test {
  protected:
-  MeshIngressTest()
-      : m_self{.m_node = NodeId(Endpoint{.m_ip = TestIp(1), .m_port = 7000}),
+  // `host`: number of the address of the local node.
+  explicit MeshIngressTest(uint8_t host = 1)
+      : m_self{.m_node = NodeId(Endpoint{.m_ip = TestIp(host), .m_port = 7000}),
                .m_incarnation = Incarnation(1)},
         m_targets({.m_node = m_self.m_node, .m_domain = "d", .m_region = "r"}),
         m_links(m_io,
--- a/libs/mesh/tests/ingress_limit_test.cc
+++ b/libs/mesh/tests/ingress_limit_test.cc
@@ -9,22 +9,35 @@
 namespace sequoiastage {
 namespace {
 
+// Numbers of two addresses, of which the first coordinates all accounts.
+struct CoordinationHosts {
+  uint8_t m_coordinator = 1;
+  uint8_t m_other = 2;
+};
+
+NodeId NodeOf(uint32_t pid, uint8_t host) {
+  return NodeId(Endpoint{.m_ip = TestIpOf(pid, host), .m_port = 7000});
+}
+
+// The addresses of a process derive from its id, and so does their order. The
+// local node therefore takes whichever of two addresses comes last.
+CoordinationHosts HostsOf(uint32_t pid) {
+  constexpr CoordinationHosts kHosts;
+  const NodeId first = NodeOf(pid, kHosts.m_coordinator);
+  return CoordinatorOrder({first, NodeOf(pid, kHosts.m_other)}, 0, 1)[0] ==
+                 first
+             ? kHosts
+             : CoordinationHosts{.m_coordinator = kHosts.m_other,
+                                 .m_other = kHosts.m_coordinator};
+}
+
 class MeshIngressLimitTest : public MeshIngressTest {
  protected:
+  using MeshIngressTest::MeshIngressTest;
+
   // The record of the local node, which is the only member so far.
   void AddSelf() { m_targets.SetMember(m_targets.Self()); }
 
-  // Host whose node coordinates all accounts, before the local node.
-  uint8_t CoordinatorHost() const {
-    for (uint8_t host = 2; host < 50; ++host) {
-      const NodeId node(Endpoint{.m_ip = TestIp(host), .m_port = 7000});
-      if (CoordinatorOrder({m_self.m_node, node}, 0, 1)[0] == node) {
-        return host;
-      }
-    }
-    return 0;
-  }
-
   void SendLimited() {
     SendRequestWithFields({{"id", "7"}, {"key", "secret"}});
   }
@@ -121,9 +134,29 @@
   EXPECT_EQ(m_limiter.Stats().m_requests, 0U);
 }
 
+// Guards against a choice of addresses that leaves the local node as the
+// coordinator, which then decides at once and sends no token request. Addresses
+// repeat after 25,000 process ids.
+TEST(CoordinationHostsTest, AnotherNodeCoordinatesForEveryProcessId) {
+  for (uint32_t pid = 0; pid < 25000; ++pid) {
+    const CoordinationHosts hosts = HostsOf(pid);
+    const NodeId coordinator = NodeOf(pid, hosts.m_coordinator);
+    const NodeId other = NodeOf(pid, hosts.m_other);
+    ASSERT_NE(coordinator, other) << "process " << pid;
+    ASSERT_EQ(CoordinatorOrder({other, coordinator}, 0, 2),
+              (std::vector<NodeId>{coordinator, other}))
+        << "process " << pid;
+  }
+}
+
 class SilentCoordinatorTest : public MeshIngressLimitTest {
  protected:
-  SilentCoordinatorTest() : m_coordinator(m_io, CoordinatorHost(), 5) {
+  SilentCoordinatorTest()
+      : SilentCoordinatorTest(HostsOf(static_cast<uint32_t>(getpid()))) {}
+
+  explicit SilentCoordinatorTest(const CoordinationHosts& hosts)
+      : MeshIngressLimitTest(hosts.m_other),
+        m_coordinator(m_io, hosts.m_coordinator, 5) {
     AddSelf();
     MemberRecord record = m_coordinator.Record();
     record.m_instance.clear();
