--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -25,6 +25,7 @@
 #include "sequoiastage/logging/log_event.h"
 #include "sequoiastage/mesh/peer_key.h"
 #include "sequoiastage/mesh/platform.h"
+#include "sequoiastage/mesh/request_index.h"
 #include "sequoiastage/mesh/shared_quarantine.h"
 #include "sequoiastage/metrics/latency_buckets.h"
 
@@ -184,7 +185,8 @@
 
   /// The request that the instance is executing and that sent the request with
   /// this id: calls of instances extend the id of the request that makes them
-  /// by a dot and more. Empty when there is none.
+  /// by a dot and more. When nested requests run here, the one with the longest
+  /// id counts. Empty when there is none.
   std::optional<ParentRequest> FindParent(std::string_view request_id) const;
 
   /// Number of accepted offers that are not completed.
@@ -267,9 +269,6 @@
   };
 
   AttemptReason CheckOffer(const OfferMessage& offer, TimePoint now);
-  // Whether the instance executes `work` and the id is that of one of its
-  // calls.
-  static bool IsParentOf(const Work& work, std::string_view request_id);
   // Time until a request of the offer's route may start; empty when the
   // services that it calls have capacity.
   std::optional<Duration> DownstreamWait(const OfferMessage& offer,
@@ -370,6 +369,8 @@
   uint32_t m_trial_count = 0;
   std::map<Key, WorkPtr> m_work;
   std::unordered_map<Ticket, WorkPtr> m_by_ticket;
+  // The part of m_work that the instance executes.
+  RequestIndex<Key, WorkPtr> m_running;
   std::vector<IdleConnection> m_idle_connections;
   std::deque<std::pair<TimePoint, std::pair<Key, OutcomeMessage>>>
       m_retained_outcomes;
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -387,23 +387,12 @@
                        .m_load_report = CurrentLoad()});
 }
 
-template <PlatformCodec Codec>
-bool Egress<Codec>::IsParentOf(const Work& work, std::string_view request_id) {
-  const std::string& id = work.m_offer.m_request_id;
-  return work.m_phase == Phase::kRunning && !id.empty() &&
-         request_id.size() > id.size() && request_id[id.size()] == '.' &&
-         request_id.starts_with(id);
-}
-
 template <PlatformCodec Codec>
 std::optional<ParentRequest> Egress<Codec>::FindParent(
     std::string_view request_id) const {
   std::optional<ParentRequest> parent;
-  for (const auto& [key, work] : m_work) {
+  for (const auto& [key, work] : m_running.FindCaller(request_id)) {
     const OfferMessage& offer = work->m_offer;
-    if (!IsParentOf(*work, request_id)) {
-      continue;
-    }
     // Two attempts of one request may run here; either may have sent the call.
     const bool is_extra = parent && parent->m_is_extra_attempt;
     const bool had_served_call = parent && parent->m_has_served_call;
--- a/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
@@ -63,8 +63,8 @@
     return;
   }
   if (end.m_is_success) {
-    for (const auto& [key, work] : m_work) {
-      work->m_has_served_call |= IsParentOf(*work, end.m_request_id);
+    for (const auto& [key, work] : m_running.FindCaller(end.m_request_id)) {
+      work->m_has_served_call = true;
     }
   }
   if (end.m_route.empty()) {
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -20,6 +20,7 @@
   const Duration left = work->m_deadline - now;
   work->m_phase = Phase::kRunning;
   work->m_started_at = now;
+  m_running.Add(work->m_offer.m_request_id, work->m_key, work);
   if (IsQuarantined(*work)) {
     ++m_stats.m_quarantined;
     Complete(work,
@@ -328,6 +329,7 @@
   SetLargeBytes(*work, 0);
   m_work.erase(work->m_key);
   m_by_ticket.erase(work->m_ticket);
+  m_running.Remove(work->m_offer.m_request_id, work->m_key);
   CountDownstreamEnd(*work, BootNow());
   m_trial_count -= work->m_is_trial ? 1 : 0;
   work->m_is_trial = false;
--- a/libs/mesh/tests/egress_sharing_test.cc
+++ b/libs/mesh/tests/egress_sharing_test.cc
@@ -193,6 +193,26 @@
   EXPECT_EQ(HasServedCall("1.3"), true);
 }
 
+// Guards against a served call of a nested request that counts for the request
+// above it, or the other way round.
+TEST_F(MeshEgressSharingTest, NestedCallBelongsToTheNestedRequest) {
+  SetConfig(true);
+  KeepRequests();
+  OfferMessage outer = MakeEntry(1, "entry");
+  outer.m_request_id = "a";
+  outer.m_urgency = 2;
+  Send(outer);
+  OfferMessage inner = MakeCall(2);
+  inner.m_request_id = "a.b";
+  inner.m_urgency = 6;
+  Send(inner);
+  EndCall("a.b.1", CallResult::kServed, true);
+  EXPECT_EQ(HasServedCall("a.b.2"), true);
+  EXPECT_EQ(HasServedCall("a.c"), false);
+  EXPECT_EQ(m_egress.FindParent("a.b.2")->m_urgency, 6);
+  EXPECT_EQ(m_egress.FindParent("a.c")->m_urgency, 2);
+}
+
 // A request whose first call ended with a server error has no work of an
 // earlier call to lose.
 TEST_F(MeshEgressSharingTest, ServerErrorIsNoServedCall) {
--- a/libs/mesh/tests/egress_test.cc
+++ b/libs/mesh/tests/egress_test.cc
@@ -260,6 +260,37 @@
   EXPECT_FALSE(m_egress.FindParent("b.1"));
 }
 
+// Guards against a call that takes its properties from one of two attempts
+// only, or from an attempt that has ended.
+TEST_F(MeshEgressTest, AttemptsOfOneRequestAreCombinedWhileTheyRun) {
+  m_instance.m_behavior = [](const HttpRequest&, const StreamResponder&) {
+    return CancelHook();
+  };
+  OfferMessage retry = MakeOffer(1);
+  retry.m_request_id = "a.b";
+  retry.m_is_extra_attempt = true;
+  Send(retry);
+  OfferMessage first = MakeOffer(2);
+  first.m_request_id = "a.b";
+  Send(first);
+  ASSERT_TRUE(m_egress.FindParent("a.b.1"));
+  EXPECT_TRUE(m_egress.FindParent("a.b.1")->m_is_extra_attempt);
+  m_egress.OnWithdraw(kPeer, AttemptNumber(1));
+  ASSERT_TRUE(m_egress.FindParent("a.b.1"));
+  EXPECT_FALSE(m_egress.FindParent("a.b.1")->m_is_extra_attempt);
+  m_egress.OnWithdraw(kPeer, AttemptNumber(2));
+  EXPECT_FALSE(m_egress.FindParent("a.b.1"));
+}
+
+// Guards against offers that count as running before their start message.
+TEST_F(MeshEgressTest, RequestThatIsNotStartedMakesNoCalls) {
+  OfferMessage offer = MakeOffer(1, false);
+  offer.m_request_id = "a";
+  Send(offer);
+  ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kReady);
+  EXPECT_FALSE(m_egress.FindParent("a.1"));
+}
+
 TEST_F(MeshEgressTest, RefusesOffersForAnotherInstance) {
   OfferMessage offer = MakeOffer(1);
   offer.m_instance = "i-0";
