--- a/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
@@ -64,8 +64,8 @@
   }
   m_retry_budget.OnRecognizedCall(BootNow());
   if (end.m_is_success) {
-    for (const auto& [key, work] : m_work) {
-      work->m_has_served_call |= IsParentOf(*work, end.m_request_id);
+    for (const auto& [key, work] : m_running.FindCaller(end.m_request_id)) {
+      work->m_has_served_call = true;
     }
   }
   if (end.m_route.empty()) {
