sequoiactl accounts: effect of account limits over several nodes

The command reads the metrics of the given mesh nodes, 64 at a time with a timeout of 2 s each, sums them by account, and names nodes without a usable response on standard error. Calls one after the other were ruled out: each hanging node would add 2 s. Text that is truncated, damaged or holds a sample twice is rejected as a whole, since sums over the rest would be wrong. A partial result has exit code 0, as lists with unreachable nodes have; without any node it is 6.

--- a/apps/sequoiactl/admin_api.h
+++ b/apps/sequoiactl/admin_api.h
@@ -14,6 +14,8 @@
 /// JSON that preserves the order of members.
 using Json = nlohmann::ordered_json;
 
+inline constexpr int kHttpOk = 200;
+
 /// Response of a node's administration API.
 struct ApiResponse {
   /// HTTP status code, 0 when no complete response was received.
--- a/apps/sequoiactl/commands.cc
+++ b/apps/sequoiactl/commands.cc
@@ -9,12 +9,15 @@
 #include <charconv>
 #include <cstdlib>
 #include <iostream>
+#include <limits>
 #include <map>
 #include <random>
 #include <thread>
 
+#include "account_commands.h"
 #include "config_commands.h"
 #include "log_commands.h"
+#include "metrics_client.h"
 #include "node_api.h"
 #include "show_commands.h"
 
@@ -45,6 +48,7 @@
           absl::Seconds(30),
           "maximum time that config publish waits for all nodes");
 ABSL_FLAG(std::string, service, "", "instance list: only this service");
+ABSL_FLAG(bool, all, false, "accounts: all, not only the first 20");
 ABSL_FLAG(uint32_t,
           limit,
           100,
@@ -76,6 +80,9 @@
   audit                           changes, ejections and readmissions with
                                   author and reason, refused ones too
   status                          the node itself
+  accounts IP:PORT...             requests, rejections and tokens of accounts
+                                  with a limit, summed over mesh nodes; the
+                                  arguments are their metrics ports
   explain ID FILE...              cause of a request's outcome, from the logs
                                   of sequoiameshd (files of nodes, or collected)
   logs causes FILE...             number of requests by route and cause
@@ -118,7 +125,7 @@
 };
 
 constexpr char kWhitespace[] = " \t\r\n";
-constexpr size_t kUnlimited = 1000;
+constexpr size_t kUnlimited = std::numeric_limits<size_t>::max();
 
 ExitCode ReportUsageError(const std::string& error) {
   std::cerr << "error: " << error << "; see sequoiactl --help\n";
@@ -271,6 +278,19 @@
   return Show(*context.m_api, "/v1/status", View{}, context.m_output);
 }
 
+ExitCode RunAccounts(const CommandContext& context) {
+  std::string reason;
+  const auto nodes = ParseNodes(context.m_arguments, &reason);
+  if (!nodes) {
+    return ReportUsageError(reason);
+  }
+  return PrintAccounts(FetchMetrics(*nodes),
+                       absl::GetFlag(FLAGS_all)
+                           ? std::numeric_limits<size_t>::max()
+                           : kDefaultAccountCount,
+                       context.m_output);
+}
+
 ExitCode RunExplain(const CommandContext& context) {
   return ExplainFromLogs(
       context.m_arguments[0],
@@ -308,6 +328,7 @@
       {"outcome", 1, 1, RunOutcome},
       {"audit", 0, 0, RunAudit},
       {"status", 0, 0, RunStatus},
+      {"accounts", 1, kUnlimited, RunAccounts},
       {"explain", 2, kUnlimited, RunExplain},
       {"logs check", 1, kUnlimited, RunLogsCheck},
       {"logs causes", 1, kUnlimited, RunLogsCauses},
--- a/apps/sequoiactl/show_commands.cc
+++ b/apps/sequoiactl/show_commands.cc
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr int kHttpOk = 200;
-
 std::vector<Column> InstanceColumns() {
   return {{"INSTANCE", "instance"},
           {"SERVICE", "service"},
