Metrics of account limits: loans and limit of each account

The metrics gave tokens lent and borrowed only for the whole node, and no limit. They now have account_tokens_lent_total, account_tokens_borrowed_total and account_limit_per_second for the accounts that are reported, at most 20 as before. A coordinator lends for accounts whose requests arrive elsewhere, so such accounts take the places that accounts with requests leave free; counting them with the requests was ruled out, as 3,600 coordinated accounts would evict the counters of the 1,000 counted ones.

--- a/libs/mesh/include/sequoiastage/mesh/account_limiter.h
+++ b/libs/mesh/include/sequoiastage/mesh/account_limiter.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "sequoiastage/base/request_rate.h"
 #include "sequoiastage/config/traffic_config.h"
 #include "sequoiastage/limits/account_exchange.h"
 #include "sequoiastage/mesh/mesh_links.h"
@@ -43,6 +44,20 @@
   uint64_t m_spent = 0;
 };
 
+/// Tokens that this node, as a coordinator, lent to and borrowed from others.
+struct LoanTotals {
+  double m_lent = 0;
+  double m_borrowed = 0;
+};
+
+/// Counters and limit of one account for the metrics.
+struct AccountReport {
+  AccountUsage m_usage;
+  LoanTotals m_loans;
+  /// Limit over all nodes.
+  RequestRate m_limit;
+};
+
 struct AccountLimiterStats {
   uint64_t m_requests = 0;
   uint64_t m_refused = 0;
@@ -54,8 +69,9 @@
   uint64_t m_coordinator_changes = 0;
   /// Accounts with a bucket at this node.
   size_t m_buckets = 0;
-  /// Those with the most refusals, then those with the most requests.
-  std::vector<AccountUsage> m_usage;
+  /// Those with the most refusals, then those with the most requests, then
+  /// those with the most tokens lent and borrowed.
+  std::vector<AccountReport> m_accounts;
 };
 
 /// Enforces the rate limits of client accounts over all nodes: an
@@ -122,8 +138,10 @@
     Handler m_handler;
   };
 
-  struct LoanSum {
-    double m_tokens = 0;
+  struct Loans {
+    LoanTotals m_totals;
+    // Tokens since the last log line.
+    double m_unlogged = 0;
   };
 
   AccountExchange::Hooks MakeHooks();
@@ -132,6 +150,8 @@
   AccountUsage& UsageOf(AccountId account, const std::string& name);
   void Tick();
   void UpdateMembers(TimePoint now);
+  // Reports of the accounts that sent requests or moved tokens here.
+  std::vector<AccountReport> Reports() const;
 
   asio::io_context& m_io;
   NodeId m_self;
@@ -146,7 +166,7 @@
   uint64_t m_next_waiter = 1;
   std::unordered_map<TokenWaiterId, Waiter> m_waiters;
   std::unordered_map<AccountId, AccountUsage> m_usage;
-  std::unordered_map<AccountId, LoanSum> m_loans;
+  std::unordered_map<AccountId, Loans> m_loans;
   uint64_t m_requests = 0;
   uint64_t m_refused = 0;
   // Hash of the members in use, independent of their order.
--- a/libs/mesh/src/account_limiter.cc
+++ b/libs/mesh/src/account_limiter.cc
@@ -4,6 +4,7 @@
 #include <asio/post.hpp>
 #include <functional>
 #include <map>
+#include <tuple>
 #include <utility>
 
 #include "sequoiastage/base/boot_clock.h"
@@ -161,7 +162,9 @@
   if (limited == m_limited.end() || tokens <= 0) {
     return;
   }
-  double& sum = m_loans[account].m_tokens;
+  Loans& loans = m_loans[account];
+  (is_lent ? loans.m_totals.m_lent : loans.m_totals.m_borrowed) += tokens;
+  double& sum = loans.m_unlogged;
   sum += tokens;
   if (sum < m_options.m_loan_step) {
     return;
@@ -296,19 +299,40 @@
       .m_borrowed = m_exchange.Pool().Stats().m_borrowed,
       .m_coordinator_changes = m_exchange.Stats().m_coordinator_changes,
       .m_buckets = m_exchange.Pool().size()};
-  for (const auto& [id, usage] : m_usage) {
-    stats.m_usage.push_back(usage);
-  }
-  const size_t kept = std::min(m_options.m_max_reported, stats.m_usage.size());
-  std::partial_sort(stats.m_usage.begin(),
-                    stats.m_usage.begin() + static_cast<ptrdiff_t>(kept),
-                    stats.m_usage.end(),
-                    [](const AccountUsage& a, const AccountUsage& b) {
-                      return std::pair(a.m_refused, a.m_requests) >
-                             std::pair(b.m_refused, b.m_requests);
+  stats.m_accounts = Reports();
+  const size_t kept =
+      std::min(m_options.m_max_reported, stats.m_accounts.size());
+  const auto rank = [](const AccountReport& report) {
+    return std::tuple(report.m_usage.m_refused, report.m_usage.m_requests,
+                      report.m_loans.m_lent + report.m_loans.m_borrowed);
+  };
+  std::partial_sort(stats.m_accounts.begin(),
+                    stats.m_accounts.begin() + static_cast<ptrdiff_t>(kept),
+                    stats.m_accounts.end(),
+                    [&](const AccountReport& a, const AccountReport& b) {
+                      return rank(a) > rank(b);
                     });
-  stats.m_usage.resize(kept);
+  stats.m_accounts.resize(kept);
   return stats;
 }
 
+std::vector<AccountReport> AccountLimiter::Reports() const {
+  std::vector<AccountReport> reports;
+  for (const auto& [id, account] : m_limited) {
+    const auto usage = m_usage.find(id);
+    const auto loans = m_loans.find(id);
+    if (usage == m_usage.end() && loans == m_loans.end()) {
+      continue;
+    }
+    reports.push_back(
+        {.m_usage = usage == m_usage.end()
+                        ? AccountUsage{.m_account = account->m_name}
+                        : usage->second,
+         .m_loans =
+             loans == m_loans.end() ? LoanTotals{} : loans->second.m_totals,
+         .m_limit = account->m_limit->m_rate});
+  }
+  return reports;
+}
+
 }  // namespace sequoiastage
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -1,5 +1,6 @@
 #include "sequoiastage/mesh/node_metrics.h"
 
+#include <concepts>
 #include <utility>
 #include <vector>
 
@@ -49,6 +50,19 @@
     }
   }
 
+  // Adds one sample for each account; `value_of` returns its value.
+  template <std::invocable<const AccountReport&> ValueOf>
+  void AddByAccount(const std::string& name,
+                    const std::string& help,
+                    MetricType type,
+                    const std::vector<AccountReport>& accounts,
+                    const ValueOf& value_of) {
+    for (const AccountReport& account : accounts) {
+      AddSample(name, help, type, static_cast<double>(value_of(account)),
+                {{.m_name = "account", .m_value = account.m_usage.m_account}});
+    }
+  }
+
   void AddHistogram(const std::string& name,
                     const std::string& help,
                     std::vector<MetricSample> samples) {
@@ -98,24 +112,36 @@
                       limits.m_coordinator_changes);
   families.AddGauge("limit_buckets", "Accounts that this node coordinates.",
                     static_cast<double>(limits.m_buckets));
-  std::vector<std::pair<std::string, uint64_t>> requests;
-  std::vector<std::pair<std::string, uint64_t>> refused;
-  std::vector<std::pair<std::string, uint64_t>> spent;
-  for (const AccountUsage& usage : limits.m_usage) {
-    requests.emplace_back(usage.m_account, usage.m_requests);
-    refused.emplace_back(usage.m_account, usage.m_refused);
-    spent.emplace_back(usage.m_account, usage.m_spent);
-  }
-  families.AddLabelled("account_requests_total",
-                       "Requests of the accounts that were refused or sent "
-                       "most; starts again when an account is dropped.",
-                       MetricType::kCounter, "account", requests);
-  families.AddLabelled("account_refused_total",
-                       "Requests of these accounts over their limit.",
-                       MetricType::kCounter, "account", refused);
-  families.AddLabelled("account_tokens_spent_total",
-                       "Tokens that these accounts used.", MetricType::kCounter,
-                       "account", spent);
+  const std::vector<AccountReport>& accounts = limits.m_accounts;
+  families.AddByAccount(
+      "account_requests_total",
+      "Requests of the accounts that were refused or sent "
+      "most; starts again when an account is dropped.",
+      MetricType::kCounter, accounts,
+      [](const AccountReport& account) { return account.m_usage.m_requests; });
+  families.AddByAccount(
+      "account_refused_total", "Requests of these accounts over their limit.",
+      MetricType::kCounter, accounts,
+      [](const AccountReport& account) { return account.m_usage.m_refused; });
+  families.AddByAccount(
+      "account_tokens_spent_total", "Tokens that these accounts used.",
+      MetricType::kCounter, accounts,
+      [](const AccountReport& account) { return account.m_usage.m_spent; });
+  families.AddByAccount(
+      "account_tokens_lent_total",
+      "Tokens of these accounts that this node lent to other coordinators.",
+      MetricType::kCounter, accounts,
+      [](const AccountReport& account) { return account.m_loans.m_lent; });
+  families.AddByAccount(
+      "account_tokens_borrowed_total",
+      "Tokens of these accounts that this node borrowed from others.",
+      MetricType::kCounter, accounts,
+      [](const AccountReport& account) { return account.m_loans.m_borrowed; });
+  families.AddByAccount(
+      "account_limit_per_second",
+      "Limit of these accounts over all nodes, in requests per second.",
+      MetricType::kGauge, accounts,
+      [](const AccountReport& account) { return account.m_limit.Get(); });
 }
 
 }  // namespace
--- a/libs/mesh/tests/ingress_limit_test.cc
+++ b/libs/mesh/tests/ingress_limit_test.cc
@@ -35,6 +35,23 @@
         [=](const HttpResponse& r) { return r.m_status == status; }));
   }
 
+  // Another node asks `limiter` for a loan. Returns what it is lent.
+  static uint32_t Borrow(AccountLimiter& limiter,
+                         const std::string& account,
+                         uint32_t wanted_milli) {
+    uint32_t lent_milli = 0;
+    limiter.OnRequest(
+        {.m_node = NodeId(Endpoint{.m_ip = TestIp(2), .m_port = 7000}),
+         .m_incarnation = Incarnation(5)},
+        TokenLoanRequestMessage{.m_number = 1,
+                                .m_account = MakeAccountId(account),
+                                .m_wanted_milli = wanted_milli},
+        [&](const Message& reply) {
+          lent_milli = std::get<TokenLoanMessage>(reply).m_tokens_milli;
+        });
+    return lent_milli;
+  }
+
   bool WaitForResponses(size_t count) {
     return RunUntil(m_io, [=, this] { return m_responses.size() >= count; });
   }
@@ -75,11 +92,12 @@
   }
   EXPECT_EQ(m_ingress.Stats().m_over_limit, 6U);
   const AccountLimiterStats stats = m_limiter.Stats();
-  ASSERT_EQ(stats.m_usage.size(), 1U);
-  EXPECT_EQ(stats.m_usage[0].m_account, "ferries");
-  EXPECT_EQ(stats.m_usage[0].m_requests, 8U);
-  EXPECT_EQ(stats.m_usage[0].m_refused, 6U);
-  EXPECT_EQ(stats.m_usage[0].m_spent, 2U);
+  ASSERT_EQ(stats.m_accounts.size(), 1U);
+  const AccountUsage& usage = stats.m_accounts[0].m_usage;
+  EXPECT_EQ(usage.m_account, "ferries");
+  EXPECT_EQ(usage.m_requests, 8U);
+  EXPECT_EQ(usage.m_refused, 6U);
+  EXPECT_EQ(usage.m_spent, 2U);
 }
 
 // A request that finds no instance must not use up the limit of its account.
@@ -121,6 +139,81 @@
   EXPECT_EQ(m_limiter.Stats().m_requests, 0U);
 }
 
+// Guards against loans that are missing in the metrics, or counted in the wrong
+// direction.
+TEST_F(MeshIngressLimitTest, CountsLoansByAccount) {
+  AddSelf();
+  FakeEgressNode other(m_io, 2, 5);
+  MemberRecord record = other.Record();
+  record.m_region = "r2";
+  record.m_instance.clear();
+  m_targets.SetMember(record);
+  other.m_script = [](const Message& message, const MessageSink& sink) {
+    if (const auto* request = std::get_if<TokenLoanRequestMessage>(&message)) {
+      sink(TokenLoanMessage{.m_number = request->m_number,
+                            .m_account = request->m_account,
+                            .m_tokens_milli = request->m_wanted_milli});
+    }
+  };
+  SetConfigWithLimit({.m_rate = RequestRate(0.1), .m_burst = 4});
+  EXPECT_TRUE(m_limiter.Stats().m_accounts.empty());
+
+  EXPECT_EQ(Borrow(m_limiter, "ferries", 500), 500U);
+  // Reported without any request of the account at this node.
+  ASSERT_EQ(m_limiter.Stats().m_accounts.size(), 1U);
+  AccountReport report = m_limiter.Stats().m_accounts[0];
+  EXPECT_EQ(report.m_usage.m_account, "ferries");
+  EXPECT_EQ(report.m_usage.m_requests, 0U);
+  EXPECT_EQ(report.m_loans.m_lent, 0.5);
+  EXPECT_EQ(report.m_loans.m_borrowed, 0);
+  EXPECT_EQ(report.m_limit, RequestRate(0.1));
+
+  for (int i = 0; i < 4; ++i) {
+    SendLimited();
+  }
+  ASSERT_TRUE(RunUntil(m_io, [&] {
+    return m_limiter.Stats().m_accounts[0].m_loans.m_borrowed > 0;
+  }));
+  report = m_limiter.Stats().m_accounts[0];
+  EXPECT_EQ(report.m_usage.m_requests, 4U);
+  EXPECT_EQ(report.m_loans.m_lent, 0.5);
+  EXPECT_EQ(report.m_loans.m_borrowed, m_limiter.Stats().m_borrowed);
+}
+
+// The metrics must name the account over its limit, however many there are.
+TEST_F(MeshIngressLimitTest, ReportsTheMostRefusedAccountsFirst) {
+  AddSelf();
+  AccountLimiter limiter(m_io, m_self,
+                         {.m_quota = {.m_slack = 0},
+                          .m_is_first_start = true,
+                          .m_max_reported = 3},
+                         m_targets, m_links, [] { return true; });
+  TrafficConfig config;
+  for (const std::string name : {"idle", "small", "lender", "busy", "over"}) {
+    config.m_accounts.push_back(
+        {.m_name = name,
+         .m_limit = AccountLimit{.m_rate = RequestRate(0.1),
+                                 .m_burst = name == "over" ? 1.0 : 100.0}});
+  }
+  limiter.SetConfig(std::make_shared<const TrafficConfig>(config));
+  for (int i = 0; i < 8; ++i) {
+    limiter.Acquire(config.m_accounts[4], [](bool, Duration) {});
+  }
+  for (int i = 0; i < 20; ++i) {
+    limiter.Acquire(config.m_accounts[3], [](bool, Duration) {});
+  }
+  ASSERT_TRUE(RunUntil(m_io, [&] { return limiter.Stats().m_refused > 0; }));
+  EXPECT_EQ(Borrow(limiter, "small", 500), 500U);
+  EXPECT_EQ(Borrow(limiter, "lender", 2000), 2000U);
+  const AccountLimiterStats stats = limiter.Stats();
+  ASSERT_EQ(stats.m_accounts.size(), 3U);
+  EXPECT_EQ(stats.m_accounts[0].m_usage.m_account, "over");
+  EXPECT_GT(stats.m_accounts[0].m_usage.m_refused, 0U);
+  EXPECT_EQ(stats.m_accounts[1].m_usage.m_account, "busy");
+  EXPECT_EQ(stats.m_accounts[1].m_usage.m_refused, 0U);
+  EXPECT_EQ(stats.m_accounts[2].m_usage.m_account, "lender");
+}
+
 class SilentCoordinatorTest : public MeshIngressLimitTest {
  protected:
   SilentCoordinatorTest() : m_coordinator(m_io, CoordinatorHost(), 5) {
