--- a/apps/sequoiactl/account_summary.cc
+++ b/apps/sequoiactl/account_summary.cc
@@ -5,7 +5,6 @@
 #include <map>
 #include <string_view>
 #include <tuple>
-#include <utility>
 
 namespace sequoiastage {
 
@@ -52,11 +51,11 @@
   return found;
 }
 
-std::vector<AccountTotals> ToList(TotalsByAccount totals) {
+std::vector<AccountTotals> ToList(const TotalsByAccount& totals) {
   std::vector<AccountTotals> list;
   list.reserve(totals.size());
-  for (auto& [account, entry] : totals) {
-    list.push_back(std::move(entry));
+  for (const auto& [account, entry] : totals) {
+    list.push_back(entry);
   }
   return list;
 }
@@ -132,7 +131,7 @@
     *reason = "these are not the metrics of a mesh node";
     return std::nullopt;
   }
-  node.m_accounts = ToList(std::move(totals));
+  node.m_accounts = ToList(totals);
   return node;
 }
 
@@ -147,7 +146,7 @@
       sum.m_limits.insert(totals.m_limits.begin(), totals.m_limits.end());
     }
   }
-  std::vector<AccountTotals> list = ToList(std::move(sums));
+  std::vector<AccountTotals> list = ToList(sums);
   // Stable, so that equal accounts stay in the order of their names.
   std::stable_sort(list.begin(), list.end(),
                    [](const AccountTotals& a, const AccountTotals& b) {
--- a/apps/sequoiactl/metrics_text.cc
+++ b/apps/sequoiactl/metrics_text.cc
@@ -107,15 +107,12 @@
       if (Take('"')) {
         return true;
       }
-      if (!Take('\\')) {
-        *text += m_rest.front();
-      } else if (m_rest.starts_with('n')) {
-        *text += '\n';
-      } else if (m_rest.starts_with('"') || m_rest.starts_with('\\')) {
-        *text += m_rest.front();
-      } else {
+      const bool is_escaped = Take('\\');
+      const char c = m_rest.empty() ? '\0' : m_rest.front();
+      if (is_escaped && c != 'n' && c != '"' && c != '\\') {
         return false;
       }
+      *text += is_escaped && c == 'n' ? '\n' : c;
       m_rest.remove_prefix(1);
     }
     return false;
