--- a/libs/mesh/src/account_limiter.cc
+++ b/libs/mesh/src/account_limiter.cc
@@ -317,22 +317,29 @@
 }
 
 std::vector<AccountReport> AccountLimiter::Reports() const {
-  // Few of the accounts with a limit send requests at one node.
+  // Few of the accounts with a limit send requests at one node. The ingress may
+  // still use an earlier configuration, with accounts that have no limit now.
   std::vector<AccountReport> reports;
-  for (const auto& [id, usage] : m_usage) {
-    const auto loans = m_loans.find(id);
-    reports.push_back({.m_usage = usage,
-                       .m_loans = loans == m_loans.end()
-                                      ? LoanTotals{}
-                                      : loans->second.m_totals,
-                       .m_limit = m_limited.at(id)->m_limit->m_rate});
-  }
+  const auto add = [&](AccountId id, const LoanTotals& loans) {
+    const auto limited = m_limited.find(id);
+    if (limited == m_limited.end()) {
+      return;
+    }
+    const ClientAccount& account = *limited->second;
+    const auto usage = m_usage.find(id);
+    reports.push_back(
+        {.m_usage = usage == m_usage.end()
+                        ? AccountUsage{.m_account = account.m_name}
+                        : usage->second,
+         .m_loans = loans,
+         .m_limit = account.m_limit->m_rate});
+  };
   for (const auto& [id, loans] : m_loans) {
-    if (!m_usage.contains(id)) {
-      const ClientAccount& account = *m_limited.at(id);
-      reports.push_back({.m_usage = {.m_account = account.m_name},
-                         .m_loans = loans.m_totals,
-                         .m_limit = account.m_limit->m_rate});
+    add(id, loans.m_totals);
+  }
+  for (const auto& [id, usage] : m_usage) {
+    if (!m_loans.contains(id)) {
+      add(id, {});
     }
   }
   return reports;
