Retry budget: findings of the review

Change, only where load is managed: - After a restart 0.2 of the slack (was half) and 0.65 of the budget. - Extra attempts are counted over 11 buckets of a second. - Only calls that were granted, or that the allowance had no room for, reserve. - SetManagesLoad() replaces SetSharesByAccount() and clears what it gates. Tests: FirstCallsLeaveWhatLaterCallsAskFor now refuses the later calls first; budget properties at any phase of the buckets, in bursts, through restarts; what is given back on two more paths, and that a started retry is not.

Tried, not taken: 0.9 of the budget and one standard deviation less of the first attempts. The property that led to both stopped its first attempts before the window of the last retries had ended; with that mended 0.85 passes without.

--- a/libs/limits/include/sequoiastage/limits/retry_allowance.h
+++ b/libs/limits/include/sequoiastage/limits/retry_allowance.h
@@ -23,9 +23,12 @@
   /// and those downstream calls of retried requests that can't be recognised by
   /// their ids.
   double m_used_share = 0.65;
-  /// The same while calls are recognized by their ids, so that those of retried
-  /// requests draw on the allowance too. The rest covers windows that begin
-  /// between two buckets, and nodes that know fewer instances than there are.
+  /// The same while load is managed and calls are recognized by their ids, so
+  /// that those of retried requests draw on the allowance too. The rest covers
+  /// unevenly distributed load, nodes that know fewer instances than there are,
+  /// and attempts that arrive after they were granted. Ids of calls are made in
+  /// one way by all instances of a platform, so one recognized call shows that
+  /// all can be recognized.
   double m_used_share_with_calls = 0.85;
   /// Share of the usable allowance that is available to new requests less
   /// urgent than another one.
@@ -74,11 +77,11 @@
 /// the budget, add load, and leave nothing for retries after failures;
 /// therefore they are limited to a small share of the budget.
 ///
-/// Load pattern: one client account retries far more than the others. With
-/// SetSharesByAccount(), each account that asks gets an equal part of the
-/// budget first, and more only while the others leave some of theirs. Calls of
-/// running requests, whose failure ends the run that makes them, may use the
-/// whole budget.
+/// Load pattern: one client account retries far more than the others. While
+/// load is managed, each account that asks gets an equal part of the budget
+/// first, and more only while the others leave some of theirs. New requests
+/// reserve nothing against calls of running requests, whose failure ends the
+/// run that makes them.
 ///
 /// Load pattern: a called service refuses half of its requests at random, and
 /// requests make several calls, one after the other. A retry of the last call
@@ -87,8 +90,8 @@
 /// for.
 ///
 /// Load pattern: few requests fail, those of many accounts, and some of their
-/// calls are retried. The budget has room for all of them, so neither
-/// precedence nor the parts of the accounts may refuse any.
+/// calls are retried. What fits into 0.8 of the budget is not refused because
+/// of precedence or the parts of the accounts.
 class RetryAllowance {
  public:
   explicit RetryAllowance(const RetryAllowanceOptions& options = {})
@@ -99,9 +102,10 @@
   void SetInstances(uint32_t instances) { m_instances = instances; }
 
   /// Call at the start of a process that may replace an earlier one. Retries of
-  /// that one in the current window are unknown, so within it at most half of
-  /// the slack becomes available, in proportion to the time that has passed.
-  /// Any number of restarts then stays within the budget.
+  /// that one in the current window are unknown, so within it only a part of
+  /// the slack becomes available, in proportion to the time that has passed:
+  /// half of it, or 0.15 while load is managed, when the former process may
+  /// have used 0.9. Any number of restarts then stays within the budget.
   void OnRestart(TimePoint now) { m_restarted_at = now; }
 
   /// Records the first attempt of a request. `is_call`: sent by a running
@@ -125,18 +129,23 @@
   /// with `m_is_call` counts as well.
   void OnRecognizedCall(TimePoint now) { m_recognized_call_at = now; }
 
-  /// Whether the accounts share the allowance. Initially they don't.
-  void SetSharesByAccount(bool shares) { m_shares_by_account = shares; }
+  /// Whether load is managed: accounts share the allowance, and more of it is
+  /// used while calls are recognized. Initially it isn't.
+  void SetManagesLoad(bool manages);
 
   /// Number of accounts whose retries are counted.
   size_t AccountCount() const { return m_accounts.size(); }
 
  private:
-  static constexpr size_t kBuckets = 10;
+  // Buckets of a window, and one more: a window that begins within a bucket
+  // ends within the tenth one after it.
+  static constexpr size_t kWindowBuckets = 10;
+  static constexpr size_t kBuckets = kWindowBuckets + 1;
   // Lower urgencies count as the last one.
   static constexpr size_t kUrgencies = 8;
 
-  // Extra attempts that calls of one urgency asked for and were granted.
+  // Extra attempts of calls of one urgency: those that were granted, and with
+  // them those that the allowance had no room for.
   struct CallUse {
     uint32_t m_asked = 0;
     uint32_t m_granted = 0;
@@ -174,7 +183,10 @@
   double AvailableToNewRequest(const Bucket& window,
                                double usable,
                                const ExtraAttemptRequest& request) const;
-  // Records that the account asks. Null when it isn't counted.
+  // Counts a request that the allowance has no room for.
+  void RecordAsk(TimePoint now, const ExtraAttemptRequest& request);
+  // Records that the account asks. Null when it isn't counted, or accounts
+  // don't share.
   AccountUse* FindAccount(TimePoint now, const ExtraAttemptRequest& request);
   // Whether an account may use another retry: of its equal part, or of what is
   // left of the others' parts. `is_call`: among accounts whose calls ask.
@@ -188,7 +200,7 @@
   double Usable(const Bucket& window, TimePoint now) const;
 
   RetryAllowanceOptions m_options;
-  bool m_shares_by_account = false;
+  bool m_manages_load = false;
   std::unordered_map<AccountId, AccountUse> m_accounts;
   uint32_t m_instances = 1;
   std::optional<TimePoint> m_restarted_at;
--- a/libs/limits/src/retry_allowance.cc
+++ b/libs/limits/src/retry_allowance.cc
@@ -7,7 +7,8 @@
 
 namespace {
 
-// A service that makes or serves calls has seen one within this time.
+// A configuration with another form of ids is noticed after this time. Longer
+// than the intervals at which a service with few requests is called.
 constexpr Duration kRecognitionPeriod = std::chrono::minutes(1);
 
 }  // namespace
@@ -34,34 +35,46 @@
                                 const ExtraAttemptRequest& request) {
   const size_t level = LevelOf(request.m_urgency);
   if (request.m_is_call) {
-    ++BucketAt(now).m_calls[level].m_asked;
     OnRecognizedCall(now);
   }
-  AccountUse* const account =
-      m_shares_by_account ? FindAccount(now, request) : nullptr;
   const Bucket sum = SumWindow(now);
   const double usable = Usable(sum, now);
   const double used = sum.m_extra_attempts;
-  if (request.m_is_call) {
-    if (used + 1 > usable || !HasRoomForCall(sum, usable, level)) {
-      return false;
-    }
-  } else if (used + 1 > AvailableToNewRequest(sum, usable, request)) {
+  if (used + 1 > usable) {
+    RecordAsk(now, request);
     return false;
   }
+  // An ask that is refused for its urgency reserves nothing against others.
+  if (request.m_is_call
+          ? !HasRoomForCall(sum, usable, level)
+          : used + 1 > AvailableToNewRequest(sum, usable, request)) {
+    return false;
+  }
+  AccountUse* const account = FindAccount(now, request);
   if (account != nullptr &&
       !MayUse(*account, usable, used, request.m_is_call, now)) {
     return false;
   }
   Bucket& bucket = BucketAt(now);
   ++bucket.m_extra_attempts;
-  bucket.m_calls[level].m_granted += request.m_is_call ? 1 : 0;
+  if (request.m_is_call) {
+    ++bucket.m_calls[level].m_asked;
+    ++bucket.m_calls[level].m_granted;
+  }
   if (account != nullptr) {
     account->m_used += 1;
   }
   return true;
 }
 
+void RetryAllowance::RecordAsk(TimePoint now,
+                               const ExtraAttemptRequest& request) {
+  if (request.m_is_call) {
+    ++BucketAt(now).m_calls[LevelOf(request.m_urgency)].m_asked;
+  }
+  FindAccount(now, request);
+}
+
 void RetryAllowance::Return(TimePoint granted_at,
                             const ExtraAttemptRequest& request) {
   Bucket& bucket =
@@ -70,7 +83,10 @@
       bucket.m_extra_attempts > 0) {
     --bucket.m_extra_attempts;
     CallUse& use = bucket.m_calls[LevelOf(request.m_urgency)];
-    use.m_granted -= request.m_is_call && use.m_granted > 0 ? 1 : 0;
+    if (request.m_is_call && use.m_granted > 0) {
+      --use.m_granted;
+      --use.m_asked;
+    }
   }
   const auto account = m_accounts.find(request.m_account);
   if (account != m_accounts.end() &&
@@ -108,6 +124,9 @@
 RetryAllowance::AccountUse* RetryAllowance::FindAccount(
     TimePoint now,
     const ExtraAttemptRequest& request) {
+  if (!m_manages_load) {
+    return nullptr;
+  }
   if (!m_accounts.contains(request.m_account) &&
       m_accounts.size() >= m_options.m_max_accounts) {
     std::erase_if(m_accounts, [&](const auto& item) {
@@ -162,8 +181,11 @@
 }
 
 double RetryAllowance::Usable(const Bucket& window, TimePoint now) const {
+  const bool has_restarted =
+      m_restarted_at && now - *m_restarted_at < m_options.m_window;
   const bool recognizes_calls =
-      m_recognized_call_at && now - *m_recognized_call_at < kRecognitionPeriod;
+      m_manages_load && !has_restarted && m_recognized_call_at &&
+      now - *m_recognized_call_at < kRecognitionPeriod;
   const double share =
       recognizes_calls
           ? std::max(m_options.m_used_share, m_options.m_used_share_with_calls)
@@ -180,18 +202,26 @@
   if (!m_restarted_at || now - *m_restarted_at >= m_options.m_window) {
     return share;
   }
-  constexpr double kShareAfterRestart = 0.5;
-  return share * kShareAfterRestart *
+  const double share_after_restart = m_manages_load ? 0.2 : 0.5;
+  return share * share_after_restart *
          std::chrono::duration<double>(now - *m_restarted_at) /
          std::chrono::duration<double>(m_options.m_window);
 }
 
+void RetryAllowance::SetManagesLoad(bool manages) {
+  m_manages_load = manages;
+  if (!manages) {
+    m_recognized_call_at.reset();
+    m_accounts.clear();
+  }
+}
+
 size_t RetryAllowance::LevelOf(uint8_t urgency) {
   return std::min<size_t>(urgency, kUrgencies - 1);
 }
 
 int64_t RetryAllowance::BucketIndex(TimePoint now) const {
-  return now.time_since_epoch() / (m_options.m_window / kBuckets);
+  return now.time_since_epoch() / (m_options.m_window / kWindowBuckets);
 }
 
 RetryAllowance::Bucket& RetryAllowance::BucketAt(TimePoint now) {
@@ -207,15 +237,22 @@
   const int64_t index = BucketIndex(now);
   Bucket sum;
   for (const Bucket& bucket : m_buckets) {
-    if (bucket.m_index > index - static_cast<int64_t>(kBuckets) &&
-        bucket.m_index <= index) {
-      sum.m_first_attempts += bucket.m_first_attempts;
+    const int64_t age = index - bucket.m_index;
+    if (bucket.m_index < 0 || age < 0 || age > int64_t{kWindowBuckets}) {
+      continue;
+    }
+    const bool is_within = age < int64_t{kWindowBuckets};
+    if (is_within || m_manages_load) {
       sum.m_extra_attempts += bucket.m_extra_attempts;
-      sum.m_urgency = std::min(sum.m_urgency, bucket.m_urgency);
-      for (size_t i = 0; i < kUrgencies; ++i) {
-        sum.m_calls[i].m_asked += bucket.m_calls[i].m_asked;
-        sum.m_calls[i].m_granted += bucket.m_calls[i].m_granted;
-      }
+    }
+    if (!is_within) {
+      continue;
+    }
+    sum.m_first_attempts += bucket.m_first_attempts;
+    sum.m_urgency = std::min(sum.m_urgency, bucket.m_urgency);
+    for (size_t i = 0; i < kUrgencies; ++i) {
+      sum.m_calls[i].m_asked += bucket.m_calls[i].m_asked;
+      sum.m_calls[i].m_granted += bucket.m_calls[i].m_granted;
     }
   }
   return sum;
--- a/libs/limits/tests/retry_account_test.cc
+++ b/libs/limits/tests/retry_account_test.cc
@@ -11,7 +11,7 @@
 
 RetryAllowance MakeAllowance() {
   RetryAllowance allowance({.m_service_slack = 40, .m_used_share = 1});
-  allowance.SetSharesByAccount(true);
+  allowance.SetManagesLoad(true);
   return allowance;
 }
 
@@ -61,7 +61,7 @@
 }
 
 // The calls of a few large accounts fail more often than those of many small
-// ones. None may be refused while the allowance has room for all of them.
+// ones. What fits into 0.8 of the allowance must not be refused.
 TEST(RetryAccountTest, UnevenAccountsAreNotRefusedWhileThereIsRoom) {
   RetryAllowance allowance = MakeAllowance();
   TimePoint now = kNow;
@@ -92,6 +92,38 @@
   EXPECT_EQ(used, 40);
 }
 
+// A call that is refused for its account must not reserve budget against the
+// calls of other accounts: nobody could use it then.
+TEST(RetryAccountTest, AccountOverItsPartReservesNothing) {
+  RetryAllowance allowance = MakeAllowance();
+  constexpr ExtraAttemptRequest kUrgent{.m_is_call = true,
+                                        .m_account = AccountId(1)};
+  constexpr ExtraAttemptRequest kOther{
+      .m_urgency = 3, .m_is_call = true, .m_account = AccountId(2)};
+  EXPECT_TRUE(allowance.TryAcquire(kNow, kOther));
+  int urgent = 0;
+  for (int i = 0; i < 100; ++i) {
+    urgent += allowance.TryAcquire(kNow, kUrgent) ? 1 : 0;
+  }
+  EXPECT_EQ(urgent, 20);
+  EXPECT_EQ(AcquireAll(allowance, kOther), 19);
+}
+
+// Offers of one call that find no place in the queue are made again and again.
+TEST(RetryAccountTest, ReturnedCallsReserveNothing) {
+  RetryAllowance allowance = MakeAllowance();
+  constexpr ExtraAttemptRequest kUrgent{.m_is_call = true,
+                                        .m_account = AccountId(1)};
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_TRUE(allowance.TryAcquire(kNow, kUrgent));
+    allowance.Return(kNow, kUrgent);
+  }
+  EXPECT_EQ(AcquireAll(
+                allowance,
+                {.m_urgency = 3, .m_is_call = true, .m_account = AccountId(1)}),
+            40);
+}
+
 // A refused call ends the run that makes it. New work that is more urgent must
 // not reserve a part of the budget against calls.
 TEST(RetryAccountTest, CallsMayUseTheWholeAllowance) {
--- a/libs/limits/tests/retry_allowance_test.cc
+++ b/libs/limits/tests/retry_allowance_test.cc
@@ -101,37 +101,51 @@
   RC_ASSERT(ExcessOverBudget(options, first_attempts, retries) <= 0);
 }
 
-// The same while calls are recognized, so that more of the budget is used.
+// The same while load is managed and calls are recognized, so that more of the
+// budget is used: at any phase of the buckets, and with several retries for
+// each request.
 RC_GTEST_PROP(RetryAllowanceTest, FleetStaysWithinItsBudgetWithCalls, ()) {
   constexpr uint32_t kInstances = 12;
   const RetryAllowanceOptions options;
   std::vector<RetryAllowance> fleet(kInstances, RetryAllowance(options));
   for (RetryAllowance& allowance : fleet) {
     allowance.SetInstances(kInstances);
-    allowance.SetSharesByAccount(true);
+    allowance.SetManagesLoad(true);
   }
+  std::mt19937_64 random(*rc::gen::arbitrary<uint64_t>());
+  const auto draw = [&random](size_t end) {
+    return std::uniform_int_distribution<size_t>(0, end - 1)(random);
+  };
+  const milliseconds gap(*rc::gen::inRange(5, 100));
+  const milliseconds phase(*rc::gen::inRange(0, 1000));
+  // Retries come in bursts, with pauses between them.
+  const milliseconds burst(*rc::gen::inRange(100, 9000));
   std::vector<TimePoint> first_attempts;
   std::vector<TimePoint> retries;
-  const auto gap = *rc::gen::inRange(2, 50);
-  for (TimePoint now(seconds(50)); now < TimePoint(seconds(80));
-       now += milliseconds(gap)) {
-    const bool is_call = *rc::gen::arbitrary<bool>();
-    const auto urgency = *rc::gen::inRange<uint8_t>(0, 10);
-    fleet[*rc::gen::inRange<size_t>(0, kInstances)].OnFirstAttempt(now, urgency,
-                                                                   is_call);
+  const TimePoint begin = TimePoint(seconds(50)) + phase;
+  // First attempts go on until the window of the last retry has ended.
+  const TimePoint last_retry = begin + seconds(30);
+  for (TimePoint now = begin; now < last_retry + seconds(10); now += gap) {
+    const bool is_call = draw(2) == 0;
+    const auto urgency = static_cast<uint8_t>(draw(10));
+    fleet[draw(kInstances)].OnFirstAttempt(now, urgency, is_call);
     first_attempts.push_back(now);
-    RetryAllowance& allowance = fleet[*rc::gen::inRange<size_t>(0, kInstances)];
-    const ExtraAttemptRequest request{
-        .m_urgency = urgency,
-        .m_is_call = is_call,
-        .m_account = AccountId(*rc::gen::inRange<uint64_t>(0, 5))};
-    if (!allowance.TryAcquire(now, request)) {
+    if (now >= last_retry || (now - begin) / burst % 2 == 1) {
       continue;
     }
-    if (*rc::gen::inRange(0, 4) == 0) {
-      allowance.Return(now, request);
-    } else {
-      retries.push_back(now);
+    for (size_t i = draw(20); i > 0; --i) {
+      RetryAllowance& allowance = fleet[draw(kInstances)];
+      const ExtraAttemptRequest request{.m_urgency = urgency,
+                                        .m_is_call = is_call,
+                                        .m_account = AccountId(draw(5))};
+      if (!allowance.TryAcquire(now, request)) {
+        continue;
+      }
+      if (draw(4) == 0) {
+        allowance.Return(now, request);
+      } else {
+        retries.push_back(now);
+      }
     }
   }
   RC_ASSERT(ExcessOverBudget(options, first_attempts, retries) <= 0);
@@ -147,7 +161,10 @@
 // All instances of a service fail, every request is retried, and all processes
 // are killed `restarts` times. Returns the largest excess over the budget in
 // any window of 10 s.
-double ExcessAfterRestarts(int restarts, bool is_restart_known, uint64_t seed) {
+double ExcessAfterRestarts(int restarts,
+                           bool is_restart_known,
+                           uint64_t seed,
+                           bool manages_load = false) {
   constexpr uint32_t kInstances = 12;
   constexpr TimePoint kBegin(seconds(50));
   std::mt19937_64 random(seed);
@@ -157,6 +174,7 @@
     fleet.assign(kInstances, RetryAllowance(options));
     for (RetryAllowance& allowance : fleet) {
       allowance.SetInstances(kInstances);
+      allowance.SetManagesLoad(manages_load);
       if (is_restart_known && now > kBegin) {
         allowance.OnRestart(now);
       }
@@ -181,11 +199,11 @@
       restart(now);
       ++restarted;
     }
-    fleet[draw_instance(random)].OnFirstAttempt(now);
+    fleet[draw_instance(random)].OnFirstAttempt(now, 0, manages_load);
     first_attempts.push_back(now);
     // Each of several callers finds an instance that has retries left.
     for (RetryAllowance& allowance : fleet) {
-      if (allowance.TryAcquire(now)) {
+      if (allowance.TryAcquire(now, {.m_is_call = manages_load})) {
         retries.push_back(now);
       }
     }
@@ -201,6 +219,16 @@
   RC_ASSERT(ExcessAfterRestarts(restarts, true, seed) <= 0);
 }
 
+// Processes that used more of the budget, as calls are recognized, are
+// replaced.
+RC_GTEST_PROP(RetryAllowanceTest,
+              FleetStaysWithinItsBudgetThroughRestartsWithCalls,
+              ()) {
+  const int restarts = *rc::gen::inRange(0, 5);
+  const auto seed = *rc::gen::arbitrary<uint64_t>();
+  RC_ASSERT(ExcessAfterRestarts(restarts, true, seed, true) <= 0);
+}
+
 // Without OnRestart(), each process starts with the whole slack.
 TEST(RetryAllowanceTest, ForgottenRetriesExceedTheBudget) {
   EXPECT_GT(ExcessAfterRestarts(3, false, 1), 0);
@@ -220,6 +248,7 @@
          {&m_called, &m_calling[0], &m_calling[1]}) {
       for (RetryAllowance& allowance : *service) {
         allowance.SetInstances(kInstances);
+        allowance.SetManagesLoad(recognizes_calls);
       }
     }
   }
@@ -307,10 +336,14 @@
   };
   const TimePoint now(seconds(50));
   RetryAllowance allowance({.m_service_slack = 100});
+  allowance.SetManagesLoad(true);
   EXPECT_EQ(count(allowance, now), 65);
   allowance.OnRecognizedCall(now + seconds(20));
   EXPECT_EQ(count(allowance, now + seconds(20)), 85);
   EXPECT_EQ(count(allowance, now + seconds(100)), 65);
+  allowance.OnRecognizedCall(now + seconds(120));
+  allowance.SetManagesLoad(false);
+  EXPECT_EQ(count(allowance, now + seconds(120)), 65);
 }
 
 TEST(RetryAllowanceTest, UnaccountedCallsOfRetriesExceedTheBudget) {
--- a/libs/limits/tests/retry_call_test.cc
+++ b/libs/limits/tests/retry_call_test.cc
@@ -125,14 +125,20 @@
   return excess;
 }
 
-int AcquireAll(RetryAllowance& allowance, const ExtraAttemptRequest& request) {
+int AcquireAll(RetryAllowance& allowance,
+               TimePoint now,
+               const ExtraAttemptRequest& request) {
   int count = 0;
-  while (allowance.TryAcquire(kNow, request)) {
+  while (allowance.TryAcquire(now, request)) {
     ++count;
   }
   return count;
 }
 
+int AcquireAll(RetryAllowance& allowance, const ExtraAttemptRequest& request) {
+  return AcquireAll(allowance, kNow, request);
+}
+
 constexpr ExtraAttemptRequest kFirstCall{.m_urgency = kFirstCallUrgency,
                                          .m_is_call = true};
 constexpr ExtraAttemptRequest kLaterCall{.m_is_call = true};
@@ -176,25 +182,26 @@
   EXPECT_EQ(AcquireAll(allowance, kFirstCall), 40);
 }
 
-// First calls must leave to later calls what these ask for, and only for the
-// window. A fixed reserve refused first calls that the allowance had room for.
+// First calls must leave to later calls what these asked for within the window,
+// and no more. A fixed reserve refused first calls that the allowance had room
+// for.
 TEST(RetryCallTest, FirstCallsLeaveWhatLaterCallsAskFor) {
-  for (const int later_calls : {1, 16, 30, 40}) {
+  for (const int later_calls : {0, 1, 16, 30, 40}) {
     RetryAllowance allowance({.m_service_slack = 40, .m_used_share = 1});
+    EXPECT_EQ(AcquireAll(allowance, kNow, kFirstCall), 40);
     for (int i = 0; i < later_calls; ++i) {
-      EXPECT_TRUE(allowance.TryAcquire(kNow, kLaterCall));
-    }
-    EXPECT_EQ(AcquireAll(allowance, kFirstCall), 40 - later_calls);
-    int count = 0;
-    while (allowance.TryAcquire(kNow + seconds(11), kFirstCall)) {
-      ++count;
+      EXPECT_FALSE(allowance.TryAcquire(kNow + seconds(5), kLaterCall));
     }
-    EXPECT_EQ(count, 40);
+    // The retries of kNow have left the window.
+    const TimePoint free = kNow + seconds(10);
+    EXPECT_EQ(AcquireAll(allowance, free, kFirstCall), 40 - later_calls);
+    EXPECT_EQ(AcquireAll(allowance, free, kLaterCall), later_calls);
+    EXPECT_EQ(AcquireAll(allowance, kNow + seconds(21), kFirstCall), 40);
   }
 }
 
 // First calls ask for far more retries than there are, later calls for half of
-// them: the later ones get theirs in every window but the first.
+// them: the later ones get nearly all of theirs after the first window.
 TEST(RetryCallTest, LaterCallsGetTheirRetriesInASteadyState) {
   RetryAllowance allowance({.m_service_slack = 40, .m_used_share = 1});
   int asked = 0;
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -307,11 +307,11 @@
   // Reason of an attempt that ended with the crash of the instance.
   AttemptReason CrashReason(const Work& work) const;
   static RequestFingerprint FingerprintOf(const Work& work);
-  // Whether the instance and the byte budget have room for the body of an
-  // offer.
   static ExtraAttemptRequest ExtraAttemptOf(const OfferMessage& offer);
   // Gives back the retry of work that did not reach the instance.
   void ReturnRetry(Work& work);
+  // Whether the instance and the byte budget have room for the body of an
+  // offer.
   bool HasRoomFor(const OfferMessage& offer);
   // Bytes of the large requests that the instance is executing.
   size_t RunningLargeBytes() const;
--- a/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_sharing_inl.h
@@ -17,7 +17,7 @@
 void Egress<Codec>::SetManagesLoad(bool manages) {
   m_manages_load = manages;
   m_gate.SetProtectsAccounts(manages);
-  m_retry_budget.SetSharesByAccount(manages);
+  m_retry_budget.SetManagesLoad(manages);
   if (!manages) {
     m_downstream.Reset();
   }
--- a/libs/mesh/tests/egress_sharing_test.cc
+++ b/libs/mesh/tests/egress_sharing_test.cc
@@ -184,6 +184,43 @@
   EXPECT_EQ(count_queued(), granted);
 }
 
+// A call that finds no place in the queue before its deadline is offered again
+// and again.
+TEST_F(MeshEgressSharingTest, RetryWithoutAPlaceInTheQueueIsGivenBack) {
+  SetConfig(true);
+  KeepRequests();
+  for (const uint64_t number : {1, 2, 3}) {
+    Send(MakeCall(number));
+  }
+  for (uint64_t number = 4; number < 204; ++number) {
+    OfferMessage retry = MakeCall(number);
+    retry.m_is_extra_attempt = true;
+    retry.m_time_left_ms = 10;
+    Send(std::move(retry));
+    ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kRefused);
+    ASSERT_EQ(m_replies.back().m_reason, AttemptReason::kBusy) << number;
+  }
+}
+
+// A retry that was sent to the instance counts, whatever becomes of it.
+TEST_F(MeshEgressSharingTest, StartedRetryIsNotGivenBack) {
+  SetConfig(true);
+  KeepRequests();
+  uint64_t number = 1;
+  for (; number < 200; ++number) {
+    OfferMessage retry = MakeCall(number);
+    retry.m_is_extra_attempt = true;
+    Send(std::move(retry));
+    if (m_replies.back().m_verdict == OfferVerdict::kRefused) {
+      break;
+    }
+    ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kStarted);
+    m_egress.OnWithdraw(kPeer, AttemptNumber(number));
+  }
+  EXPECT_LT(number, 200U);
+  EXPECT_EQ(m_replies.back().m_reason, AttemptReason::kRetryBudget);
+}
+
 TEST_F(MeshEgressSharingTest, ParentTellsItsRoute) {
   SetConfig(true);
   KeepRequests();
