--- a/libs/limits/include/sequoiastage/limits/retry_allowance.h
+++ b/libs/limits/include/sequoiastage/limits/retry_allowance.h
@@ -20,7 +20,7 @@
   double m_service_slack = 60;
   Duration m_window = std::chrono::seconds(10);
   /// Usable share of the allowance. The rest covers unevenly distributed load
-  /// and those downstream calls of retried requests that can't be recognised by
+  /// and those downstream calls of retried requests that can't be recognized by
   /// their ids.
   double m_used_share = 0.65;
   /// The same while load is managed and calls are recognized by their ids, so
@@ -104,8 +104,8 @@
   /// Call at the start of a process that may replace an earlier one. Retries of
   /// that one in the current window are unknown, so within it only a part of
   /// the slack becomes available, in proportion to the time that has passed:
-  /// half of it, or 0.15 while load is managed, when the former process may
-  /// have used 0.9. Any number of restarts then stays within the budget.
+  /// half of it, or a fifth while load is managed. Any number of restarts then
+  /// stays within the budget.
   void OnRestart(TimePoint now) { m_restarted_at = now; }
 
   /// Records the first attempt of a request. `is_call`: sent by a running
@@ -144,9 +144,9 @@
   // Lower urgencies count as the last one.
   static constexpr size_t kUrgencies = 8;
 
-  // Extra attempts of calls of one urgency: those that were granted, and with
-  // them those that the allowance had no room for.
+  // Extra attempts of calls of one urgency.
   struct CallUse {
+    // Those granted, and those that the allowance had no room for.
     uint32_t m_asked = 0;
     uint32_t m_granted = 0;
   };
--- a/libs/limits/src/retry_allowance.cc
+++ b/libs/limits/src/retry_allowance.cc
@@ -11,6 +11,12 @@
 // than the intervals at which a service with few requests is called.
 constexpr Duration kRecognitionPeriod = std::chrono::minutes(1);
 
+// Parts of the slack that a restarted process has in its first window. With the
+// part that the former one may have used they stay below the whole: 0.65 and
+// 0.5 times 0.65, or 0.85 and 0.2 times 0.65 while load is managed.
+constexpr double kSlackAfterRestart = 0.5;
+constexpr double kManagedSlackAfterRestart = 0.2;
+
 }  // namespace
 
 void RetryAllowance::OnFirstAttempt(TimePoint now,
@@ -202,9 +208,9 @@
   if (!m_restarted_at || now - *m_restarted_at >= m_options.m_window) {
     return share;
   }
-  const double share_after_restart = m_manages_load ? 0.2 : 0.5;
-  return share * share_after_restart *
-         std::chrono::duration<double>(now - *m_restarted_at) /
+  const double part =
+      m_manages_load ? kManagedSlackAfterRestart : kSlackAfterRestart;
+  return share * part * std::chrono::duration<double>(now - *m_restarted_at) /
          std::chrono::duration<double>(m_options.m_window);
 }
 
