--- a/apps/sequoiactl/commands.cc
+++ b/apps/sequoiactl/commands.cc
@@ -284,11 +284,10 @@
   if (!nodes) {
     return ReportUsageError(reason);
   }
-  return PrintAccounts(FetchMetrics(*nodes),
-                       absl::GetFlag(FLAGS_all)
-                           ? std::numeric_limits<size_t>::max()
-                           : kDefaultAccountCount,
-                       context.m_output);
+  return PrintAccounts(
+      FetchMetrics(*nodes),
+      absl::GetFlag(FLAGS_all) ? kUnlimited : kDefaultAccountCount,
+      context.m_output);
 }
 
 ExitCode RunExplain(const CommandContext& context) {
--- a/libs/limits/include/sequoiastage/limits/coordinator_choice.h
+++ b/libs/limits/include/sequoiastage/limits/coordinator_choice.h
@@ -28,6 +28,8 @@
 std::span<const NodeId> FirstCandidates(const std::vector<NodeId>& order,
                                         size_t count);
 
+bool ContainsNode(std::span<const NodeId> nodes, NodeId node);
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_LIMITS_COORDINATOR_CHOICE_H_
--- a/libs/limits/src/account_exchange.cc
+++ b/libs/limits/src/account_exchange.cc
@@ -19,11 +19,6 @@
 // others each. A node that is cut off from all sends up to 1 KB/s of them.
 constexpr Duration kMinProbeGap = std::chrono::milliseconds(100);
 
-template <class Nodes>
-bool Contains(const Nodes& nodes, NodeId node) {
-  return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
-}
-
 }  // namespace
 
 AccountExchange::AccountExchange(NodeId self,
@@ -77,7 +72,7 @@
         std::min(shard.m_former.size(), m_options.m_candidates));
     for (const NodeId node :
          FirstCandidates(shard.m_order, m_options.m_candidates)) {
-      if (!Contains(shard.m_former, node)) {
+      if (!ContainsNode(shard.m_former, node)) {
         shard.m_former.push_back(node);
       }
     }
@@ -100,7 +95,7 @@
   const uint32_t holders = MinimumHolders(m_options.m_quota, regions);
   bool is_holder = false;
   for (const Shard& shard : m_shards) {
-    is_holder |= Contains(FirstCandidates(shard.m_order, holders), m_self);
+    is_holder |= ContainsNode(FirstCandidates(shard.m_order, holders), m_self);
   }
   const bool is_settling = m_options.m_is_first_start &&
                            now - m_started_at < m_options.m_settling_time;
@@ -196,7 +191,7 @@
   // wait for each of the next ones in turn would take seconds. Nodes after the
   // first candidates are asked only when all of these are silent.
   const auto first = FirstCandidates(shard.m_order, m_options.m_candidates);
-  const bool is_first = Contains(first, shard.m_coordinator);
+  const bool is_first = ContainsNode(first, shard.m_coordinator);
   for (const NodeId node : is_first ? first : std::span(shard.m_order)) {
     if (node != m_self && !m_avoided.contains(node) &&
         m_probed.try_emplace(node, now).second) {
@@ -222,22 +217,26 @@
 }
 
 void AccountExchange::ProbeAvoided(TimePoint now) {
-  // The first candidates are probed as often as without the other ones.
-  const auto fallbacks = std::count_if(
-      m_avoided.begin(), m_avoided.end(),
-      [this](const auto& entry) { return IsFallback(entry.first); });
   std::vector<NodeId> due;
-  for (auto& [node, probe_at] : m_avoided) {
+  for (const auto& [node, probe_at] : m_avoided) {
     if (probe_at <= now) {
-      const int64_t alike =
-          IsFallback(node) ? fallbacks : std::ssize(m_avoided) - fallbacks;
-      probe_at =
-          now + std::max(m_options.m_probe_interval, kMinProbeGap * alike);
       due.push_back(node);
     }
   }
+  // The first candidates are probed as often as without the other ones.
+  const auto is_fallback = [this](const auto& entry) {
+    return IsFallback(entry.first);
+  };
+  const int64_t fallbacks =
+      due.empty()
+          ? 0
+          : std::count_if(m_avoided.begin(), m_avoided.end(), is_fallback);
+  const int64_t others = std::ssize(m_avoided) - fallbacks;
   for (const NodeId node : due) {
+    const int64_t alike = IsFallback(node) ? fallbacks : others;
     if (IsMember(node)) {
+      m_avoided[node] =
+          now + std::max(m_options.m_probe_interval, kMinProbeGap * alike);
       // Asks for no tokens and hands over no share.
       m_hooks.m_send(node, TokenLoanRequestMessage{});
     } else {
@@ -248,16 +247,16 @@
 
 bool AccountExchange::IsFallback(NodeId node) const {
   const auto is_first = [&](const Shard& shard) {
-    return Contains(FirstCandidates(shard.m_order, m_options.m_candidates),
-                    node);
+    return ContainsNode(FirstCandidates(shard.m_order, m_options.m_candidates),
+                        node);
   };
-  return Contains(m_own.m_nodes, node) &&
-         std::none_of(m_shards.begin(), m_shards.end(), is_first);
+  return std::none_of(m_shards.begin(), m_shards.end(), is_first) &&
+         ContainsNode(m_own.m_nodes, node);
 }
 
 bool AccountExchange::IsMember(NodeId node) const {
   const auto has = [node](const Region& region) {
-    return Contains(region.m_nodes, node);
+    return ContainsNode(region.m_nodes, node);
   };
   return has(m_own) || std::any_of(m_others.begin(), m_others.end(), has);
 }
@@ -420,7 +419,7 @@
 bool AccountExchange::HasHandedOver(AccountId account, NodeId node) {
   const Shard& shard = ShardOf(account);
   return (shard.m_coordinator != m_self || m_is_leaving) &&
-         Contains(m_own.m_nodes, node);
+         ContainsNode(m_own.m_nodes, node);
 }
 
 void AccountExchange::AskFormerCoordinators(TimePoint now) {
--- a/libs/limits/src/coordinator_choice.cc
+++ b/libs/limits/src/coordinator_choice.cc
@@ -60,4 +60,8 @@
   return std::span(order).first(std::min(order.size(), count));
 }
 
+bool ContainsNode(std::span<const NodeId> nodes, NodeId node) {
+  return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
+}
+
 }  // namespace sequoiastage
--- a/libs/limits/src/retry_allowance.cc
+++ b/libs/limits/src/retry_allowance.cc
@@ -192,10 +192,8 @@
   const bool recognizes_calls =
       m_manages_load && !has_restarted && m_recognized_call_at &&
       now - *m_recognized_call_at < kRecognitionPeriod;
-  const double share =
-      recognizes_calls
-          ? std::max(m_options.m_used_share, m_options.m_used_share_with_calls)
-          : m_options.m_used_share;
+  const double share = recognizes_calls ? m_options.m_used_share_with_calls
+                                        : m_options.m_used_share;
   return share *
          (m_options.m_ratio * window.m_first_attempts + SlackShare(now));
 }
--- a/libs/limits/tests/retry_account_test.cc
+++ b/libs/limits/tests/retry_account_test.cc
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "sequoiastage/limits/retry_allowance.h"
+#include "retry_helpers.h"
 
 namespace sequoiastage {
 namespace {
@@ -10,17 +10,14 @@
 constexpr TimePoint kNow(seconds(50));
 
 RetryAllowance MakeAllowance() {
-  RetryAllowance allowance({.m_service_slack = 40, .m_used_share = 1});
+  RetryAllowance allowance(
+      {.m_service_slack = 40, .m_used_share = 1, .m_used_share_with_calls = 1});
   allowance.SetManagesLoad(true);
   return allowance;
 }
 
 int AcquireAll(RetryAllowance& allowance, const ExtraAttemptRequest& request) {
-  int count = 0;
-  while (allowance.TryAcquire(kNow, request)) {
-    ++count;
-  }
-  return count;
+  return AcquireAll(allowance, kNow, request);
 }
 
 // One account retries far more than the others and must not use their part.
@@ -46,13 +43,10 @@
         kNow, {.m_is_call = true, .m_account = AccountId(account)}));
   }
   const TimePoint later = kNow + seconds(2);
-  int used = 0;
-  while (allowance.TryAcquire(later,
-                              {.m_is_call = true, .m_account = AccountId(1)})) {
-    ++used;
-  }
   // Up to 0.8 of the allowance.
-  EXPECT_EQ(used, 12);
+  EXPECT_EQ(AcquireAll(allowance, later,
+                       {.m_is_call = true, .m_account = AccountId(1)}),
+            12);
   // The rest is left for accounts that have used less than their part.
   for (uint64_t account = 2; account <= 9; ++account) {
     EXPECT_TRUE(allowance.TryAcquire(
@@ -85,11 +79,7 @@
   // It no longer counts in a later window.
   EXPECT_TRUE(allowance.TryAcquire(kNow + seconds(11), kRequest));
   allowance.Return(kNow, kRequest);
-  int used = 1;
-  while (allowance.TryAcquire(kNow + seconds(11), kRequest)) {
-    ++used;
-  }
-  EXPECT_EQ(used, 40);
+  EXPECT_EQ(AcquireAll(allowance, kNow + seconds(11), kRequest), 39);
 }
 
 // A call that is refused for its account must not reserve budget against the
--- a/libs/limits/tests/retry_allowance_test.cc
+++ b/libs/limits/tests/retry_allowance_test.cc
@@ -1,5 +1,3 @@
-#include "sequoiastage/limits/retry_allowance.h"
-
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -7,6 +5,8 @@
 #include <random>
 #include <vector>
 
+#include "retry_helpers.h"
+
 namespace sequoiastage {
 namespace {
 
@@ -57,36 +57,12 @@
   EXPECT_FALSE(allowance.TryAcquire(now, 0, ExtraAttempt::kHedge));
 }
 
-// Returns by how many the retries in any window of 10 s exceed the budget of
-// the service at most.
-double ExcessOverBudget(const RetryAllowanceOptions& options,
-                        const std::vector<TimePoint>& first_attempts,
-                        const std::vector<TimePoint>& retries) {
-  double excess = 0;
-  for (const TimePoint begin : retries) {
-    const auto count_in_window = [begin](const std::vector<TimePoint>& times) {
-      return static_cast<double>(
-          std::count_if(times.begin(), times.end(), [begin](TimePoint at) {
-            return at >= begin && at < begin + seconds(10);
-          }));
-    };
-    excess =
-        std::max(excess, count_in_window(retries) -
-                             options.m_ratio * count_in_window(first_attempts) -
-                             options.m_service_slack);
-  }
-  return excess;
-}
-
 // All instances of a service fail for 20 s and every request is retried: no
 // window of 10 s may contain more retries than the service's budget.
 RC_GTEST_PROP(RetryAllowanceTest, FleetStaysWithinItsBudget, ()) {
   constexpr uint32_t kInstances = 12;
   const RetryAllowanceOptions options;
-  std::vector<RetryAllowance> fleet(kInstances, RetryAllowance(options));
-  for (RetryAllowance& allowance : fleet) {
-    allowance.SetInstances(kInstances);
-  }
+  auto fleet = MakeFleet(kInstances, options);
   std::vector<TimePoint> first_attempts;
   std::vector<TimePoint> retries;
   const auto gap = *rc::gen::inRange(2, 50);
@@ -107,11 +83,7 @@
 RC_GTEST_PROP(RetryAllowanceTest, FleetStaysWithinItsBudgetWithCalls, ()) {
   constexpr uint32_t kInstances = 12;
   const RetryAllowanceOptions options;
-  std::vector<RetryAllowance> fleet(kInstances, RetryAllowance(options));
-  for (RetryAllowance& allowance : fleet) {
-    allowance.SetInstances(kInstances);
-    allowance.SetManagesLoad(true);
-  }
+  auto fleet = MakeFleet(kInstances, options, true);
   std::mt19937_64 random(*rc::gen::arbitrary<uint64_t>());
   const auto draw = [&random](size_t end) {
     return std::uniform_int_distribution<size_t>(0, end - 1)(random);
@@ -171,10 +143,8 @@
   const RetryAllowanceOptions options;
   std::vector<RetryAllowance> fleet;
   const auto restart = [&](TimePoint now) {
-    fleet.assign(kInstances, RetryAllowance(options));
+    fleet = MakeFleet(kInstances, options, manages_load);
     for (RetryAllowance& allowance : fleet) {
-      allowance.SetInstances(kInstances);
-      allowance.SetManagesLoad(manages_load);
       if (is_restart_known && now > kBegin) {
         allowance.OnRestart(now);
       }
@@ -327,23 +297,16 @@
 // More of the budget may be used only where the calls of retried requests draw
 // on it.
 TEST(RetryAllowanceTest, UsesMoreOfTheBudgetWhileCallsAreRecognized) {
-  const auto count = [](RetryAllowance& allowance, TimePoint now) {
-    int acquired = 0;
-    while (allowance.TryAcquire(now)) {
-      ++acquired;
-    }
-    return acquired;
-  };
   const TimePoint now(seconds(50));
   RetryAllowance allowance({.m_service_slack = 100});
   allowance.SetManagesLoad(true);
-  EXPECT_EQ(count(allowance, now), 65);
+  EXPECT_EQ(AcquireAll(allowance, now), 65);
   allowance.OnRecognizedCall(now + seconds(20));
-  EXPECT_EQ(count(allowance, now + seconds(20)), 85);
-  EXPECT_EQ(count(allowance, now + seconds(100)), 65);
+  EXPECT_EQ(AcquireAll(allowance, now + seconds(20)), 85);
+  EXPECT_EQ(AcquireAll(allowance, now + seconds(100)), 65);
   allowance.OnRecognizedCall(now + seconds(120));
   allowance.SetManagesLoad(false);
-  EXPECT_EQ(count(allowance, now + seconds(120)), 65);
+  EXPECT_EQ(AcquireAll(allowance, now + seconds(120)), 65);
 }
 
 TEST(RetryAllowanceTest, UnaccountedCallsOfRetriesExceedTheBudget) {
--- a/libs/limits/tests/retry_call_test.cc
+++ b/libs/limits/tests/retry_call_test.cc
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "sequoiastage/limits/retry_allowance.h"
+#include "retry_helpers.h"
 
 namespace sequoiastage {
 namespace {
@@ -30,11 +30,7 @@
 class CallReplay {
  public:
   CallReplay(uint64_t seed, bool has_precedence)
-      : m_seed(seed), m_has_precedence(has_precedence) {
-    for (RetryAllowance& allowance : m_fleet) {
-      allowance.SetInstances(kInstances);
-    }
-  }
+      : m_seed(seed), m_has_precedence(has_precedence) {}
 
   ReplayResult Run() {
     for (int number = 0; number < kRequests; ++number) {
@@ -99,42 +95,11 @@
 
   uint64_t m_seed;
   bool m_has_precedence;
-  std::vector<RetryAllowance> m_fleet = std::vector<RetryAllowance>(kInstances);
+  std::vector<RetryAllowance> m_fleet = MakeFleet(kInstances);
   std::multimap<TimePoint, Request> m_pending;
   ReplayResult m_result;
 };
 
-// Returns by how many the retries in any window of 10 s exceed the budget of
-// the service at most. Both lists are in order.
-double ExcessOverBudget(const ReplayResult& result) {
-  const RetryAllowanceOptions options;
-  const auto count_in_window = [](const std::vector<TimePoint>& times,
-                                  TimePoint begin) {
-    return static_cast<double>(
-        std::lower_bound(times.begin(), times.end(), begin + seconds(10)) -
-        std::lower_bound(times.begin(), times.end(), begin));
-  };
-  double excess = -options.m_service_slack;
-  for (const TimePoint begin : result.m_retries) {
-    excess = std::max(
-        excess,
-        count_in_window(result.m_retries, begin) -
-            options.m_ratio * count_in_window(result.m_first_attempts, begin) -
-            options.m_service_slack);
-  }
-  return excess;
-}
-
-int AcquireAll(RetryAllowance& allowance,
-               TimePoint now,
-               const ExtraAttemptRequest& request) {
-  int count = 0;
-  while (allowance.TryAcquire(now, request)) {
-    ++count;
-  }
-  return count;
-}
-
 int AcquireAll(RetryAllowance& allowance, const ExtraAttemptRequest& request) {
   return AcquireAll(allowance, kNow, request);
 }
@@ -161,7 +126,8 @@
     for (const bool has_precedence : {false, true}) {
       const ReplayResult result = CallReplay(seed, has_precedence).Run();
       EXPECT_FALSE(result.m_retries.empty());
-      EXPECT_LE(ExcessOverBudget(result), 0)
+      EXPECT_LE(ExcessOverBudget({}, result.m_first_attempts, result.m_retries),
+                0)
           << "seed " << seed << " precedence " << has_precedence;
     }
   }
--- a/libs/mesh/tests/egress_sharing_test.cc
+++ b/libs/mesh/tests/egress_sharing_test.cc
@@ -42,6 +42,12 @@
     return offer;
   }
 
+  OfferMessage MakeRetriedCall(uint64_t number) {
+    OfferMessage offer = MakeCall(number);
+    offer.m_is_extra_attempt = true;
+    return offer;
+  }
+
   void RefuseCallOf(const std::string& route) {
     m_egress.OnCallEnd({.m_route = route,
                         .m_service = MakeServiceId("trips"),
@@ -165,9 +171,7 @@
     const uint64_t first = number;
     m_replies.clear();
     for (; number < first + 80; ++number) {
-      OfferMessage retry = MakeCall(number);
-      retry.m_is_extra_attempt = true;
-      Send(std::move(retry));
+      Send(MakeRetriedCall(number));
     }
     for (uint64_t sent = first; sent < number; ++sent) {
       m_egress.OnWithdraw(kPeer, AttemptNumber(sent));
@@ -193,8 +197,7 @@
     Send(MakeCall(number));
   }
   for (uint64_t number = 4; number < 204; ++number) {
-    OfferMessage retry = MakeCall(number);
-    retry.m_is_extra_attempt = true;
+    OfferMessage retry = MakeRetriedCall(number);
     retry.m_time_left_ms = 10;
     Send(std::move(retry));
     ASSERT_EQ(m_replies.back().m_verdict, OfferVerdict::kRefused);
@@ -208,9 +211,7 @@
   KeepRequests();
   uint64_t number = 1;
   for (; number < 200; ++number) {
-    OfferMessage retry = MakeCall(number);
-    retry.m_is_extra_attempt = true;
-    Send(std::move(retry));
+    Send(MakeRetriedCall(number));
     if (m_replies.back().m_verdict == OfferVerdict::kRefused) {
       break;
     }
