--- /dev/null
+++ b/review/standin/late_heartbeat_case.cc
@@ -0,0 +1,182 @@
+// Rule DRAIN: an instance whose deregistration was acknowledged gets requests
+// again, because a heartbeat that was sent before arrives after it. The node
+// has been restarted shortly before and has not heard of the instance
+// otherwise.
+//
+// Usage: late_heartbeat PROGRAM RECORD FOLDER; TROUBLE=0: the heartbeat is not
+// late.
+
+#include <signal.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+
+#include "standin.h"
+
+namespace {
+
+using namespace review;
+
+constexpr int kMachines = 4;
+constexpr double kDrainS = 2.5;
+constexpr double kStableS = 4;
+// "A heartbeat may arrive seconds late."
+constexpr double kLateS = 2;
+// The instance serves for drainS and "a little longer (at times many seconds)".
+constexpr double kServesS = 13;
+constexpr int kPathPort = 8400;
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc != 4) {
+    return 2;
+  }
+  const char* trouble = std::getenv("TROUBLE");
+  const bool has_trouble = trouble == nullptr || std::strcmp(trouble, "0") != 0;
+  const std::string program = argv[1];
+  const std::string folder = argv[3];
+  signal(SIGPIPE, SIG_IGN);
+  Record record(argv[2]);
+  const std::string network = PickNetwork();
+  const auto ip = [&](int machine) {
+    return network + std::to_string(machine);
+  };
+  const Address store_at{network + "200", 8309};
+  Store store(store_at);
+  store.WriteKeyed(
+      "keyed.op", "config",
+      R"({"version":3,"routes":[{"name":"booking","host":"a.example",)"
+      R"("pathPrefix":"/book/","kind":"non_idempotent","maxAttempts":1,)"
+      R"("timeoutS":2.5,"targetLatencyS":1,"priority":1,"service":"bookings"}],)"
+      R"("services":[{"name":"bookings"}],"limits":{"maxHeaderBytes":16384,)"
+      R"("maxBodyBytes":1048576,"headerTimeoutS":3,"idleTimeoutS":15}})");
+  std::vector<std::unique_ptr<Process>> nodes(kMachines + 1);
+  std::vector<std::unique_ptr<Instance>> instances(kMachines + 1);
+  const auto start_node = [&](int machine, bool is_first_start) {
+    const std::string settings =
+        folder + "/settings-" + std::to_string(machine) + ".json";
+    WriteSettings(settings, {.ip = ip(machine),
+                             .zone = machine % 2 == 1 ? "hobart-a" : "hobart-b",
+                             .region = "hobart",
+                             .service = "bookings",
+                             .store = store_at,
+                             .is_first_start = is_first_start});
+    nodes[machine] = std::make_unique<Process>(
+        program, settings,
+        folder + "/node-" + std::to_string(machine) + ".log");
+  };
+  for (int machine = 1; machine <= kMachines; ++machine) {
+    start_node(machine, true);
+    instances[machine] = std::make_unique<Instance>(
+        InstanceOptions{.id = "i-" + std::to_string(machine),
+                        .service = "bookings",
+                        .zone = machine % 2 == 1 ? "hobart-a" : "hobart-b",
+                        .address = {ip(machine), kAppPort},
+                        .control = {ip(machine), kControlPort},
+                        .work_s = 0.15},
+        record);
+    instances[machine]->StartHeartbeats();
+  }
+  SleepUntil(6);
+  if (AskReady(ip(1)) != 200) {
+    record.Add("the nodes are not ready");
+    return 2;
+  }
+  // Clients on machines 1 and 2; these stay untouched.
+  std::atomic<bool> is_over{false};
+  std::atomic<int> count{0};
+  std::mutex mutex;
+  std::vector<Answer> answers;
+  std::vector<std::thread> clients;
+  for (int client = 0; client < 6; ++client) {
+    clients.emplace_back([&, client] {
+      while (!is_over) {
+        const std::string id = "r" + std::to_string(++count);
+        const Answer answer =
+            SendRequest({ip(1 + client % 2), kOutboundPort}, "POST",
+                        "a.example", "/book/1", id, 2500, "crew for " + id);
+        record.Add("client gets " + std::to_string(answer.status) + " for " +
+                   id);
+        {
+          const std::lock_guard lock(mutex);
+          answers.push_back(answer);
+        }
+        SleepFor(0.03);
+      }
+    });
+  }
+  SleepFor(2);
+  // A planned stop of one node, whose instance runs on.
+  Instance& leaving = *instances[kMachines];
+  record.Add("SIGTERM to the node of i-4");
+  leaving.m_sends_heartbeats = false;  // Those to a stopped node get no answer.
+  nodes[kMachines]->Signal(SIGTERM);
+  nodes[kMachines]->WaitForEnd(7);
+  start_node(kMachines, false);
+  while (AskReady(ip(kMachines)) == 0) {
+    SleepFor(0.02);
+  }
+  record.Add("the node of i-4 runs again");
+  // The first heartbeat to the new process. On a path without a disruption it
+  // arrives at once.
+  const DelayedPath path({ip(kMachines), kPathPort},
+                         {ip(kMachines), kControlPort},
+                         has_trouble ? kLateS : 0);
+  std::thread heartbeat([&] {
+    record.Add("i-4 sends a heartbeat");
+    const bool is_acknowledged =
+        leaving.SendHeartbeat(Address{ip(kMachines), kPathPort});
+    record.Add(is_acknowledged
+                   ? "the heartbeat of i-4 is acknowledged"
+                   : "the heartbeat of i-4 got no answer within a second");
+  });
+  SleepFor(0.5);
+  const bool is_acknowledged = leaving.Deregister();
+  const double left_at = Now();
+  record.Add(std::string("i-4 deregisters: ") +
+             (is_acknowledged ? "200" : "no acknowledgement"));
+  heartbeat.join();
+  SleepUntil(left_at + kServesS);
+  leaving.Stop();
+  record.Add("i-4 has ended");
+  SleepFor(3);
+  is_over = true;
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  for (const auto& instance : instances) {
+    if (instance) {
+      instance->Stop();
+    }
+  }
+  // Only arrivals later than drainS, and after all machines have been in touch.
+  int late = 0;
+  int total = 0;
+  int lost = 0;
+  for (const Arrival& arrival : leaving.Arrivals()) {
+    late += arrival.at > left_at + kDrainS + kStableS ? 1 : 0;
+    total += arrival.at > left_at + kDrainS ? 1 : 0;
+    lost += std::count_if(
+        answers.begin(), answers.end(), [&](const Answer& answer) {
+          return answer.id == arrival.id && arrival.at > left_at + kDrainS &&
+                 answer.status != 200;
+        });
+  }
+  char line[300];
+  std::snprintf(line, sizeof(line),
+                "%d requests reached i-4 later than drainS after the "
+                "acknowledgement, %d of them more than stableS later still; %d "
+                "of them were lost when it ended",
+                total, late, lost);
+  record.Add(line);
+  std::puts(line);
+  nodes.clear();
+  if (!is_acknowledged) {
+    return 2;
+  }
+  std::fflush(stdout);
+  std::_Exit(late > 0 ? 1 : 0);
+}
