--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")" && exec ../run_case.sh late_heartbeat "$PWD"
+cd "$(dirname "$0")" && exec ../run_case.sh preopened_connection "$PWD"
