Reject late requests that a stopping node cannot finish

Cause: from 2.9 s on the node refused new connections and offers of other nodes, but the ingress accepted requests on connections still open: unused ones for 1 s, half-sent requests until their timeout. What is left at 0.9 of the grace time is ended, and the deadline was never compared with that moment.

Change: once it drains, the ingress rejects a request at once, as not run and with Retry-After, unless its deadline is before the end of the node's work.

--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -141,6 +141,10 @@
   void OnLinkOpened(NodeId node, Incarnation incarnation);
   void OnLinkLost(NodeId node);
 
+  /// Rejects requests that arrive from now on unless their deadline is before
+  /// `end`, when the node ends the requests that it still has.
+  void StartDraining(TimePoint end) { m_drain_end = end; }
+
   /// Ends all requests with a final response.
   void FailAll(std::string_view cause);
 
@@ -365,6 +369,8 @@
   std::set<CallPtr> m_token_waiters;
   ResponseSizes m_response_sizes;
   uint64_t m_next_attempt = 1;
+  // Set once the node drains, see StartDraining().
+  std::optional<TimePoint> m_drain_end;
   size_t m_request_count = 0;
   mutable std::mt19937_64 m_random{std::random_device()()};
   IngressStats m_stats;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -124,7 +124,10 @@
           OnDeadline(self);
         }
       });
-  if (ReserveResponse(*call)) {
+  if (m_drain_end && call->m_deadline > *m_drain_end) {
+    // It may take until its deadline, and would be broken off at an instance.
+    Fail(call, "the node stops");
+  } else if (ReserveResponse(*call)) {
     AcquireToken(call);
   } else {
     Fail(call, "the byte budget is short");
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_shutdown_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_shutdown_inl.h
@@ -26,16 +26,20 @@
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::TickShutdown() {
   const Duration since = BootNow() - m_stop_requested_at;
+  const auto answer_time = std::chrono::duration_cast<Duration>(
+      m_settings.m_grace * mesh_node_detail::kAnswerFraction);
   if (since >= mesh_node_detail::kAcceptPeriod && !m_refuses_work) {
     m_refuses_work = true;
+    // Open connections still deliver requests that their callers sent before
+    // they learned of the stop.
+    m_ingress.StartDraining(m_stop_requested_at + answer_time);
     m_callers.Stop();
     m_egress.StartDraining();
     m_limiter.SetLeaving();
     m_links.Broadcast(DrainingMessage{});
     PublishMember();
   }
-  if (since >= std::chrono::duration_cast<Duration>(
-                   m_settings.m_grace * mesh_node_detail::kAnswerFraction)) {
+  if (since >= answer_time) {
     m_ingress.FailAll("the node stops");
   }
   // A connection closes once its caller has received all responses. Pipelined
