Periodic work survives an exception

Cause: an exception ended its handler, as meant, but the handler was also what scheduled the next run. A tick that threw once never ran again: the node passed no change on to its region. A read of the store that threw was the last one of its topic. The heartbeats to the nodes of the region have a timer of their own and went on to report current data.

Tests that failed before with the exception itself: MeshNodeTest.RelayWithAFailingTaskPassesChangesOn (in a form in which other nodes failed too), StoreReaderTest.FailureToHandleARecordEndsNoReading.

Change: PeriodicSteps runs named steps at an interval; a step that throws is logged (step_failed) and prevents neither the others nor its next run. The node's tick, its heartbeats, its shutdown and the account limiter use it. The reader guards each record, and a result that it fails to handle counts as a failed call. A member record that could not be written is written again by a step instead of a timer chain, with the same backoff.

--- a/libs/events/src/mesh_events.cc
+++ b/libs/events/src/mesh_events.cc
@@ -326,6 +326,12 @@
        .m_help = "an unexpected exception ended the handling of one event; the "
                  "process continues",
        .m_fields = {kReason, {"count", "exceptions since the start"}}},
+      {.m_name = "step_failed",
+       .m_level = kError,
+       .m_help =
+           "an unexpected exception ended one step of periodic work or of "
+           "reading the store; the other steps continue",
+       .m_fields = {{"step", "name of the step"}, kReason}},
       {.m_name = "node_started",
        .m_level = kInfo,
        .m_help = "the process serves requests",
--- a/libs/mesh/include/sequoiastage/mesh/account_limiter.h
+++ b/libs/mesh/include/sequoiastage/mesh/account_limiter.h
@@ -14,6 +14,7 @@
 #include "sequoiastage/base/request_rate.h"
 #include "sequoiastage/config/traffic_config.h"
 #include "sequoiastage/limits/account_exchange.h"
+#include "sequoiastage/mesh/event_loop.h"
 #include "sequoiastage/mesh/mesh_links.h"
 #include "sequoiastage/mesh/peer_key.h"
 #include "sequoiastage/mesh/target_table.h"
@@ -172,8 +173,7 @@
   // Hash of the members in use, independent of their order.
   uint64_t m_member_hash = 0;
   TimePoint m_next_member_check{};
-  bool m_is_ticking = false;
-  asio::steady_timer m_timer;
+  PeriodicSteps m_ticks;
 };
 
 }  // namespace sequoiastage
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -14,6 +14,7 @@
 #include "sequoiastage/http/stream_server.h"
 #include "sequoiastage/mesh/account_limiter.h"
 #include "sequoiastage/mesh/egress.h"
+#include "sequoiastage/mesh/event_loop.h"
 #include "sequoiastage/mesh/ingress.h"
 #include "sequoiastage/mesh/local_instance.h"
 #include "sequoiastage/mesh/mesh_links.h"
@@ -82,10 +83,20 @@
   void OnRelay(NodeId node, const RelayMessage& relay);
   void OnPeerOpened(const PeerKey& peer, const MessageSink& sink);
   void Subscribe(const MessageSink& sink);
-  void Tick();
-  void LogBudgetRefusals(TimePoint now);
+  void AddPeriodicSteps();
+  // Subscribes to the node that relays the store's records, and reads the store
+  // itself while there is none.
+  void ChooseRelay();
+  void LogBudgetRefusals();
+  void AskStartupPeers();
+  // Sends changes to the subscribers: the first one immediately, those that
+  // follow shortly after together.
+  void SendChanges();
   void SendRelayHeartbeats();
-  void TickShutdown();
+  // Time after the stop request at which requests that still wait are ended.
+  Duration AnswerTime() const;
+  void StopAccepting();
+  void EndWhenIdle();
   // Packs the records at or after these offsets. Valid until the next call.
   const std::string& PackRecordsFrom(StorePosition config,
                                      StorePosition member);
@@ -130,6 +141,9 @@
   // Member record last written to the store.
   std::string m_published_record;
   bool m_is_publishing = false;
+  // The store may lack the current record; written again after m_publish_at.
+  bool m_needs_publishing = false;
+  TimePoint m_publish_at{};
   Duration m_publish_delay = std::chrono::milliseconds(500);
   // Nodes that connected soon after the start, and how many of them have been
   // asked for records that the store lacks.
@@ -151,11 +165,10 @@
   // Refusals of m_budget that have been logged.
   uint64_t m_logged_refusals = 0;
   TimePoint m_refusals_logged_at{};
-  asio::steady_timer m_tick_timer;
-  asio::steady_timer m_relay_timer;
-  asio::steady_timer m_publish_retry_timer;
+  PeriodicSteps m_ticks;
+  PeriodicSteps m_relay_heartbeats;
+  PeriodicSteps m_shutdown_steps;
   asio::steady_timer m_rewrite_timer;
-  asio::steady_timer m_shutdown_timer;
   std::string m_last_reason;
 };
 
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -23,6 +23,7 @@
 // All nodes of a first deployment start within this time. A node that reads the
 // members afterwards finds all of them in one read.
 inline constexpr Duration kStartSpread = std::chrono::milliseconds(400);
+inline constexpr Duration kShutdownInterval = std::chrono::milliseconds(50);
 inline constexpr Duration kPublishRetry = std::chrono::milliseconds(500);
 // Each failure doubles the delay up to this limit.
 inline constexpr Duration kMaxPublishRetry = std::chrono::seconds(2);
@@ -191,11 +192,12 @@
                        .m_body = Metrics()});
             return {};
           }),
-      m_tick_timer(io),
-      m_relay_timer(io),
-      m_publish_retry_timer(io),
-      m_rewrite_timer(io),
-      m_shutdown_timer(io) {}
+      m_ticks(io, mesh_node_detail::kTickInterval),
+      m_relay_heartbeats(io, mesh_node_detail::kRelayHeartbeatInterval),
+      m_shutdown_steps(io, mesh_node_detail::kShutdownInterval),
+      m_rewrite_timer(io) {
+  AddPeriodicSteps();
+}
 
 template <PlatformCodec Codec, PlatformStore Store>
 bool MeshNode<Codec, Store>::Start() {
@@ -227,16 +229,10 @@
   // departed.
   PublishMember();
   m_relay_choice.SetRegion({});
-  m_tick_timer.expires_after(m_settings.m_is_first_start
-                                 ? mesh_node_detail::kStartSpread
-                                 : Duration{});
-  m_tick_timer.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      m_reader.SetScope(ReadScope::kAll);
-      Tick();
-      SendRelayHeartbeats();
-    }
-  });
+  const Duration delay =
+      m_settings.m_is_first_start ? mesh_node_detail::kStartSpread : Duration{};
+  m_ticks.Start(delay);
+  m_relay_heartbeats.Start(delay);
   return true;
 }
 
@@ -324,6 +320,7 @@
     record.m_departed_start_ms = departed->m_start_time_ms;
   }
   m_targets.SetMember(record);
+  m_needs_publishing = true;
   UpdateInstanceCount();
   if (!m_reader.IsLoaded() && !m_settings.m_is_first_start) {
     // The era is unknown, and the record of an earlier process of this node may
@@ -334,10 +331,10 @@
   const auto era = m_reader.Era();
   record.m_era = era.value_or(StoreEra(0));
   std::string text = EncodeMember(record);
-  if (m_is_publishing || text == m_published_record) {
+  m_needs_publishing = text != m_published_record;
+  if (m_is_publishing || !m_needs_publishing) {
     return;
   }
-  m_is_publishing = true;
   m_store.WriteMember(
       ToString(m_self.m_node), text,
       [this, text](bool is_written, const std::string& reason) {
@@ -353,15 +350,11 @@
           return;
         }
         LogEvent(LogLevel::kWarn, "member_not_written").Add("reason", reason);
-        m_publish_retry_timer.expires_after(m_publish_delay);
+        m_publish_at = BootNow() + m_publish_delay;
         m_publish_delay =
             std::min(mesh_node_detail::kMaxPublishRetry, m_publish_delay * 2);
-        m_publish_retry_timer.async_wait([this](const asio::error_code& error) {
-          if (!error) {
-            PublishMember();
-          }
-        });
       });
+  m_is_publishing = true;
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -275,7 +275,8 @@
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::LogBudgetRefusals(TimePoint now) {
+void MeshNode<Codec, Store>::LogBudgetRefusals() {
+  const TimePoint now = BootNow();
   const uint64_t refusals = m_budget->Refusals();
   if (refusals == m_logged_refusals ||
       now - m_refusals_logged_at < std::chrono::seconds(1)) {
@@ -298,10 +299,44 @@
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::Tick() {
-  FlushLogs();
+void MeshNode<Codec, Store>::AddPeriodicSteps() {
+  m_ticks.Add("flush-logs", [this] {
+    FlushLogs();
+    LogBudgetRefusals();
+  });
+  m_ticks.Add("choose-relay", [this] { ChooseRelay(); });
+  m_ticks.Add("publish-member", [this] {
+    if (m_needs_publishing && !m_is_publishing && BootNow() >= m_publish_at) {
+      PublishMember();
+    }
+  });
+  m_ticks.Add("update-members", [this] {
+    UpdateInstanceCount();
+    m_quarantine.Tick(WallNow());
+    if (m_era_noticed_at &&
+        BootNow() - *m_era_noticed_at > mesh_node_detail::kRewriteTimeout) {
+      m_era_noticed_at.reset();
+      RemoveLostMembers();
+    }
+  });
+  m_ticks.Add("confirm-config", [this] {
+    AskStartupPeers();
+    ConfirmConfig();
+  });
+  m_ticks.Add("send-changes", [this] { SendChanges(); });
+  m_relay_heartbeats.Add("send-heartbeats", [this] { SendRelayHeartbeats(); });
+  m_shutdown_steps.Add("stop-accepting", [this] { StopAccepting(); });
+  m_shutdown_steps.Add("end-requests", [this] {
+    if (BootNow() - m_stop_requested_at >= AnswerTime()) {
+      m_ingress.FailAll("the node stops");
+    }
+  });
+  m_shutdown_steps.Add("end-when-idle", [this] { EndWhenIdle(); });
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::ChooseRelay() {
   const TimePoint now = BootNow();
-  LogBudgetRefusals(now);
   const auto relay = m_relay_choice.Relay(now);
   if (relay != m_subscribed_to) {
     m_subscribed_to.reset();
@@ -316,26 +351,23 @@
   }
   m_reader.SetScope(m_reader.IsLoaded() ? m_relay_choice.Scope(now)
                                         : ReadScope::kAll);
-  if (m_published_record.empty()) {
-    PublishMember();
-  }
-  UpdateInstanceCount();
-  m_quarantine.Tick(WallNow());
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::AskStartupPeers() {
   // The store may have restarted from an older copy shortly before this node
   // started. The other nodes still have what it lost.
-  if (m_config && m_reader.IsLoaded()) {
-    for (; m_asked_peers < m_startup_peers.size(); ++m_asked_peers) {
-      Subscribe(m_startup_peers[m_asked_peers]);
-    }
+  if (!m_config || !m_reader.IsLoaded()) {
+    return;
   }
-  ConfirmConfig();
-  if (m_era_noticed_at &&
-      now - *m_era_noticed_at > mesh_node_detail::kRewriteTimeout) {
-    m_era_noticed_at.reset();
-    RemoveLostMembers();
+  for (; m_asked_peers < m_startup_peers.size(); ++m_asked_peers) {
+    Subscribe(m_startup_peers[m_asked_peers]);
   }
-  // The first change is sent immediately; changes that follow shortly after are
-  // batched.
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::SendChanges() {
+  const TimePoint now = BootNow();
   for (auto& [node, subscriber] : m_subscribers) {
     const bool has_changes =
         subscriber.m_next_config < m_reader.Next(StoreTopic::kConfig) ||
@@ -346,12 +378,6 @@
       SendRelay(subscriber);
     }
   }
-  m_tick_timer.expires_after(mesh_node_detail::kTickInterval);
-  m_tick_timer.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      Tick();
-    }
-  });
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
@@ -361,12 +387,6 @@
   for (const auto& [node, subscriber] : m_subscribers) {
     subscriber.m_sink(heartbeat);
   }
-  m_relay_timer.expires_after(mesh_node_detail::kRelayHeartbeatInterval);
-  m_relay_timer.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      SendRelayHeartbeats();
-    }
-  });
 }
 
 }  // namespace sequoiastage
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_shutdown_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_shutdown_inl.h
@@ -20,28 +20,35 @@
       .Add("requests", static_cast<int64_t>(m_ingress.RequestCount()))
       .Add("work", static_cast<int64_t>(m_egress.WorkCount()));
   m_callers.StartDrain();
-  TickShutdown();
+  m_shutdown_steps.Start();
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::TickShutdown() {
-  const Duration since = BootNow() - m_stop_requested_at;
-  const auto answer_time = std::chrono::duration_cast<Duration>(
+Duration MeshNode<Codec, Store>::AnswerTime() const {
+  return std::chrono::duration_cast<Duration>(
       m_settings.m_grace * mesh_node_detail::kAnswerFraction);
-  if (since >= mesh_node_detail::kAcceptPeriod && !m_refuses_work) {
-    m_refuses_work = true;
-    // Open connections still deliver requests that their callers sent before
-    // they learned of the stop.
-    m_ingress.StartDraining(m_stop_requested_at + answer_time);
-    m_callers.Stop();
-    m_egress.StartDraining();
-    m_limiter.SetLeaving();
-    m_links.Broadcast(DrainingMessage{});
-    PublishMember();
-  }
-  if (since >= answer_time) {
-    m_ingress.FailAll("the node stops");
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::StopAccepting() {
+  if (m_refuses_work ||
+      BootNow() - m_stop_requested_at < mesh_node_detail::kAcceptPeriod) {
+    return;
   }
+  m_refuses_work = true;
+  // Open connections still deliver requests that their callers sent before they
+  // learned of the stop.
+  m_ingress.StartDraining(m_stop_requested_at + AnswerTime());
+  m_callers.Stop();
+  m_egress.StartDraining();
+  m_limiter.SetLeaving();
+  m_links.Broadcast(DrainingMessage{});
+  PublishMember();
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::EndWhenIdle() {
+  const Duration since = BootNow() - m_stop_requested_at;
   // A connection closes once its caller has received all responses. Pipelined
   // ones may still wait to be sent when their requests have ended.
   const bool is_idle = m_ingress.RequestCount() == 0 &&
@@ -54,15 +61,9 @@
     LogEvent(LogLevel::kInfo, "node_stopped")
         .Add("requests", static_cast<int64_t>(m_ingress.RequestCount()))
         .Add("after_ms", WholeMs(since));
+    m_shutdown_steps.Stop();
     m_io.stop();
-    return;
   }
-  m_shutdown_timer.expires_after(std::chrono::milliseconds(50));
-  m_shutdown_timer.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      TickShutdown();
-    }
-  });
 }
 
 }  // namespace sequoiastage
--- a/libs/mesh/include/sequoiastage/mesh/store_reader.h
+++ b/libs/mesh/include/sequoiastage/mesh/store_reader.h
@@ -11,6 +11,7 @@
 
 #include "sequoiastage/base/boot_clock.h"
 #include "sequoiastage/logging/log_event.h"
+#include "sequoiastage/mesh/event_loop.h"
 #include "sequoiastage/mesh/platform.h"
 #include "sequoiastage/mesh/relay_choice.h"
 
@@ -219,8 +220,10 @@
   void Read(Topic& topic) {
     const uint64_t generation = ++topic.m_generation;
     auto handler = [this, &topic, generation](StoreResult result) {
-      if (generation == topic.m_generation && topic.m_is_reading) {
-        OnResult(topic, std::move(result));
+      if (generation == topic.m_generation && topic.m_is_reading &&
+          !RunGuarded("handle-read",
+                      [&] { OnResult(topic, std::move(result)); })) {
+        OnFailure(topic, "the result was not handled");
       }
     };
     if (!topic.m_has_snapshot) {
@@ -271,10 +274,14 @@
     topic.m_next = result.m_page->m_next;
     const bool has_records = !result.m_page->m_records.empty();
     for (StoreRecord& record : result.m_page->m_records) {
-      const StoreEra written = std::min(m_handlers.m_written_era(record), era);
-      record.m_position =
-          MakeStorePosition(written, OffsetOf(record.m_position));
-      ApplyRecord(record);
+      // One record that can't be handled must not keep back the others.
+      RunGuarded("apply-record", [&] {
+        const StoreEra written =
+            std::min(m_handlers.m_written_era(record), era);
+        record.m_position =
+            MakeStorePosition(written, OffsetOf(record.m_position));
+        ApplyRecord(record);
+      });
     }
     if (!topic.m_is_reading) {
       return;
@@ -338,7 +345,11 @@
       next.m_replaces_rejected = record.m_position == current.m_position;
     }
     topic.m_next = std::max(topic.m_next, NextPosition(record.m_position));
-    if (!m_handlers.m_on_record(record) && !is_new) {
+    // What this node fails to apply is passed on: another may be able to.
+    bool replaces_current = true;
+    RunGuarded("use-record",
+               [&] { replaces_current = m_handlers.m_on_record(record); });
+    if (!replaces_current && !is_new) {
       next.m_record.m_value = found->second.m_record.m_value;
       next.m_replaces_rejected = true;
     }
--- a/libs/mesh/src/account_limiter.cc
+++ b/libs/mesh/src/account_limiter.cc
@@ -30,7 +30,9 @@
                   .m_is_first_start = options.m_is_first_start},
                  MakeHooks(),
                  BootNow()),
-      m_timer(io) {}
+      m_ticks(io, options.m_tick) {
+  m_ticks.Add("tick-accounts", [this] { Tick(); });
+}
 
 AccountExchange::Hooks AccountLimiter::MakeHooks() {
   return {.m_send =
@@ -89,9 +91,8 @@
   };
   std::erase_if(m_usage, is_unlimited);
   std::erase_if(m_loans, is_unlimited);
-  if (!m_limited.empty() && !m_is_ticking) {
-    m_is_ticking = true;
-    Tick();
+  if (!m_limited.empty()) {
+    m_ticks.Start();
   }
 }
 
@@ -230,7 +231,7 @@
 
 void AccountLimiter::Tick() {
   if (m_limited.empty()) {
-    m_is_ticking = false;
+    m_ticks.Stop();
     return;
   }
   const TimePoint now = BootNow();
@@ -238,12 +239,6 @@
     UpdateMembers(now);
   }
   m_exchange.Tick(now);
-  m_timer.expires_after(m_options.m_tick);
-  m_timer.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      Tick();
-    }
-  });
 }
 
 void AccountLimiter::UpdateMembers(TimePoint now) {
--- a/libs/mesh/tests/fake_platform.h
+++ b/libs/mesh/tests/fake_platform.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -170,6 +171,8 @@
 struct FakeLog {
   std::vector<std::pair<std::string, std::string>> m_topics[2];
   StoreEra m_era;
+  // Calls that write throw an exception.
+  bool m_throws_on_write = false;
 
   // Restarts from a copy that holds only the first records of each topic.
   void Rewind(size_t config_count, size_t member_count) {
@@ -216,6 +219,9 @@
                    const std::string& value,
                    const std::function<void(bool, std::string)>& done) {
     ++m_calls;
+    if (m_log.m_throws_on_write) {
+      throw std::runtime_error("unexpected");
+    }
     if (!m_is_cut) {
       m_log.Write(StoreTopic::kMembers, key, value);
     }
--- a/libs/mesh/tests/mesh_node_fixture.h
+++ b/libs/mesh/tests/mesh_node_fixture.h
@@ -12,12 +12,17 @@
 
 namespace sequoiastage {
 
+struct TestNodeOptions {
+  Duration m_grace = std::chrono::seconds(6);
+  bool m_is_first_start = false;
+};
+
 // A node with its instance and its access to the store.
 struct TestNode {
   TestNode(asio::io_context& io,
            FakeLog& log,
            uint8_t host,
-           Duration grace = std::chrono::seconds(6))
+           const TestNodeOptions& options = {})
       : m_settings{.m_callers = EndpointAt(host, 8000),
                    .m_ready = EndpointAt(host, 8001),
                    .m_control = EndpointAt(host, 8002),
@@ -26,7 +31,8 @@
                    .m_region = "r",
                    .m_domain = "d",
                    .m_service = "plans",
-                   .m_grace = grace},
+                   .m_is_first_start = options.m_is_first_start,
+                   .m_grace = options.m_grace},
         m_store(io, log),
         m_instance(io, EndpointAt(host, 9000)),
         m_node(io, m_settings, m_store) {
--- a/libs/mesh/tests/mesh_node_shutdown_test.cc
+++ b/libs/mesh/tests/mesh_node_shutdown_test.cc
@@ -17,7 +17,8 @@
   // route /x/ take up to 1.5 s.
   MeshNodeShutdownTest() {
     m_first.reset();
-    m_first = std::make_unique<TestNode>(m_io, m_log, 3, milliseconds(4500));
+    m_first = std::make_unique<TestNode>(
+        m_io, m_log, 3, TestNodeOptions{.m_grace = milliseconds(4500)});
   }
 
   void RunFor(milliseconds time) {
--- a/libs/mesh/tests/mesh_node_test.cc
+++ b/libs/mesh/tests/mesh_node_test.cc
@@ -104,6 +104,43 @@
   }
 }
 
+// Guards against a relay that goes on reporting current data and passes no
+// change on, after one of its periodic tasks has failed.
+TEST_F(MeshNodeTest, RelayWithAFailingTaskPassesChangesOn) {
+  PublishConfig("1 a /x/ plans");
+  Announce(*m_second);
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+  // The first choice of both nodes as their relay.
+  const NodeId first(m_first->m_settings.m_peer);
+  uint8_t host = 3;
+  for (; host < UINT8_MAX; ++host) {
+    const NodeId other(TestNode::EndpointAt(host, 7000));
+    RelayChoice choice(first);
+    choice.SetRegion({first, NodeId(m_second->m_settings.m_peer), other});
+    if (choice.Relay(BootNow()) == other) {
+      break;
+    }
+  }
+  const NodeId relay(TestNode::EndpointAt(host, 7000));
+  ASSERT_TRUE(RunUntil(m_io, [this] { return m_log.m_topics[1].size() == 2; }));
+  // Left by an earlier process of the relay.
+  m_log.Write(
+      StoreTopic::kMembers, ToString(relay),
+      EncodeMember({.m_node = relay, .m_domain = "d", .m_region = "r"}));
+  m_log.m_throws_on_write = true;
+  TestNode node(m_io, m_log, host);
+  const auto are_relayed = [&] {
+    const int calls = m_first->m_store.m_calls + m_second->m_store.m_calls;
+    RunUntil(
+        m_io, [] { return false; }, milliseconds(1200));
+    return m_first->m_store.m_calls + m_second->m_store.m_calls == calls;
+  };
+  ASSERT_TRUE(RunUntil(m_io, are_relayed)) << "the nodes don't use the relay";
+  PublishConfig("2 a /y/ plans");
+  EXPECT_TRUE(WaitForStatus(*m_first, "/y/", 200, milliseconds(3000)));
+  EXPECT_TRUE(WaitForStatus(*m_second, "/y/", 200, milliseconds(3000)));
+}
+
 TEST_F(MeshNodeTest, OneNodePerRegionReadsTheStore) {
   PublishConfig("1 a /x/ plans");
   Announce(*m_second);
--- a/libs/mesh/tests/store_reader_test.cc
+++ b/libs/mesh/tests/store_reader_test.cc
@@ -93,6 +93,33 @@
   TestReader m_second;
 };
 
+// Guards against a reader that stops following the store after one record that
+// its node fails to handle. Such a record is still passed on.
+TEST_F(StoreReaderTest, FailureToHandleARecordEndsNoReading) {
+  WriteConfig(1);
+  WriteMember("a", "1 first");
+  m_first.m_reader.SetScope(ReadScope::kAll);
+  ASSERT_TRUE(WaitForVersion(m_first, 1));
+  m_log.Write(StoreTopic::kConfig, kKey, "no number");
+  WriteMember("b", "no era");
+  WriteMember("c", "1 later");
+  EXPECT_TRUE(RunUntil(
+      m_io, [&] { return m_first.m_members.contains("c"); }, seconds(4)));
+  WriteConfig(2);
+  EXPECT_TRUE(WaitForVersion(m_first, 2));
+  m_log.Write(StoreTopic::kConfig, kKey, "no number either");
+  EXPECT_TRUE(RunUntil(
+      m_io,
+      [&] {
+        const auto records = m_first.m_reader.RecordsFrom(
+            StorePosition(0), m_first.m_reader.Next(StoreTopic::kMembers));
+        return records.size() == 1 && records[0].m_value == "no number either";
+      },
+      seconds(4)));
+  WriteConfig(3);
+  EXPECT_TRUE(WaitForVersion(m_first, 3));
+}
+
 TEST_F(StoreReaderTest, ReadsConfigurationAtAnOffsetThatIsAssignedAgain) {
   for (int version = 1; version <= 10; ++version) {
     WriteConfig(version);
