--- a/libs/mesh/src/member_record.cc
+++ b/libs/mesh/src/member_record.cc
@@ -102,7 +102,10 @@
   if (record.m_era != StoreEra(0)) {
     json["era"] = record.m_era.Get();
   }
-  return json.dump();
+  // An exception would end the handler that publishes the record.
+  constexpr int kOneLine = -1;
+  return json.dump(kOneLine, ' ', false,
+                   nlohmann::json::error_handler_t::replace);
 }
 
 std::optional<MemberRecord> DecodeMember(std::string_view text) {
--- a/libs/mesh/tests/target_table_test.cc
+++ b/libs/mesh/tests/target_table_test.cc
@@ -93,6 +93,22 @@
   EXPECT_EQ(candidate_at(std::chrono::milliseconds(600)).m_used_slots, 0U);
 }
 
+// Guards against an exception that ends what follows the encoding.
+RC_GTEST_PROP(MemberRecordTest,
+              AnyTextCanBeEncoded,
+              (const std::string& instance,
+               const std::string& departed,
+               const std::string& region)) {
+  const MemberRecord record{.m_node = NodeId(Endpoint{.m_ip = 1, .m_port = 2}),
+                            .m_domain = "d\xff",
+                            .m_region = region,
+                            .m_instance = instance + "\xff\xfe",
+                            .m_departed = departed + "\xc3"};
+  const auto decoded = DecodeMember(EncodeMember(record));
+  RC_ASSERT(decoded.has_value());
+  RC_ASSERT(decoded->m_node == record.m_node);
+}
+
 RC_GTEST_PROP(MemberRecordTest, DamagedRecordsAreDroppedOrWellFormed, ()) {
   MemberRecord record = Record(7, "plans");
   record.m_instance_start_ms = 1'700'000'000'123;
