A relay reports the age of what it has passed on

Cause: the heartbeats of a relay carried the age of its own copy of the store.

Evidence: RelayFeedTest.RelayThatPassesNothingOnIsGivenUp fails when the age is that of the copy: after 20 s the relay is still in use. It replays the reports into RelayChoice.

Change: RelayFeed keeps what one subscriber was sent. While something is missing, the reported age is at least the time for which it has been missing, so the subscriber reads the store itself after RelayChoiceOptions::m_max_age and takes the next relay. Batching stays well below that age (RelayFeedTest.AgeWhileChangesAreBatchedStaysBelowTheLimit).

--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -20,6 +20,7 @@
 #include "sequoiastage/mesh/mesh_links.h"
 #include "sequoiastage/mesh/mesh_settings.h"
 #include "sequoiastage/mesh/relay_choice.h"
+#include "sequoiastage/mesh/relay_feed.h"
 #include "sequoiastage/mesh/shared_quarantine.h"
 #include "sequoiastage/mesh/store_reader.h"
 #include "sequoiastage/mesh/target_table.h"
@@ -58,9 +59,7 @@
  private:
   struct Subscriber {
     MessageSink m_sink;
-    StorePosition m_next_config;
-    StorePosition m_next_member;
-    TimePoint m_changes_sent_at{};
+    RelayFeed m_feed{};
   };
 
   void OnControl(HttpRequest request, const StreamResponder& responder);
@@ -97,10 +96,11 @@
   Duration AnswerTime() const;
   void StopAccepting();
   void EndWhenIdle();
-  // Packs the records at or after these offsets. Valid until the next call.
-  const std::string& PackRecordsFrom(StorePosition config,
-                                     StorePosition member);
-  void SendRelay(Subscriber& subscriber);
+  // Packs the records at or after `from`. Valid until the next call.
+  const std::string& PackRecordsFrom(const RelayPositions& from);
+  RelayPositions EndOfCopy() const;
+  // Sends what the subscriber lacks.
+  void SendRelay(const Subscriber& subscriber);
   Duration KnowledgeAge(TimePoint now) const;
   bool IsReady() const;
 
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -384,9 +384,10 @@
   } else if (const auto* relay = std::get_if<RelayRequestMessage>(&message)) {
     Subscriber& subscriber = m_subscribers[peer.m_node];
     subscriber = {.m_sink = sink,
-                  .m_next_config = relay->m_next_config,
-                  .m_next_member = relay->m_next_member};
+                  .m_feed = RelayFeed({.m_config = relay->m_next_config,
+                                       .m_member = relay->m_next_member})};
     SendRelay(subscriber);
+    subscriber.m_feed = RelayFeed(EndOfCopy());
   } else if (const auto* relayed = std::get_if<RelayMessage>(&message)) {
     OnRelay(peer.m_node, *relayed);
   } else if (std::holds_alternative<DrainingMessage>(message)) {
@@ -408,8 +409,8 @@
     // The other node has just started. The store may lack what it asks for.
     m_links.Send(node, RelayMessage{.m_age_ms = UINT32_MAX,
                                     .m_packed = PackRecordsFrom(
-                                        request->m_next_config,
-                                        request->m_next_member)});
+                                        {.m_config = request->m_next_config,
+                                         .m_member = request->m_next_member})});
   } else if (!m_limiter.OnReply(node, message)) {
     m_ingress.OnReply(node, std::move(message));
   }
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -24,8 +24,6 @@
 // Peers connect and answer in about 0.3 s. A node without peers serves after
 // this time.
 inline constexpr Duration kConfirmTime = std::chrono::milliseconds(1500);
-// Minimum time between two messages with changes to one subscriber.
-inline constexpr Duration kMinRelaySpacing = std::chrono::milliseconds(700);
 
 }  // namespace mesh_node_detail
 
@@ -217,16 +215,21 @@
   ConfirmConfig();
 }
 
+template <PlatformCodec Codec, PlatformStore Store>
+RelayPositions MeshNode<Codec, Store>::EndOfCopy() const {
+  return {.m_config = m_reader.Next(StoreTopic::kConfig),
+          .m_member = m_reader.Next(StoreTopic::kMembers)};
+}
+
 template <PlatformCodec Codec, PlatformStore Store>
 const std::string& MeshNode<Codec, Store>::PackRecordsFrom(
-    StorePosition config,
-    StorePosition member) {
-  const std::array<StorePosition, 4> range = {
-      config, member, m_reader.Next(StoreTopic::kConfig),
-      m_reader.Next(StoreTopic::kMembers)};
+    const RelayPositions& from) {
+  const RelayPositions end = EndOfCopy();
+  const std::array<StorePosition, 4> range = {from.m_config, from.m_member,
+                                              end.m_config, end.m_member};
   // Most subscribers have the same offsets, so the packed records are reused.
   if (range != m_packed_range) {
-    const auto records = m_reader.RecordsFrom(config, member);
+    const auto records = m_reader.RecordsFrom(from.m_config, from.m_member);
     m_packed_records = records.empty() ? std::string() : PackRecords(records);
     m_packed_range = range;
   }
@@ -264,14 +267,10 @@
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::SendRelay(Subscriber& subscriber) {
-  const RelayMessage message{
-      .m_age_ms = ToWireMs<uint32_t>(KnowledgeAge(BootNow())),
-      .m_packed =
-          PackRecordsFrom(subscriber.m_next_config, subscriber.m_next_member)};
-  subscriber.m_next_config = m_reader.Next(StoreTopic::kConfig);
-  subscriber.m_next_member = m_reader.Next(StoreTopic::kMembers);
-  subscriber.m_sink(message);
+void MeshNode<Codec, Store>::SendRelay(const Subscriber& subscriber) {
+  subscriber.m_sink(
+      RelayMessage{.m_age_ms = ToWireMs<uint32_t>(KnowledgeAge(BootNow())),
+                   .m_packed = PackRecordsFrom(subscriber.m_feed.Next())});
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
@@ -368,24 +367,24 @@
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::SendChanges() {
   const TimePoint now = BootNow();
+  const RelayPositions end = EndOfCopy();
   for (auto& [node, subscriber] : m_subscribers) {
-    const bool has_changes =
-        subscriber.m_next_config < m_reader.Next(StoreTopic::kConfig) ||
-        subscriber.m_next_member < m_reader.Next(StoreTopic::kMembers);
-    if (has_changes && now - subscriber.m_changes_sent_at >
-                           mesh_node_detail::kMinRelaySpacing) {
-      subscriber.m_changes_sent_at = now;
+    if (subscriber.m_feed.IsDue(end, now)) {
       SendRelay(subscriber);
+      subscriber.m_feed.OnSent(end, now);
     }
   }
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::SendRelayHeartbeats() {
-  const RelayMessage heartbeat{.m_age_ms =
-                                   ToWireMs<uint32_t>(KnowledgeAge(BootNow()))};
-  for (const auto& [node, subscriber] : m_subscribers) {
-    subscriber.m_sink(heartbeat);
+  const TimePoint now = BootNow();
+  const Duration copy_age = KnowledgeAge(now);
+  const RelayPositions end = EndOfCopy();
+  for (auto& [node, subscriber] : m_subscribers) {
+    subscriber.m_sink(RelayMessage{
+        .m_age_ms =
+            ToWireMs<uint32_t>(subscriber.m_feed.Age(end, copy_age, now))});
   }
 }
 
