Relay member lists of more than 4,096 nodes

Packing threw in the tick of the relay and in the answer to each new subscriber, and the tick ended for good.

Cause: PackRecords() used the limit on lists in frames, 4,096 items, and throws above it. A relay packs one record a node of the whole fleet.

Evidence: PackedRecordsTest.HoldsTheMembersOfALargeFleet (20,000 records) failed before with "list is too long".

Change: packed records are bounded by the bytes that they decompress to, as before, and no longer by their number. An older build refuses a longer list as damaged and reads the store itself.

--- a/libs/wire/include/sequoiastage/wire/bytes.h
+++ b/libs/wire/include/sequoiastage/wire/bytes.h
@@ -68,13 +68,15 @@
 }
 
 /// Loads a length-prefixed list item by item; like LoadBytes() it grows in step
-/// with the input. Throws cereal::Exception above kMaxListItems or when the
-/// input is truncated.
+/// with the input. Throws cereal::Exception above `max_items` or when the input
+/// is truncated.
 template <class Archive, class Item>
-void LoadList(Archive& archive, std::vector<Item>& items) {
+void LoadList(Archive& archive,
+              std::vector<Item>& items,
+              uint32_t max_items = kMaxListItems) {
   uint32_t count = 0;
   archive(count);
-  if (count > kMaxListItems) {
+  if (count > max_items) {
     throw cereal::Exception("list is too long");
   }
   items.clear();
@@ -84,10 +86,12 @@
 }
 
 /// Saves `items` in the format that LoadList() reads. Throws cereal::Exception
-/// above kMaxListItems.
+/// above `max_items`.
 template <class Archive, class Item>
-void SaveList(Archive& archive, const std::vector<Item>& items) {
-  if (items.size() > kMaxListItems) {
+void SaveList(Archive& archive,
+              const std::vector<Item>& items,
+              uint32_t max_items = kMaxListItems) {
+  if (items.size() > max_items) {
     throw cereal::Exception("list is too long");
   }
   archive(static_cast<uint32_t>(items.size()));
--- a/libs/wire/src/packed_records.cc
+++ b/libs/wire/src/packed_records.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr size_t kChunkBytes = size_t{64} << 10;
+// A record takes more than one byte, so the limit on bytes applies first.
+constexpr uint32_t kMaxRecords = kMaxPayloadBytes;
 
 // Decompresses `bytes`. Empty when they are damaged or the result exceeds
 // kMaxPayloadBytes.
@@ -46,7 +48,7 @@
   std::ostringstream stream;
   {
     cereal::PortableBinaryOutputArchive output(stream);
-    SaveList(output, records);
+    SaveList(output, records, kMaxRecords);
   }
   const std::string plain = std::move(stream).str();
   uLongf size = compressBound(plain.size());
@@ -68,7 +70,7 @@
     std::istringstream stream(*plain);
     cereal::PortableBinaryInputArchive input(stream);
     std::vector<StoreRecord> records;
-    LoadList(input, records);
+    LoadList(input, records, kMaxRecords);
     return records;
   } catch (const cereal::Exception&) {
     return std::nullopt;
--- a/libs/wire/tests/packed_records_test.cc
+++ b/libs/wire/tests/packed_records_test.cc
@@ -30,6 +30,19 @@
   RC_ASSERT(!UnpackRecords(bytes) || !bytes.empty());
 }
 
+// Guards against a relay that fails on the member list of a large fleet.
+TEST(PackedRecordsTest, HoldsTheMembersOfALargeFleet) {
+  constexpr size_t kNodes = 20'000;
+  std::vector<StoreRecord> records;
+  for (size_t node = 0; node < kNodes; ++node) {
+    records.push_back({.m_topic = StoreTopic::kMembers,
+                       .m_position = StorePosition(node),
+                       .m_key = std::to_string(node),
+                       .m_value = "member " + std::to_string(node)});
+  }
+  EXPECT_EQ(UnpackRecords(PackRecords(records)), records);
+}
+
 TEST(PackedRecordsTest, CompressesRepetitiveText) {
   std::string text;
   for (int i = 0; i < 350; ++i) {
