Connections outlive an exception of their handler

Cause: reading, or accepting, went on only after the handler had returned.

Change: the exception is thrown again from a handler of its own, where the event loop logs it as before. The caller gets 500, which promises nothing, and its connection closes after it. The link goes on with the next message, the listener with the next connection. A connection to an instance is closed.

--- a/libs/http/include/sequoiastage/http/tcp_socket.h
+++ b/libs/http/include/sequoiastage/http/tcp_socket.h
@@ -3,6 +3,8 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <string>
@@ -52,6 +54,15 @@
 /// longer.
 void LimitUnsentBytes(asio::ip::tcp::socket& socket, int bytes);
 
+/// Throws the exception that is being handled from a handler of its own, so
+/// that the event loop reports it and the caller goes on.
+template <class Executor>
+void RethrowLater(const Executor& executor) {
+  asio::post(executor, [exception = std::current_exception()] {
+    std::rethrow_exception(exception);
+  });
+}
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_HTTP_TCP_SOCKET_H_
--- a/libs/http/src/exchange_connection.cc
+++ b/libs/http/src/exchange_connection.cc
@@ -246,7 +246,13 @@
           return;
         }
         if (!error) {
-          self->OnBytes(std::string_view(self->m_chunk.data(), count));
+          try {
+            self->OnBytes(std::string_view(self->m_chunk.data(), count));
+          } catch (const std::exception&) {
+            // Bytes that follow the response have not been checked.
+            RethrowLater(self->m_socket.get_executor());
+            self->Close();
+          }
           if (!self->m_is_closed) {
             self->Read();
           }
--- a/libs/http/src/stream_server.cc
+++ b/libs/http/src/stream_server.cc
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr uint16_t kRequestTimeout = 408;
+constexpr uint16_t kInternalError = 500;
 constexpr uint16_t kUnavailable = 503;
 // Time for the caller to close first after its last response. Closing before it
 // has read everything would reset the connection.
@@ -245,26 +246,35 @@
     m_is_closing = !keeps_alive || m_shared->m_is_draining;
     m_has_received_request = true;
     SetTimer();
-    const std::weak_ptr<Connection> weak = weak_from_this();
-    CancelHook cancel = m_shared->m_handler(
-        std::move(request), [weak, slot](HttpResponse response) {
-          const auto self = weak.lock();
-          if (self && !slot->m_response) {
-            slot->m_response = std::move(response);
-            self->m_ready_bytes += slot->m_response->m_body.size();
-            self->SendReady();
-          }
-        });
-    slot->m_cancel = std::move(cancel);
+    const StreamResponder respond = [weak = weak_from_this(),
+                                     slot](HttpResponse response) {
+      const auto self = weak.lock();
+      if (self && !slot->m_response) {
+        slot->m_response = std::move(response);
+        self->m_ready_bytes += slot->m_response->m_body.size();
+        self->SendReady();
+      }
+    };
+    try {
+      slot->m_cancel = m_shared->m_handler(std::move(request), respond);
+    } catch (const std::exception&) {
+      RethrowLater(m_socket.get_executor());
+      m_is_closing = true;
+      respond(BuildErrorResponse(kInternalError));
+    }
+  }
+
+  HttpResponse BuildErrorResponse(uint16_t status) const {
+    return m_shared->m_build_error_response
+               ? m_shared->m_build_error_response(status)
+               : HttpResponse{.m_status = status};
   }
 
   // Responds with an error status and parses no further request.
   void Reject(uint16_t status) {
     m_is_closing = true;
     auto slot = std::make_shared<Slot>();
-    slot->m_response = m_shared->m_build_error_response
-                           ? m_shared->m_build_error_response(status)
-                           : HttpResponse{.m_status = status};
+    slot->m_response = BuildErrorResponse(status);
     if (status == kUnavailable) {
       slot->m_response->m_fields.push_back({"Retry-After", "1"});
     }
--- a/libs/http/src/tcp_socket.cc
+++ b/libs/http/src/tcp_socket.cc
@@ -67,7 +67,11 @@
       return;
     }
     if (!error) {
-      state->m_handler(std::move(socket));
+      try {
+        state->m_handler(std::move(socket));
+      } catch (const std::exception&) {
+        RethrowLater(state->m_acceptor.get_executor());
+      }
     }
     if (!state->m_acceptor.is_open()) {
       return;
--- a/libs/link/src/peer_connection.cc
+++ b/libs/link/src/peer_connection.cc
@@ -128,7 +128,11 @@
     if (const auto* cancel = std::get_if<CancelMessage>(&*message)) {
       Abandon(cancel->m_attempt);  // Nobody waits for the response.
     }
-    m_handlers.m_on_message(std::move(*message));
+    try {
+      m_handlers.m_on_message(std::move(*message));
+    } catch (const std::exception&) {
+      RethrowLater(m_socket.get_executor());
+    }
   }
   if (m_decoder.IsBroken()) {
     Close(m_decoder.LastReason());
--- a/libs/link/tests/peer_connection_test.cc
+++ b/libs/link/tests/peer_connection_test.cc
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/write.hpp>
 #include <optional>
+#include <stdexcept>
 #include <utility>
 #include <vector>
 
@@ -174,5 +175,41 @@
   EXPECT_EQ(m_budget->Held(), 0U);
 }
 
+// Guards against a link that stays open and reads nothing more.
+TEST_F(PeerConnectionTest, ExceptionEndsTheHandlingOfOneMessage) {
+  std::vector<Message> received;
+  Tcp::acceptor acceptor(m_io, Tcp::endpoint(Tcp::v4(), 0));
+  Tcp::socket socket(m_io);
+  socket.connect(Tcp::endpoint(asio::ip::address_v4::loopback(),
+                               acceptor.local_endpoint().port()));
+  Tcp::socket peer(m_io);
+  acceptor.accept(peer);
+  auto connection =
+      std::make_shared<PeerConnection>(std::move(socket), m_options);
+  connection->Start({.m_on_message =
+                         [&](Message message) {
+                           received.push_back(std::move(message));
+                           throw std::logic_error("unexpected");
+                         },
+                     .m_on_closed = [](const std::string&) {}});
+  const auto run = [&](size_t count) {
+    const Duration end = SinceEpoch() + std::chrono::seconds(2);
+    while (received.size() < count && SinceEpoch() < end) {
+      try {
+        m_io.restart();
+        m_io.run_for(std::chrono::milliseconds(1));
+      } catch (const std::logic_error&) {
+      }
+    }
+    return received.size();
+  };
+  asio::write(peer, asio::buffer(*EncodeFrame(MakeReply(1)) +
+                                 *EncodeFrame(MakeReply(2))));
+  EXPECT_EQ(run(2), 2U);
+  asio::write(peer, asio::buffer(*EncodeFrame(MakeReply(3))));
+  EXPECT_EQ(run(3), 3U);
+  connection->Close("test ends");
+}
+
 }  // namespace
 }  // namespace sequoiastage
