Remember departures of instances that the node had not heard of

Cause: a node that had just restarted recorded the departure without the start time, which it did not read from the deregistration. A heartbeat that was sent before and came late had a later start time and was taken for the next incarnation of the same name.

Change: LocalInstance keeps a bounded list of departures, each of which covers the incarnations of its name up to the stated start time or, without one, up to the time of the deregistration. The codec reads the start time; a departure is accepted whatever else its body says. A departure of an unknown instance is published too, and the record names the latest one while another instance is active. A late deregistration no longer ends a later incarnation. An instance that starts again under its old name serves again, also after the clock was set back, which it did not before.

The tests of LocalInstance pass the start times to OnDeregister() and keep what they expect.

--- a/libs/mesh/include/sequoiastage/mesh/local_instance.h
+++ b/libs/mesh/include/sequoiastage/mesh/local_instance.h
@@ -1,6 +1,7 @@
 #ifndef SEQUOIASTAGE_MESH_LOCAL_INSTANCE_H_
 #define SEQUOIASTAGE_MESH_LOCAL_INSTANCE_H_
 
+#include <deque>
 #include <optional>
 #include <string>
 
@@ -9,22 +10,38 @@
 
 namespace sequoiastage {
 
+/// Departure of an instance. It covers every incarnation of that name that had
+/// started by m_start_time_ms.
+struct InstanceDeparture {
+  std::string m_name;
+  uint64_t m_start_time_ms = 0;
+  /// m_start_time_ms is the start time of the incarnation that left, not only
+  /// an upper bound.
+  bool m_is_exact = true;
+
+  bool Covers(const InstanceAnnouncement& announcement) const {
+    return announcement.m_name == m_name &&
+           announcement.m_start_time_ms <= m_start_time_ms;
+  }
+};
+
 /// Tracks which instance runs on this host, based on announcements that may be
 /// late, duplicated, or sent by an earlier incarnation.
 ///
-/// An incarnation with a later start time replaces an earlier one. A
-/// deregistered instance is not restored by announcements with the same start
-/// time. If the host's clock was set back, an incarnation with an earlier start
-/// time replaces the current one after that has sent no announcements for a
-/// while.
+/// An incarnation with a later start time replaces an earlier one. An
+/// incarnation that has left is not restored by its announcements, whether or
+/// not this process had heard of it before. If the host's clock was set back,
+/// an incarnation with an earlier start time is accepted after a while: when
+/// the current one has sent no announcements for that time, or when it has gone
+/// on announcing itself for that time under a name that has left.
 class LocalInstance {
  public:
   /// Effect of an event.
   enum class Change : uint8_t {
     /// Nothing that has to be published.
     kNone,
-    /// The active instance, its service, its address or its slots changed, or
-    /// it is leaving.
+    /// The active instance, its service, its address or its slots changed, it
+    /// is leaving, or the latest departure changed.
     kChanged,
     /// Ignored: from an earlier incarnation or older than the latest
     /// announcement.
@@ -33,8 +50,11 @@
 
   Change OnAnnounce(const InstanceAnnouncement& announcement, TimePoint now);
 
-  /// Returns kChanged when `name` is the current instance.
-  Change OnDeregister(const std::string& name);
+  /// `start_time_ms`: start of the incarnation that leaves; 0 when it did not
+  /// state it. `now` is the time by the clock of the host, as are start times.
+  Change OnDeregister(const std::string& name,
+                      uint64_t start_time_ms,
+                      WallTime now);
 
   /// The instance stated in a response that it is leaving. Irreversible for
   /// this incarnation, whatever it announces.
@@ -44,8 +64,10 @@
   /// has acknowledged. Returns kChanged when it ended the current instance.
   Change RestoreDeparture(const std::string& name, uint64_t start_time_ms);
 
-  /// The current instance if it is leaving or has ended; otherwise null.
-  const InstanceAnnouncement* Departed() const;
+  /// The latest departure; null when there was none.
+  const InstanceDeparture* LatestDeparture() const {
+    return m_departures.empty() ? nullptr : &m_departures.back();
+  }
 
   /// Called when another instance responded at the address of the current one.
   Change OnMismatch();
@@ -54,9 +76,28 @@
   const InstanceAnnouncement* ActiveInstance() const;
 
  private:
+  // An incarnation that announces itself under a name that has left, with an
+  // earlier start time.
+  struct Returning {
+    std::string m_name;
+    uint64_t m_start_time_ms = 0;
+    uint64_t m_sequence = 0;
+    TimePoint m_first_announced_at;
+  };
+
+  // Returns whether the departure was new.
+  bool AddDeparture(InstanceDeparture departure);
+  // Whether the announcement is of an incarnation that has left.
+  bool HasLeft(const InstanceAnnouncement& announcement, TimePoint now);
+  // Ends the current incarnation.
+  Change End();
+
   std::optional<InstanceAnnouncement> m_current;
   bool m_has_ended = false;
   TimePoint m_last_announced_at{};
+  // The latest ones, oldest first; one for each name.
+  std::deque<InstanceDeparture> m_departures;
+  std::optional<Returning> m_returning;
 };
 
 }  // namespace sequoiastage
--- a/libs/mesh/include/sequoiastage/mesh/member_record.h
+++ b/libs/mesh/include/sequoiastage/mesh/member_record.h
@@ -29,7 +29,7 @@
   ServiceId m_service;
   uint32_t m_slots = 0;
   /// Name and start time of the last instance of this host that has left; for
-  /// the next process of the node. Empty while an instance is active.
+  /// the next process of the node. Empty when none has.
   std::string m_departed;
   uint64_t m_departed_start_ms = 0;
   /// Recent crashes of this host's instances, or of others whose nodes did not
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -265,9 +265,10 @@
           "announced");
       break;
     case ControlRequest::Kind::kDeregister:
-      ApplyInstance(
-          m_local_instance.OnDeregister(control.m_announcement.m_name),
-          "deregistered");
+      ApplyInstance(m_local_instance.OnDeregister(
+                        control.m_announcement.m_name,
+                        control.m_announcement.m_start_time_ms, WallNow()),
+                    "deregistered");
       break;
   }
   responder({.m_status = 200,
@@ -314,10 +315,10 @@
     record.m_instance_start_ms = instance->m_start_time_ms;
     record.m_service = MakeServiceId(instance->m_service);
     record.m_slots = instance->m_slots;
-  } else if (const InstanceAnnouncement* departed =
-                 m_local_instance.Departed()) {
-    record.m_departed = departed->m_name;
-    record.m_departed_start_ms = departed->m_start_time_ms;
+  }
+  if (const InstanceDeparture* departure = m_local_instance.LatestDeparture()) {
+    record.m_departed = departure->m_name;
+    record.m_departed_start_ms = departure->m_start_time_ms;
   }
   m_targets.SetMember(record);
   m_needs_publishing = true;
--- a/libs/mesh/include/sequoiastage/mesh/platform.h
+++ b/libs/mesh/include/sequoiastage/mesh/platform.h
@@ -83,7 +83,8 @@
 struct ControlRequest {
   enum class Kind : uint8_t {
     kAnnounce,
-    /// The instance `m_announcement.m_name` has stopped or is stopping.
+    /// The instance `m_announcement.m_name` has stopped or is stopping. Its
+    /// m_start_time_ms tells which incarnation; 0 when that is unknown.
     kDeregister,
     kInvalid,
   };
--- a/libs/mesh/src/local_instance.cc
+++ b/libs/mesh/src/local_instance.cc
@@ -1,5 +1,8 @@
 #include "sequoiastage/mesh/local_instance.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace sequoiastage {
 
 namespace {
@@ -9,6 +12,9 @@
 // older one.
 constexpr Duration kAnnouncementTimeout = std::chrono::seconds(4);
 
+// Departures that are remembered.
+constexpr size_t kMaxDepartures = 16;
+
 }  // namespace
 
 LocalInstance::Change LocalInstance::OnAnnounce(
@@ -21,10 +27,11 @@
     if (m_has_ended || announcement.m_sequence < m_current->m_sequence) {
       return Change::kStale;
     }
-  } else if (m_current &&
+  } else if (HasLeft(announcement, now)) {
+    return Change::kStale;
+  } else if (m_current && !m_has_ended &&
              announcement.m_start_time_ms <= m_current->m_start_time_ms &&
-             (m_has_ended ? m_current->m_name == announcement.m_name
-                          : now - m_last_announced_at < kAnnouncementTimeout)) {
+             now - m_last_announced_at < kAnnouncementTimeout) {
     return Change::kStale;
   }
   m_last_announced_at = now;
@@ -33,66 +40,127 @@
     // Leaving is irreversible.
     latest.m_is_leaving |= m_current->m_is_leaving;
   }
-  const bool is_changed = !is_same_incarnation || m_has_ended ||
+  const bool is_changed = !is_same_incarnation ||
                           latest.m_is_leaving != m_current->m_is_leaving ||
                           latest.m_service != m_current->m_service ||
                           latest.m_slots != m_current->m_slots ||
                           latest.m_address != m_current->m_address;
+  if (latest.m_is_leaving) {
+    AddDeparture(
+        {.m_name = latest.m_name, .m_start_time_ms = latest.m_start_time_ms});
+  }
   m_current = std::move(latest);
   m_has_ended = false;
   return is_changed ? Change::kChanged : Change::kNone;
 }
 
-LocalInstance::Change LocalInstance::OnDeregister(const std::string& name) {
-  if (!m_current) {
-    // Recorded so that a late announcement does not restore the instance.
-    m_current = InstanceAnnouncement{.m_name = name, .m_is_leaving = true};
-    m_has_ended = true;
-    return Change::kNone;
+bool LocalInstance::HasLeft(const InstanceAnnouncement& announcement,
+                            TimePoint now) {
+  const auto departure = std::find_if(
+      m_departures.begin(), m_departures.end(),
+      [&](const InstanceDeparture& d) { return d.Covers(announcement); });
+  if (departure == m_departures.end()) {
+    return false;
   }
-  if (m_current->m_name != name || m_has_ended) {
-    return Change::kNone;
+  if (!departure->m_is_exact ||
+      departure->m_start_time_ms == announcement.m_start_time_ms) {
+    return true;
+  }
+  // Announcements that were late end soon, those of an instance go on.
+  const bool is_known =
+      m_returning && m_returning->m_name == announcement.m_name &&
+      m_returning->m_start_time_ms == announcement.m_start_time_ms;
+  if (!is_known) {
+    m_returning = Returning{.m_name = announcement.m_name,
+                            .m_start_time_ms = announcement.m_start_time_ms,
+                            .m_sequence = announcement.m_sequence,
+                            .m_first_announced_at = now};
+    return true;
+  }
+  if (announcement.m_sequence <= m_returning->m_sequence) {
+    return true;
+  }
+  m_returning->m_sequence = announcement.m_sequence;
+  if (now - m_returning->m_first_announced_at < kAnnouncementTimeout) {
+    return true;
+  }
+  m_returning.reset();
+  m_departures.erase(departure);
+  return false;
+}
+
+bool LocalInstance::AddDeparture(InstanceDeparture departure) {
+  const auto known = std::find_if(
+      m_departures.begin(), m_departures.end(),
+      [&](const InstanceDeparture& d) { return d.m_name == departure.m_name; });
+  if (known != m_departures.end()) {
+    if (known->m_start_time_ms >= departure.m_start_time_ms) {
+      return false;
+    }
+    m_departures.erase(known);
+  }
+  m_departures.push_back(std::move(departure));
+  if (m_departures.size() > kMaxDepartures) {
+    m_departures.pop_front();
   }
+  return true;
+}
+
+LocalInstance::Change LocalInstance::End() {
   m_has_ended = true;
   return Change::kChanged;
 }
 
+LocalInstance::Change LocalInstance::OnDeregister(const std::string& name,
+                                                  uint64_t start_time_ms,
+                                                  WallTime now) {
+  const bool is_current =
+      m_current && !m_has_ended && m_current->m_name == name;
+  InstanceDeparture departure{.m_name = name,
+                              .m_start_time_ms = start_time_ms,
+                              .m_is_exact = start_time_ms != 0};
+  if (!departure.m_is_exact) {
+    // An incarnation that leaves had started before.
+    departure.m_start_time_ms = std::max<uint64_t>(
+        static_cast<uint64_t>(now.time_since_epoch().count()),
+        is_current ? m_current->m_start_time_ms : 0);
+  }
+  const bool ends_current = is_current && departure.Covers(*m_current);
+  const bool is_new = AddDeparture(std::move(departure));
+  if (ends_current) {
+    return End();
+  }
+  return is_new ? Change::kChanged : Change::kNone;
+}
+
 LocalInstance::Change LocalInstance::OnLeaving(const std::string& name,
                                                uint64_t start_time_ms) {
   if (ActiveInstance() == nullptr || m_current->m_name != name ||
       m_current->m_start_time_ms != start_time_ms) {
     return Change::kNone;
   }
+  AddDeparture({.m_name = name, .m_start_time_ms = start_time_ms});
   m_current->m_is_leaving = true;
   return Change::kChanged;
 }
 
 LocalInstance::Change LocalInstance::RestoreDeparture(const std::string& name,
                                                       uint64_t start_time_ms) {
-  if (!m_current) {
-    m_current = InstanceAnnouncement{
-        .m_name = name, .m_is_leaving = true, .m_start_time_ms = start_time_ms};
-    m_has_ended = true;
-    return Change::kNone;
-  }
+  AddDeparture({.m_name = name, .m_start_time_ms = start_time_ms});
   if (ActiveInstance() == nullptr || m_current->m_name != name ||
       m_current->m_start_time_ms != start_time_ms) {
     return Change::kNone;
   }
-  m_has_ended = true;
-  return Change::kChanged;
-}
-
-const InstanceAnnouncement* LocalInstance::Departed() const {
-  return m_current && ActiveInstance() == nullptr ? &*m_current : nullptr;
+  return End();
 }
 
 LocalInstance::Change LocalInstance::OnMismatch() {
   if (ActiveInstance() == nullptr) {
     return Change::kNone;
   }
-  m_has_ended = true;
-  return Change::kChanged;
+  AddDeparture({.m_name = m_current->m_name,
+                .m_start_time_ms = m_current->m_start_time_ms});
+  return End();
 }
 
 const InstanceAnnouncement* LocalInstance::ActiveInstance() const {
--- a/libs/mesh/tests/fake_platform.h
+++ b/libs/mesh/tests/fake_platform.h
@@ -109,7 +109,7 @@
   }
 
   // POST /announce/NAME "SERVICE ADDRESS START_TIME SEQUENCE [leaving]", or
-  // POST /deregister/NAME.
+  // POST /deregister/NAME "[START_TIME]".
   static ControlRequest DecodeControl(const HttpRequest& request) {
     constexpr std::string_view kAnnounce = "/announce/";
     constexpr std::string_view kDeregister = "/deregister/";
@@ -118,6 +118,9 @@
     if (target.starts_with(kDeregister)) {
       control.m_kind = ControlRequest::Kind::kDeregister;
       control.m_announcement.m_name = target.substr(kDeregister.size());
+      if (!request.m_body.empty()) {
+        control.m_announcement.m_start_time_ms = std::stoul(request.m_body);
+      }
       return control;
     }
     const auto words = SplitWords(request.m_body);
--- a/libs/mesh/tests/local_instance_test.cc
+++ b/libs/mesh/tests/local_instance_test.cc
@@ -26,8 +26,13 @@
                : m_local.ActiveInstance()->m_name;
   }
 
+  Change Deregister(const std::string& name, uint64_t start_time_ms) {
+    return m_local.OnDeregister(name, start_time_ms, m_wall);
+  }
+
   LocalInstance m_local;
   TimePoint m_now{seconds(100)};
+  WallTime m_wall{seconds(1)};
 };
 
 TEST_F(LocalInstanceTest, RepeatedAnnouncementsChangeNothing) {
@@ -55,7 +60,8 @@
   EXPECT_EQ(m_local.OnLeaving("a", 10), Change::kNone);
   EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 2), m_now), Change::kNone);
   EXPECT_EQ(ActiveName(), "");
-  ASSERT_NE(m_local.Departed(), nullptr);
+  ASSERT_NE(m_local.LatestDeparture(), nullptr);
+  EXPECT_EQ(m_local.LatestDeparture()->m_start_time_ms, 10U);
   EXPECT_EQ(m_local.OnAnnounce(Announce("a", 20, 1), m_now), Change::kChanged);
   EXPECT_EQ(ActiveName(), "a");
 }
@@ -74,7 +80,7 @@
 
 TEST_F(LocalInstanceTest, LateAnnouncementDoesNotRestoreADeregisteredInstance) {
   m_local.OnAnnounce(Announce("a", 10, 1), m_now);
-  EXPECT_EQ(m_local.OnDeregister("a"), Change::kChanged);
+  EXPECT_EQ(Deregister("a", 10), Change::kChanged);
   EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 2), m_now), Change::kStale);
   EXPECT_EQ(ActiveName(), "");
   EXPECT_EQ(m_local.OnAnnounce(Announce("b", 5, 1), m_now), Change::kChanged);
@@ -82,10 +88,99 @@
 
 TEST_F(LocalInstanceTest, DeregistrationOfAnotherInstanceIsIgnored) {
   m_local.OnAnnounce(Announce("b", 20, 1), m_now);
-  EXPECT_EQ(m_local.OnDeregister("a"), Change::kNone);
+  Deregister("a", 10);
   EXPECT_EQ(ActiveName(), "b");
 }
 
+// Load pattern: a node restarts, and the first that it hears of its instance is
+// the deregistration. Announcements that were sent before arrive afterwards.
+TEST_F(LocalInstanceTest, UnknownInstanceThatLeftIsNotRestored) {
+  EXPECT_EQ(Deregister("a", 10), Change::kChanged);
+  ASSERT_NE(m_local.LatestDeparture(), nullptr);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 3), m_now), Change::kStale);
+  m_now += seconds(60);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 4), m_now), Change::kStale);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 20, 0), m_now), Change::kChanged);
+  EXPECT_EQ(ActiveName(), "a");
+}
+
+TEST_F(LocalInstanceTest, DepartureOfAnUnstatedStartCoversThePast) {
+  EXPECT_EQ(Deregister("a", 0), Change::kChanged);
+  for (uint64_t sequence = 1; sequence < 10; ++sequence) {
+    EXPECT_EQ(m_local.OnAnnounce(Announce("a", 999, sequence), m_now),
+              Change::kStale);
+    m_now += seconds(1);
+  }
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 1001, 0), m_now),
+            Change::kChanged);
+}
+
+// The clock of the host was set back after the instance had started.
+TEST_F(LocalInstanceTest, DepartureOfAnUnstatedStartEndsTheCurrentInstance) {
+  m_local.OnAnnounce(Announce("a", 5000, 1), m_now);
+  EXPECT_EQ(Deregister("a", 0), Change::kChanged);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 5000, 2), m_now), Change::kStale);
+  EXPECT_EQ(ActiveName(), "");
+}
+
+// Another instance has taken its place and has left as well.
+TEST_F(LocalInstanceTest, EarlierDepartureIsNotForgotten) {
+  m_local.OnAnnounce(Announce("a", 10, 1), m_now);
+  Deregister("a", 10);
+  m_local.OnAnnounce(Announce("b", 20, 1), m_now);
+  Deregister("b", 20);
+  m_now += seconds(60);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 2), m_now), Change::kStale);
+  InstanceAnnouncement leaving = Announce("c", 30, 1);
+  leaving.m_is_leaving = true;
+  m_local.OnAnnounce(leaving, m_now);
+  m_local.OnAnnounce(Announce("d", 40, 1), m_now);
+  m_now += seconds(60);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("c", 30, 1), m_now), Change::kStale);
+  EXPECT_EQ(ActiveName(), "d");
+}
+
+TEST_F(LocalInstanceTest, LateDeregistrationEndsNoLaterIncarnation) {
+  m_local.OnAnnounce(Announce("a", 20, 1), m_now);
+  EXPECT_NE(Deregister("a", 10), Change::kStale);
+  EXPECT_EQ(ActiveName(), "a");
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 20, 2), m_now), Change::kNone);
+}
+
+// The deregistration overtakes the first announcement of its incarnation.
+TEST_F(LocalInstanceTest, DeregistrationOfALaterIncarnationEndsTheEarlierOne) {
+  m_local.OnAnnounce(Announce("a", 10, 1), m_now);
+  EXPECT_EQ(Deregister("a", 20), Change::kChanged);
+  EXPECT_EQ(ActiveName(), "");
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 20, 1), m_now), Change::kStale);
+}
+
+// An instance that starts again under its old name serves again, also when the
+// clock was set back meanwhile; a few late announcements don't look like it.
+TEST_F(LocalInstanceTest, ClockSetBackOnlyDelaysAReturnUnderTheSameName) {
+  Deregister("a", 5000);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 4000, 7), m_now), Change::kStale);
+  m_now += seconds(5);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 4000, 7), m_now), Change::kStale);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 3000, 1), m_now), Change::kStale);
+  m_now += seconds(5);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 3000, 4), m_now),
+            Change::kChanged);
+  EXPECT_EQ(ActiveName(), "a");
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 3000, 5), m_now), Change::kNone);
+  // It can leave again.
+  EXPECT_EQ(Deregister("a", 3000), Change::kChanged);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 3000, 6), m_now), Change::kStale);
+}
+
+TEST_F(LocalInstanceTest, RemembersABoundedNumberOfDepartures) {
+  for (int i = 0; i < 1000; ++i) {
+    Deregister("i" + std::to_string(i), 10);
+  }
+  EXPECT_EQ(m_local.OnAnnounce(Announce("i999", 10, 2), m_now), Change::kStale);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("i0", 10, 2), m_now), Change::kChanged);
+}
+
 TEST_F(LocalInstanceTest, ClockSetBackOnlyDelaysTheNextIncarnation) {
   m_local.OnAnnounce(Announce("a", 5000, 1), m_now);
   EXPECT_EQ(m_local.OnAnnounce(Announce("b", 3000, 1), m_now), Change::kStale);
--- a/libs/mesh/tests/mesh_node_fixture.h
+++ b/libs/mesh/tests/mesh_node_fixture.h
@@ -84,12 +84,22 @@
         .m_response.m_status;
   }
 
-  uint16_t Announce(TestNode& node, const std::string& more = "") {
+  uint16_t Announce(TestNode& node,
+                    const std::string& more = "",
+                    const std::string& start_time = "10") {
     return Exchange(node.m_settings.m_control,
                     {.m_method = "POST",
                      .m_target = "/announce/i-1",
                      .m_body = "plans " + ToString(node.m_instance.m_endpoint) +
-                               " 10 " + std::to_string(++m_sequence) + more})
+                               " " + start_time + " " +
+                               std::to_string(++m_sequence) + more})
+        .m_response.m_status;
+  }
+
+  uint16_t Deregister(TestNode& node, const std::string& start_time) {
+    return Exchange(node.m_settings.m_control, {.m_method = "POST",
+                                                .m_target = "/deregister/i-1",
+                                                .m_body = start_time})
         .m_response.m_status;
   }
 
--- a/libs/mesh/tests/mesh_node_test.cc
+++ b/libs/mesh/tests/mesh_node_test.cc
@@ -84,6 +84,35 @@
   EXPECT_EQ(writes(), 2);
 }
 
+// Guards against requests for an instance that has left, when its announcement
+// arrives late at a process that had not heard of it before.
+TEST_F(MeshNodeTest, LateAnnouncementAfterARestartRestoresNoInstance) {
+  PublishConfig("1 a /x/ plans once");
+  ASSERT_EQ(Announce(*m_second), 200);
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+  for (int restart = 0; restart < 2; ++restart) {
+    m_second.reset();
+    m_second = std::make_unique<TestNode>(m_io, m_log, 2);
+    if (restart == 0) {
+      ASSERT_EQ(Deregister(*m_second, "10"), 200);
+    } else {
+      // The departure is known from the record of the process before.
+      RunUntil(
+          m_io, [] { return false; }, seconds(1));
+    }
+    Announce(*m_second);
+    RunUntil(
+        m_io, [] { return false; }, seconds(1));
+    for (int i = 0; i < 5; ++i) {
+      EXPECT_EQ(SendRequest(*m_first, "/x/").m_response.m_status, 503);
+    }
+    EXPECT_TRUE(m_second->m_instance.m_requests.empty());
+  }
+  // Started again under its old name.
+  Announce(*m_second, "", "20");
+  EXPECT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+}
+
 TEST_F(MeshNodeTest, NodeCutOffFromTheStoreReceivesChangesByRelay) {
   PublishConfig("1 a /x/ plans");
   Announce(*m_second);
