Take whole numbers in their range only from member records

Callers would see: requests offered to nodes that have no such slots. Reported by other operators: odd entries among those of the instances.

Cause: nlohmann's conversions turn -1 into 4,294,967,295 and cast fractions and numbers as large as 1e300, which is undefined beyond the range of the type.

Evidence: MemberRecordTest.OddRecordsAreNoMembers failed before for slots of -1, 1e3, 1e300, 70000, 3.5, and alike for eras, start times, times and fingerprints. What passed before: text nested 100,000 deep on a thread with 256 KiB of stack, ports out of range, MeshNodeTest.OddMemberRecordsEndNoReading.

Change: numbers are read as whole numbers with a limit; any other makes the record unreadable, and the current one is kept.

--- a/libs/mesh/src/member_record.cc
+++ b/libs/mesh/src/member_record.cc
@@ -8,22 +8,45 @@
 
 namespace {
 
+using Json = nlohmann::json;
+
 // Reports that are read from one record; a node writes fewer.
 constexpr size_t kMaxReports = 32;
+// Id of nlohmann's error for a number out of range.
+constexpr int kOutOfRange = 406;
+// The most slots that a load report can state.
+constexpr uint32_t kMaxSlots = UINT16_MAX;
+
+// The whole number `json`, at most `max`. Throws Json::exception for
+// anything else; nlohmann's conversions would change it.
+uint64_t ReadNumber(const Json& json, uint64_t max = UINT64_MAX) {
+  const uint64_t number = json.get_ref<const Json::number_unsigned_t&>();
+  if (number > max) {
+    throw Json::out_of_range::create(kOutOfRange, "number is too large", &json);
+  }
+  return number;
+}
+
+// The same for a member of an object; 0 when it is absent.
+uint64_t ReadNumber(const Json& json,
+                    const char* key,
+                    uint64_t max = UINT64_MAX) {
+  const auto found = json.find(key);
+  return found == json.end() ? 0 : ReadNumber(*found, max);
+}
 
-nlohmann::json EncodeTime(WallTime time) {
+Json EncodeTime(WallTime time) {
   return time.time_since_epoch().count();
 }
 
-WallTime DecodeTime(const nlohmann::json& json) {
-  // Bounded so that calculations with a damaged time do not overflow.
-  constexpr int64_t kMaxMs = 10'000'000'000'000;
-  return WallTime(std::chrono::milliseconds(
-      std::clamp<int64_t>(json.get<int64_t>(), 0, kMaxMs)));
+WallTime DecodeTime(const Json& json) {
+  // Calculations with the time must not overflow.
+  constexpr uint64_t kMaxMs = 10'000'000'000'000;
+  return WallTime(std::chrono::milliseconds(ReadNumber(json, kMaxMs)));
 }
 
-nlohmann::json EncodeCrash(const CrashReport& report) {
-  nlohmann::json running = nlohmann::json::array();
+Json EncodeCrash(const CrashReport& report) {
+  Json running = Json::array();
   for (const RequestFingerprint request : report.m_running) {
     running.push_back(request.Get());
   }
@@ -34,22 +57,23 @@
 }
 
 // Empty when the node can't be read.
-std::optional<CrashReport> DecodeCrash(const nlohmann::json& json) {
+std::optional<CrashReport> DecodeCrash(const Json& json) {
   const auto node = ParseEndpoint(json.at("node").get<std::string>());
   if (!node) {
     return std::nullopt;
   }
-  CrashReport report{.m_node = NodeId(*node),
-                     .m_instance_start_ms = json.at("instance_start_ms"),
-                     .m_at = DecodeTime(json.at("at_ms")),
-                     .m_running = {}};
+  CrashReport report{
+      .m_node = NodeId(*node),
+      .m_instance_start_ms = ReadNumber(json.at("instance_start_ms")),
+      .m_at = DecodeTime(json.at("at_ms")),
+      .m_running = {}};
   for (const auto& request : json.at("running")) {
-    report.m_running.emplace_back(request.get<uint64_t>());
+    report.m_running.emplace_back(ReadNumber(request));
   }
   return report;
 }
 
-void DecodeReports(const nlohmann::json& json, MemberRecord& record) {
+void DecodeReports(const Json& json, MemberRecord& record) {
   if (const auto crashes = json.find("crashes"); crashes != json.end()) {
     for (const auto& entry : *crashes) {
       if (record.m_crashes.size() == kMaxReports) {
@@ -67,7 +91,7 @@
         break;
       }
       record.m_executions.push_back(
-          {.m_request = RequestFingerprint(entry.at("request").get<uint64_t>()),
+          {.m_request = RequestFingerprint(ReadNumber(entry.at("request"))),
            .m_at = DecodeTime(entry.at("at_ms"))});
     }
   }
@@ -76,9 +100,9 @@
 }  // namespace
 
 std::string EncodeMember(const MemberRecord& record) {
-  nlohmann::json json = {{"node", ToString(record.m_node)},
-                         {"domain", record.m_domain},
-                         {"region", record.m_region}};
+  Json json = {{"node", ToString(record.m_node)},
+               {"domain", record.m_domain},
+               {"region", record.m_region}};
   if (record.m_is_leaving) {
     json["leaving"] = true;
   }
@@ -104,13 +128,12 @@
   }
   // An exception would end the handler that publishes the record.
   constexpr int kOneLine = -1;
-  return json.dump(kOneLine, ' ', false,
-                   nlohmann::json::error_handler_t::replace);
+  return json.dump(kOneLine, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<MemberRecord> DecodeMember(std::string_view text) {
   try {
-    const auto json = nlohmann::json::parse(text);
+    const auto json = Json::parse(text);
     const auto node = ParseEndpoint(json.at("node").get<std::string>());
     if (!node) {
       return std::nullopt;
@@ -119,20 +142,23 @@
                         .m_domain = json.at("domain"),
                         .m_region = json.at("region"),
                         .m_is_leaving = json.value("leaving", false),
-                        .m_era = StoreEra(json.value("era", 0U))};
+                        .m_era = StoreEra(static_cast<uint32_t>(
+                            ReadNumber(json, "era", UINT32_MAX)))};
     record.m_instance = json.value("instance", "");
     if (!record.m_instance.empty()) {
-      record.m_instance_start_ms = json.value("instance_start_ms", uint64_t{0});
-      record.m_service = ServiceId(json.value("service", 0U));
-      record.m_slots = json.value("slots", 0U);
+      record.m_instance_start_ms = ReadNumber(json, "instance_start_ms");
+      record.m_service = ServiceId(
+          static_cast<uint32_t>(ReadNumber(json, "service", UINT32_MAX)));
+      record.m_slots =
+          static_cast<uint32_t>(ReadNumber(json, "slots", kMaxSlots));
     }
     record.m_departed = json.value("departed", "");
     if (!record.m_departed.empty()) {
-      record.m_departed_start_ms = json.value("departed_start_ms", uint64_t{0});
+      record.m_departed_start_ms = ReadNumber(json, "departed_start_ms");
     }
     DecodeReports(json, record);
     return record;
-  } catch (const nlohmann::json::exception&) {
+  } catch (const Json::exception&) {
     return std::nullopt;
   }
 }
--- a/libs/mesh/tests/mesh_node_test.cc
+++ b/libs/mesh/tests/mesh_node_test.cc
@@ -133,6 +133,28 @@
   }
 }
 
+// Guards against entries of other writers that end the reading of the members.
+TEST_F(MeshNodeTest, OddMemberRecordsEndNoReading) {
+  PublishConfig("1 a /x/ plans once");
+  ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 503));
+  ASSERT_TRUE(RunUntil(m_io, [this] { return m_log.m_topics[1].size() == 2; }));
+  const std::string second = ToString(m_second->m_settings.m_peer);
+  for (const std::string& odd : std::vector<std::string>{
+           std::string(50'000, '['), std::string(R"({"node":1e999})"),
+           R"({"node":")" + second + R"(","domain":"d","region":"r",)" +
+               R"("instance":"i-1","service":1,"slots":1e300})",
+           R"({"node":"127.0.0.1:70000","domain":"d","region":"r"})",
+           std::string("\xff\xfe")}) {
+    m_log.Write(StoreTopic::kMembers, second, odd);
+    m_log.Write(StoreTopic::kMembers, "\xff\xfe", odd);
+    m_log.Write(StoreTopic::kMembers, "127.0.0.1:70000", odd);
+  }
+  RunUntil(
+      m_io, [] { return false; }, milliseconds(500));
+  ASSERT_EQ(Announce(*m_second), 200);
+  EXPECT_TRUE(WaitForStatus(*m_first, "/x/", 200));
+}
+
 // Guards against a relay that goes on reporting current data and passes no
 // change on, after one of its periodic tasks has failed.
 TEST_F(MeshNodeTest, RelayWithAFailingTaskPassesChangesOn) {
--- a/libs/mesh/tests/target_table_test.cc
+++ b/libs/mesh/tests/target_table_test.cc
@@ -1,8 +1,11 @@
 #include "sequoiastage/mesh/target_table.h"
 
 #include <gtest/gtest.h>
+#include <pthread.h>
 #include <rapidcheck/gtest.h>
 
+#include <functional>
+
 #include "sequoiastage/mesh/shared_quarantine.h"
 #include "sequoiastage/testing/mutate.h"
 
@@ -109,6 +112,74 @@
   RC_ASSERT(decoded->m_node == record.m_node);
 }
 
+// Runs `task` on a thread with little stack.
+void RunWithSmallStack(const std::function<void()>& task) {
+  pthread_attr_t attributes;
+  pthread_attr_init(&attributes);
+  pthread_attr_setstacksize(&attributes, size_t{256} << 10);
+  pthread_t thread;
+  const auto run = [](void* argument) -> void* {
+    (*static_cast<const std::function<void()>*>(argument))();
+    return nullptr;
+  };
+  ASSERT_EQ(pthread_create(&thread, &attributes, run,
+                           const_cast<std::function<void()>*>(&task)),
+            0);
+  pthread_join(thread, nullptr);
+  pthread_attr_destroy(&attributes);
+}
+
+// Guards against entries of other writers that end the process, or that are
+// taken for members.
+TEST(MemberRecordTest, OddRecordsAreNoMembers) {
+  const auto record = [](const std::string& slots,
+                         const std::string& more = "") {
+    return R"({"node":"10.0.0.7:7600","domain":"d","region":"r",)"
+           R"("instance":"i","service":7,"slots":)" +
+           slots + more + "}";
+  };
+  EXPECT_TRUE(DecodeMember(record("3")));
+  constexpr size_t kDepth = 100'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  std::string nested_objects;
+  for (size_t i = 0; i < kDepth; ++i) {
+    nested_objects += R"({"a":)";
+  }
+  nested_objects += "1" + std::string(kDepth, '}');
+  RunWithSmallStack([&] {
+    for (const std::string& slots :
+         {std::string("-1"), std::string("1e3"), std::string("1e999"),
+          std::string("1e300"), std::string("70000"),
+          std::string("99999999999999999999999"), std::string("3.5"),
+          std::string("\"3\""), std::string("null"), nested}) {
+      EXPECT_FALSE(DecodeMember(record(slots))) << slots.substr(0, 40);
+    }
+    for (const char* text :
+         {"", "[", "7", "null", "[]", R"({"node":7})",
+          R"({"node":"10.0.0.7:70000","domain":"d","region":"r"})",
+          R"({"node":"10.0.0.7:0","domain":"d","region":"r"})",
+          R"({"node":"10.0.0.700:7600","domain":"d","region":"r"})"}) {
+      EXPECT_FALSE(DecodeMember(text)) << text;
+    }
+    for (const std::string& value :
+         {nested, std::string("-1"), std::string("1e300")}) {
+      EXPECT_FALSE(DecodeMember(record("3", R"(,"era":)" + value)));
+      EXPECT_FALSE(
+          DecodeMember(record("3", R"(,"instance_start_ms":)" + value)));
+      EXPECT_FALSE(DecodeMember(record(
+          "3", R"(,"executions":[{"request":1,"at_ms":)" + value + "}]")));
+      EXPECT_FALSE(DecodeMember(record(
+          "3", R"(,"crashes":[{"node":"10.0.0.8:7600","instance_start_ms":1,)"
+               R"("at_ms":1,"running":[)" +
+                   value + "]}]")));
+    }
+    DecodeMember(record("3", R"(,"more":)" + nested));
+    DecodeMember(record("3", R"(,"more":)" + nested_objects));
+    DecodeMember(std::string(kDepth, '['));
+  });
+}
+
 RC_GTEST_PROP(MemberRecordTest, DamagedRecordsAreDroppedOrWellFormed, ()) {
   MemberRecord record = Record(7, "plans");
   record.m_instance_start_ms = 1'700'000'000'123;
