Send no request again over the connection on which it was refused

Callers would see: 503 for a request that the instance runs, or a second run elsewhere. Reported by other operators: a faulty instance wrote an earlier refusal once more on a kept connection.

Cause: responses are told apart by the id of the request. A late copy of a refusal bears the id of the next attempt too when the same request is sent again over the same connection. Within one call that does not happen; a caller that repeats an id gets there.

Change: an idle connection remembers the ids that were refused over it; these requests take another one. It is closed after 64 refusals, so that the list is bounded.

--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -66,6 +66,9 @@
   /// limits its load, it gets at most m_unproven_slots requests at a time.
   bool m_adopts_instance = false;
   uint32_t m_unproven_slots = 2;
+  /// A connection over which the instance has refused this many requests is
+  /// closed.
+  size_t m_max_refusals = 64;
   DownstreamGateOptions m_downstream{};
   /// Whether requests whose called services are short of capacity are refused;
   /// otherwise the limits are only measured.
@@ -245,6 +248,8 @@
     Duration m_connection_idle{};
     bool m_is_connection_reused = false;
     std::shared_ptr<ExchangeConnection> m_connection;
+    // Requests that the instance has refused over m_connection.
+    std::vector<std::string> m_refused_ids;
     asio::steady_timer m_timer;
   };
   using WorkPtr = std::shared_ptr<Work>;
@@ -269,6 +274,9 @@
     TimePoint m_since;
     // Opened as a probe; has carried no request.
     bool m_is_unused = false;
+    // Requests that the instance has refused over the connection. A late copy
+    // of such a refusal would answer the next attempt of the same request.
+    std::vector<std::string> m_refused_ids{};
   };
 
   AttemptReason CheckOffer(const OfferMessage& offer, TimePoint now);
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -90,13 +90,21 @@
   });
   // Reuse the most recently used connection: the instance is least likely to
   // close it.
-  if (!m_idle_connections.empty() &&
+  const auto idle = std::find_if(
+      m_idle_connections.rbegin(), m_idle_connections.rend(),
+      [&work](const IdleConnection& candidate) {
+        const auto& refused = candidate.m_refused_ids;
+        return std::find(refused.begin(), refused.end(),
+                         work.m_offer.m_request_id) == refused.end();
+      });
+  if (idle != m_idle_connections.rend() &&
       (work.m_offer.m_is_idempotent ||
-       now - m_idle_connections.back().m_since < m_options.m_max_fresh_idle)) {
-    auto connection = std::move(m_idle_connections.back().m_connection);
-    work.m_connection_idle = now - m_idle_connections.back().m_since;
-    work.m_is_connection_reused = !m_idle_connections.back().m_is_unused;
-    m_idle_connections.pop_back();
+       now - idle->m_since < m_options.m_max_fresh_idle)) {
+    auto connection = std::move(idle->m_connection);
+    work.m_connection_idle = now - idle->m_since;
+    work.m_is_connection_reused = !idle->m_is_unused;
+    work.m_refused_ids = std::move(idle->m_refused_ids);
+    m_idle_connections.erase(std::next(idle).base());
     return connection;
   }
   ++m_stats.m_connections;
@@ -246,10 +254,16 @@
     m_hold.OnEnd(work->m_run, end, now);
     m_hold.Update(now, m_gate.IsWaitingForSlot());
     m_latency.Observe(now - work->m_started_at);
+    if (outcome.m_result == AttemptResult::kNotStarted) {
+      work->m_refused_ids.push_back(work->m_offer.m_request_id);
+    }
     if (work->m_connection->IsReusable(now) && m_instance &&
-        m_instance->m_name == work->m_offer.m_instance) {
+        m_instance->m_name == work->m_offer.m_instance &&
+        work->m_refused_ids.size() < m_options.m_max_refusals) {
       m_idle_connections.push_back(
-          {.m_connection = work->m_connection, .m_since = now});
+          {.m_connection = work->m_connection,
+           .m_since = now,
+           .m_refused_ids = std::move(work->m_refused_ids)});
     } else {
       work->m_connection->Abort();
     }
