sequoiastaged: a part of a head is no response

Callers would see: 200 with an empty body, framed as whole. Reported by other operators: an instance stopped in the middle of its answer's head and closed.

Cause: libcurl reports success when the connection closes within the head. If the fields so far hold a length, or the response has no body, HttpClient took it for a complete response.

Evidence: TruncatedResponseTest.PartOfAHeadIsNoAnswer and PartOfAHeadWithoutABodyIsNoAnswer failed before at most cuts. sequoiameshd has a parser of its own and passes: BrokenResponseTest.ClosedConnectionWithinTheHeadIsNoAnswer, now up to the last byte of the head and behind an interim response.

Change: a response counts once libcurl has delivered the empty line that ends a final head.

--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr long kMaxIdleConnections = 64;
+constexpr uint16_t kFirstFinalStatus = 200;
 
 void InitCurlOnce() {
   static const CURLcode kCode = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -123,6 +124,8 @@
     curl_slist* m_fields = nullptr;
     size_t m_max_body_bytes = 0;
     bool m_is_too_large = false;
+    // libcurl reports success when the connection closes within the head.
+    bool m_is_head_complete = false;
     HttpRequest m_request;
     HttpResponse m_response;
     Callback m_callback;
@@ -223,8 +226,12 @@
     const std::string_view line(data, size * count);
     if (line.substr(0, 5) == "HTTP/") {
       call->m_response.m_fields.clear();
+      call->m_is_head_complete = false;
       return size * count;
     }
+    if (Trim(line).empty()) {
+      call->m_is_head_complete = true;
+    }
     const size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
       call->m_response.m_fields.push_back(
@@ -394,7 +401,9 @@
 
   static HttpCallError ClassifyError(const Call& call, CURLcode code) {
     if (code == CURLE_OK) {
-      return IsBodyDelimited(call.m_request.m_method, call.m_response)
+      return call.m_is_head_complete &&
+                     call.m_response.m_status >= kFirstFinalStatus &&
+                     IsBodyDelimited(call.m_request.m_method, call.m_response)
                  ? HttpCallError::kNone
                  : HttpCallError::kIncomplete;
     }
--- a/libs/mesh/tests/broken_response_test.cc
+++ b/libs/mesh/tests/broken_response_test.cc
@@ -148,9 +148,10 @@
 }
 
 // Without a length, only a close within the head leaves the response
-// incomplete.
+// incomplete. The head ends with its empty line.
 TEST_F(BrokenResponseTest, ClosedConnectionWithinTheHeadIsNoAnswer) {
-  ExpectBrokenAtEachCut(kHead);
+  ExpectBrokenAtEachCut(kHead + "\r\n");
+  ExpectBrokenAtEachCut("HTTP/1.1 100 Continue\r\n\r\n" + kHead + "\r\n");
 }
 
 }  // namespace
