--- a/apps/sequoiastaged/main.cc
+++ b/apps/sequoiastaged/main.cc
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 
+#include "sequoiastage/base/signal_block.h"
 #include "sequoiastage/logging/log_event.h"
 #include "sequoiastage/node/node.h"
 #include "sequoiastage/settings/node_settings.h"
@@ -41,7 +42,8 @@
   });
 }
 
-int RunNode(const sequoiastage::NodeSettings& settings) {
+int RunNode(const sequoiastage::NodeSettings& settings,
+            sequoiastage::SignalBlock& block) {
   sequoiastage::InitLogging(absl::GetFlag(FLAGS_verbose)
                                 ? sequoiastage::LogLevel::kDebug
                                 : sequoiastage::LogLevel::kInfo);
@@ -52,6 +54,7 @@
       std::fprintf(stderr, "sequoiastaged: %s\n", node.LastReason().c_str());
       return kExitFailed;
     }
+    block.Release();
     const bool is_clean_shutdown = node.Run();
     if (!node.SupersededBy()) {
       return is_clean_shutdown ? 0 : kExitFailed;
@@ -63,6 +66,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  sequoiastage::SignalBlock block({SIGTERM, SIGINT});
   std::signal(SIGPIPE, SIG_IGN);
   absl::SetProgramUsageMessage(kUsage);
   absl::FlagsUsageConfig usage;
@@ -90,5 +94,5 @@
     std::puts("settings: valid");
     return 0;
   }
-  return RunNode(*settings);
+  return RunNode(*settings, block);
 }
