--- a/libs/http/tests/handler_exception_test.cc
+++ b/libs/http/tests/handler_exception_test.cc
@@ -20,13 +20,15 @@
 class HandlerExceptionTest : public testing::Test {
  protected:
   HandlerExceptionTest()
-      : m_server(m_io, [this](HttpRequest request, StreamResponder responder) {
-          if (request.m_target == "/throws") {
-            throw std::logic_error("unexpected");
-          }
-          responder({.m_status = 200});
-          return CancelHook();
-        }) {
+      : m_server(
+            m_io,
+            [](const HttpRequest& request, const StreamResponder& responder) {
+              if (request.m_target == "/throws") {
+                throw std::logic_error("unexpected");
+              }
+              responder({.m_status = 200});
+              return CancelHook();
+            }) {
     EXPECT_TRUE(m_server.Start(m_endpoint)) << m_server.LastReason();
   }
 
--- a/libs/mesh/src/local_instance.cc
+++ b/libs/mesh/src/local_instance.cc
@@ -23,15 +23,14 @@
   const bool is_same_incarnation =
       m_current && m_current->m_name == announcement.m_name &&
       m_current->m_start_time_ms == announcement.m_start_time_ms;
-  if (is_same_incarnation) {
-    if (m_has_ended || announcement.m_sequence < m_current->m_sequence) {
-      return Change::kStale;
-    }
-  } else if (HasLeft(announcement, now)) {
-    return Change::kStale;
-  } else if (m_current && !m_has_ended &&
-             announcement.m_start_time_ms <= m_current->m_start_time_ms &&
-             now - m_last_announced_at < kAnnouncementTimeout) {
+  const bool is_stale =
+      is_same_incarnation
+          ? m_has_ended || announcement.m_sequence < m_current->m_sequence
+          : HasLeft(announcement, now) ||
+                (m_current && !m_has_ended &&
+                 announcement.m_start_time_ms <= m_current->m_start_time_ms &&
+                 now - m_last_announced_at < kAnnouncementTimeout);
+  if (is_stale) {
     return Change::kStale;
   }
   m_last_announced_at = now;
