A departure without a start is that of the known instance

Callers would see (not seen): an instance that starts again under its old id is never used, when it deregistered without stating its start and the clock of the host was set back afterwards.

Cause: such a departure covered every start up to the time of the deregistration, also when the node knew which incarnation it was.

Evidence: LocalInstanceTest.DepartureOfAnUnstatedStartIsThatOfTheKnownInstance and LateAnnouncementTellsTheStartThatWasNotStated failed before.

Change: the departure takes the start of the known incarnation of that name. If there is none, the first incarnation heard of afterwards is taken for the one that left, and a later one is accepted once it has gone on announcing itself.

--- a/libs/mesh/include/sequoiastage/mesh/local_instance.h
+++ b/libs/mesh/include/sequoiastage/mesh/local_instance.h
@@ -18,6 +18,9 @@
   /// m_start_time_ms is the start time of the incarnation that left, not only
   /// an upper bound.
   bool m_is_exact = true;
+  /// Otherwise: start time of the first incarnation that announced itself
+  /// later, which is taken for the one that left.
+  std::optional<uint64_t> m_heard_start_time_ms{};
 
   bool Covers(const InstanceAnnouncement& announcement) const {
     return announcement.m_name == m_name &&
@@ -85,6 +88,8 @@
     TimePoint m_first_announced_at;
   };
 
+  std::deque<InstanceDeparture>::iterator FindDeparture(
+      const std::string& name);
   // Returns whether the departure was new.
   bool AddDeparture(InstanceDeparture departure);
   // Whether the announcement is of an incarnation that has left.
--- a/libs/mesh/src/local_instance.cc
+++ b/libs/mesh/src/local_instance.cc
@@ -55,14 +55,17 @@
 
 bool LocalInstance::HasLeft(const InstanceAnnouncement& announcement,
                             TimePoint now) {
-  const auto departure = std::find_if(
-      m_departures.begin(), m_departures.end(),
-      [&](const InstanceDeparture& d) { return d.Covers(announcement); });
-  if (departure == m_departures.end()) {
+  const auto departure = FindDeparture(announcement.m_name);
+  if (departure == m_departures.end() || !departure->Covers(announcement)) {
     return false;
   }
-  if (!departure->m_is_exact ||
-      departure->m_start_time_ms == announcement.m_start_time_ms) {
+  if (!departure->m_is_exact) {
+    departure->m_heard_start_time_ms =
+        departure->m_heard_start_time_ms.value_or(announcement.m_start_time_ms);
+    if (announcement.m_start_time_ms <= *departure->m_heard_start_time_ms) {
+      return true;
+    }
+  } else if (departure->m_start_time_ms == announcement.m_start_time_ms) {
     return true;
   }
   // Announcements that were late end soon, those of an instance go on.
@@ -88,10 +91,15 @@
   return false;
 }
 
-bool LocalInstance::AddDeparture(InstanceDeparture departure) {
-  const auto known = std::find_if(
+std::deque<InstanceDeparture>::iterator LocalInstance::FindDeparture(
+    const std::string& name) {
+  return std::find_if(
       m_departures.begin(), m_departures.end(),
-      [&](const InstanceDeparture& d) { return d.m_name == departure.m_name; });
+      [&name](const InstanceDeparture& d) { return d.m_name == name; });
+}
+
+bool LocalInstance::AddDeparture(InstanceDeparture departure) {
+  const auto known = FindDeparture(departure.m_name);
   if (known != m_departures.end()) {
     if (known->m_start_time_ms >= departure.m_start_time_ms) {
       return false;
@@ -113,18 +121,21 @@
 LocalInstance::Change LocalInstance::OnDeregister(const std::string& name,
                                                   uint64_t start_time_ms,
                                                   WallTime now) {
-  const bool is_current =
-      m_current && !m_has_ended && m_current->m_name == name;
-  InstanceDeparture departure{.m_name = name,
-                              .m_start_time_ms = start_time_ms,
-                              .m_is_exact = start_time_ms != 0};
-  if (!departure.m_is_exact) {
+  const bool is_current = m_current && m_current->m_name == name;
+  InstanceDeparture departure{.m_name = name, .m_start_time_ms = start_time_ms};
+  if (start_time_ms == 0 && is_current) {
+    departure.m_start_time_ms = m_current->m_start_time_ms;
+  } else if (start_time_ms == 0) {
+    if (FindDeparture(name) != m_departures.end()) {
+      return Change::kNone;  // Sent again.
+    }
     // An incarnation that leaves had started before.
-    departure.m_start_time_ms = std::max<uint64_t>(
-        static_cast<uint64_t>(now.time_since_epoch().count()),
-        is_current ? m_current->m_start_time_ms : 0);
+    departure.m_start_time_ms =
+        static_cast<uint64_t>(now.time_since_epoch().count());
+    departure.m_is_exact = false;
   }
-  const bool ends_current = is_current && departure.Covers(*m_current);
+  const bool ends_current =
+      is_current && !m_has_ended && departure.Covers(*m_current);
   const bool is_new = AddDeparture(std::move(departure));
   if (ends_current) {
     return End();
--- a/libs/mesh/tests/local_instance_test.cc
+++ b/libs/mesh/tests/local_instance_test.cc
@@ -123,6 +123,27 @@
   EXPECT_EQ(ActiveName(), "");
 }
 
+// The clock was set back after the departure: the next incarnation starts
+// before it, and after the one that left.
+TEST_F(LocalInstanceTest, DepartureOfAnUnstatedStartIsThatOfTheKnownInstance) {
+  m_local.OnAnnounce(Announce("a", 10, 1), m_now);
+  EXPECT_EQ(Deregister("a", 0), Change::kChanged);
+  EXPECT_EQ(Deregister("a", 0), Change::kNone);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 2), m_now), Change::kStale);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 20, 0), m_now), Change::kChanged);
+  EXPECT_EQ(ActiveName(), "a");
+}
+
+TEST_F(LocalInstanceTest, LateAnnouncementTellsTheStartThatWasNotStated) {
+  EXPECT_EQ(Deregister("a", 0), Change::kChanged);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 3), m_now), Change::kStale);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 20, 0), m_now), Change::kStale);
+  m_now += seconds(5);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 20, 3), m_now), Change::kChanged);
+  EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 4), m_now), Change::kStale);
+  EXPECT_EQ(ActiveName(), "a");
+}
+
 // Another instance has taken its place and has left as well.
 TEST_F(LocalInstanceTest, EarlierDepartureIsNotForgotten) {
   m_local.OnAnnounce(Announce("a", 10, 1), m_now);
