--- a/review/standin-2/standin.cc
+++ b/review/standin-2/standin.cc
@@ -420,9 +420,7 @@
 
 void Instance::Crash() {
   m_stops = true;
-  if (m_beats.joinable()) {
-    m_beats.join();
-  }
+  StopHeartbeats();
   m_server.Stop();
 }
 
@@ -448,6 +446,7 @@
     {
       const std::lock_guard lock(m_mutex);
       m_runs.push_back(Now());
+      m_run_ids.insert(id);
     }
     Record("instance " + m_id + " runs " + id);
     SleepFor(m_work_s);
@@ -455,37 +454,56 @@
                                "X-Request-Id: " + id +
                                    "\r\nX-Response-Signature: " + m_id +
                                    "\r\nX-Instance-Id: " + m_id + "\r\n",
-                               "of " + id))) {
+                               m_answer_bytes == 0
+                                   ? "of " + id
+                                   : std::string(m_answer_bytes, 'a')))) {
       return;
     }
   }
 }
 
-int Instance::SendHeartbeat() {
-  const std::string body =
-      "{\"address\":\"" + HostIp(m_host) + ":" + std::to_string(kApp) +
-      "\",\"born\":" + std::to_string(m_born_ms) +
-      ",\"info\":{\"service\":\"" + m_service +
-      "\",\"version\":\"v1\",\"zone\":\"z\",\"slots\":3},\"status\":{" +
-      "\"state\":\"ready\",\"sequence\":" + std::to_string(++m_sequence) +
-      ",\"coldLeftS\":0}}";
+std::string Instance::BuildHeartbeat() {
+  return "{\"address\":\"" + HostIp(m_host) + ":" + std::to_string(kApp) +
+         "\",\"born\":" + std::to_string(m_born_ms) +
+         ",\"info\":{\"service\":\"" + m_service +
+         "\",\"version\":\"v1\",\"zone\":\"z\",\"slots\":3},\"status\":{" +
+         "\"state\":\"ready\",\"sequence\":" + std::to_string(++m_sequence) +
+         ",\"coldLeftS\":0}}";
+}
+
+int Instance::SendLate(const std::string& body) {
+  return SendControl("Heartbeat", body);
+}
+
+int Instance::Deregister() {
+  return SendControl("Deregister",
+                     "{\"born\":" + std::to_string(m_born_ms) + "}");
+}
+
+int Instance::SendControl(const std::string& call, const std::string& body) {
   const int status = Exchange(
       HostIp(m_host), kControl,
-      "POST /v1/Instances.Heartbeat/" + m_id + " HTTP/1.1\r\nHost: " +
+      "POST /v1/Instances." + call + "/" + m_id + " HTTP/1.1\r\nHost: " +
           HostIp(m_host) + "\r\nContent-Type: application/json\r\n" +
           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
       1);
-  Record("heartbeat " + std::to_string(m_sequence) + " of " + m_id + ": " +
-         std::to_string(status));
+  Record(call + " of " + m_id + " " + body + ": " + std::to_string(status));
   return status;
 }
 
+void Instance::StopHeartbeats() {
+  m_stops_beats = true;
+  if (m_beats.joinable()) {
+    m_beats.join();
+  }
+}
+
 void Instance::StartHeartbeats() {
   m_beats = std::thread([this] {
-    while (!m_stops) {
+    while (!m_stops_beats) {
       const double next = Now() + kHeartbeatS;
       SendHeartbeat();
-      while (!m_stops && Now() < next) {
+      while (!m_stops_beats && Now() < next) {
         SleepFor(0.02);
       }
     }
@@ -497,6 +515,11 @@
   return m_runs;
 }
 
+bool Instance::HasRun(const std::string& request_id) {
+  const std::lock_guard lock(m_mutex);
+  return m_run_ids.contains(request_id);
+}
+
 int Instance::RunsSince(double from) {
   int count = 0;
   for (const double time : Runs()) {
@@ -598,6 +621,14 @@
   return reads;
 }
 
+size_t Node::Memory() const {
+  std::ifstream file("/proc/" + std::to_string(m_pid) + "/statm");
+  size_t total = 0;
+  size_t resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<size_t>(sysconf(_SC_PAGESIZE));
+}
+
 bool Node::IsReady() {
   return Exchange(HostIp(m_host), kReady,
                   "GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n", 1) == 200;
@@ -672,10 +703,116 @@
   return m_calls;
 }
 
-std::string ConfigDocument(int version, const std::string& service) {
+KeptCallers::KeptCallers(std::vector<int> hosts, int connections) {
+  for (const int host : hosts) {
+    for (int i = 0; i < connections; ++i) {
+      m_threads.emplace_back([this, host] { Run(host); });
+    }
+  }
+  m_clock = std::thread([this] {
+    double due = 0;
+    double last = Now();
+    while (!m_stops) {
+      SleepFor(0.005);
+      const double now = Now();
+      due += (now - last) * m_rate;
+      last = now;
+      const std::lock_guard lock(m_mutex);
+      while (due >= 1) {
+        due -= 1;
+        ++m_tickets;
+        m_due.notify_one();
+      }
+    }
+  });
+}
+
+void KeptCallers::SetRate(double per_s) {
+  char line[64];
+  snprintf(line, sizeof(line), "%.0f requests a second", per_s);
+  Record(line);
+  m_rate = per_s;
+}
+
+void KeptCallers::Run(int host) {
+  int fd = -1;
+  std::string buffer;
+  while (true) {
+    {
+      std::unique_lock lock(m_mutex);
+      m_due.wait(lock, [this] { return m_stops || m_tickets > 0; });
+      if (m_stops) {
+        break;
+      }
+      --m_tickets;
+    }
+    const std::string id = "k" + std::to_string(++m_sent);
+    bool is_kept = fd >= 0;
+    if (!is_kept) {
+      fd = ConnectTo(HostIp(host), kOutbound, 1);
+      buffer.clear();
+      if (fd < 0) {
+        Record("host " + std::to_string(host) + ": no connection for " + id);
+        continue;
+      }
+      SetReadTimeout(fd, 3);
+    }
+    Message answer;
+    const bool is_answered =
+        WriteAll(fd, "POST /a/" + id +
+                         " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id +
+                         "\r\nX-Deadline-Ms: 1500\r\nContent-Length: 2\r\n\r\n" +
+                         "{}") &&
+        ReadMessage(fd, buffer, answer);
+    const std::lock_guard lock(m_mutex);
+    if (is_answered) {
+      const int status = atoi(answer.m_first_line.c_str() + 9);
+      ++m_answers[status];
+      Record("host " + std::to_string(host) + ": " + id + " answered " +
+             std::to_string(status));
+    } else {
+      Record("host " + std::to_string(host) + ": the connection of " + id +
+             " ended without an answer");
+      m_unanswered.push_back(id);
+    }
+    if (!is_answered || answer.m_fields["connection"] == "close") {
+      close(fd);
+      fd = -1;
+    }
+  }
+  if (fd >= 0) {
+    close(fd);
+  }
+}
+
+void KeptCallers::Stop() {
+  m_stops = true;
+  m_due.notify_all();
+  if (m_clock.joinable()) {
+    m_clock.join();
+  }
+  for (std::thread& thread : m_threads) {
+    thread.join();
+  }
+  m_threads.clear();
+}
+
+int KeptCallers::Answered(int status) {
+  const std::lock_guard lock(m_mutex);
+  return m_answers[status];
+}
+
+std::vector<std::string> KeptCallers::Unanswered() {
+  const std::lock_guard lock(m_mutex);
+  return m_unanswered;
+}
+
+std::string ConfigDocument(int version,
+                           const std::string& service,
+                           const std::string& kind) {
   return R"({"version":)" + std::to_string(version) +
          R"(,"routes":[{"name":"r","host":"a.example","pathPrefix":"/a/",)" +
-         R"("kind":"idempotent","timeoutS":2,"targetLatencyS":0.8,)" +
+         R"("kind":")" + kind + R"(","timeoutS":2,"targetLatencyS":0.8,)" +
          R"("priority":1,"service":")" + service +
          R"(","maxAttempts":2}],"services":[{"name":")" + service +
          R"("},{"name":"front"}],"limits":{"maxHeaderBytes":16384,)" +
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -102,7 +102,12 @@
   /// Ends without notice.
   void Crash();
   /// Sends a heartbeat now. Returns the status, 0 without an answer in 1 s.
-  int SendHeartbeat();
+  int SendHeartbeat() { return SendLate(BuildHeartbeat()); }
+  /// The body of a heartbeat that is sent now, and its late arrival.
+  std::string BuildHeartbeat();
+  int SendLate(const std::string& body);
+  int Deregister();
+  void StopHeartbeats();
   /// Sends one now and then one each 1.5 s.
   void StartHeartbeats();
   const std::string& Id() const { return m_id; }
@@ -111,7 +116,11 @@
   /// Times at which requests reached it.
   std::vector<double> Runs();
 
+  /// Whether it has begun to work on the request with this id.
+  bool HasRun(const std::string& request_id);
+
   double m_work_s = 0.06;
+  size_t m_answer_bytes = 0;
   /// Delay of a 421; a new instance is slow for some seconds.
   std::atomic<double> m_reject_delay_s = 0;
   /// Requests for another instance that have arrived.
@@ -125,10 +134,14 @@
   std::string m_service;
   int64_t m_born_ms;
   std::atomic<int64_t> m_sequence = 0;
+  int SendControl(const std::string& call, const std::string& body);
+
   std::atomic<bool> m_stops = false;
+  std::atomic<bool> m_stops_beats = false;
   std::thread m_beats;
   std::mutex m_mutex;
   std::vector<double> m_runs;
+  std::set<std::string> m_run_ids;
   Server m_server;
 };
 
@@ -142,6 +155,8 @@
   /// Waits for the end of the process. False after `timeout_s`.
   bool AwaitEnd(double timeout_s);
   bool IsReady();
+  /// Resident memory in bytes.
+  size_t Memory() const;
   /// Whether the node got this version of the configuration from the store
   /// itself, not from another node; by its log. Used to set up a case.
   bool ReadsStore(int version) const;
@@ -187,8 +202,40 @@
   std::thread m_thread;
 };
 
-/// A configuration of one idempotent route of host a.example to `service`.
-std::string ConfigDocument(int version, const std::string& service);
+/// Callers that keep their connections: POST requests, each answered before the
+/// next one on its connection.
+class KeptCallers {
+ public:
+  /// `connections` at each of `hosts`.
+  KeptCallers(std::vector<int> hosts, int connections);
+  ~KeptCallers() { Stop(); }
+  /// Requests a second to all hosts together.
+  void SetRate(double per_s);
+  void Stop();
+  int Sent() const { return m_sent; }
+  int Answered(int status);
+  /// Ids of the requests whose kept connection ended without an answer.
+  std::vector<std::string> Unanswered();
+
+ private:
+  void Run(int host);
+
+  std::mutex m_mutex;
+  std::condition_variable m_due;
+  int m_tickets = 0;
+  std::atomic<double> m_rate = 0;
+  std::atomic<bool> m_stops = false;
+  std::atomic<int> m_sent = 0;
+  std::map<int, int> m_answers;
+  std::vector<std::string> m_unanswered;
+  std::thread m_clock;
+  std::vector<std::thread> m_threads;
+};
+
+/// A configuration of one route of host a.example to `service`.
+std::string ConfigDocument(int version,
+                           const std::string& service,
+                           const std::string& kind = "idempotent");
 
 /// FLOOR over the windows of 2 s within [from, to]: number of windows, one each
 /// 0.1 s, in which some but less than `floor_share` of the instances get
