Take a reset that ended the upload for no end of the answer

Callers saw: a part of an answer as a complete one. The instance answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: a socket reports a reset once. While the upload waits for room, the write is woken first and takes ECONNRESET; the read that follows finds the rest of the data and then the end of the stream, as after an orderly close. ExchangeConnection ignored the error of the write ("the read reports it") and let the end of the stream complete a body without a length. A write that times out (TCP_USER_TIMEOUT) hides in the same way.

Change: an end of the stream completes such a body only once the write has ended as well, and only if the write did not fail with another error than EPIPE, which the kernel reports for a reset after an orderly close. A write that is still waiting when the stream ends is cancelled: if it had not failed, no error was taken.

CutInstance of the test is replaced by ScriptedServer. check_docs.sh accepts the name that ctest gives to typed tests.

--- a/libs/http/include/sequoiastage/http/exchange_connection.h
+++ b/libs/http/include/sequoiastage/http/exchange_connection.h
@@ -118,6 +118,10 @@
   void StopTimer();
   void Write();
   void Read();
+  // Ends the write, so that its result tells how the connection ended.
+  void StopWriting();
+  // The server has ended the connection, and no write is in progress.
+  void OnEof();
   void OnBytes(std::string_view bytes);
   void OnResponse();
   // Ends the exchange when the server sends too many responses that do not
@@ -147,7 +151,10 @@
   bool m_is_head = false;
   bool m_is_open = false;
   bool m_is_closed = false;
-  bool m_is_written = false;
+  bool m_is_writing = false;
+  bool m_is_at_eof = false;
+  // Result of the last write.
+  asio::error_code m_write_error;
   bool m_was_reused = false;
   uint64_t m_timer_number = 0;
   TimePoint m_idle_until{};
--- a/libs/http/src/exchange_connection.cc
+++ b/libs/http/src/exchange_connection.cc
@@ -128,7 +128,6 @@
   m_is_head = request.m_method == "HEAD";
   m_filter = std::move(filter);
   m_handler = std::move(handler);
-  m_is_written = false;
   m_skipped_responses = 0;
   if (m_is_head) {
     m_parser.ExpectNoBody();
@@ -224,17 +223,19 @@
 }
 
 void ExchangeConnection::Write() {
+  m_is_writing = true;
   asio::async_write(
       m_socket, asio::buffer(m_output),
       [self = shared_from_this()](const asio::error_code& error, size_t) {
         // Frees the memory of a large request.
         self->m_output = {};
         self->m_counted_request.Set(0);
-        if (error) {
-          // A response may have arrived already; the read reports the error.
-          return;
+        self->m_is_writing = false;
+        // A response may have arrived already; the read reports its end.
+        self->m_write_error = error;
+        if (self->m_is_at_eof) {
+          self->OnEof();
         }
-        self->m_is_written = true;
       });
 }
 
@@ -259,17 +260,44 @@
           return;
         }
         if (self->m_handler && error == asio::error::eof) {
-          self->m_parser.OnEof();
-          if (self->m_parser.State() == ParseState::kComplete) {
-            self->m_is_closed = true;
-            self->OnResponse();
-            return;
-          }
+          self->m_is_at_eof = true;
+          self->m_is_writing ? self->StopWriting() : self->OnEof();
+          return;
         }
         self->Finish(ExchangeOutcome::kBroken, error.message());
       });
 }
 
+void ExchangeConnection::StopWriting() {
+  asio::error_code ignored;
+  m_socket.cancel(ignored);
+  // Between two parts of the request, there is nothing to cancel.
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+void ExchangeConnection::OnEof() {
+  if (m_is_closed) {
+    return;
+  }
+  // A socket reports a reset once. When the write has received it, the read
+  // reports the end of the stream, as after an orderly close. EPIPE means that
+  // the server closed the connection before it was reset.
+  const bool is_reset = m_write_error &&
+                        m_write_error != asio::error::operation_aborted &&
+                        m_write_error != asio::error::broken_pipe;
+  if (is_reset) {
+    Finish(ExchangeOutcome::kBroken, m_write_error.message());
+    return;
+  }
+  m_parser.OnEof();
+  if (m_parser.State() == ParseState::kComplete) {
+    m_is_closed = true;
+    OnResponse();
+    return;
+  }
+  Finish(ExchangeOutcome::kBroken, "closed before the end of the answer");
+}
+
 void ExchangeConnection::OnBytes(std::string_view bytes) {
   if (!m_handler) {
     Close();  // Bytes without a request.
@@ -322,7 +350,8 @@
   const Duration idle = IdleLimit(response, m_options.m_max_idle);
   // After a response that arrived before the whole request was sent, the server
   // still reads the rest of the request.
-  if (!keeps_alive || !m_is_written || m_is_closed || idle <= Duration{}) {
+  const bool is_written = !m_is_writing && !m_write_error;
+  if (!keeps_alive || !is_written || m_is_closed || idle <= Duration{}) {
     Finish(ExchangeOutcome::kAnswered, {}, std::move(response));
     return;
   }
--- /dev/null
+++ b/libs/http/tests/response_clients.h
@@ -0,0 +1,95 @@
+#ifndef SEQUOIASTAGE_HTTP_TESTS_RESPONSE_CLIENTS_H_
+#define SEQUOIASTAGE_HTTP_TESTS_RESPONSE_CLIENTS_H_
+
+#include <gtest/gtest.h>
+
+#include <asio/io_context.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "sequoiastage/http/exchange_connection.h"
+#include "sequoiastage/http/http_client.h"
+
+namespace sequoiastage {
+
+enum class CallEnd : uint8_t { kAnswered, kBroken, kTimeout };
+
+/// The end of one call, whichever client made it.
+struct CallReport {
+  CallEnd m_end = CallEnd::kTimeout;
+  /// Set for kAnswered.
+  HttpResponse m_response{};
+};
+
+struct TestCall {
+  HttpRequest m_request = {.m_method = "GET", .m_target = "/"};
+  Duration m_timeout = std::chrono::seconds(20);
+  size_t m_max_body_bytes = size_t{1} << 20;
+};
+
+/// The client of sequoiameshd.
+struct ExchangeClient {
+  explicit ExchangeClient(asio::io_context& io) : m_io(io) {}
+
+  CallReport Call(const Endpoint& server, const TestCall& call) {
+    auto connection = std::make_shared<ExchangeConnection>(
+        m_io, server,
+        ExchangeOptions{
+            .m_limits = {.m_max_body_bytes = call.m_max_body_bytes}});
+    std::optional<ExchangeResult> result;
+    connection->Send(
+        call.m_request, call.m_timeout, {},
+        [&result](ExchangeResult end) { result = std::move(end); });
+    while (!result && m_io.run_one_for(call.m_timeout) > 0) {
+    }
+    connection->Abort();
+    if (!result || result->m_outcome == ExchangeOutcome::kTimeout) {
+      return {};
+    }
+    const bool is_answered = result->m_outcome == ExchangeOutcome::kAnswered;
+    return {.m_end = is_answered ? CallEnd::kAnswered : CallEnd::kBroken,
+            .m_response = std::move(result->m_response)};
+  }
+
+  asio::io_context& m_io;
+};
+
+/// The client of sequoiastaged and sequoiactl.
+struct CurlClient {
+  explicit CurlClient(asio::io_context& io) : m_io(io), m_client(io) {}
+
+  CallReport Call(const Endpoint& server, const TestCall& call) {
+    std::optional<HttpCallResult> result;
+    m_client.Start({.m_server = server,
+                    .m_timeout = call.m_timeout,
+                    .m_max_body_bytes = call.m_max_body_bytes},
+                   call.m_request,
+                   [&result](HttpCallResult end) { result = std::move(end); });
+    while (!result && m_io.run_one_for(call.m_timeout) > 0) {
+    }
+    if (!result || result->m_error == HttpCallError::kTimeout) {
+      return {};
+    }
+    const bool is_answered = result->m_error == HttpCallError::kNone;
+    return {.m_end = is_answered ? CallEnd::kAnswered : CallEnd::kBroken,
+            .m_response = std::move(result->m_response)};
+  }
+
+  asio::io_context& m_io;
+  HttpClient m_client;
+};
+
+/// Both clients, which have to refuse the same responses.
+using ResponseClients = testing::Types<ExchangeClient, CurlClient>;
+
+struct ResponseClientNames {
+  template <class Client>
+  static std::string GetName(int /*index*/) {
+    return std::is_same_v<Client, ExchangeClient> ? "Exchange" : "Curl";
+  }
+};
+
+}  // namespace sequoiastage
+
+#endif  // SEQUOIASTAGE_HTTP_TESTS_RESPONSE_CLIENTS_H_
--- a/libs/mesh/tests/broken_response_test.cc
+++ b/libs/mesh/tests/broken_response_test.cc
@@ -1,10 +1,8 @@
 #include <gtest/gtest.h>
 
-#include <asio/ip/tcp.hpp>
-#include <asio/write.hpp>
-
 #include "fake_platform.h"
 #include "sequoiastage/mesh/egress.h"
+#include "sequoiastage/testing/scripted_server.h"
 
 // Responses of an instance that break off, at each byte and for each framing.
 namespace sequoiastage {
@@ -22,55 +20,11 @@
                              "0\r\nTrailer: 1\r\n\r\n";
 const std::string kUntilClose = kHead + "\r\nhello";
 
-// Answers each request with the same bytes and ends the connection.
-class CutInstance {
- public:
-  CutInstance(asio::io_context& io, const Endpoint& listen)
-      : m_acceptor(io,
-                   {asio::ip::address_v4(listen.m_ip), listen.m_port},
-                   true) {
-    Accept();
-  }
-
-  std::string m_bytes;
-  // Ends the connection with a reset instead of a close.
-  bool m_resets = false;
-
- private:
-  void Accept() {
-    m_acceptor.async_accept([this](const asio::error_code& error,
-                                   asio::ip::tcp::socket accepted) {
-      if (error) {
-        return;
-      }
-      auto socket =
-          std::make_shared<asio::ip::tcp::socket>(std::move(accepted));
-      socket->async_read_some(
-          asio::buffer(m_request),
-          [this, socket](const asio::error_code& read_error, size_t) {
-            if (read_error) {
-              return;
-            }
-            asio::error_code ignored;
-            asio::write(*socket, asio::buffer(m_bytes), ignored);
-            if (m_resets) {
-              socket->set_option(asio::socket_base::linger(true, 0), ignored);
-            }
-            socket->close(ignored);
-          });
-      Accept();
-    });
-  }
-
-  asio::ip::tcp::acceptor m_acceptor;
-  std::array<char, 4096> m_request{};
-};
-
 class BrokenResponseTest : public testing::Test {
  protected:
   BrokenResponseTest()
       : m_endpoint{.m_ip = TestIp(1), .m_port = 9000},
-        m_instance(m_io, m_endpoint),
+        m_instance(m_io, {}, m_endpoint),
         m_quarantine(kSelf, {}, [] {}),
         m_egress(m_io,
                  kSelf,
@@ -87,7 +41,7 @@
 
   // Runs a request whose response is cut after `size` bytes.
   OutcomeMessage RunCut(const std::string& response, size_t size) {
-    m_instance.m_bytes = response.substr(0, size);
+    m_instance.SetResponse(response.substr(0, size));
     std::optional<OutcomeMessage> outcome;
     m_egress.OnOffer(
         kPeer,
@@ -99,9 +53,10 @@
          .m_accepts_held = true,
          .m_time_left_ms = 2000,
          .m_request_id = "1",
-         .m_request = {.m_method = "GET",
+         .m_request = {.m_method = m_body.empty() ? "GET" : "POST",
                        .m_target = "/x/",
-                       .m_fields = {{"Host", "a"}, {"id", "1"}}}},
+                       .m_fields = {{"Host", "a"}, {"id", "1"}},
+                       .m_body = m_body}},
         [&outcome](const Message& message) {
           if (const auto* end = std::get_if<OutcomeMessage>(&message)) {
             outcome = *end;
@@ -121,10 +76,12 @@
 
   asio::io_context m_io;
   Endpoint m_endpoint;
-  CutInstance m_instance;
+  ScriptedServer m_instance;
   SharedQuarantine m_quarantine;
   Egress<FakeCodec> m_egress;
   uint64_t m_attempts = 0;
+  // Body of the requests.
+  std::string m_body;
 };
 
 TEST_F(BrokenResponseTest, CompleteResponsesAreAnswers) {
@@ -141,12 +98,26 @@
 }
 
 TEST_F(BrokenResponseTest, ResetConnectionIsNoEndOfAnyBody) {
-  m_instance.m_resets = true;
+  m_instance.SetEnd(ConnectionEnd::kReset);
   ExpectBrokenAtEachCut(kWithLength);
   ExpectBrokenAtEachCut(kChunked);
   ExpectBrokenAtEachCut(kUntilClose);
 }
 
+// The instance has read little of the upload when it resets the connection.
+TEST_F(BrokenResponseTest, ResetDuringAnUploadIsNoEndOfAnyBody) {
+  m_body.resize(size_t{16} << 20, 'x');
+  for (const ConnectionEnd end :
+       {ConnectionEnd::kReset, ConnectionEnd::kAbandon}) {
+    m_instance.SetEnd(end);
+    for (int i = 0; i < 5; ++i) {
+      const OutcomeMessage outcome = RunCut(kUntilClose, kUntilClose.size());
+      EXPECT_EQ(outcome.m_result, AttemptResult::kFailed);
+      EXPECT_EQ(outcome.m_reason, AttemptReason::kIncompleteResponse);
+    }
+  }
+}
+
 // Without a length, only a close within the head leaves the response
 // incomplete. The head ends with its empty line.
 TEST_F(BrokenResponseTest, ClosedConnectionWithinTheHeadIsNoAnswer) {
--- a/scripts/check_docs.sh
+++ b/scripts/check_docs.sh
@@ -53,7 +53,8 @@
   local name
   ctest --test-dir build -N >build/tests.txt
   while read -r name; do
-    if ! grep -qE "[ /]$name(/|\$)" build/tests.txt; then
+    # Typed tests end with the type in angle brackets.
+    if ! grep -qE "[ /]$name(/|<|\$)" build/tests.txt; then
       echo "docs/GUARANTEES.md: no test $name"
       failed=1
     fi
