Refuse responses whose status is none, in both programs

Callers saw: nothing until their deadline, or an answer that an instance had sent behind one with the status 000. ExchangeConnection (sequoiameshd) took a status below 200 for an interim response, skipped it with its body and waited for the next one. Statuses from 600 on, and of one or two digits, were answers to both clients. HttpClient (sequoiastaged, sequoiactl) refused 000 to 099 before; libcurl does.

Cause: http_parser accepts any number as a status, libcurl any from 100 on.

Change: the response parser fails unless the status is 100 to 599 and not 101, which answers no request of ours. HttpClient passes each line of a head through the same parser before libcurl goes on, so that the two clients accept the same heads; it also skips no more than 16 interim responses, as the other. The call ends at once in place of at its timeout.

--- a/libs/http/include/sequoiastage/http/http_client.h
+++ b/libs/http/include/sequoiastage/http/http_client.h
@@ -34,8 +34,9 @@
   /// No connection; no byte of the request was sent.
   kConnectFailed,
   kTimeout,
-  /// The response was truncated or too large, or has neither Content-Length
-  /// nor Transfer-Encoding, so that truncation can't be detected.
+  /// The response was truncated, malformed or too large, or has neither
+  /// Content-Length nor Transfer-Encoding, so that truncation can't be
+  /// detected.
   kIncomplete,
   /// Any other failure; the request may have been sent.
   kFailed,
--- a/libs/http/include/sequoiastage/http/message_parser.h
+++ b/libs/http/include/sequoiastage/http/message_parser.h
@@ -117,7 +117,8 @@
 
   uint16_t Status() const { return m_parser.status_code; }
 
-  /// Returns the response and resets the parser for the next one.
+  /// Returns the response and resets the parser for the next one. Without its
+  /// body if only the header is complete.
   HttpResponse TakeResponse();
 };
 
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -9,29 +9,22 @@
 #include <unordered_map>
 #include <utility>
 
+#include "sequoiastage/http/message_parser.h"
+
 namespace sequoiastage {
 
 namespace {
 
 constexpr long kMaxIdleConnections = 64;
 constexpr uint16_t kFirstFinalStatus = 200;
+// Interim responses that are skipped before the response.
+constexpr uint32_t kMaxInterimResponses = 16;
 
 void InitCurlOnce() {
   static const CURLcode kCode = curl_global_init(CURL_GLOBAL_DEFAULT);
   static_cast<void>(kCode);
 }
 
-std::string_view Trim(std::string_view text) {
-  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-    text.remove_prefix(1);
-  }
-  while (!text.empty() && (text.back() == '\r' || text.back() == '\n' ||
-                           text.back() == ' ' || text.back() == '\t')) {
-    text.remove_suffix(1);
-  }
-  return text;
-}
-
 // Whether truncation of the body can be detected: it has a Content-Length or is
 // chunked, or the response has no body.
 bool IsBodyDelimited(const std::string& method, const HttpResponse& response) {
@@ -94,7 +87,8 @@
                HttpRequest request,
                Callback callback) {
     const CallId id = ++m_last_call_id;
-    auto call = std::make_unique<Call>();
+    auto call = std::make_unique<Call>(
+        MessageLimits{.m_max_body_bytes = options.m_max_body_bytes});
     call->m_owner = this;
     call->m_id = id;
     call->m_max_body_bytes = options.m_max_body_bytes;
@@ -118,14 +112,22 @@
 
  private:
   struct Call {
+    explicit Call(const MessageLimits& limits) : m_head(limits) {}
+
     Impl* m_owner = nullptr;
     CallId m_id = 0;
     CURL* m_easy = nullptr;
     curl_slist* m_fields = nullptr;
     size_t m_max_body_bytes = 0;
-    bool m_is_too_large = false;
+    // Reads each head as ExchangeConnection does; libcurl accepts malformed
+    // ones.
+    ResponseParser m_head;
+    uint32_t m_interim_responses = 0;
+    bool m_has_begun = false;
     // libcurl reports success when the connection closes within the head.
     bool m_is_head_complete = false;
+    // The response is malformed or too large.
+    bool m_is_refused = false;
     HttpRequest m_request;
     HttpResponse m_response;
     Callback m_callback;
@@ -213,8 +215,9 @@
   static size_t OnBody(char* data, size_t size, size_t count, void* user) {
     auto* call = static_cast<Call*>(user);
     const size_t bytes = size * count;
-    if (call->m_response.m_body.size() + bytes > call->m_max_body_bytes) {
-      call->m_is_too_large = true;
+    if (!call->m_is_head_complete ||
+        call->m_response.m_body.size() + bytes > call->m_max_body_bytes) {
+      call->m_is_refused = true;
       return 0;
     }
     call->m_response.m_body.append(data, bytes);
@@ -224,21 +227,29 @@
   static size_t OnHeader(char* data, size_t size, size_t count, void* user) {
     auto* call = static_cast<Call*>(user);
     const std::string_view line(data, size * count);
-    if (line.substr(0, 5) == "HTTP/") {
-      call->m_response.m_fields.clear();
-      call->m_is_head_complete = false;
-      return size * count;
+    call->m_has_begun = true;
+    // Trailers are dropped.
+    if (!call->m_is_head_complete && !ReadHeadLine(*call, line)) {
+      call->m_is_refused = true;
+      return 0;
     }
-    if (Trim(line).empty()) {
-      call->m_is_head_complete = true;
+    return line.size();
+  }
+
+  // Returns false when the line belongs to no valid response.
+  static bool ReadHeadLine(Call& call, std::string_view line) {
+    if (call.m_request.m_method == "HEAD") {
+      call.m_head.ExpectNoBody();
     }
-    const size_t colon = line.find(':');
-    if (colon != std::string_view::npos) {
-      call->m_response.m_fields.push_back(
-          {std::string(Trim(line.substr(0, colon))),
-           std::string(Trim(line.substr(colon + 1)))});
+    call.m_head.Feed(line);
+    const ParseState state = call.m_head.State();
+    if (state == ParseState::kFailed || state == ParseState::kInHeaders) {
+      return state != ParseState::kFailed;
     }
-    return size * count;
+    call.m_response = call.m_head.TakeResponse();
+    call.m_is_head_complete = call.m_response.m_status >= kFirstFinalStatus;
+    return call.m_is_head_complete ||
+           ++call.m_interim_responses <= kMaxInterimResponses;
   }
 
   static curl_socket_t OnOpenSocket(void* user,
@@ -384,13 +395,12 @@
   }
 
   static HttpCallResult BuildResult(Call& call, CURLcode code) {
-    long status = 0;
-    curl_easy_getinfo(call.m_easy, CURLINFO_RESPONSE_CODE, &status);
-    call.m_response.m_status = static_cast<uint16_t>(status);
     HttpCallResult result;
     result.m_error = ClassifyError(call, code);
     if (result.m_error == HttpCallError::kNone) {
       result.m_response = std::move(call.m_response);
+    } else if (call.m_is_refused) {
+      result.m_reason = "the answer is malformed or too large";
     } else if (code == CURLE_OK) {
       result.m_reason = "the end of the answer can't be told";
     } else {
@@ -402,7 +412,6 @@
   static HttpCallError ClassifyError(const Call& call, CURLcode code) {
     if (code == CURLE_OK) {
       return call.m_is_head_complete &&
-                     call.m_response.m_status >= kFirstFinalStatus &&
                      IsBodyDelimited(call.m_request.m_method, call.m_response)
                  ? HttpCallError::kNone
                  : HttpCallError::kIncomplete;
@@ -413,7 +422,7 @@
     if (code == CURLE_OPERATION_TIMEDOUT) {
       return HttpCallError::kTimeout;
     }
-    if (call.m_is_too_large || call.m_response.m_status != 0) {
+    if (call.m_has_begun) {
       return HttpCallError::kIncomplete;
     }
     return HttpCallError::kFailed;
--- a/libs/http/src/message_parser.cc
+++ b/libs/http/src/message_parser.cc
@@ -15,6 +15,14 @@
 // Return value of on_headers_complete for a message without a body.
 constexpr int kNoBody = 1;
 
+// The classes of RFC 9110, 15. Requests never ask for another protocol.
+bool IsExpectedStatus(unsigned status) {
+  constexpr unsigned kFirst = 100;
+  constexpr unsigned kLast = 599;
+  constexpr unsigned kSwitchingProtocols = 101;
+  return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
+}
+
 }  // namespace
 
 struct MessageParser::Callbacks {
@@ -59,6 +67,10 @@
   static int OnHeadersComplete(http_parser* parser) {
     MessageParser& self = Self(parser);
     self.m_state = ParseState::kInBody;
+    if (self.m_type == HTTP_RESPONSE &&
+        !IsExpectedStatus(parser->status_code)) {
+      return self.Fail(kBadRequest);
+    }
     size_t size = self.m_target.size();
     for (const HttpField& field : self.m_fields) {
       size += field.m_name.size() + field.m_value.size() + kFieldSyntaxBytes;
--- a/libs/http/tests/response_clients.h
+++ b/libs/http/tests/response_clients.h
@@ -10,6 +10,7 @@
 
 #include "sequoiastage/http/exchange_connection.h"
 #include "sequoiastage/http/http_client.h"
+#include "sequoiastage/testing/scripted_server.h"
 
 namespace sequoiastage {
 
@@ -90,6 +91,38 @@
   }
 };
 
+/// Plays single responses. The server keeps the connection open, so that only
+/// their content ends the call.
+template <class Client>
+class ResponseTest : public testing::Test {
+ protected:
+  ResponseTest()
+      : m_server(m_io, {.m_end = ConnectionEnd::kStayOpen}), m_client(m_io) {}
+
+  CallReport Receive(std::string response) {
+    m_server.SetResponse(std::move(response));
+    return m_client.Call(m_server.Address(),
+                         {.m_timeout = std::chrono::seconds(2)});
+  }
+
+  void ExpectAnswer(const std::string& response, uint16_t status) {
+    const CallReport report = Receive(response);
+    EXPECT_EQ(report.m_end, CallEnd::kAnswered)
+        << testing::PrintToString(response);
+    EXPECT_EQ(report.m_response.m_status, status);
+    EXPECT_EQ(report.m_response.m_body, "body");
+  }
+
+  void ExpectBroken(const std::string& response) {
+    EXPECT_EQ(Receive(response).m_end, CallEnd::kBroken)
+        << testing::PrintToString(response);
+  }
+
+  asio::io_context m_io;
+  ScriptedServer m_server;
+  Client m_client;
+};
+
 }  // namespace sequoiastage
 
 #endif  // SEQUOIASTAGE_HTTP_TESTS_RESPONSE_CLIENTS_H_
