Refuse responses whose head is malformed, in both programs

Callers saw: with sequoiastaged, answers of instances in trouble whose field names held a blank or a control byte, with these lines as fields, or with a body that was not the instance's ("Content-Length : 2" was no length to libcurl). With sequoiameshd such names were refused unless the blank began the line: then the line became the end of the value before it.

Cause: libcurl passes on every line of a head unchecked, takes the last of several lengths and ignores what follows the digits of one. http_parser joins a line that begins with a blank to the one before (obs-fold, deprecated by RFC 9112, 5.2), ends a header at a CR without LF, skips empty lines before a response and accepts any version.

The parser now refuses what http_parser lets through, for requests too: a server has to reject a folded line or to replace it.

--- a/libs/http/include/sequoiastage/http/message_parser.h
+++ b/libs/http/include/sequoiastage/http/message_parser.h
@@ -82,7 +82,19 @@
  private:
   struct Callbacks;
 
+  // How far the header has been read by CheckHeader().
+  enum class HeaderPosition : uint8_t {
+    kBeforeStartLine,
+    kInLine,
+    kAtLineStart,
+    kEnd,
+  };
+
   int Fail(uint16_t status);
+  // Returns false at what http_parser accepts in a header though it is no
+  // HTTP: a line that begins with a blank, which would continue the line
+  // before, a CR without LF, or empty lines before a response.
+  bool CheckHeader(std::string_view bytes);
 
   http_parser_type m_type;
   MessageLimits m_limits;
@@ -91,6 +103,8 @@
   uint16_t m_failure_status = 0;
   bool m_keeps_alive = false;
   bool m_in_value = false;
+  HeaderPosition m_position = HeaderPosition::kBeforeStartLine;
+  bool m_follows_cr = false;
 };
 
 class RequestParser : public MessageParser {
--- a/libs/http/src/message_parser.cc
+++ b/libs/http/src/message_parser.cc
@@ -68,7 +68,7 @@
     MessageParser& self = Self(parser);
     self.m_state = ParseState::kInBody;
     if (self.m_type == HTTP_RESPONSE &&
-        !IsExpectedStatus(parser->status_code)) {
+        (parser->http_major != 1 || !IsExpectedStatus(parser->status_code))) {
       return self.Fail(kBadRequest);
     }
     size_t size = self.m_target.size();
@@ -139,6 +139,8 @@
   m_header_bytes = 0;
   m_stated_body_bytes = 0;
   m_in_value = false;
+  m_position = HeaderPosition::kBeforeStartLine;
+  m_follows_cr = false;
   m_skips_body = false;
 }
 
@@ -148,6 +150,36 @@
   return -1;
 }
 
+bool MessageParser::CheckHeader(std::string_view bytes) {
+  for (const char byte : bytes) {
+    if (m_position == HeaderPosition::kEnd) {
+      return true;
+    }
+    if (m_follows_cr && byte != '\n') {
+      return false;
+    }
+    m_follows_cr = byte == '\r';
+    if (byte == '\r' || byte == '\n') {
+      if (m_position == HeaderPosition::kBeforeStartLine &&
+          m_type == HTTP_RESPONSE) {
+        return false;
+      }
+      if (byte == '\n' && m_position == HeaderPosition::kAtLineStart) {
+        m_position = HeaderPosition::kEnd;
+      } else if (byte == '\n' && m_position == HeaderPosition::kInLine) {
+        m_position = HeaderPosition::kAtLineStart;
+      }
+      continue;
+    }
+    if (m_position == HeaderPosition::kAtLineStart &&
+        (byte == ' ' || byte == '\t')) {
+      return false;
+    }
+    m_position = HeaderPosition::kInLine;
+  }
+  return true;
+}
+
 size_t MessageParser::Feed(std::string_view bytes) {
   if (m_state == ParseState::kComplete || m_state == ParseState::kFailed ||
       bytes.empty()) {
@@ -157,6 +189,10 @@
     m_state = ParseState::kInHeaders;
   }
   const bool was_in_headers = m_state == ParseState::kInHeaders;
+  if (was_in_headers && !CheckHeader(bytes)) {
+    Fail(kBadRequest);
+    return 0;
+  }
   const size_t used = http_parser_execute(&m_parser, Callbacks::Settings(),
                                           bytes.data(), bytes.size());
   if (m_state == ParseState::kComplete) {
--- a/libs/http/tests/message_parser_test.cc
+++ b/libs/http/tests/message_parser_test.cc
@@ -86,6 +86,21 @@
   }
 }
 
+// http_parser would join the second line to the value of the first.
+TEST(RequestParserTest, RejectsFoldedLines) {
+  for (const std::string fields : {"X: 1\r\n Y: 2\r\n", "X:\r\n\tY: 2\r\n",
+                                   "X: 1\r\n \r\n", "X: 1\n Y: 2\n"}) {
+    const std::string bytes = "GET / HTTP/1.1\r\n" + fields + "\r\n";
+    for (size_t cut = 1; cut < bytes.size(); ++cut) {
+      RequestParser parser(MessageLimits{});
+      parser.Feed(std::string_view(bytes).substr(0, cut));
+      parser.Feed(std::string_view(bytes).substr(cut));
+      EXPECT_EQ(parser.State(), ParseState::kFailed) << bytes;
+      EXPECT_EQ(parser.FailureStatus(), 400);
+    }
+  }
+}
+
 TEST(RequestParserTest, ReportsWhichLimitWasExceeded) {
   RequestParser body({.m_max_header_bytes = 1024, .m_max_body_bytes = 4});
   body.Feed("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n");
