Read whole responses with one parser in both programs

What the check of the other places that read answers found beside the faults of the issue. Callers saw: with sequoiameshd, nothing until their deadline for a 204 or 304 with a length, and a body still in its transfer coding ("gzip, chunked") without a field that tells of it; with sequoiastaged, answers whose chunks sequoiameshd refuses ("5\nhello\n0\n\n").

Cause: http_parser waits for a body whatever the status is and takes any list of codings that ends with "chunked"; libcurl reads chunks by rules of its own.

Change: the parser ends responses without a body at their head and refuses other transfer codings than "chunked". HttpClient leaves the chunks as they are (CURLOPT_HTTP_TRANSFER_DECODING) and gives head and body to the parser, so that libcurl only carries them. A response that ends with its connection is still refused there: the parser has not seen its end.

Failed before: ResponseAgreementTest.BothClientsReadTheSame (on the second drawn response or so), ResponseBodyTest.StatusWithoutABodyEndsWithItsHead for ExchangeConnection, ResponseBodyTest.OtherTransferCodingsAreNoAnswer for both. ChunksAreJoined and MalformedChunkIsNoAnswer passed before and stay.

--- a/libs/http/include/sequoiastage/http/message_parser.h
+++ b/libs/http/include/sequoiastage/http/message_parser.h
@@ -76,7 +76,8 @@
   std::string m_body;
   http_parser m_parser{};
   ParseState m_state = ParseState::kIdle;
-  // The response to HEAD has no body, regardless of its fields.
+  // The response to HEAD, or one with a status such as 304, has no body,
+  // regardless of its fields.
   bool m_skips_body = false;
 
  private:
@@ -131,8 +132,7 @@
 
   uint16_t Status() const { return m_parser.status_code; }
 
-  /// Returns the response and resets the parser for the next one. Without its
-  /// body if only the header is complete.
+  /// Returns the response and resets the parser for the next one.
   HttpResponse TakeResponse();
 };
 
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -25,17 +25,6 @@
   static_cast<void>(kCode);
 }
 
-// Whether truncation of the body can be detected: it has a Content-Length or is
-// chunked, or the response has no body.
-bool IsBodyDelimited(const std::string& method, const HttpResponse& response) {
-  if (method == "HEAD" || response.m_status == 204 ||
-      response.m_status == 304) {
-    return true;
-  }
-  return FindField(response.m_fields, "Content-Length") != nullptr ||
-         FindField(response.m_fields, "Transfer-Encoding") != nullptr;
-}
-
 // The size covers all connections of a call: libcurl may have sent the request
 // on a kept-alive connection and resent it on a new one.
 bool NothingWasSent(CURL* easy, CURLcode code) {
@@ -91,7 +80,6 @@
         MessageLimits{.m_max_body_bytes = options.m_max_body_bytes});
     call->m_owner = this;
     call->m_id = id;
-    call->m_max_body_bytes = options.m_max_body_bytes;
     call->m_request = std::move(request);
     call->m_callback = std::move(callback);
     Prepare(*call, options);
@@ -112,24 +100,21 @@
 
  private:
   struct Call {
-    explicit Call(const MessageLimits& limits) : m_head(limits) {}
+    explicit Call(const MessageLimits& limits) : m_parser(limits) {}
 
     Impl* m_owner = nullptr;
     CallId m_id = 0;
     CURL* m_easy = nullptr;
     curl_slist* m_fields = nullptr;
-    size_t m_max_body_bytes = 0;
-    // Reads each head as ExchangeConnection does; libcurl accepts malformed
+    // Reads the response as ExchangeConnection does; libcurl accepts malformed
     // ones.
-    ResponseParser m_head;
+    ResponseParser m_parser;
     uint32_t m_interim_responses = 0;
     bool m_has_begun = false;
-    // libcurl reports success when the connection closes within the head.
     bool m_is_head_complete = false;
     // The response is malformed or too large.
     bool m_is_refused = false;
     HttpRequest m_request;
-    HttpResponse m_response;
     Callback m_callback;
   };
 
@@ -164,6 +149,8 @@
     }
     PrepareBody(call);
     PrepareFields(call);
+    // The parser joins the chunks.
+    curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Impl::OnBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Impl::OnHeader);
@@ -214,42 +201,45 @@
 
   static size_t OnBody(char* data, size_t size, size_t count, void* user) {
     auto* call = static_cast<Call*>(user);
-    const size_t bytes = size * count;
-    if (!call->m_is_head_complete ||
-        call->m_response.m_body.size() + bytes > call->m_max_body_bytes) {
+    const std::string_view bytes(data, size * count);
+    if (!call->m_is_head_complete || !Feed(*call, bytes)) {
       call->m_is_refused = true;
       return 0;
     }
-    call->m_response.m_body.append(data, bytes);
-    return bytes;
+    return bytes.size();
   }
 
+  // Called for each line of a head.
   static size_t OnHeader(char* data, size_t size, size_t count, void* user) {
     auto* call = static_cast<Call*>(user);
     const std::string_view line(data, size * count);
     call->m_has_begun = true;
-    // Trailers are dropped.
-    if (!call->m_is_head_complete && !ReadHeadLine(*call, line)) {
+    if (call->m_request.m_method == "HEAD") {
+      call->m_parser.ExpectNoBody();
+    }
+    if (!Feed(*call, line) || !FinishHead(*call)) {
       call->m_is_refused = true;
       return 0;
     }
     return line.size();
   }
 
-  // Returns false when the line belongs to no valid response.
-  static bool ReadHeadLine(Call& call, std::string_view line) {
-    if (call.m_request.m_method == "HEAD") {
-      call.m_head.ExpectNoBody();
+  static bool Feed(Call& call, std::string_view bytes) {
+    call.m_parser.Feed(bytes);
+    return call.m_parser.State() != ParseState::kFailed;
+  }
+
+  // Skips an interim response. Returns false after too many of them.
+  static bool FinishHead(Call& call) {
+    if (call.m_parser.State() == ParseState::kInHeaders) {
+      return true;
     }
-    call.m_head.Feed(line);
-    const ParseState state = call.m_head.State();
-    if (state == ParseState::kFailed || state == ParseState::kInHeaders) {
-      return state != ParseState::kFailed;
+    call.m_is_head_complete = call.m_parser.Status() >= kFirstFinalStatus;
+    if (call.m_is_head_complete) {
+      return true;
     }
-    call.m_response = call.m_head.TakeResponse();
-    call.m_is_head_complete = call.m_response.m_status >= kFirstFinalStatus;
-    return call.m_is_head_complete ||
-           ++call.m_interim_responses <= kMaxInterimResponses;
+    call.m_parser.TakeResponse();
+    return ++call.m_interim_responses <= kMaxInterimResponses;
   }
 
   static curl_socket_t OnOpenSocket(void* user,
@@ -398,7 +388,7 @@
     HttpCallResult result;
     result.m_error = ClassifyError(call, code);
     if (result.m_error == HttpCallError::kNone) {
-      result.m_response = std::move(call.m_response);
+      result.m_response = call.m_parser.TakeResponse();
     } else if (call.m_is_refused) {
       result.m_reason = "the answer is malformed or too large";
     } else if (code == CURLE_OK) {
@@ -411,8 +401,10 @@
 
   static HttpCallError ClassifyError(const Call& call, CURLcode code) {
     if (code == CURLE_OK) {
+      // libcurl reports success when the connection closes within the head, or
+      // at the end of a body that has no length.
       return call.m_is_head_complete &&
-                     IsBodyDelimited(call.m_request.m_method, call.m_response)
+                     call.m_parser.State() == ParseState::kComplete
                  ? HttpCallError::kNone
                  : HttpCallError::kIncomplete;
     }
@@ -422,10 +414,8 @@
     if (code == CURLE_OPERATION_TIMEDOUT) {
       return HttpCallError::kTimeout;
     }
-    if (call.m_has_begun) {
-      return HttpCallError::kIncomplete;
-    }
-    return HttpCallError::kFailed;
+    return call.m_has_begun ? HttpCallError::kIncomplete
+                            : HttpCallError::kFailed;
   }
 
   void Detach(Call& call) {
--- a/libs/http/src/message_parser.cc
+++ b/libs/http/src/message_parser.cc
@@ -23,6 +23,31 @@
   return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
 }
 
+// Whether responses with the status end with their header (RFC 9112, 6.3).
+bool HasNoBody(unsigned status) {
+  constexpr unsigned kFirstFinal = 200;
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return status < kFirstFinal || status == kNoContent || status == kNotModified;
+}
+
+// Requests ask for no other transfer coding. http_parser leaves any but
+// "chunked" in the body, whose fields no longer tell of it once the message is
+// passed on.
+bool HasOtherTransferCoding(const std::vector<HttpField>& fields) {
+  size_t count = 0;
+  bool is_chunked = true;
+  for (const HttpField& field : fields) {
+    if (EqualsIgnoringCase(field.m_name, "transfer-encoding")) {
+      ++count;
+      const std::string_view value = field.m_value;
+      is_chunked = EqualsIgnoringCase(
+          value.substr(0, value.find_last_not_of(" \t") + 1), "chunked");
+    }
+  }
+  return count > 1 || !is_chunked;
+}
+
 }  // namespace
 
 struct MessageParser::Callbacks {
@@ -67,9 +92,12 @@
   static int OnHeadersComplete(http_parser* parser) {
     MessageParser& self = Self(parser);
     self.m_state = ParseState::kInBody;
-    if (self.m_type == HTTP_RESPONSE &&
-        (parser->http_major != 1 || !IsExpectedStatus(parser->status_code))) {
-      return self.Fail(kBadRequest);
+    if (self.m_type == HTTP_RESPONSE) {
+      if (parser->http_major != 1 || !IsExpectedStatus(parser->status_code) ||
+          HasOtherTransferCoding(self.m_fields)) {
+        return self.Fail(kBadRequest);
+      }
+      self.m_skips_body |= HasNoBody(parser->status_code);
     }
     size_t size = self.m_target.size();
     for (const HttpField& field : self.m_fields) {
