Take no request late in a short grace time

A node took requests for 2.9 s after the stop, whatever its grace time; with 2 s it passed them on until its end and broke them off, those that may not be repeated too.

Cause: the time until the readiness probes have moved the callers away was a constant.

Change: it is at most 0.65 of the grace time. From then on a request is rejected with 503 unless its deadline lies before the end. Nothing changes from 4.5 s on.

Failed before: MeshNodeShortGraceTest.RejectsRequestsThatItCannotFinish (the request reached the instance and was cut). The tests with 4.5 s passed before and after.

--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -92,8 +92,11 @@
   // follow shortly after together.
   void SendChanges();
   void SendRelayHeartbeats();
-  // Time after the stop request at which requests that still wait are ended.
+  // Times after the stop request: from the first on, the node takes no request
+  // that it may not finish; at the second, it ends those that still wait.
+  Duration AcceptTime() const;
   Duration AnswerTime() const;
+  Duration GraceShare(double fraction) const;
   void StopAccepting();
   void EndWhenIdle();
   // Packs the records at or after `from`. Valid until the next call.
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -38,6 +38,8 @@
 // instance, which keeps running when only the node stops. Afterwards the node
 // refuses new work, so that accepted work completes within the grace time.
 inline constexpr Duration kAcceptPeriod = std::chrono::milliseconds(2900);
+// Most of the grace time that kAcceptPeriod may take.
+inline constexpr double kAcceptFraction = 0.65;
 // By then other nodes and callers have noticed the shutdown.
 inline constexpr Duration kMinShutdownTime = std::chrono::milliseconds(3300);
 // Fraction of the grace time after which requests that still wait get a final
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_shutdown_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_shutdown_inl.h
@@ -23,16 +23,25 @@
   m_shutdown_steps.Start();
 }
 
+template <PlatformCodec Codec, PlatformStore Store>
+Duration MeshNode<Codec, Store>::GraceShare(double fraction) const {
+  return std::chrono::duration_cast<Duration>(m_settings.m_grace * fraction);
+}
+
 template <PlatformCodec Codec, PlatformStore Store>
 Duration MeshNode<Codec, Store>::AnswerTime() const {
-  return std::chrono::duration_cast<Duration>(
-      m_settings.m_grace * mesh_node_detail::kAnswerFraction);
+  return GraceShare(mesh_node_detail::kAnswerFraction);
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+Duration MeshNode<Codec, Store>::AcceptTime() const {
+  return std::min(mesh_node_detail::kAcceptPeriod,
+                  GraceShare(mesh_node_detail::kAcceptFraction));
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::StopAccepting() {
-  if (m_refuses_work ||
-      BootNow() - m_stop_requested_at < mesh_node_detail::kAcceptPeriod) {
+  if (m_refuses_work || BootNow() - m_stop_requested_at < AcceptTime()) {
     return;
   }
   m_refuses_work = true;
@@ -54,9 +63,7 @@
   const bool is_idle = m_ingress.RequestCount() == 0 &&
                        m_egress.WorkCount() == 0 &&
                        m_callers.ConnectionCount() == 0;
-  const auto longest = std::chrono::duration_cast<Duration>(
-      m_settings.m_grace * mesh_node_detail::kGraceFraction);
-  if (since >= longest ||
+  if (since >= GraceShare(mesh_node_detail::kGraceFraction) ||
       (is_idle && since >= mesh_node_detail::kMinShutdownTime)) {
     LogEvent(LogLevel::kInfo, "node_stopped")
         .Add("requests", static_cast<int64_t>(m_ingress.RequestCount()))
--- a/libs/mesh/tests/mesh_node_shutdown_test.cc
+++ b/libs/mesh/tests/mesh_node_shutdown_test.cc
@@ -15,10 +15,10 @@
  protected:
   // The first node ends its requests 4.05 s after the stop. Requests on the
   // route /x/ take up to 1.5 s.
-  MeshNodeShutdownTest() {
+  explicit MeshNodeShutdownTest(milliseconds grace = milliseconds(4500)) {
     m_first.reset();
-    m_first = std::make_unique<TestNode>(
-        m_io, m_log, 3, TestNodeOptions{.m_grace = milliseconds(4500)});
+    m_first = std::make_unique<TestNode>(m_io, m_log, 3,
+                                         TestNodeOptions{.m_grace = grace});
   }
 
   void RunFor(milliseconds time) {
@@ -26,14 +26,15 @@
         m_io, [] { return false; }, time);
   }
 
-  // Announces the instance of the second node and opens the connections.
-  void StopWithOpenConnections() {
+  // Announces the instance of the second node and opens the connections some
+  // time after the stop.
+  void StopWithOpenConnections(milliseconds time = milliseconds(2700)) {
     PublishConfig("1 a /x/ plans once");
     ASSERT_EQ(Announce(*m_second), 200);
     ASSERT_TRUE(WaitForStatus(*m_first, "/x/", 200));
     m_begin = std::chrono::steady_clock::now();
     m_first->m_node.StartShutdown();
-    RunFor(milliseconds(2700));
+    RunFor(time);
     for (auto& caller : m_callers) {
       caller = std::make_unique<RawCaller>(m_io, m_first->m_settings.m_callers);
     }
@@ -102,5 +103,22 @@
   EXPECT_TRUE(WaitForText(*m_callers[0], "answer to body"));
 }
 
+// The first node ends its requests 1.8 s after the stop.
+class MeshNodeShortGraceTest : public MeshNodeShutdownTest {
+ protected:
+  MeshNodeShortGraceTest() : MeshNodeShutdownTest(seconds(2)) {}
+};
+
+// Guards against a node that takes requests until it ends.
+TEST_F(MeshNodeShortGraceTest, RejectsRequestsThatItCannotFinish) {
+  StopWithOpenConnections(milliseconds(1000));
+  m_second->m_instance.m_behavior =
+      [](const HttpRequest&, const StreamResponder&) { return CancelHook(); };
+  RunTo(milliseconds(1500));
+  m_callers[0]->Write(Head("late", seconds(9)) + "body");
+  EXPECT_TRUE(WaitForText(*m_callers[0], "HTTP/1.1 503"));
+  EXPECT_TRUE(m_second->m_instance.m_requests.empty());
+}
+
 }  // namespace
 }  // namespace sequoiastage
