Answer the requests that outlast a drain of sequoiastaged

Cause: at the end of the drain the node stopped its threads; nothing ended the requests that still waited.

Change: it then finishes them as their deadlines would, so that each caller learns "unknown", or "not-run" where no attempt was sent, and requests that were forwarded to the owner of their key get "unknown". The time in which the departure is gossiped leaves room for sending.

Failed before: PlannedStopTest.RequestsThatOutlastTheDrainGetAFinalResponse ("server returned nothing" for the requests in flight; three kinds of requests: without a key, with a key of the node, with a key of another node).

--- a/libs/node/src/ingress.cc
+++ b/libs/node/src/ingress.cc
@@ -141,6 +141,17 @@
   m_server.StartDrain();
 }
 
+void Ingress::EndAll() {
+  for (const StartupRequest& waiting : std::exchange(m_startup_requests, {})) {
+    waiting.m_call->Respond(BuildDrainingProblem());
+  }
+  m_runner.EndAll();
+  while (!m_forwards.empty()) {
+    const AttemptId id = m_forwards.begin()->first;
+    CompleteForward(id, BuildOwnerUnreachableResponse());
+  }
+}
+
 void Ingress::Stop() {
   m_server.Stop();
   m_transport.CloseAll();
--- a/libs/node/src/ingress_p.h
+++ b/libs/node/src/ingress_p.h
@@ -63,6 +63,9 @@
   // response; idle connections are closed.
   void StopAccepting() { m_server.Stop(); }
 
+  // Responds to all requests that still wait.
+  void EndAll();
+
   // Runs periodic work; call every 50 ms.
   void OnTick();
 
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -37,8 +37,9 @@
 // Limit of the memory for callers' request bodies, in bodies of the maximum
 // size, so that one caller with a large body does not block the others.
 constexpr size_t kMaxBufferedBodies = 16;
-// Time for the gossip of the departure to be sent before the process exits.
-constexpr std::chrono::milliseconds kDepartureGossipTime{300};
+// Time for the gossip of the departure and the last responses to be sent before
+// the process exits.
+constexpr std::chrono::milliseconds kDepartureTime{300};
 
 // Uses the wall clock, so that later runs of the node have greater values.
 Incarnation MakeIncarnation(Incarnation after) {
@@ -333,8 +334,9 @@
     }
     if (now - *m_quiet_since >= kDrainQuietPeriod || now >= m_drain_until) {
       m_in_flight_at_stop = in_flight;
+      asio::post(m_ingress_io, [this] { m_ingress.EndAll(); });
       m_control.SetHostState(HostState::kLeft);
-      RunAfter(kDepartureGossipTime, [this] { StopThreads(); });
+      RunAfter(kDepartureTime, [this] { StopThreads(); });
       return;
     }
     RunAfter(kDrainPollInterval, [this] { PollDrain(); });
--- a/libs/node/src/request_runner_p.h
+++ b/libs/node/src/request_runner_p.h
@@ -63,6 +63,9 @@
     m_picker.OnConnectionFailed(node, Now());
   }
 
+  // Finishes all requests, as their deadlines would.
+  void EndAll();
+
   // Runs periodic work; call every 50 ms. Returns the nodes to send a
   // HelloMessage to.
   std::vector<NodeId> OnTick();
--- a/libs/node/src/request_runner_timers.cc
+++ b/libs/node/src/request_runner_timers.cc
@@ -98,6 +98,27 @@
   ArmTimer(execution_id, execution);
 }
 
+void RequestRunner::EndAll() {
+  std::vector<ExecutionId> ids;
+  ids.reserve(m_executions.size());
+  for (const auto& [id, execution] : m_executions) {
+    ids.push_back(id);
+  }
+  for (const ExecutionId id : ids) {
+    auto it = m_executions.find(id);
+    if (it == m_executions.end()) {
+      continue;
+    }
+    it->second->m_request.m_deadline = WallNow();
+    while (it != m_executions.end() && Withdraw(id, *it->second)) {
+      it = m_executions.find(id);
+    }
+    if (it != m_executions.end()) {
+      ApplyStep(id, it->second->m_tracker.OnDeadline());
+    }
+  }
+}
+
 // Times out the open attempts for a retry. Their responses are still accepted.
 void RequestRunner::TimeOutOpenAttempts(ExecutionId execution_id,
                                         Execution& execution) {
--- a/tests/fleet.cc
+++ b/tests/fleet.cc
@@ -179,6 +179,10 @@
   return NodeEndpoint(node, kAdminPort);
 }
 
+Endpoint Fleet::Announce(int node) const {
+  return NodeEndpoint(node, kAnnouncePort);
+}
+
 Endpoint Fleet::Instance(int node, int index) const {
   return NodeEndpoint(node, static_cast<uint16_t>(kInstancePort + index));
 }
@@ -211,8 +215,8 @@
       "backend_server",
       std::vector<std::string>{
           "--listen=" + ToString(Instance(node, index)),
-          "--announce=" + ToString(NodeEndpoint(node, kAnnouncePort)),
-          "--service=work", "--slots=" + std::to_string(m_options.m_slots),
+          "--announce=" + ToString(Announce(node)), "--service=work",
+          "--slots=" + std::to_string(m_options.m_slots),
           "--latency_ms=" + std::to_string(m_options.m_latency_ms)},
       m_folder + "/instance" + std::to_string(node) + "-" +
           std::to_string(index) + ".txt");
@@ -242,17 +246,19 @@
   for (int i = 0; i < std::min(2, m_options.m_nodes); ++i) {
     seeds.push_back(ToJson(NodeEndpoint(i, kPeerPort)));
   }
-  const Json settings = {
-      {"listen", ToJson(NodeEndpoint(node, kListenPort))},
-      {"peer", ToJson(NodeEndpoint(node, kPeerPort))},
-      {"peer_bind", ToJson(PeerBind(node))},
-      {"admin", ToJson(NodeEndpoint(node, kAdminPort))},
-      {"announce", ToJson(NodeEndpoint(node, kAnnouncePort))},
-      {"region", region},
-      {"failure_domain", region + "-" + std::to_string(node % 2)},
-      {"site", region},
-      {"log", ToJson(LogEndpointFor(node))},
-      {"seeds", seeds}};
+  Json settings = {{"listen", ToJson(NodeEndpoint(node, kListenPort))},
+                   {"peer", ToJson(NodeEndpoint(node, kPeerPort))},
+                   {"peer_bind", ToJson(PeerBind(node))},
+                   {"admin", ToJson(NodeEndpoint(node, kAdminPort))},
+                   {"announce", ToJson(Announce(node))},
+                   {"region", region},
+                   {"failure_domain", region + "-" + std::to_string(node % 2)},
+                   {"site", region},
+                   {"log", ToJson(LogEndpointFor(node))},
+                   {"seeds", seeds}};
+  if (!m_options.m_drain_timeout.empty()) {
+    settings["drain_timeout"] = m_options.m_drain_timeout;
+  }
   return settings.dump(2);
 }
 
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -31,6 +31,8 @@
   std::string m_false_ejection_bound = "1000h";
   /// Instances run only beside this node; -1: beside every node.
   int m_only_instances_at = -1;
+  /// Longest drain of a stopped node, such as "1s"; empty: the default.
+  std::string m_drain_timeout;
   /// Routes traffic between nodes, and to the log, through Fleet::Links().
   bool m_has_relay = false;
 };
@@ -61,6 +63,8 @@
   int NodeCount() const { return m_options.m_nodes; }
   Endpoint Caller(int node) const;
   Endpoint Admin(int node) const;
+  /// Address at which instances announce themselves.
+  Endpoint Announce(int node) const;
   /// Address at which other nodes reach the node.
   Endpoint Peer(int node) const;
   Endpoint Instance(int node, int index) const;
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -1,6 +1,10 @@
 #include <gtest/gtest.h>
 #include <signal.h>
 
+#include <atomic>
+#include <thread>
+#include <vector>
+
 #include "execution_check.h"
 #include "fleet.h"
 #include "load.h"
@@ -46,5 +50,54 @@
   CheckExecutions(result, fleet.Executions());
 }
 
+// Instances hang for longer than the drain may take. Guards against a stop that
+// closes the connections of callers without a response.
+TEST(PlannedStopTest, RequestsThatOutlastTheDrainGetAFinalResponse) {
+  constexpr int kRequests = 9;
+  Fleet fleet({.m_nodes = 2,
+               .m_instances_per_node = 1,
+               .m_slots = kRequests,
+               .m_drain_timeout = "1s"});
+  ASSERT_EQ(fleet.Start(), "");
+  for (int node = 0; node < fleet.NodeCount(); ++node) {
+    ASSERT_TRUE(fleet.SetMode(node, 0, "hang"));
+  }
+  std::vector<CallerResponse> responses(kRequests);
+  std::vector<std::thread> callers;
+  std::atomic<int> sent = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    callers.emplace_back([&fleet, &sent, &response = responses[i], i] {
+      CallerRequest request{.m_to = fleet.Caller(0),
+                            .m_target = "/jobs/x",
+                            .m_fields = {{"Host", "move.example"},
+                                         {"Sequoiastage-Deadline-Ms", "20000"}},
+                            .m_timeout = milliseconds(15'000)};
+      // Keys of the node, keys of another node, and none.
+      if (i % 3 > 0) {
+        request.m_method = "POST";
+        request.m_to = fleet.Caller(i % 3 - 1);
+        request.m_fields["Idempotency-Key"] =
+            Call(request).Field("idempotency-key");
+        request.m_to = fleet.Caller(0);
+      }
+      ++sent;
+      response = Call(request);
+    });
+  }
+  EXPECT_TRUE(WaitUntil(milliseconds(10'000), [&] {
+    return sent == kRequests &&
+           fleet.TotalStarts(0, 0) + fleet.TotalStarts(1, 0) >= kRequests;
+  }));
+  fleet.Node(0).Signal(SIGTERM);
+  fleet.Node(0).Wait();
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  for (const CallerResponse& response : responses) {
+    EXPECT_TRUE(response.IsComplete()) << response.m_error;
+    EXPECT_EQ(response.Outcome(), "unknown");
+  }
+}
+
 }  // namespace
 }  // namespace sequoiastage
