Play broken answers and a planned stop against both programs

No change of the programs. The instance of a service is replaced by one that sends each kind of broken answer of the issue, and answers without end while the node's resident memory is watched.

--- a/libs/testing/include/sequoiastage/testing/scripted_server.h
+++ b/libs/testing/include/sequoiastage/testing/scripted_server.h
@@ -55,13 +55,8 @@
                    {asio::ip::address_v4(listen.m_ip), listen.m_port},
                    true),
         m_state(std::make_shared<State>()) {
+    m_state->SetRepeated(script.m_repeated);
     m_state->m_script = std::move(script);
-    if (!m_state->m_script.m_repeated.empty()) {
-      constexpr size_t kBlockBytes = size_t{64} << 10;
-      while (m_state->m_block.size() < kBlockBytes) {
-        m_state->m_block += m_state->m_script.m_repeated;
-      }
-    }
     Accept();
   }
 
@@ -76,6 +71,12 @@
   }
   void SetEnd(ConnectionEnd end) { m_state->m_script.m_end = end; }
 
+  void SetRepeated(const std::string& repeated) {
+    m_state->SetRepeated(repeated);
+  }
+
+  /// Connections whose response was sent.
+  size_t Responses() const { return m_state->m_responses; }
   /// Bytes written to all connections.
   size_t SentBytes() const { return m_state->m_sent_bytes; }
   /// Connections that the client has closed.
@@ -83,8 +84,18 @@
 
  private:
   struct State {
+    void SetRepeated(const std::string& repeated) {
+      constexpr size_t kBlockBytes = size_t{64} << 10;
+      m_block.clear();
+      while (!repeated.empty() && m_block.size() < kBlockBytes) {
+        m_block += repeated;
+      }
+    }
+
     ServerScript m_script;
+    // m_repeated of the script, many times.
     std::string m_block;
+    size_t m_responses = 0;
     size_t m_sent_bytes = 0;
     size_t m_closed_by_client = 0;
   };
@@ -98,7 +109,9 @@
 
     void Read() {
       if (m_read_bytes >= m_state->m_script.m_read_bytes) {
+        ++m_state->m_responses;
         m_output = m_state->m_script.m_response;
+        m_block = m_state->m_block;
         Write(m_output);
         return;
       }
@@ -171,6 +184,7 @@
     std::shared_ptr<State> m_state;
     size_t m_read_bytes = 0;
     std::string m_output;
+    std::string m_block;
     std::array<char, size_t{16} << 10> m_chunk{};
   };
 
