--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -23,6 +23,8 @@
 
 constexpr size_t kMiB = size_t{1} << 20;
 constexpr int kSlots = 16;
+// Default of BodyBudget.
+constexpr size_t kBodyBudget = 24 * kMiB;
 const std::string kOk = "HTTP/1.1 200 OK\r\n";
 const std::string kLength = "Content-Length: 7\r\n";
 const std::string kBody = "\r\nspoiled";
@@ -142,9 +144,8 @@
 // Guards against a node that keeps what an instance sends until its memory
 // ends, and with it the requests of its other callers.
 TEST_F(BrokenAnswerTest, WithoutEndTakesLittleMemory) {
-  // The budget for bodies. A body that grows is copied, and the heap may keep
-  // its earlier copies.
-  constexpr size_t kMaxGrowth = 3 * 24 * kMiB;
+  // A body that grows is copied, and the heap may keep its earlier copies.
+  constexpr size_t kMaxGrowth = 3 * kBodyBudget;
   ASSERT_NO_FATAL_FAILURE(ReplaceInstance());
   const size_t before = PeakMemory(m_fleet.Node(0).Pid());
   const std::vector<std::pair<std::string, std::string>> answers = {
