--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -160,6 +160,7 @@
     const size_t responses = Responses();
     std::atomic<bool> is_done = false;
     std::vector<std::thread> callers;
+    callers.reserve(kSlots);
     for (int i = 0; i < kSlots; ++i) {
       callers.emplace_back([this, &is_done] {
         while (!is_done) {
--- a/tests/planned_stop_test.cc
+++ b/tests/planned_stop_test.cc
@@ -64,6 +64,7 @@
   }
   std::vector<CallerResponse> responses(kRequests);
   std::vector<std::thread> callers;
+  callers.reserve(kRequests);
   std::atomic<int> sent = 0;
   for (int i = 0; i < kRequests; ++i) {
     callers.emplace_back([&fleet, &sent, &response = responses[i], i] {
