--- a/libs/node/src/ingress.cc
+++ b/libs/node/src/ingress.cc
@@ -44,8 +44,7 @@
   return text != nullptr ? *text : "";
 }
 
-// Response to input that the server rejects before a complete request is
-// parsed.
+// Response to input that is rejected before a complete request is parsed.
 HttpResponse BuildParseErrorResponse(uint16_t status) {
   return ToResponse(Problem{.m_status = status,
                             .m_title = std::string(HttpStatusText(status)),
@@ -146,9 +145,8 @@
     waiting.m_call->Respond(BuildDrainingProblem());
   }
   m_runner.EndAll();
-  while (!m_forwards.empty()) {
-    const AttemptId id = m_forwards.begin()->first;
-    CompleteForward(id, BuildOwnerUnreachableResponse());
+  for (const auto& [id, forward] : std::exchange(m_forwards, {})) {
+    forward->m_done(BuildOwnerUnreachableResponse());
   }
 }
 
