Tie a draining message to the process that sent it

Callers saw: a node is stopped and started again while its instance goes on and another node stands still.

Cause: DrainingMessage names no process, and the receiver marked the record that it held by then. The messages of the process that ended and the record of the next one come over different connections, so any order may be read. The mark was part of the record, so the next record also removed it where it was right: a node that drains was used again once its record was written again, or when its message overtook its record.

Change: the member record names its process; links pass on the process that their hello names, also with replies, and drop what comes before it; TargetTable keeps the processes that drain apart from the records, so it is right in every order. A statement about another process than the known one is counted (statements_ignored_total) and logged. A node that drains says so on each connection that opens later. Why this works: no order between connections is needed any more, only equality of the process.

--- a/libs/mesh/include/sequoiastage/mesh/member_record.h
+++ b/libs/mesh/include/sequoiastage/mesh/member_record.h
@@ -17,6 +17,8 @@
 /// Record that a node publishes about itself through the platform's store.
 struct MemberRecord {
   NodeId m_node;
+  /// Process that wrote the record; 0 in records of older builds.
+  Incarnation m_incarnation;
   std::string m_domain;
   std::string m_region;
   /// The node is shutting down and accepts no new offers.
--- a/libs/mesh/include/sequoiastage/mesh/mesh_links.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_links.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -38,8 +39,9 @@
 class MeshLinks {
  public:
   struct Handlers {
-    /// Message received over a link that this node opened.
-    std::function<void(NodeId, Message)> m_on_reply;
+    /// Message received over a link that this node opened, with the process
+    /// that sent it.
+    std::function<void(const PeerKey&, Message)> m_on_reply;
     /// A link that this node opened is ready; carries the incarnation of the
     /// remote node.
     std::function<void(NodeId, Incarnation)> m_on_opened;
@@ -87,7 +89,8 @@
   /// Closes an unresponsive link; it is reopened after the backoff.
   void Drop(NodeId node, const std::string& reason);
 
-  /// Sends `message` to all connected nodes, over links in either direction.
+  /// Sends `message` to all nodes that know this process, over links in either
+  /// direction.
   void Broadcast(const Message& message);
 
   void Stop();
@@ -101,6 +104,8 @@
     State m_state = State::kOpening;
     std::shared_ptr<asio::ip::tcp::socket> m_socket;
     std::shared_ptr<PeerConnection> m_connection;
+    // Process at the other end, once it has said hello.
+    std::optional<Incarnation> m_incarnation;
     // Messages queued until the connection is established.
     std::vector<Message> m_pending;
     asio::steady_timer m_timer;
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -78,7 +78,12 @@
   void RemoveLostMembers();
   void OnRequest(const PeerKey& peer, Message message, const MessageSink& sink);
   void OnLocalOffer(Message message);
-  void OnReply(NodeId node, Message message);
+  void OnReply(const PeerKey& peer, Message message);
+  void OnDraining(const PeerKey& peer);
+  // Counts a statement about a start of `subject` that is not the known one.
+  void CountIgnored(std::string_view statement,
+                    std::string_view subject,
+                    uint64_t start);
   void OnRelay(NodeId node, const RelayMessage& relay);
   void OnPeerOpened(const PeerKey& peer, const MessageSink& sink);
   void Subscribe(const MessageSink& sink);
@@ -165,6 +170,8 @@
   TimePoint m_stop_requested_at{};
   TimePoint m_started_at{};
   uint64_t m_config_rejects = 0;
+  // See NodeMetrics.
+  uint64_t m_ignored_statements = 0;
   // Refusals of m_budget that have been logged.
   uint64_t m_logged_refusals = 0;
   TimePoint m_refusals_logged_at{};
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -66,17 +66,21 @@
              .m_incarnation = mesh_node_detail::RandomIncarnation()},
       m_budget(std::make_shared<ByteBudget>(settings.m_byte_budget)),
       m_targets(MemberRecord{.m_node = m_self.m_node,
+                             .m_incarnation = m_self.m_incarnation,
                              .m_domain = settings.m_domain,
                              .m_region = settings.m_region}),
       m_links(io,
               m_self,
               {.m_budget = m_budget},
               {.m_on_reply =
-                   [this](NodeId node, Message message) {
-                     OnReply(node, std::move(message));
+                   [this](const PeerKey& peer, Message message) {
+                     OnReply(peer, std::move(message));
                    },
                .m_on_opened =
                    [this](NodeId node, Incarnation incarnation) {
+                     if (m_refuses_work) {
+                       m_links.Send(node, DrainingMessage{});
+                     }
                      m_ingress.OnLinkOpened(node, incarnation);
                    },
                .m_on_lost =
@@ -394,20 +398,39 @@
   } else if (const auto* relayed = std::get_if<RelayMessage>(&message)) {
     OnRelay(peer.m_node, *relayed);
   } else if (std::holds_alternative<DrainingMessage>(message)) {
-    m_targets.SetLeaving(peer.m_node);
-    m_relay_choice.SetRegion(m_targets.RegionNodes());
+    OnDraining(peer);
   } else {
     m_limiter.OnRequest(peer, message, sink);
   }
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::OnReply(NodeId node, Message message) {
+void MeshNode<Codec, Store>::OnDraining(const PeerKey& peer) {
+  if (m_targets.MarkNodeLeaving(peer)) {
+    m_relay_choice.SetRegion(m_targets.RegionNodes());
+  } else {
+    CountIgnored("draining", ToString(peer.m_node), peer.m_incarnation.Get());
+  }
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::CountIgnored(std::string_view statement,
+                                          std::string_view subject,
+                                          uint64_t start) {
+  ++m_ignored_statements;
+  LogEvent(LogLevel::kInfo, "statement_ignored")
+      .Add("statement", statement)
+      .Add("subject", subject)
+      .Add("start", std::to_string(start));
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::OnReply(const PeerKey& peer, Message message) {
+  const NodeId node = peer.m_node;
   if (const auto* relay = std::get_if<RelayMessage>(&message)) {
     OnRelay(node, *relay);
   } else if (std::holds_alternative<DrainingMessage>(message)) {
-    m_targets.SetLeaving(node);
-    m_relay_choice.SetRegion(m_targets.RegionNodes());
+    OnDraining(peer);
   } else if (const auto* request = std::get_if<RelayRequestMessage>(&message)) {
     // The other node has just started. The store may lack what it asks for.
     m_links.Send(node, RelayMessage{.m_age_ms = UINT32_MAX,
@@ -443,6 +466,7 @@
        .m_accounts = m_config ? m_config->m_accounts.size() : 0,
        .m_store_era = m_reader.Era().value_or(StoreEra(0)),
        .m_store_era_changes = m_era_changes,
+       .m_ignored_statements = m_ignored_statements,
        .m_budget = *m_budget,
        .m_large_bytes = m_egress.LargeBytes(),
        .m_large_bytes_bound = m_egress.LargeBytesBound(),
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -186,6 +186,7 @@
   }
   LogEvent(LogLevel::kDebug, "member_changed")
       .Add("node", record.m_key)
+      .Add("incarnation", std::to_string(member->m_incarnation.Get()))
       .Add("instance", member->m_instance)
       .Add("leaving", member->m_is_leaving ? "yes" : "no");
   m_targets.SetMember(*member);
@@ -239,6 +240,9 @@
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::OnPeerOpened(const PeerKey&,
                                           const MessageSink& sink) {
+  if (m_refuses_work) {
+    sink(DrainingMessage{});
+  }
   const Duration up_time = BootNow() - m_started_at;
   if (!m_config && up_time > std::chrono::seconds(1)) {
     Subscribe(sink);
--- a/libs/mesh/include/sequoiastage/mesh/target_table.h
+++ b/libs/mesh/include/sequoiastage/mesh/target_table.h
@@ -10,6 +10,8 @@
 #include <vector>
 
 #include "sequoiastage/mesh/member_record.h"
+#include "sequoiastage/mesh/peer_key.h"
+#include "sequoiastage/mesh/recent_set.h"
 #include "sequoiastage/routing/placement.h"
 #include "sequoiastage/wire/messages.h"
 
@@ -28,7 +30,8 @@
                        const TargetTableOptions& options = {})
       : m_self(std::move(self)), m_options(options) {}
 
-  /// Adds or replaces the record of a node.
+  /// Adds or replaces the record of a node. A process that is marked as leaving
+  /// stays so, whatever its records state.
   void SetMember(const MemberRecord& member);
 
   /// Removes a node. Attempts that are in flight there are no longer counted.
@@ -41,8 +44,10 @@
                            std::string instance,
                            uint64_t start_time_ms);
 
-  /// Marks a node that announced that it accepts no new offers.
-  void SetLeaving(NodeId node);
+  /// This process of a node has announced that it accepts no new offers. Other
+  /// processes of the node are not affected, whether their records are known by
+  /// now or arrive later. Returns whether the known record is of this process.
+  bool MarkNodeLeaving(const PeerKey& process);
 
   void UpdateLoad(NodeId node, const EgressLoadReport& load, TimePoint now);
   /// Counts an attempt that this ingress has offered to `node`.
@@ -82,16 +87,25 @@
     uint32_t m_in_flight = 0;
   };
 
+  // Messages of earlier processes may arrive late, over any number of
+  // connections; only a few processes of a node end within that time.
+  static constexpr size_t kMaxMarks = 4;
+
   struct InstanceIncarnation {
     std::string m_name;
     uint64_t m_start_time_ms = 0;
   };
 
   bool HasLeavingInstance(const MemberRecord& member) const;
+  bool IsOfLeavingProcess(const MemberRecord& member) const;
 
   MemberRecord m_self;
   TargetTableOptions m_options;
   std::unordered_map<NodeId, Target> m_targets;
+  // Processes of each node that announced that they are leaving. Also kept when
+  // the member is removed.
+  std::unordered_map<NodeId, RecentSet<Incarnation, kMaxMarks>>
+      m_leaving_processes;
   // The last instance of each node that stated its departure. Kept when the
   // member is removed, since it may come back.
   std::unordered_map<NodeId, InstanceIncarnation> m_leaving_instances;
--- a/libs/mesh/src/member_record.cc
+++ b/libs/mesh/src/member_record.cc
@@ -103,6 +103,9 @@
   Json json = {{"node", ToString(record.m_node)},
                {"domain", record.m_domain},
                {"region", record.m_region}};
+  if (record.m_incarnation != Incarnation(0)) {
+    json["incarnation"] = record.m_incarnation.Get();
+  }
   if (record.m_is_leaving) {
     json["leaving"] = true;
   }
@@ -138,12 +141,14 @@
     if (!node) {
       return std::nullopt;
     }
-    MemberRecord record{.m_node = NodeId(*node),
-                        .m_domain = json.at("domain"),
-                        .m_region = json.at("region"),
-                        .m_is_leaving = json.value("leaving", false),
-                        .m_era = StoreEra(static_cast<uint32_t>(
-                            ReadNumber(json, "era", UINT32_MAX)))};
+    MemberRecord record{
+        .m_node = NodeId(*node),
+        .m_incarnation = Incarnation(ReadNumber(json, "incarnation")),
+        .m_domain = json.at("domain"),
+        .m_region = json.at("region"),
+        .m_is_leaving = json.value("leaving", false),
+        .m_era = StoreEra(
+            static_cast<uint32_t>(ReadNumber(json, "era", UINT32_MAX)))};
     record.m_instance = json.value("instance", "");
     if (!record.m_instance.empty()) {
       record.m_instance_start_ms = ReadNumber(json, "instance_start_ms");
--- a/libs/mesh/src/mesh_links.cc
+++ b/libs/mesh/src/mesh_links.cc
@@ -133,10 +133,13 @@
                self->m_timer.cancel();
                self->m_state = State::kOpen;
                self->m_failures = 0;
+               self->m_incarnation = hello->m_incarnation;
                m_handlers.m_on_opened(node, hello->m_incarnation);
-               return;
+             } else if (self->m_incarnation) {
+               m_handlers.m_on_reply(
+                   {.m_node = node, .m_incarnation = *self->m_incarnation},
+                   std::move(message));
              }
-             m_handlers.m_on_reply(node, std::move(message));
            },
        .m_on_closed =
            [this, node, weak, connection](const std::string& reason) {
@@ -160,6 +163,7 @@
   }
   const bool was_usable = link->m_state != State::kLost;
   link->m_state = State::kLost;
+  link->m_incarnation.reset();
   link->m_pending.clear();
   asio::error_code ignored;
   if (link->m_socket) {
@@ -206,8 +210,10 @@
       link->m_connection->Send(message);
     }
   }
-  for (const auto& connection : m_accepted) {
-    connection->Send(message);
+  for (const auto& [peer, latest] : m_latest_by_peer) {
+    if (const auto connection = latest.lock()) {
+      connection->Send(message);
+    }
   }
 }
 
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -187,6 +187,10 @@
   families.AddCounter("store_era_changes_total",
                       "Restarts of the store from an older copy.",
                       metrics.m_store_era_changes);
+  families.AddCounter(
+      "statements_ignored_total",
+      "Statements about a start of a node other than the known one.",
+      metrics.m_ignored_statements);
   families.AddGauge("store_era", "Latest known era of the store.",
                     static_cast<double>(metrics.m_store_era.Get()));
   families.AddCounter("log_lines_dropped_total",
--- a/libs/mesh/src/target_table.cc
+++ b/libs/mesh/src/target_table.cc
@@ -34,6 +34,7 @@
     m_by_service[member.m_service].insert(member.m_node);
   }
   target.m_member = member;
+  target.m_member.m_is_leaving |= IsOfLeavingProcess(member);
 }
 
 void TargetTable::RemoveMember(NodeId node) {
@@ -59,11 +60,25 @@
          found->second.m_start_time_ms == member.m_instance_start_ms;
 }
 
-void TargetTable::SetLeaving(NodeId node) {
-  const auto found = m_targets.find(node);
-  if (found != m_targets.end()) {
-    found->second.m_member.m_is_leaving = true;
+bool TargetTable::IsOfLeavingProcess(const MemberRecord& member) const {
+  const auto found = m_leaving_processes.find(member.m_node);
+  return found != m_leaving_processes.end() &&
+         found->second.Contains(member.m_incarnation);
+}
+
+bool TargetTable::MarkNodeLeaving(const PeerKey& process) {
+  m_leaving_processes[process.m_node].Add(process.m_incarnation);
+  const auto found = m_targets.find(process.m_node);
+  if (found == m_targets.end()) {
+    return false;
   }
+  MemberRecord& member = found->second.m_member;
+  // The record of an older build may be of any process; its next one ends the
+  // mark.
+  const bool is_concerned = member.m_incarnation == process.m_incarnation ||
+                            member.m_incarnation == Incarnation(0);
+  member.m_is_leaving |= is_concerned;
+  return is_concerned;
 }
 
 void TargetTable::UpdateLoad(NodeId node,
--- a/libs/mesh/tests/ingress_fixture.h
+++ b/libs/mesh/tests/ingress_fixture.h
@@ -25,7 +25,7 @@
         m_links(io,
                 m_self,
                 {},
-                {.m_on_reply = [](NodeId, const Message&) {},
+                {.m_on_reply = [](const PeerKey&, const Message&) {},
                  .m_on_opened = [](NodeId, Incarnation) {},
                  .m_on_lost = [](NodeId, const std::string&) {},
                  .m_on_request =
@@ -74,9 +74,9 @@
                 m_self,
                 {},
                 {.m_on_reply =
-                     [this](NodeId node, const Message& message) {
-                       if (!m_limiter.OnReply(node, message)) {
-                         m_ingress.OnReply(node, message);
+                     [this](const PeerKey& peer, const Message& message) {
+                       if (!m_limiter.OnReply(peer.m_node, message)) {
+                         m_ingress.OnReply(peer.m_node, message);
                        }
                      },
                  .m_on_opened =
--- a/libs/mesh/tests/target_table_test.cc
+++ b/libs/mesh/tests/target_table_test.cc
@@ -5,6 +5,9 @@
 #include <rapidcheck/gtest.h>
 
 #include <functional>
+#include <set>
+#include <utility>
+#include <vector>
 
 #include "sequoiastage/mesh/shared_quarantine.h"
 #include "sequoiastage/testing/mutate.h"
@@ -25,6 +28,17 @@
           .m_slots = 3};
 }
 
+PeerKey Process(uint8_t node, uint64_t incarnation) {
+  return {.m_node = Node(node), .m_incarnation = Incarnation(incarnation)};
+}
+
+// The record that a process of the node writes.
+MemberRecord RecordOf(uint8_t node, Incarnation process) {
+  MemberRecord record = Record(node, "plans");
+  record.m_incarnation = process;
+  return record;
+}
+
 size_t CountCandidates(const TargetTable& targets, std::string_view service) {
   return targets
       .Candidates(MakeServiceId(service), TimePoint{},
@@ -51,12 +65,54 @@
 
 TEST(TargetTableTest, LeavingNodesAreCountedButAreNotCandidates) {
   TargetTable targets(Record(1, "plans"));
-  targets.SetMember(Record(2, "plans"));
-  targets.SetLeaving(Node(2));
+  targets.SetMember(RecordOf(2, Incarnation(7)));
+  EXPECT_TRUE(targets.MarkNodeLeaving(Process(2, 7)));
   EXPECT_EQ(CountCandidates(targets, "plans"), 0U);
   EXPECT_EQ(targets.InstanceCount(MakeServiceId("plans")), 1U);
 }
 
+// An older build does not name the process that wrote the record.
+TEST(TargetTableTest, RecordWithoutAProcessIsOfAnyUntilTheNextOne) {
+  TargetTable targets(Record(1, "plans"));
+  targets.SetMember(Record(2, "plans"));
+  EXPECT_TRUE(targets.MarkNodeLeaving(Process(2, 7)));
+  EXPECT_EQ(CountCandidates(targets, "plans"), 0U);
+  targets.SetMember(Record(2, "plans"));
+  EXPECT_EQ(CountCandidates(targets, "plans"), 1U);
+}
+
+// Load pattern: a rolling restart of nodes beside nodes that stand still, which
+// read late what the processes sent, over several connections.
+RC_GTEST_PROP(TargetTableTest,
+              NodeIsUsedUnlessTheProcessOfItsNewestRecordDrains,
+              ()) {
+  TargetTable targets(Record(1, "plans"));
+  // The newest record read, and the processes that are known to drain.
+  Incarnation current(1);
+  std::set<Incarnation> draining;
+  targets.SetMember(RecordOf(2, current));
+  const auto steps = *rc::gen::container<std::vector<std::pair<bool, int>>>(
+      rc::gen::pair(rc::gen::arbitrary<bool>(), rc::gen::inRange(1, 5)));
+  for (const auto& [is_record, number] : steps) {
+    const Incarnation process(static_cast<uint64_t>(number));
+    if (is_record) {
+      // With another instance, or the one before.
+      MemberRecord record = RecordOf(2, process);
+      record.m_instance += std::to_string(*rc::gen::inRange(0, 2));
+      targets.SetMember(record);
+      current = process;
+    } else {
+      RC_ASSERT(targets.MarkNodeLeaving(Process(2, process.Get())) ==
+                (process == current));
+      draining.insert(process);
+    }
+    RC_ASSERT(CountCandidates(targets, "plans") ==
+              (draining.contains(current) ? 0U : 1U));
+    RC_ASSERT(targets.Find(Node(2))->m_is_leaving ==
+              draining.contains(current));
+  }
+}
+
 // A node restarts without knowing that its instance leaves, and announces it.
 TEST(TargetTableTest, LeavingInstanceIsNoCandidateUntilAnotherReplacesIt) {
   TargetTable targets(Record(1, "plans"));
--- a/libs/wire/include/sequoiastage/wire/messages.h
+++ b/libs/wire/include/sequoiastage/wire/messages.h
@@ -381,7 +381,8 @@
   friend bool operator==(const RelayMessage&, const RelayMessage&) = default;
 };
 
-/// The sender is shutting down and accepts no new offers.
+/// The process at the other end of the connection, as named by its
+/// HelloMessage, is shutting down and accepts no new offers.
 struct DrainingMessage {
   friend bool operator==(const DrainingMessage&,
                          const DrainingMessage&) = default;
