Name the instance in the reports of the egress

Callers saw: an instance is replaced while the node beside it stands still.

The egress checked that a 421 concerned the current instance, and then posted a hook without an identity; the heartbeat of the next instance was handled in between.

Change: InstanceIncarnation is the one identity of an instance's start; both hooks of the egress, LocalInstance, TargetTable and the attempts of the ingress use it, so that a hook without one does not compile. LocalInstance ignores what is about another incarnation, and says so; the node counts and logs it. LocalInstanceTest expects kStale where it expected kNone: the same effect, told apart. An ingress remembers the last few departed incarnations of a node instead of one, and starts with no load for a new incarnation of the same name.

--- a/libs/events/src/mesh_events.cc
+++ b/libs/events/src/mesh_events.cc
@@ -239,11 +239,15 @@
                     {"leaving", "whether the node is draining: yes or no"}}},
       {.m_name = "statement_ignored",
        .m_level = kInfo,
-       .m_help = "a statement is about a start of a node other than the known "
-                 "one, and has no effect on that",
-       .m_fields = {{"statement", "draining"},
-                    {"subject", "the node"},
-                    {"start", "incarnation that the statement is about"}}},
+       .m_help =
+           "a statement is about a start of a node or instance other than "
+           "the known one, or older than the last, and has no effect",
+       .m_fields = {{"statement",
+                     "draining of a node; else a cause of instance_changed"},
+                    {"subject", "the node or instance"},
+                    {"start",
+                     "incarnation of the node, or start time of the instance, "
+                     "that the statement is about"}}},
       {.m_name = "member_rejected",
        .m_level = kWarn,
        .m_help = "a member record is malformed",
--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -141,11 +141,12 @@
 class Egress {
  public:
   struct Hooks {
-    /// Another instance responds at the address of the current one.
-    std::function<void()> m_on_mismatch;
-    /// The instance stated in a response that it is leaving. Never called from
-    /// within a call of the egress.
-    std::function<void(const InstanceAnnouncement&)> m_on_leaving;
+    /// Another instance responds at the address of this one. By the time of the
+    /// call, which is never made from within a call of the egress, another one
+    /// may be active. The same holds for m_on_leaving.
+    std::function<void(const InstanceIncarnation&)> m_on_mismatch;
+    /// The instance stated in a response that it is leaving.
+    std::function<void(const InstanceIncarnation&)> m_on_leaving;
   };
 
   /// `self` is the node of this host.
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -48,8 +48,7 @@
 void Egress<Codec>::SetInstance(const InstanceAnnouncement* instance) {
   const bool is_same_incarnation =
       instance != nullptr && m_instance &&
-      m_instance->m_name == instance->m_name &&
-      m_instance->m_start_time_ms == instance->m_start_time_ms;
+      m_instance->Incarnation() == instance->Incarnation();
   if (!is_same_incarnation) {
     OnIncarnationEnd(instance != nullptr);
     m_departed = m_instance ? m_instance->m_name : m_departed;
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -157,7 +157,7 @@
     return;
   }
   if (metadata.m_is_leaving) {
-    asio::post(m_io, [this, instance = *m_instance] {
+    asio::post(m_io, [this, instance = m_instance->Incarnation()] {
       m_hooks.m_on_leaving(instance);
     });
   }
@@ -213,7 +213,9 @@
     outcome.m_result = AttemptResult::kNotStarted;
     outcome.m_reason = AttemptReason::kUnknownInstance;
     if (m_instance && m_instance->m_name == work.m_offer.m_instance) {
-      asio::post(m_io, m_hooks.m_on_mismatch);
+      asio::post(m_io, [this, instance = m_instance->Incarnation()] {
+        m_hooks.m_on_mismatch(instance);
+      });
     }
     return outcome;
   }
--- a/libs/mesh/include/sequoiastage/mesh/ingress.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress.h
@@ -176,8 +176,7 @@
     AttemptNumber m_number;
     NodeId m_node;
     // Instance that the attempt is addressed to.
-    std::string m_instance;
-    uint64_t m_instance_start_ms = 0;
+    InstanceIncarnation m_instance;
     Phase m_phase = Phase::kOffered;
     TimePoint m_sent_at{};
     bool m_starts_at_once = false;
--- a/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_attempts_inl.h
@@ -281,8 +281,7 @@
   }
   call->m_placement.OnRefused(key, refusal, wait);
   if (reply.m_reason == AttemptReason::kInstanceLeft) {
-    m_targets.MarkInstanceLeaving(attempt.m_node, attempt.m_instance,
-                                  attempt.m_instance_start_ms);
+    m_targets.MarkInstanceLeaving(attempt.m_node, attempt.m_instance);
   }
   const bool was_hedge = attempt.m_is_hedge;
   RemoveAttempt(call, attempt.m_number);
@@ -316,8 +315,7 @@
       m_quarantine.OnExecuted(FingerprintOf(*call), WallNow());
     }
     if (Codec::DecodeResponse(outcome.m_response).m_is_leaving) {
-      m_targets.MarkInstanceLeaving(node, attempt.m_instance,
-                                    attempt.m_instance_start_ms);
+      m_targets.MarkInstanceLeaving(node, attempt.m_instance);
     }
     if (outcome.m_response.m_status >= ingress_detail::kFirstServerError &&
         call->m_route->m_is_idempotent) {
@@ -329,11 +327,12 @@
   }
   if (outcome.m_reason == AttemptReason::kInstanceCrashed) {
     const WallTime now = WallNow();
-    m_quarantine.OnCrash({.m_node = node,
-                          .m_instance_start_ms = attempt.m_instance_start_ms,
-                          .m_at = now,
-                          .m_running = {FingerprintOf(*call)}},
-                         now);
+    m_quarantine.OnCrash(
+        {.m_node = node,
+         .m_instance_start_ms = attempt.m_instance.m_start_time_ms,
+         .m_at = now,
+         .m_running = {FingerprintOf(*call)}},
+        now);
   }
   call->m_last_reason = outcome.m_reason;
   AddToTrail(*call, attempt, ToString(outcome.m_reason));
--- a/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/ingress_inl.h
@@ -244,8 +244,7 @@
   Attempt& attempt = call->m_attempts[number];
   attempt.m_number = number;
   attempt.m_node = node;
-  attempt.m_instance = member->m_instance;
-  attempt.m_instance_start_ms = member->m_instance_start_ms;
+  attempt.m_instance = member->Instance();
   attempt.m_sent_at = now;
   attempt.m_load_age = m_targets.LoadAge(node, now);
   attempt.m_is_hedge = is_hedge;
--- a/libs/mesh/include/sequoiastage/mesh/local_instance.h
+++ b/libs/mesh/include/sequoiastage/mesh/local_instance.h
@@ -46,7 +46,7 @@
     /// The active instance, its service, its address or its slots changed, it
     /// is leaving, or the latest departure changed.
     kChanged,
-    /// Ignored: from an earlier incarnation or older than the latest
+    /// Ignored: about another incarnation, or older than the latest
     /// announcement.
     kStale,
   };
@@ -61,19 +61,19 @@
 
   /// The instance stated in a response that it is leaving. Irreversible for
   /// this incarnation, whatever it announces.
-  Change OnLeaving(const std::string& name, uint64_t start_time_ms);
+  Change OnLeaving(const InstanceIncarnation& instance);
 
   /// Restores the departure of an instance that an earlier process of this node
   /// has acknowledged. Returns kChanged when it ended the current instance.
-  Change RestoreDeparture(const std::string& name, uint64_t start_time_ms);
+  Change RestoreDeparture(const InstanceIncarnation& instance);
 
   /// The latest departure; null when there was none.
   const InstanceDeparture* LatestDeparture() const {
     return m_departures.empty() ? nullptr : &m_departures.back();
   }
 
-  /// Called when another instance responded at the address of the current one.
-  Change OnMismatch();
+  /// Another instance responded at the address of this one.
+  Change OnMismatch(const InstanceIncarnation& instance);
 
   /// Instance that accepts requests; null when there is none or it is leaving.
   const InstanceAnnouncement* ActiveInstance() const;
@@ -94,6 +94,8 @@
   bool AddDeparture(InstanceDeparture departure);
   // Whether the announcement is of an incarnation that has left.
   bool HasLeft(const InstanceAnnouncement& announcement, TimePoint now);
+  // Whether `instance` is the active instance.
+  bool IsActive(const InstanceIncarnation& instance) const;
   // Ends the current incarnation.
   Change End();
 
--- a/libs/mesh/include/sequoiastage/mesh/member_record.h
+++ b/libs/mesh/include/sequoiastage/mesh/member_record.h
@@ -10,6 +10,7 @@
 #include "sequoiastage/base/ids.h"
 #include "sequoiastage/base/store_position.h"
 #include "sequoiastage/health/request_quarantine.h"
+#include "sequoiastage/mesh/platform.h"
 #include "sequoiastage/routing/placement.h"
 
 namespace sequoiastage {
@@ -42,6 +43,14 @@
   /// Era of the store that the node knew when it wrote the record.
   StoreEra m_era;
 
+  /// The active instance; its name is empty when there is none.
+  InstanceIncarnation Instance() const {
+    return {.m_name = m_instance, .m_start_time_ms = m_instance_start_ms};
+  }
+  InstanceIncarnation Departure() const {
+    return {.m_name = m_departed, .m_start_time_ms = m_departed_start_ms};
+  }
+
   friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
 };
 
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -64,7 +64,10 @@
 
   void OnControl(HttpRequest request, const StreamResponder& responder);
   bool IsLocalInstance(const InstanceAnnouncement& announcement) const;
-  void ApplyInstance(LocalInstance::Change change, std::string_view cause);
+  // `change`: effect of a statement with this cause about an instance.
+  void ApplyInstance(LocalInstance::Change change,
+                     std::string_view cause,
+                     const InstanceIncarnation& about);
   void PublishMember();
   // Updates the number of instances that share the service's retry budget.
   void UpdateInstanceCount();
@@ -80,7 +83,8 @@
   void OnLocalOffer(Message message);
   void OnReply(const PeerKey& peer, Message message);
   void OnDraining(const PeerKey& peer);
-  // Counts a statement about a start of `subject` that is not the known one.
+  // Counts a statement about a start of a node or instance that is not the
+  // known one.
   void CountIgnored(std::string_view statement,
                     std::string_view subject,
                     uint64_t start);
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -117,24 +117,23 @@
       m_quarantine(m_self.m_node,
                    {},
                    [this] { asio::post(m_io, [this] { PublishMember(); }); }),
-      m_egress(
-          io,
-          m_self.m_node,
-          {.m_retry_budget = settings.m_retry_budget,
-           .m_adopts_instance = !settings.m_is_first_start,
-           .m_limits_callers = settings.m_limits_callers,
-           .m_budget = m_budget},
-          m_quarantine,
-          {.m_on_mismatch =
-               [this] {
-                 ApplyInstance(m_local_instance.OnMismatch(), "address-taken");
-               },
-           .m_on_leaving =
-               [this](const InstanceAnnouncement& instance) {
-                 ApplyInstance(m_local_instance.OnLeaving(
-                                   instance.m_name, instance.m_start_time_ms),
-                               "leaving-stated");
-               }}),
+      m_egress(io,
+               m_self.m_node,
+               {.m_retry_budget = settings.m_retry_budget,
+                .m_adopts_instance = !settings.m_is_first_start,
+                .m_limits_callers = settings.m_limits_callers,
+                .m_budget = m_budget},
+               m_quarantine,
+               {.m_on_mismatch =
+                    [this](const InstanceIncarnation& instance) {
+                      ApplyInstance(m_local_instance.OnMismatch(instance),
+                                    "address-taken", instance);
+                    },
+                .m_on_leaving =
+                    [this](const InstanceIncarnation& instance) {
+                      ApplyInstance(m_local_instance.OnLeaving(instance),
+                                    "leaving-stated", instance);
+                    }}),
       m_ingress(
           io,
           {.m_budget = m_budget},
@@ -268,13 +267,13 @@
       }
       ApplyInstance(
           m_local_instance.OnAnnounce(control.m_announcement, BootNow()),
-          "announced");
+          "announced", control.m_announcement.Incarnation());
       break;
     case ControlRequest::Kind::kDeregister:
       ApplyInstance(m_local_instance.OnDeregister(
                         control.m_announcement.m_name,
                         control.m_announcement.m_start_time_ms, WallNow()),
-                    "deregistered");
+                    "deregistered", control.m_announcement.Incarnation());
       break;
   }
   responder({.m_status = 200,
@@ -298,7 +297,11 @@
 
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::ApplyInstance(LocalInstance::Change change,
-                                           std::string_view cause) {
+                                           std::string_view cause,
+                                           const InstanceIncarnation& about) {
+  if (change == LocalInstance::Change::kStale) {
+    CountIgnored(cause, about.m_name, about.m_start_time_ms);
+  }
   if (change != LocalInstance::Change::kChanged) {
     return;
   }
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -173,9 +173,8 @@
   m_quarantine.OnMember(*member, WallNow());
   if (member->m_node == m_self.m_node) {
     if (!member->m_departed.empty()) {
-      ApplyInstance(m_local_instance.RestoreDeparture(
-                        member->m_departed, member->m_departed_start_ms),
-                    "departed-before-restart");
+      ApplyInstance(m_local_instance.RestoreDeparture(member->Departure()),
+                    "departed-before-restart", member->Departure());
     }
     // A stale record of this node: the current one is written again.
     if (record.m_value != m_published_record && !m_is_publishing) {
--- a/libs/mesh/include/sequoiastage/mesh/node_metrics.h
+++ b/libs/mesh/include/sequoiastage/mesh/node_metrics.h
@@ -39,7 +39,8 @@
   /// Latest known era of the store, and the rises noticed since the start.
   StoreEra m_store_era;
   uint64_t m_store_era_changes = 0;
-  /// Statements about a start of a node other than the known one.
+  /// Statements about a start of a node, or of this node's instance, other than
+  /// the known one.
   uint64_t m_ignored_statements = 0;
   ByteBudget m_budget{0};
   /// Bytes of the large requests accepted for the instance, and their learned
--- a/libs/mesh/include/sequoiastage/mesh/platform.h
+++ b/libs/mesh/include/sequoiastage/mesh/platform.h
@@ -60,6 +60,16 @@
   std::string m_error;
 };
 
+/// One start of an instance. Names may be used again.
+struct InstanceIncarnation {
+  std::string m_name;
+  /// Start time by the clock of its host, in ms since the Unix epoch.
+  uint64_t m_start_time_ms = 0;
+
+  friend bool operator==(const InstanceIncarnation&,
+                         const InstanceIncarnation&) = default;
+};
+
 /// Periodic announcement that an instance sends to the node of its host.
 struct InstanceAnnouncement {
   std::string m_name;
@@ -74,6 +84,10 @@
   /// Unix epoch.
   uint64_t m_start_time_ms = 0;
 
+  InstanceIncarnation Incarnation() const {
+    return {.m_name = m_name, .m_start_time_ms = m_start_time_ms};
+  }
+
   friend bool operator==(const InstanceAnnouncement&,
                          const InstanceAnnouncement&) = default;
 };
--- a/libs/mesh/include/sequoiastage/mesh/target_table.h
+++ b/libs/mesh/include/sequoiastage/mesh/target_table.h
@@ -37,12 +37,10 @@
   /// Removes a node. Attempts that are in flight there are no longer counted.
   void RemoveMember(NodeId node);
 
-  /// The instance with this name and start time at `node` has stated that it is
-  /// leaving. It is not used again, also when its node restarts without knowing
-  /// that; another incarnation is.
-  void MarkInstanceLeaving(NodeId node,
-                           std::string instance,
-                           uint64_t start_time_ms);
+  /// This incarnation of the instance at `node` has stated that it is leaving.
+  /// It is not used again, also when its node restarts without knowing that;
+  /// another incarnation is.
+  void MarkInstanceLeaving(NodeId node, const InstanceIncarnation& instance);
 
   /// This process of a node has announced that it accepts no new offers. Other
   /// processes of the node are not affected, whether their records are known by
@@ -91,11 +89,6 @@
   // connections; only a few processes of a node end within that time.
   static constexpr size_t kMaxMarks = 4;
 
-  struct InstanceIncarnation {
-    std::string m_name;
-    uint64_t m_start_time_ms = 0;
-  };
-
   bool HasLeavingInstance(const MemberRecord& member) const;
   bool IsOfLeavingProcess(const MemberRecord& member) const;
 
@@ -106,9 +99,10 @@
   // the member is removed.
   std::unordered_map<NodeId, RecentSet<Incarnation, kMaxMarks>>
       m_leaving_processes;
-  // The last instance of each node that stated its departure. Kept when the
-  // member is removed, since it may come back.
-  std::unordered_map<NodeId, InstanceIncarnation> m_leaving_instances;
+  // Instances of each node that stated their departure. Kept when the member is
+  // removed, since it may come back.
+  std::unordered_map<NodeId, RecentSet<InstanceIncarnation, kMaxMarks>>
+      m_leaving_instances;
   // Index of nodes by the service of their instance, so that a request only
   // visits the instances of its own service.
   std::unordered_map<ServiceId, std::unordered_set<NodeId>> m_by_service;
--- a/libs/mesh/src/local_instance.cc
+++ b/libs/mesh/src/local_instance.cc
@@ -21,8 +21,7 @@
     const InstanceAnnouncement& announcement,
     TimePoint now) {
   const bool is_same_incarnation =
-      m_current && m_current->m_name == announcement.m_name &&
-      m_current->m_start_time_ms == announcement.m_start_time_ms;
+      m_current && m_current->Incarnation() == announcement.Incarnation();
   const bool is_stale =
       is_same_incarnation
           ? m_has_ended || announcement.m_sequence < m_current->m_sequence
@@ -143,34 +142,38 @@
   return is_new ? Change::kChanged : Change::kNone;
 }
 
-LocalInstance::Change LocalInstance::OnLeaving(const std::string& name,
-                                               uint64_t start_time_ms) {
-  if (ActiveInstance() == nullptr || m_current->m_name != name ||
-      m_current->m_start_time_ms != start_time_ms) {
+LocalInstance::Change LocalInstance::OnLeaving(
+    const InstanceIncarnation& instance) {
+  if (m_current && m_current->Incarnation() != instance) {
+    return Change::kStale;
+  }
+  if (!IsActive(instance)) {
     return Change::kNone;
   }
-  AddDeparture({.m_name = name, .m_start_time_ms = start_time_ms});
+  AddDeparture(
+      {.m_name = instance.m_name, .m_start_time_ms = instance.m_start_time_ms});
   m_current->m_is_leaving = true;
   return Change::kChanged;
 }
 
-LocalInstance::Change LocalInstance::RestoreDeparture(const std::string& name,
-                                                      uint64_t start_time_ms) {
-  AddDeparture({.m_name = name, .m_start_time_ms = start_time_ms});
-  if (ActiveInstance() == nullptr || m_current->m_name != name ||
-      m_current->m_start_time_ms != start_time_ms) {
-    return Change::kNone;
-  }
-  return End();
+LocalInstance::Change LocalInstance::RestoreDeparture(
+    const InstanceIncarnation& instance) {
+  AddDeparture(
+      {.m_name = instance.m_name, .m_start_time_ms = instance.m_start_time_ms});
+  return IsActive(instance) ? End() : Change::kNone;
 }
 
-LocalInstance::Change LocalInstance::OnMismatch() {
-  if (ActiveInstance() == nullptr) {
-    return Change::kNone;
+LocalInstance::Change LocalInstance::OnMismatch(
+    const InstanceIncarnation& instance) {
+  if (m_current && m_current->Incarnation() != instance) {
+    return Change::kStale;
   }
-  AddDeparture({.m_name = m_current->m_name,
-                .m_start_time_ms = m_current->m_start_time_ms});
-  return End();
+  return RestoreDeparture(instance);
+}
+
+bool LocalInstance::IsActive(const InstanceIncarnation& instance) const {
+  const InstanceAnnouncement* active = ActiveInstance();
+  return active != nullptr && active->Incarnation() == instance;
 }
 
 const InstanceAnnouncement* LocalInstance::ActiveInstance() const {
--- a/libs/mesh/src/node_metrics.cc
+++ b/libs/mesh/src/node_metrics.cc
@@ -189,7 +189,8 @@
                       metrics.m_store_era_changes);
   families.AddCounter(
       "statements_ignored_total",
-      "Statements about a start of a node other than the known one.",
+      "Statements about a start of a node or instance other than the known "
+      "one.",
       metrics.m_ignored_statements);
   families.AddGauge("store_era", "Latest known era of the store.",
                     static_cast<double>(metrics.m_store_era.Get()));
--- a/libs/mesh/src/target_table.cc
+++ b/libs/mesh/src/target_table.cc
@@ -23,7 +23,7 @@
 
 void TargetTable::SetMember(const MemberRecord& member) {
   Target& target = m_targets[member.m_node];
-  if (target.m_member.m_instance != member.m_instance) {
+  if (target.m_member.Instance() != member.Instance()) {
     target.m_load = {};
     target.m_load_reported_at = {};
   }
@@ -47,17 +47,14 @@
 }
 
 void TargetTable::MarkInstanceLeaving(NodeId node,
-                                      std::string instance,
-                                      uint64_t start_time_ms) {
-  m_leaving_instances[node] = {.m_name = std::move(instance),
-                               .m_start_time_ms = start_time_ms};
+                                      const InstanceIncarnation& instance) {
+  m_leaving_instances[node].Add(instance);
 }
 
 bool TargetTable::HasLeavingInstance(const MemberRecord& member) const {
   const auto found = m_leaving_instances.find(member.m_node);
   return found != m_leaving_instances.end() &&
-         found->second.m_name == member.m_instance &&
-         found->second.m_start_time_ms == member.m_instance_start_ms;
+         found->second.Contains(member.Instance());
 }
 
 bool TargetTable::IsOfLeavingProcess(const MemberRecord& member) const {
--- a/libs/mesh/tests/broken_response_test.cc
+++ b/libs/mesh/tests/broken_response_test.cc
@@ -30,8 +30,8 @@
                  kSelf,
                  {},
                  m_quarantine,
-                 {.m_on_mismatch = [] {},
-                  .m_on_leaving = [](const InstanceAnnouncement&) {}}) {
+                 {.m_on_mismatch = [](const InstanceIncarnation&) {},
+                  .m_on_leaving = [](const InstanceIncarnation&) {}}) {
     const InstanceAnnouncement announcement{.m_name = "i-1",
                                             .m_address = m_endpoint,
                                             .m_service = "plans",
--- a/libs/mesh/tests/egress_bytes_test.cc
+++ b/libs/mesh/tests/egress_bytes_test.cc
@@ -23,8 +23,8 @@
                  kSelf,
                  {.m_budget = m_budget},
                  m_quarantine,
-                 {.m_on_mismatch = [] {},
-                  .m_on_leaving = [](const InstanceAnnouncement&) {}}) {
+                 {.m_on_mismatch = [](const InstanceIncarnation&) {},
+                  .m_on_leaving = [](const InstanceIncarnation&) {}}) {
     Announce(1);
     SetManagesLoad(true);
     // Holds its requests until they are released or it crashes.
--- a/libs/mesh/tests/egress_fixture.h
+++ b/libs/mesh/tests/egress_fixture.h
@@ -32,10 +32,13 @@
   }
 
   Egress<FakeCodec>::Hooks MakeHooks() {
-    return {.m_on_mismatch = [this] { ++m_mismatches; },
+    return {.m_on_mismatch =
+                [this](const InstanceIncarnation& instance) {
+                  m_mismatches.push_back(instance);
+                },
             .m_on_leaving =
-                [this](const InstanceAnnouncement& instance) {
-                  m_leaving.push_back(instance.m_name);
+                [this](const InstanceIncarnation& instance) {
+                  m_leaving.push_back(instance);
                 }};
   }
 
@@ -95,8 +98,8 @@
   asio::io_context m_io;
   FakeInstance m_instance;
   InstanceAnnouncement m_announcement;
-  int m_mismatches = 0;
-  std::vector<std::string> m_leaving;
+  std::vector<InstanceIncarnation> m_mismatches;
+  std::vector<InstanceIncarnation> m_leaving;
   SharedQuarantine m_quarantine{kSelf, {}, [] {}};
   Egress<FakeCodec> m_egress;
   std::vector<OfferReplyMessage> m_replies;
--- a/libs/mesh/tests/egress_test.cc
+++ b/libs/mesh/tests/egress_test.cc
@@ -181,7 +181,7 @@
   Send(MakeOffer(1));
   ASSERT_TRUE(WaitForOutcomes(1));
   EXPECT_TRUE(RunUntil(m_io, [this] { return !m_leaving.empty(); }));
-  EXPECT_EQ(m_leaving, std::vector<std::string>{"i-1"});
+  EXPECT_EQ(m_leaving, std::vector{m_announcement.Incarnation()});
   EXPECT_EQ(m_outcomes[0].m_result, AttemptResult::kAnswered);
 }
 
@@ -193,7 +193,7 @@
     return CancelHook();
   };
   Send(MakeOffer(1));
-  ASSERT_TRUE(RunUntil(m_io, [this] { return m_mismatches > 0; }));
+  ASSERT_TRUE(RunUntil(m_io, [this] { return !m_mismatches.empty(); }));
   EXPECT_TRUE(m_leaving.empty());
 }
 
@@ -375,7 +375,8 @@
     return {};
   };
   Send(MakeOffer(1));
-  ASSERT_TRUE(RunUntil(m_io, [this] { return m_mismatches > 0; }));
+  ASSERT_TRUE(RunUntil(m_io, [this] { return !m_mismatches.empty(); }));
+  EXPECT_EQ(m_mismatches, std::vector{m_announcement.Incarnation()});
   EXPECT_EQ(m_outcomes[0].m_result, AttemptResult::kNotStarted);
 }
 
--- a/libs/mesh/tests/local_instance_test.cc
+++ b/libs/mesh/tests/local_instance_test.cc
@@ -55,9 +55,9 @@
 // ready.
 TEST_F(LocalInstanceTest, StatedDepartureOutlastsReadyAnnouncements) {
   m_local.OnAnnounce(Announce("a", 10, 1), m_now);
-  EXPECT_EQ(m_local.OnLeaving("a", 9), Change::kNone);
-  EXPECT_EQ(m_local.OnLeaving("a", 10), Change::kChanged);
-  EXPECT_EQ(m_local.OnLeaving("a", 10), Change::kNone);
+  EXPECT_EQ(m_local.OnLeaving({"a", 9}), Change::kStale);
+  EXPECT_EQ(m_local.OnLeaving({"a", 10}), Change::kChanged);
+  EXPECT_EQ(m_local.OnLeaving({"a", 10}), Change::kNone);
   EXPECT_EQ(m_local.OnAnnounce(Announce("a", 10, 2), m_now), Change::kNone);
   EXPECT_EQ(ActiveName(), "");
   ASSERT_NE(m_local.LatestDeparture(), nullptr);
@@ -214,7 +214,7 @@
 // The node restarts between the departure and a late announcement.
 TEST_F(LocalInstanceTest, RestoredDepartureOutlivesTheNodesProcess) {
   LocalInstance restarted;
-  restarted.RestoreDeparture("i-1", 10);
+  restarted.RestoreDeparture({"i-1", 10});
   InstanceAnnouncement late{
       .m_name = "i-1", .m_sequence = 3, .m_start_time_ms = 10};
   EXPECT_EQ(restarted.OnAnnounce(late, TimePoint(std::chrono::seconds(1))),
@@ -224,7 +224,8 @@
   LocalInstance other;
   other.OnAnnounce(late, TimePoint(std::chrono::seconds(1)));
   ASSERT_NE(other.ActiveInstance(), nullptr);
-  EXPECT_EQ(other.RestoreDeparture("i-1", 10), LocalInstance::Change::kChanged);
+  EXPECT_EQ(other.RestoreDeparture({"i-1", 10}),
+            LocalInstance::Change::kChanged);
   EXPECT_EQ(other.ActiveInstance(), nullptr);
   // The next incarnation is accepted.
   late.m_start_time_ms = 20;
@@ -235,9 +236,19 @@
 
 TEST_F(LocalInstanceTest, MismatchEndsTheIncarnation) {
   m_local.OnAnnounce(Announce("a", 10, 1), m_now);
-  EXPECT_EQ(m_local.OnMismatch(), Change::kChanged);
+  EXPECT_EQ(m_local.OnMismatch({"a", 10}), Change::kChanged);
   EXPECT_EQ(ActiveName(), "");
 }
 
+// It was seen before the next incarnation registered, and is reported after.
+TEST_F(LocalInstanceTest, LateMismatchEndsNoOtherIncarnation) {
+  m_local.OnAnnounce(Announce("a", 10, 1), m_now);
+  m_local.OnAnnounce(Announce("b", 20, 1), m_now);
+  EXPECT_EQ(m_local.OnMismatch({"a", 10}), Change::kStale);
+  EXPECT_EQ(m_local.OnMismatch({"b", 10}), Change::kStale);
+  EXPECT_EQ(ActiveName(), "b");
+  EXPECT_EQ(m_local.OnAnnounce(Announce("b", 20, 2), m_now), Change::kNone);
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/mesh/tests/target_table_test.cc
+++ b/libs/mesh/tests/target_table_test.cc
@@ -119,7 +119,7 @@
   MemberRecord member = Record(2, "plans");
   member.m_instance_start_ms = 100;
   targets.SetMember(member);
-  targets.MarkInstanceLeaving(Node(2), member.m_instance, 100);
+  targets.MarkInstanceLeaving(Node(2), member.Instance());
   EXPECT_EQ(CountCandidates(targets, "plans"), 0U);
   MemberRecord without = member;
   without.m_instance.clear();
