Take no answer of an earlier incarnation for one of the next

Callers would see: an instance starts again under its name, and an answer that the earlier incarnation still gives ends it ("leaving"), limits its rate, or reports a crash of it with requests that ran elsewhere, which counts towards their quarantine.

Cause: the egress compared names only, and names are used again.

Evidence: three tests that hold a request at the first incarnation, register the next and then let the first one answer or end.

Change: work keeps the incarnation that executes it, and one predicate decides whether an answer concerns the active one.

--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -245,6 +245,9 @@
     // End of the time for which the granted slot waits for the start message.
     TimePoint m_ready_until{};
     TimePoint m_started_at{};
+    // Instance that executes the request; empty until then. Another one may be
+    // active when the response arrives.
+    std::optional<InstanceIncarnation> m_instance;
     RunId m_run;
     Duration m_connection_idle{};
     bool m_is_connection_reused = false;
@@ -326,6 +329,11 @@
   size_t RunningLargeBytes() const;
   // Sets the size of the body of accepted work.
   void SetLargeBytes(Work& work, size_t body_bytes);
+  // Whether the active instance executes the request. What another one answers
+  // says nothing about it.
+  bool IsAtActiveInstance(const Work& work) const {
+    return m_instance && work.m_instance == m_instance->Incarnation();
+  }
   bool IsQuarantined(const Work& work) const;
   // Handles what the instance states about itself in a response.
   void OnStatements(const Work& work, const ResponseMetadata& metadata);
--- a/libs/mesh/include/sequoiastage/mesh/egress_crash_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_crash_inl.h
@@ -28,7 +28,7 @@
 template <PlatformCodec Codec>
 void Egress<Codec>::CompleteBroken(BrokenWork broken) {
   const TimePoint now = BootNow();
-  if (!m_instance || m_instance->m_name != broken.m_work->m_offer.m_instance) {
+  if (!IsAtActiveInstance(*broken.m_work)) {
     Complete(broken.m_work, std::move(broken.m_outcome), broken.m_result);
     return;
   }
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -36,6 +36,7 @@
              RequestResult::kNoEvidence);
     return;
   }
+  work->m_instance = m_instance->Incarnation();
   work->m_retry_granted_at.reset();
   if (!work->m_offer.m_is_extra_attempt) {
     m_retry_budget.OnFirstAttempt(now, work->m_offer.m_urgency,
@@ -151,8 +152,7 @@
 template <PlatformCodec Codec>
 void Egress<Codec>::OnStatements(const Work& work,
                                  const ResponseMetadata& metadata) {
-  if (metadata.m_is_wrong_instance || !m_instance ||
-      m_instance->m_name != work.m_offer.m_instance ||
+  if (metadata.m_is_wrong_instance || !IsAtActiveInstance(work) ||
       !(metadata.m_is_attested || metadata.m_is_not_executed)) {
     return;
   }
@@ -206,13 +206,16 @@
                                                RequestResult* end) {
   const ResponseMetadata metadata = Codec::DecodeResponse(response);
   OnStatements(work, metadata);
-  m_last_broken.clear();
-  m_has_crashed = false;
+  const bool is_at_active = IsAtActiveInstance(work);
+  if (is_at_active) {
+    m_last_broken.clear();
+    m_has_crashed = false;
+  }
   OutcomeMessage outcome;
   if (metadata.m_is_wrong_instance) {
     outcome.m_result = AttemptResult::kNotStarted;
     outcome.m_reason = AttemptReason::kUnknownInstance;
-    if (m_instance && m_instance->m_name == work.m_offer.m_instance) {
+    if (is_at_active) {
       asio::post(m_io, [this, instance = m_instance->Incarnation()] {
         m_hooks.m_on_mismatch(instance);
       });
@@ -222,7 +225,9 @@
   if (metadata.m_is_not_executed) {
     outcome.m_result = AttemptResult::kNotStarted;
     outcome.m_reason = AttemptReason::kShed;
-    m_shed_until = BootNow() + m_options.m_shed_pause;
+    if (is_at_active) {
+      m_shed_until = BootNow() + m_options.m_shed_pause;
+    }
     return outcome;
   }
   const bool is_success = response.m_status >= egress_detail::kFirstSuccess &&
@@ -259,8 +264,7 @@
     if (outcome.m_result == AttemptResult::kNotStarted) {
       work->m_refused_ids.push_back(work->m_offer.m_request_id);
     }
-    if (work->m_connection->IsReusable(now) && m_instance &&
-        m_instance->m_name == work->m_offer.m_instance &&
+    if (work->m_connection->IsReusable(now) && IsAtActiveInstance(*work) &&
         work->m_refused_ids.size() < m_options.m_max_refusals) {
       m_idle_connections.push_back(
           {.m_connection = work->m_connection,
--- a/libs/mesh/tests/egress_crash_test.cc
+++ b/libs/mesh/tests/egress_crash_test.cc
@@ -105,6 +105,21 @@
   EXPECT_TRUE(m_quarantine.IsEmpty());
 }
 
+// The next incarnation, under the same name, does not listen yet.
+TEST_F(MeshEgressTest, EndOfADepartedIncarnationIsNoCrashOfTheNext) {
+  ASSERT_TRUE(FillSlotsAndQueue());
+  ASSERT_TRUE(
+      RunUntil(m_io, [this] { return m_instance.m_requests.size() == 2; }));
+  m_egress.SetInstance(nullptr);
+  m_announcement.m_start_time_ms += 1000;
+  m_egress.SetInstance(&m_announcement);
+  m_instance.Crash();
+  ASSERT_TRUE(WaitForOutcomes(2));
+  EXPECT_EQ(m_outcomes[0].m_reason, AttemptReason::kIncompleteResponse);
+  EXPECT_EQ(m_outcomes[1].m_reason, AttemptReason::kIncompleteResponse);
+  EXPECT_TRUE(m_quarantine.IsEmpty());
+}
+
 TEST_F(MeshEgressTest, QuarantinedRequestsAreNotExecuted) {
   ReportCrashes(m_quarantine, FingerprintOf(MakeRequest(1), "homes"), 3);
   Send(MakeOffer(1));
--- a/libs/mesh/tests/egress_test.cc
+++ b/libs/mesh/tests/egress_test.cc
@@ -176,6 +176,24 @@
   EXPECT_FALSE(m_egress.StatedLimit());
 }
 
+// The next incarnation has the same name.
+TEST_F(MeshEgressTest, LimitOfAnEarlierIncarnationIsIgnored) {
+  StreamResponder held;
+  m_instance.m_behavior = [&held](const HttpRequest&,
+                                  const StreamResponder& responder) {
+    held = responder;
+    return CancelHook();
+  };
+  Send(MakeOffer(1));
+  ASSERT_TRUE(RunUntil(m_io, [&held] { return held != nullptr; }));
+  m_announcement.m_start_time_ms += 1000;
+  m_egress.SetInstance(&m_announcement);
+  held({.m_status = 200,
+        .m_fields = {{"id", "1"}, {"seal", "1"}, {"limit", "1"}}});
+  ASSERT_TRUE(WaitForOutcomes(1));
+  EXPECT_FALSE(m_egress.StatedLimit());
+}
+
 TEST_F(MeshEgressTest, ReportsThatTheInstanceStatesItsDeparture) {
   m_instance.m_behavior = RespondWith({{"leaving", "1"}});
   Send(MakeOffer(1));
--- a/libs/mesh/tests/mesh_node_late_answer_test.cc
+++ b/libs/mesh/tests/mesh_node_late_answer_test.cc
@@ -73,5 +73,14 @@
             "i-2");
 }
 
+// The earlier incarnation goes on for a while, as after a deregistration.
+TEST_F(LateAnswerTest, StatedDepartureEndsNoLaterIncarnationOfTheName) {
+  const auto answer = HoldAnswer();
+  ASSERT_EQ(Announce(*m_second, "", "20"), 200);
+  answer({.m_status = 200, .m_fields = {{"seal", "1"}, {"leaving", "1"}}});
+  ASSERT_EQ(Announce(*m_second, "", "20"), 200);
+  EXPECT_TRUE(WaitForStatus(*m_second, "/x/", 200));
+}
+
 }  // namespace
 }  // namespace sequoiastage
