Keep the subscriptions of records by process

Callers would see: a node that starts again holds old records and configurations for as long as it takes to give its relay up.

Cause: the relay kept subscriptions by node, so that the end of a connection of the earlier process, or a request of it that is read late, took the records from the next.

Change: subscriptions are kept by process, and each ends with its own connection.

--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -4,10 +4,10 @@
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "sequoiastage/base/byte_budget.h"
@@ -144,7 +144,9 @@
   LocalInstance m_local_instance;
   std::shared_ptr<const TrafficConfig> m_config;
   TimePoint m_config_applied_at{};
-  std::unordered_map<NodeId, Subscriber> m_subscribers;
+  // The connections of an ended process may close after its node has started
+  // again.
+  std::map<PeerKey, Subscriber> m_subscribers;
   std::optional<NodeId> m_subscribed_to;
   std::string m_packed_records;
   // Positions that m_packed_records covers: start of configuration and members,
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -104,7 +104,7 @@
                    },
                .m_on_peer_lost =
                    [this](const PeerKey& peer) {
-                     m_subscribers.erase(peer.m_node);
+                     m_subscribers.erase(peer);
                      m_egress.OnPeerLost(peer);
                    }}),
       m_limiter(io,
@@ -392,7 +392,7 @@
   } else if (const auto* inquiry = std::get_if<OutcomeQueryMessage>(&message)) {
     m_egress.OnInquiry(peer, inquiry->m_attempt, sink);
   } else if (const auto* relay = std::get_if<RelayRequestMessage>(&message)) {
-    Subscriber& subscriber = m_subscribers[peer.m_node];
+    Subscriber& subscriber = m_subscribers[peer];
     subscriber = {.m_sink = sink,
                   .m_feed = RelayFeed({.m_config = relay->m_next_config,
                                        .m_member = relay->m_next_member})};
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -371,7 +371,7 @@
 void MeshNode<Codec, Store>::SendChanges() {
   const TimePoint now = BootNow();
   const RelayPositions end = EndOfCopy();
-  for (auto& [node, subscriber] : m_subscribers) {
+  for (auto& [peer, subscriber] : m_subscribers) {
     if (subscriber.m_feed.IsDue(end, now)) {
       SendRelay(subscriber);
       subscriber.m_feed.OnSent(end, now);
@@ -384,7 +384,7 @@
   const TimePoint now = BootNow();
   const Duration copy_age = KnowledgeAge(now);
   const RelayPositions end = EndOfCopy();
-  for (auto& [node, subscriber] : m_subscribers) {
+  for (auto& [peer, subscriber] : m_subscribers) {
     subscriber.m_sink(RelayMessage{
         .m_age_ms =
             ToWireMs<uint32_t>(subscriber.m_feed.Age(end, copy_age, now))});
--- a/libs/mesh/tests/mesh_node_restart_test.cc
+++ b/libs/mesh/tests/mesh_node_restart_test.cc
@@ -165,5 +165,27 @@
   EXPECT_TRUE(IsUsedNoLonger());
 }
 
+// The first node learns that the connection of the earlier process has ended
+// when the next process has already subscribed, or reads its request late.
+TEST_F(RestartedPeerTest, IsSentRecordsWhateverItsEarlierProcessDoes) {
+  const auto subscribe = [this](FakePeer& peer) {
+    peer.ConnectTo(m_first->m_settings.m_peer);
+    Deliver(peer, [&peer] { peer.SendOverOpened(RelayRequestMessage{}); });
+  };
+  const auto is_sent_records = [this] {
+    const int before = m_peer->m_replies;
+    return RunUntil(
+        m_io, [&] { return m_peer->m_replies > before + 2; },
+        std::chrono::seconds(4));
+  };
+  subscribe(*m_peer);
+  const auto ended = Restart();
+  subscribe(*m_peer);
+  Deliver(*ended, [&ended] { ended->SendOverOpened(RelayRequestMessage{}); });
+  EXPECT_TRUE(is_sent_records());
+  ended->CloseConnections();
+  EXPECT_TRUE(is_sent_records());
+}
+
 }  // namespace
 }  // namespace sequoiastage
