Count the work of a run only for that run in grants

Callers would see: an instance starts again and fails; another node names it among those that remain in service, and the floor stands on it.

Cause: group reports name an instance by its endpoint, and the keeper looked the summary up for whichever run the member entry states, for up to 10 s.

Evidence: EjectionKeeperTest.WorkOfAnEarlierRunProvesNothingAboutTheNext failed with the rule as it was (the check of the run taken out of the new function).

Change: a report names the run, in four bytes behind what older builds read; a typical report has 30 B, the limit of its test, before 26. All tests of libs/node passed (57).

--- a/libs/node/src/control.cc
+++ b/libs/node/src/control.cc
@@ -293,8 +293,11 @@
         .m_queued = report.m_queued,
         .m_is_suspect = report.m_judge.m_verdict != Verdict::kHealthy};
     updates[report.m_service].push_back(
-        {.m_load = load, .m_summary = report.m_summary});
+        {.m_run = RunTagOf(report.m_incarnation),
+         .m_load = load,
+         .m_summary = report.m_summary});
     m_siblings[{report.m_service, report.m_id}] = {
+        .m_run = RunTagOf(report.m_incarnation),
         .m_summary = {.m_summary = report.m_summary, .m_received = Now()},
         .m_load = load};
   }
@@ -315,6 +318,7 @@
     }
     for (const InstanceUpdate& item : *updates) {
       m_siblings[{report.m_service, item.m_load.m_instance}] = {
+          .m_run = item.m_run,
           .m_summary = {.m_summary = item.m_summary, .m_received = now},
           .m_load = item.m_load};
     }
--- a/libs/node/src/ejection_keeper.cc
+++ b/libs/node/src/ejection_keeper.cc
@@ -10,12 +10,6 @@
 // Share of failed outcomes up to which an instance counts as working.
 constexpr double kMaxWorkingFailureShare = 0.1;
 
-bool IsWorking(const InstanceSummary& summary) {
-  return summary.m_recent_outcomes > 0 &&
-         summary.m_recent_failures <=
-             kMaxWorkingFailureShare * summary.m_recent_outcomes;
-}
-
 bool IsServing(const MemberView& view, const InstanceEntry& instance) {
   return view.m_entry->m_state == HostState::kLive && !view.m_unreachable &&
          instance.m_state == InstanceState::kServing;
@@ -23,6 +17,16 @@
 
 }  // namespace
 
+bool IsWorking(const Sibling& sibling, Incarnation run) {
+  if (sibling.m_run != RunTagOf(run) && sibling.m_run != RunTag(0)) {
+    return false;
+  }
+  const InstanceSummary& summary = sibling.m_summary.m_summary;
+  return summary.m_recent_outcomes > 0 &&
+         summary.m_recent_failures <=
+             kMaxWorkingFailureShare * summary.m_recent_outcomes;
+}
+
 void EjectionKeeper::OnReports(const std::vector<InstanceReport>& reports,
                                const Siblings& siblings,
                                TimePoint now) {
@@ -106,9 +110,10 @@
         continue;
       }
       const auto known = siblings.find({service, instance.m_id});
-      const bool is_working =
-          known != siblings.end() && IsServing(view, instance) &&
-          !instance.m_suspect && IsWorking(known->second.m_summary.m_summary);
+      const bool is_working = known != siblings.end() &&
+                              IsServing(view, instance) &&
+                              !instance.m_suspect &&
+                              IsWorking(known->second, instance.m_incarnation);
       statuses.push_back({.m_run = {.m_instance = instance.m_id,
                                     .m_incarnation = instance.m_incarnation},
                           .m_next_offset = view.m_entry->m_config_version,
--- a/libs/node/src/ejection_keeper_p.h
+++ b/libs/node/src/ejection_keeper_p.h
@@ -9,6 +9,7 @@
 
 #include "config_feed_p.h"
 #include "egress_p.h"
+#include "group_report_p.h"
 #include "sequoiastage/config/ejections.h"
 #include "sequoiastage/membership/membership.h"
 
@@ -17,12 +18,18 @@
 // Latest health summary and load of an instance of a service with instances on
 // this host.
 struct Sibling {
+  // As in InstanceUpdate.
+  RunTag m_run;
   PeerSummary m_summary;
   InstanceLoad m_load;
 };
 
 using Siblings = std::map<std::pair<ServiceId, InstanceId>, Sibling>;
 
+// True when the summary shows that this run of the instance works. That of an
+// earlier run does not.
+bool IsWorking(const Sibling& sibling, Incarnation run);
+
 // Appends ejection grants and readmissions to the log as the local egress
 // requires, and selects the ejections that this node enforces. Used on the
 // control thread only.
--- a/libs/node/src/group_report.cc
+++ b/libs/node/src/group_report.cc
@@ -80,6 +80,10 @@
 
 }  // namespace
 
+RunTag RunTagOf(Incarnation incarnation) {
+  return RunTag(std::max(1U, static_cast<uint32_t>(incarnation.Get())));
+}
+
 std::vector<uint8_t> EncodeGroupReport(
     const std::vector<InstanceUpdate>& updates) {
   std::ostringstream stream;
@@ -90,6 +94,10 @@
     for (size_t i = 0; i < count; ++i) {
       Save(output, updates[i]);
     }
+    // Older builds do not read on.
+    for (size_t i = 0; i < count; ++i) {
+      output(updates[i].m_run);
+    }
   }
   const std::string text = std::move(stream).str();
   return {text.begin(), text.end()};
@@ -106,6 +114,12 @@
     for (uint8_t i = 0; i < count; ++i) {
       Load(input, updates.emplace_back());
     }
+    if (stream.peek() == std::istringstream::traits_type::eof()) {
+      return updates;  // Of an older build.
+    }
+    for (InstanceUpdate& update : updates) {
+      input(update.m_run);
+    }
     return updates;
   } catch (const cereal::Exception&) {
     return std::nullopt;
