--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -113,6 +113,34 @@
   }
 }
 
+// A node stands still from before or after the signal that stops another one,
+// and reads all that the two processes of the other one have sent in one turn.
+TEST(RestartTest, IsNoticedByANodeThatStoodStillMeanwhile) {
+  Fleet fleet({.m_nodes = 3, .m_only_instances_at = 1});
+  ASSERT_EQ(fleet.Start(), "");
+  for (const bool is_frozen_first : {true, false}) {
+    ASSERT_TRUE(WaitUntil(milliseconds(15'000),
+                          [&fleet] { return fleet.IsServing(0); }));
+    if (is_frozen_first) {
+      fleet.Node(0).Signal(SIGSTOP);
+    }
+    fleet.Node(1).Signal(SIGTERM);
+    if (!is_frozen_first) {
+      EXPECT_TRUE(WaitUntil(milliseconds(5000),
+                            [&fleet] { return !fleet.IsServing(1); }));
+      fleet.Node(0).Signal(SIGSTOP);
+    }
+    EXPECT_EQ(fleet.Node(1).Wait(), 0);
+    fleet.StartNode(1);
+    EXPECT_TRUE(WaitUntil(milliseconds(15'000),
+                          [&fleet] { return fleet.IsServing(2); }));
+    fleet.Node(0).Signal(SIGCONT);
+    EXPECT_TRUE(
+        WaitUntil(milliseconds(8000), [&fleet] { return fleet.IsServing(0); }))
+        << "frozen first: " << is_frozen_first;
+  }
+}
+
 // Sends reads to the running nodes 0 and 1 and returns the longest duration. An
 // attempt at a node that does not respond takes a third of the deadline.
 milliseconds LongestRead(const Fleet& fleet, int count) {
