--- a/libs/mesh/include/sequoiastage/mesh/recent_set.h
+++ b/libs/mesh/include/sequoiastage/mesh/recent_set.h
@@ -8,14 +8,12 @@
 
 namespace sequoiastage {
 
-/// The values added last, at most `kMaxValues` of them.
+/// The distinct values added last, at most `kMaxValues` of them.
 template <class T, size_t kMaxValues>
 class RecentSet {
  public:
   void Add(T value) {
-    if (Contains(value)) {
-      return;
-    }
+    std::erase(m_values, value);
     if (m_values.size() == kMaxValues) {
       m_values.erase(m_values.begin());
     }
