Log why a node gives up its relay and what it reads itself

The logs told when a configuration came into force and when a read of the store failed, but not whether the relay's link, its own reading, or the reads in its place were what took the time. relay_outdated names the relay and the age of its data, store_scope_changed what the node reads from then on.

--- a/libs/events/src/mesh_events.cc
+++ b/libs/events/src/mesh_events.cc
@@ -252,6 +252,22 @@
        .m_level = kWarn,
        .m_help = "a member record is malformed",
        .m_fields = {{"key", "key of the record"}}},
+      {.m_name = "relay_outdated",
+       .m_level = kInfo,
+       .m_help = "the data of the node that this one receives updates from is "
+                 "too old; another one is chosen",
+       .m_fields = {{"node", "the relay"},
+                    {"age_ms", "age of its data, as far as this node knows"}}},
+      {.m_name = "store_scope_changed",
+       .m_level = kInfo,
+       .m_help = "this node reads more or less of the store itself",
+       .m_fields = {{"scope",
+                     "none: a relay is up to date; all: as a relay or in place "
+                     "of one; backup: the configuration only"},
+                    {"relay", "node that it receives updates from, or none"},
+                    {"age_ms",
+                     "age of that node's data, or -1 before its first "
+                     "report"}}},
       {.m_name = "config_in_force",
        .m_level = kInfo,
        .m_help = "a new configuration version is in force",
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -351,8 +351,21 @@
       m_subscribed_to = relay;
     }
   }
-  m_reader.SetScope(m_reader.IsLoaded() ? m_relay_choice.Scope(now)
-                                        : ReadScope::kAll);
+  if (const auto outdated = m_relay_choice.TakeOutdated()) {
+    LogEvent(LogLevel::kInfo, "relay_outdated")
+        .Add("node", ToString(outdated->first))
+        .Add("age_ms", WholeMs(outdated->second));
+  }
+  const ReadScope scope =
+      m_reader.IsLoaded() ? m_relay_choice.Scope(now) : ReadScope::kAll;
+  if (scope != m_reader.Scope()) {
+    const auto age = m_relay_choice.RelayAge(now);
+    LogEvent(LogLevel::kInfo, "store_scope_changed")
+        .Add("scope", ToString(scope))
+        .Add("relay", relay ? ToString(*relay) : "none")
+        .Add("age_ms", age ? WholeMs(*age) : -1);
+  }
+  m_reader.SetScope(scope);
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
--- a/libs/mesh/include/sequoiastage/mesh/relay_choice.h
+++ b/libs/mesh/include/sequoiastage/mesh/relay_choice.h
@@ -2,7 +2,9 @@
 #define SEQUOIASTAGE_MESH_RELAY_CHOICE_H_
 
 #include <optional>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "sequoiastage/base/ids.h"
@@ -33,6 +35,8 @@
   kBackup,
 };
 
+std::string_view ToString(ReadScope scope);
+
 /// Decides whether a node reads the store itself or receives updates from
 /// another node of its region.
 ///
@@ -68,6 +72,12 @@
   /// What this node has to read from the store now.
   ReadScope Scope(TimePoint now);
 
+  /// The relay that was last found out of date, with the age of its data;
+  /// empties the result of the next call.
+  std::optional<std::pair<NodeId, Duration>> TakeOutdated() {
+    return std::exchange(m_outdated, std::nullopt);
+  }
+
   /// Age of the relay's data; empty before its first report.
   std::optional<Duration> RelayAge(TimePoint now) const;
 
@@ -81,6 +91,7 @@
   std::unordered_map<NodeId, TimePoint> m_avoid_until;
   std::optional<NodeId> m_relay;
   TimePoint m_chosen_at{};
+  std::optional<std::pair<NodeId, Duration>> m_outdated;
   // Since when no relay has been up to date; empty while one is.
   std::optional<TimePoint> m_outdated_since;
   // Time up to which the relay's data is known to be current.
--- a/libs/mesh/include/sequoiastage/mesh/store_reader.h
+++ b/libs/mesh/include/sequoiastage/mesh/store_reader.h
@@ -92,6 +92,7 @@
   }
 
   bool IsReading() const { return m_scope != ReadScope::kNone; }
+  ReadScope Scope() const { return m_scope; }
 
   /// Applies a record that another node has read.
   void ApplyRelayed(const StoreRecord& record) {
--- a/libs/mesh/src/relay_choice.cc
+++ b/libs/mesh/src/relay_choice.cc
@@ -5,6 +5,18 @@
 
 namespace sequoiastage {
 
+std::string_view ToString(ReadScope scope) {
+  switch (scope) {
+    case ReadScope::kNone:
+      return "none";
+    case ReadScope::kAll:
+      return "all";
+    case ReadScope::kBackup:
+      return "backup";
+  }
+  return "invalid";
+}
+
 void RelayChoice::SetRegion(std::vector<NodeId> nodes) {
   if (std::find(nodes.begin(), nodes.end(), m_self) == nodes.end()) {
     nodes.push_back(m_self);
@@ -38,6 +50,9 @@
       now - std::max(m_chosen_at, m_current_at.value_or(TimePoint{})) >
           m_options.m_max_age) {
     m_avoid_until[*m_relay] = now + m_options.m_avoid_period;
+    m_outdated.emplace(
+        *m_relay,
+        now - std::max(m_chosen_at, m_current_at.value_or(TimePoint{})));
   }
   const auto preferred = std::find_if(
       m_nodes.begin(), m_nodes.end(),
