Time a read of the store by its progress, not as a whole

Cause: a read of the store had 1.2 s, a waiting one 1.9 s, whatever its size. A document that takes longer (1 MB over a busy line) was abandoned and begun anew each time. A relay that was reading counted as out of date after 1.7 s, so all nodes of its region left it and read the same document over the same line.

A stopped read frees the line. After a large configuration the node goes on following instead of reading the newest one again, which cost the line another 4/3 of the document after each change.

--- a/libs/http/include/sequoiastage/http/exchange_connection.h
+++ b/libs/http/include/sequoiastage/http/exchange_connection.h
@@ -7,6 +7,7 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "sequoiastage/base/byte_budget.h"
@@ -61,6 +62,9 @@
   /// Sent data unacknowledged for this long closes the connection
   /// (TCP_USER_TIMEOUT).
   Duration m_user_timeout = std::chrono::seconds(3);
+  /// Each part of the response that arrives starts the timeout of the exchange
+  /// anew, up to this time after its start; 0: the timeout is for the whole.
+  Duration m_max_duration{};
   /// Maximum idle time before reuse; a shorter limit in the server's Keep-Alive
   /// field takes precedence.
   Duration m_max_idle = std::chrono::seconds(6);
@@ -101,6 +105,12 @@
   /// Closes the connection without calling the handler of a running exchange.
   void Abort();
 
+  /// When bytes last arrived during the exchange in progress; empty before the
+  /// first, or when there is none.
+  std::optional<TimePoint> LastReceivedAt() const {
+    return m_handler ? m_last_received_at : std::nullopt;
+  }
+
   /// Whether the connection is open, has no exchange in progress and no unread
   /// bytes, and has not been idle for too long.
   bool IsReusable(TimePoint now) const;
@@ -150,6 +160,9 @@
   // Result of the last write.
   asio::error_code m_write_error;
   bool m_was_reused = false;
+  TimePoint m_started_at{};
+  Duration m_timeout{};
+  std::optional<TimePoint> m_last_received_at;
   uint64_t m_timer_number = 0;
   TimePoint m_idle_until{};
 };
--- a/libs/http/src/exchange_connection.cc
+++ b/libs/http/src/exchange_connection.cc
@@ -130,6 +130,9 @@
     m_parser.ExpectNoBody();
   }
   m_was_reused = m_is_open;
+  m_started_at = BootNow();
+  m_timeout = timeout;
+  m_last_received_at.reset();
   StartTimer(m_is_open ? timeout
                        : std::min(timeout, m_options.m_connect_timeout));
   if (m_is_open) {
@@ -304,6 +307,11 @@
     Close();  // Bytes without a request.
     return;
   }
+  const TimePoint now = BootNow();
+  m_last_received_at = now;
+  if (now - m_started_at < m_options.m_max_duration) {
+    StartTimer(m_timeout);
+  }
   while (!bytes.empty() && m_handler) {
     bytes.remove_prefix(m_parser.Feed(bytes));
     if (m_parser.State() == ParseState::kFailed) {
--- a/libs/http/tests/stream_test.cc
+++ b/libs/http/tests/stream_test.cc
@@ -291,6 +291,27 @@
   EXPECT_EQ(m_result->m_response.m_body, "two");
 }
 
+// Guards against reads of a large response that end at the same timeout each
+// time, so that none is ever complete.
+TEST_F(ExchangeConnectionTest, EachPartOfTheResponseStartsTheTimeoutAnew) {
+  m_connection = std::make_shared<ExchangeConnection>(
+      m_io, TestEndpoint(), ExchangeOptions{.m_max_duration = seconds(20)});
+  Send("1", milliseconds(400));
+  const std::string response = BuildResponse("1", std::string(1000, 'x'));
+  for (size_t at = 0; at < response.size(); at += 150) {
+    EXPECT_FALSE(m_result);
+    m_server.Write(response.substr(at, 150));
+    RunUntil(
+        m_io, [this] { return m_result.has_value(); }, milliseconds(150));
+  }
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(m_result->m_outcome, ExchangeOutcome::kAnswered);
+  Send("2", milliseconds(400));
+  m_server.Write("HTTP/1.1 200 OK\r\n");
+  ASSERT_TRUE(WaitForResult());
+  EXPECT_EQ(m_result->m_outcome, ExchangeOutcome::kTimeout);
+}
+
 TEST_F(ExchangeConnectionTest, ConnectedWithoutARequestItIsReusable) {
   std::optional<ConnectOutcome> outcome;
   m_connection->Connect(seconds(1),
--- a/libs/mesh/include/sequoiastage/mesh/platform.h
+++ b/libs/mesh/include/sequoiastage/mesh/platform.h
@@ -163,8 +163,12 @@
   /// Completes as soon as there are records at or after `from`, or after
   /// `wait`.
   { store.Follow(topic, from, wait, handler) } -> std::same_as<void>;
-  /// Cancels Follow() on the topic without calling its handler.
-  { store.StopFollowing(topic) } -> std::same_as<void>;
+  /// Cancels ReadNewest() and Follow() on the topic without calling their
+  /// handlers.
+  { store.StopReading(topic) } -> std::same_as<void>;
+  /// When bytes of a response that is being read last arrived; empty when there
+  /// is none.
+  { store.LastReceivedAt(topic) } -> std::same_as<std::optional<TimePoint>>;
   /// Sets the value of a key in StoreTopic::kMembers.
   { store.WriteMember(text, text, done) } -> std::same_as<void>;
   /// Latest era in any response of the store; empty before the first response.
--- a/libs/mesh/include/sequoiastage/mesh/store_reader.h
+++ b/libs/mesh/include/sequoiastage/mesh/store_reader.h
@@ -26,8 +26,10 @@
   /// succession cost one read.
   Duration m_config_pause = std::chrono::milliseconds(150);
   Duration m_member_pause = std::chrono::milliseconds(300);
-  /// After a configuration of more than this size the reader pauses and then
-  /// reads only the newest one, instead of every version written meanwhile.
+  /// Time since the last complete read for which a node that still receives a
+  /// large configuration counts as up to date: others would read it no faster.
+  Duration m_max_read_time = std::chrono::seconds(4);
+  /// Pause after a configuration of more than this size.
   size_t m_large_bytes = size_t{16} << 10;
   Duration m_large_pause = std::chrono::milliseconds(600);
   /// Backoff after a failed call, doubled up to m_max_backoff.
@@ -111,7 +113,7 @@
       if (topic.m_has_snapshot && EraOf(topic.m_next) < era) {
         topic.m_has_snapshot = false;
         if (topic.m_is_reading) {
-          m_store.StopFollowing(topic.m_topic);
+          m_store.StopReading(topic.m_topic);
           Read(topic);
         }
       }
@@ -137,9 +139,16 @@
                : std::optional(found->second.m_record.m_position);
   }
 
-  /// Time since this node last read the configuration topic successfully.
+  /// Time since this node last read the configuration topic successfully, or
+  /// received a part of a response that it is still reading.
   Duration ConfigReadAge(TimePoint now) const {
-    return now - m_topics[0].m_read_at;
+    const Topic& topic = m_topics[0];
+    const auto received_at = m_store.LastReceivedAt(topic.m_topic);
+    return now - std::max(topic.m_read_at,
+                          received_at && now - topic.m_read_at <
+                                             m_options.m_max_read_time
+                              ? *received_at
+                              : TimePoint{});
   }
 
   /// Whether both topics have been loaded, by this node or through a relay.
@@ -215,7 +224,7 @@
     ++topic.m_generation;
     topic.m_was_compacted = false;
     topic.m_timer.cancel();
-    m_store.StopFollowing(topic.m_topic);
+    m_store.StopReading(topic.m_topic);
   }
 
   void Read(Topic& topic) {
@@ -291,20 +300,15 @@
     for (const StoreRecord& record : result.m_page->m_records) {
       bytes += record.m_value.size();
     }
-    if (topic.m_topic == StoreTopic::kConfig && was_following &&
-        bytes > m_options.m_large_bytes) {
-      // More versions may follow shortly, and only the newest one counts.
-      topic.m_has_snapshot = false;
-      ReadAfter(topic, m_options.m_large_pause);
-      return;
-    }
     if (!has_records) {
       Read(topic);
-      return;
+    } else if (topic.m_topic == StoreTopic::kMembers) {
+      ReadAfter(topic, m_options.m_member_pause);
+    } else {
+      ReadAfter(topic, bytes > m_options.m_large_bytes
+                           ? m_options.m_large_pause
+                           : m_options.m_config_pause);
     }
-    ReadAfter(topic, topic.m_topic == StoreTopic::kConfig
-                         ? m_options.m_config_pause
-                         : m_options.m_member_pause);
   }
 
   void OnFailure(Topic& topic, const std::string& reason) {
--- a/libs/mesh/tests/fake_platform.h
+++ b/libs/mesh/tests/fake_platform.h
@@ -214,10 +214,14 @@
          ++m_generations[static_cast<size_t>(topic)], {});
   }
 
-  void StopFollowing(StoreTopic topic) {
+  void StopReading(StoreTopic topic) {
     ++m_generations[static_cast<size_t>(topic)];
   }
 
+  std::optional<TimePoint> LastReceivedAt(StoreTopic) const {
+    return m_last_received_at;
+  }
+
   void WriteMember(const std::string& key,
                    const std::string& value,
                    const std::function<void(bool, std::string)>& done) {
@@ -233,6 +237,8 @@
 
   bool m_is_cut = false;
   int m_calls = 0;
+  // When a part of a response arrived that is not complete yet.
+  std::optional<TimePoint> m_last_received_at;
 
  private:
   StorePage PageFrom(StoreTopic topic, uint64_t from) const {
--- a/libs/mesh/tests/store_reader_test.cc
+++ b/libs/mesh/tests/store_reader_test.cc
@@ -120,6 +120,21 @@
   EXPECT_TRUE(WaitForVersion(m_first, 3));
 }
 
+// Guards against a relay that is given up because it is reading a large
+// configuration: the next one would have to do the same.
+TEST_F(StoreReaderTest, NodeThatReceivesALargeConfigurationIsUpToDate) {
+  WriteConfig(1);
+  m_first.m_reader.SetScope(ReadScope::kAll);
+  ASSERT_TRUE(WaitForVersion(m_first, 1));
+  const TimePoint now = BootNow();
+  m_first.m_store.m_last_received_at = now + milliseconds(2900);
+  EXPECT_LE(m_first.m_reader.ConfigReadAge(now + seconds(3)),
+            milliseconds(100));
+  // A transfer that hardly proceeds ends that.
+  m_first.m_store.m_last_received_at = now + milliseconds(8900);
+  EXPECT_GE(m_first.m_reader.ConfigReadAge(now + seconds(9)), seconds(8));
+}
+
 TEST_F(StoreReaderTest, ReadsConfigurationAtAnOffsetThatIsAssignedAgain) {
   for (int version = 1; version <= 10; ++version) {
     WriteConfig(version);
