Relay a change of the configuration as a change, one at a time

Cause: a relay sent the whole document, packed, to each node of its region for every change: 130 KB to 40 nodes for one route among 4,200, over a line of 15 Mbit/s. Later versions queued behind earlier ones, and the reports of its age behind them.

Change: a relay packs what is newer against the configuration that the subscriber has (zstd with a prefix). A subscriber confirms what it has received; until then it is sent nothing more, and then all that is newer at once. The age that a relay reports counts from what was confirmed. A delta whose base the subscriber no longer has is answered with the positions that it has reached; one that does not fit its base, with none, so that it gets whole records. The member record tells which processes do so; older builds get whole records as before.

--- a/libs/mesh/include/sequoiastage/mesh/member_record.h
+++ b/libs/mesh/include/sequoiastage/mesh/member_record.h
@@ -35,6 +35,10 @@
   /// the next process of the node. Empty when none has.
   std::string m_departed;
   uint64_t m_departed_start_ms = 0;
+  /// The process reads relayed records that are packed against the
+  /// configuration that it has, and confirms what it receives; false in records
+  /// of older builds.
+  bool m_reads_deltas = false;
   /// Recent crashes of this host's instances, or of others whose nodes did not
   /// report them; see SharedQuarantine.
   std::vector<CrashReport> m_crashes;
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -1,7 +1,6 @@
 #ifndef SEQUOIASTAGE_MESH_MESH_NODE_H_
 #define SEQUOIASTAGE_MESH_MESH_NODE_H_
 
-#include <array>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <map>
@@ -89,6 +88,8 @@
                     std::string_view subject,
                     uint64_t start);
   void OnRelay(NodeId node, const RelayMessage& relay);
+  // Returns false when the records can't be read.
+  bool ApplyRelayed(NodeId node, const std::string& packed);
   void OnPeerOpened(const PeerKey& peer, const MessageSink& sink);
   void Subscribe(const MessageSink& sink);
   void AddPeriodicSteps();
@@ -108,11 +109,22 @@
   Duration GraceShare(double fraction) const;
   void StopAccepting();
   void EndWhenIdle();
+  struct PackedChanges {
+    std::string m_bytes;
+    // Positions after the last records; empty when there are none.
+    std::optional<RelayPositions> m_last;
+  };
   // Packs the records at or after `from`. Valid until the next call.
-  const std::string& PackRecordsFrom(const RelayPositions& from);
+  const PackedChanges& PackRecordsFrom(const RelayPositions& from,
+                                       bool reads_deltas);
   RelayPositions EndOfCopy() const;
   // Sends what the subscriber lacks.
-  void SendRelay(const Subscriber& subscriber);
+  void SendRelay(const PeerKey& peer, Subscriber& subscriber);
+  void OnRelayRequest(const PeerKey& peer,
+                      const RelayRequestMessage& request,
+                      const MessageSink& sink);
+  // Tells the relay what this node has received; `reached` 0: nothing.
+  void ConfirmRelay(NodeId relay, const RelayPositions& reached);
   Duration KnowledgeAge(TimePoint now) const;
   bool IsReady() const;
 
@@ -148,10 +160,10 @@
   // again.
   std::map<PeerKey, Subscriber> m_subscribers;
   std::optional<NodeId> m_subscribed_to;
-  std::string m_packed_records;
-  // Positions that m_packed_records covers: start of configuration and members,
-  // then end of both.
-  std::array<StorePosition, 4> m_packed_range{};
+  // Records up to m_packed_end, by their start and whether they are packed
+  // against an earlier configuration.
+  std::map<std::pair<RelayPositions, bool>, PackedChanges> m_packed_changes;
+  RelayPositions m_packed_end;
   // Member record last written to the store.
   std::string m_published_record;
   bool m_is_publishing = false;
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_inl.h
@@ -318,6 +318,7 @@
 void MeshNode<Codec, Store>::PublishMember() {
   MemberRecord record = m_targets.Self();
   record.m_is_leaving = m_refuses_work;
+  record.m_reads_deltas = true;
   if (const InstanceAnnouncement* instance =
           m_local_instance.ActiveInstance()) {
     record.m_instance = instance->m_name;
@@ -392,12 +393,7 @@
   } else if (const auto* inquiry = std::get_if<OutcomeQueryMessage>(&message)) {
     m_egress.OnInquiry(peer, inquiry->m_attempt, sink);
   } else if (const auto* relay = std::get_if<RelayRequestMessage>(&message)) {
-    Subscriber& subscriber = m_subscribers[peer];
-    subscriber = {.m_sink = sink,
-                  .m_feed = RelayFeed({.m_config = relay->m_next_config,
-                                       .m_member = relay->m_next_member})};
-    SendRelay(subscriber);
-    subscriber.m_feed = RelayFeed(EndOfCopy());
+    OnRelayRequest(peer, *relay, sink);
   } else if (const auto* relayed = std::get_if<RelayMessage>(&message)) {
     OnRelay(peer.m_node, *relayed);
   } else if (std::holds_alternative<DrainingMessage>(message)) {
@@ -436,10 +432,13 @@
     OnDraining(peer);
   } else if (const auto* request = std::get_if<RelayRequestMessage>(&message)) {
     // The other node has just started. The store may lack what it asks for.
-    m_links.Send(node, RelayMessage{.m_age_ms = UINT32_MAX,
-                                    .m_packed = PackRecordsFrom(
-                                        {.m_config = request->m_next_config,
-                                         .m_member = request->m_next_member})});
+    m_links.Send(
+        node, RelayMessage{.m_age_ms = UINT32_MAX,
+                           .m_packed = PackRecordsFrom(
+                                           {.m_config = request->m_next_config,
+                                            .m_member = request->m_next_member},
+                                           false)
+                                           .m_bytes});
   } else if (!m_limiter.OnReply(node, message)) {
     m_ingress.OnReply(node, std::move(message));
   }
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -4,7 +4,6 @@
 // Handling of store records and their relay to other nodes.
 
 #include <algorithm>
-#include <array>
 #include <random>
 #include <utility>
 
@@ -196,23 +195,55 @@
 
 template <PlatformCodec Codec, PlatformStore Store>
 void MeshNode<Codec, Store>::OnRelay(NodeId node, const RelayMessage& relay) {
+  if (!relay.m_packed.empty() && !ApplyRelayed(node, relay.m_packed)) {
+    return;
+  }
   m_relay_choice.OnRelayReport(node, std::chrono::milliseconds(relay.m_age_ms),
                                BootNow());
   m_startup_answers += relay.m_age_ms == UINT32_MAX ? 1 : 0;
-  if (relay.m_packed.empty()) {
-    ConfirmConfig();
-    return;
+  ConfirmConfig();
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+bool MeshNode<Codec, Store>::ApplyRelayed(NodeId node,
+                                          const std::string& packed) {
+  bool lacks_base = false;
+  bool has_base = false;
+  const auto records = UnpackRecords(packed, [&](StorePosition position) {
+    const StoreRecord* base = m_reader.ConfigBefore(NextPosition(position));
+    has_base = base != nullptr;
+    lacks_base = base == nullptr;
+    return has_base ? &base->m_value : nullptr;
+  });
+  if (lacks_base) {
+    // This node has received a newer configuration over another path.
+    ConfirmRelay(node, EndOfCopy());
+    return false;
   }
-  const auto records = UnpackRecords(relay.m_packed);
   if (!records) {
     LogEvent(LogLevel::kWarn, "relay_damaged").Add("node", ToString(node));
-    return;
+    if (has_base) {
+      ConfirmRelay(node, {});
+    }
+    return false;
   }
   for (const StoreRecord& record : *records) {
     m_reader.ApplyRelayed(record);
   }
   m_reader.MarkLoaded();
-  ConfirmConfig();
+  ConfirmRelay(node, EndOfCopy());
+  return true;
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::ConfirmRelay(NodeId relay,
+                                          const RelayPositions& reached) {
+  const MemberRecord* member = m_targets.Find(relay);
+  // An older build would take it for a new subscription.
+  if (relay == m_subscribed_to && member != nullptr && member->m_reads_deltas) {
+    m_links.Send(relay, RelayRequestMessage{.m_next_config = reached.m_config,
+                                            .m_next_member = reached.m_member});
+  }
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
@@ -222,18 +253,40 @@
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
-const std::string& MeshNode<Codec, Store>::PackRecordsFrom(
-    const RelayPositions& from) {
+auto MeshNode<Codec, Store>::PackRecordsFrom(const RelayPositions& from,
+                                             bool reads_deltas)
+    -> const PackedChanges& {
   const RelayPositions end = EndOfCopy();
-  const std::array<StorePosition, 4> range = {from.m_config, from.m_member,
-                                              end.m_config, end.m_member};
+  if (end != m_packed_end) {
+    m_packed_changes.clear();
+    m_packed_end = end;
+  }
   // Most subscribers have the same offsets, so the packed records are reused.
-  if (range != m_packed_range) {
-    const auto records = m_reader.RecordsFrom(from.m_config, from.m_member);
-    m_packed_records = records.empty() ? std::string() : PackRecords(records);
-    m_packed_range = range;
+  const auto [entry, is_new] =
+      m_packed_changes.try_emplace({from, reads_deltas});
+  PackedChanges& packed = entry->second;
+  if (!is_new) {
+    return packed;
+  }
+  const auto records = m_reader.RecordsFrom(from.m_config, from.m_member);
+  if (records.empty()) {
+    return packed;
   }
-  return m_packed_records;
+  packed.m_last = RelayPositions{};
+  bool has_config = false;
+  for (const StoreRecord& record : records) {
+    const bool is_config = record.m_topic == StoreTopic::kConfig;
+    has_config |= is_config;
+    StorePosition& last =
+        is_config ? packed.m_last->m_config : packed.m_last->m_member;
+    last = std::max(last, NextPosition(record.m_position));
+  }
+  const StoreRecord* base = has_config && reads_deltas
+                                ? m_reader.ConfigBefore(from.m_config)
+                                : nullptr;
+  packed.m_bytes = base == nullptr ? PackRecords(records)
+                                   : PackRecordsAgainst(records, *base);
+  return packed;
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
@@ -270,10 +323,35 @@
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::SendRelay(const Subscriber& subscriber) {
+void MeshNode<Codec, Store>::SendRelay(const PeerKey& peer,
+                                       Subscriber& subscriber) {
+  const TimePoint now = BootNow();
+  const MemberRecord* member = m_targets.Find(peer.m_node);
+  const bool reads_deltas = member != nullptr && member->m_reads_deltas &&
+                            member->m_incarnation == peer.m_incarnation;
+  const PackedChanges& packed =
+      PackRecordsFrom(subscriber.m_feed.Next(), reads_deltas);
   subscriber.m_sink(
-      RelayMessage{.m_age_ms = ToWireMs<uint32_t>(KnowledgeAge(BootNow())),
-                   .m_packed = PackRecordsFrom(subscriber.m_feed.Next())});
+      RelayMessage{.m_age_ms = ToWireMs<uint32_t>(KnowledgeAge(now)),
+                   .m_packed = packed.m_bytes});
+  subscriber.m_feed.OnSent(EndOfCopy(),
+                           reads_deltas ? packed.m_last : std::nullopt, now);
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::OnRelayRequest(const PeerKey& peer,
+                                            const RelayRequestMessage& request,
+                                            const MessageSink& sink) {
+  const RelayPositions reached{.m_config = request.m_next_config,
+                               .m_member = request.m_next_member};
+  Subscriber& subscriber = m_subscribers[peer];
+  subscriber.m_sink = sink;
+  if (subscriber.m_feed.IsAwaiting()) {
+    subscriber.m_feed.OnConfirmed(reached);
+    return;
+  }
+  subscriber.m_feed = RelayFeed(reached);
+  SendRelay(peer, subscriber);
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
@@ -386,8 +464,7 @@
   const RelayPositions end = EndOfCopy();
   for (auto& [peer, subscriber] : m_subscribers) {
     if (subscriber.m_feed.IsDue(end, now)) {
-      SendRelay(subscriber);
-      subscriber.m_feed.OnSent(end, now);
+      SendRelay(peer, subscriber);
     }
   }
 }
--- a/libs/mesh/include/sequoiastage/mesh/relay_feed.h
+++ b/libs/mesh/include/sequoiastage/mesh/relay_feed.h
@@ -13,6 +13,14 @@
 struct RelayPositions {
   StorePosition m_config;
   StorePosition m_member;
+
+  /// Whether no topic is behind `other`.
+  bool Reaches(const RelayPositions& other) const {
+    return m_config >= other.m_config && m_member >= other.m_member;
+  }
+
+  friend auto operator<=>(const RelayPositions&,
+                          const RelayPositions&) = default;
 };
 
 /// What a relay has passed on to one subscriber.
@@ -21,6 +29,11 @@
 /// fails. If it reported the age of its own copy, its subscribers would neither
 /// read the store nor change their relay. The age that it reports is therefore
 /// that of what it has passed on.
+///
+/// Load pattern: large changes follow each other faster than the link takes
+/// them. If each was queued behind the one before, subscribers would fall
+/// further behind with every change. A subscriber that confirms what it has
+/// received is sent nothing until it does, and then everything newer at once.
 class RelayFeed {
  public:
   /// Minimum time between two messages with changes.
@@ -32,15 +45,19 @@
 
   const RelayPositions& Next() const { return m_next; }
 
+  /// Whether the subscriber has not confirmed the last message with changes.
+  bool IsAwaiting() const { return m_awaited.has_value(); }
+
   /// Whether a message with changes is to be sent, given the end of the relay's
   /// copy: the first one immediately, those that follow shortly after together.
   bool IsDue(const RelayPositions& end, TimePoint now) const {
-    return IsBehind(end) && (!m_sent_at || now - *m_sent_at > kMinSpacing);
+    return IsBehind(end) && !m_awaited &&
+           (!m_sent_at || now - *m_sent_at > kMinSpacing);
   }
 
   /// Age to report to the subscriber. `copy_age`: that of the relay's copy.
   Duration Age(const RelayPositions& end, Duration copy_age, TimePoint now) {
-    if (!IsBehind(end)) {
+    if (!IsBehind(end) && !m_awaited) {
       m_behind_since.reset();
       return copy_age;
     }
@@ -48,21 +65,39 @@
     return std::max(copy_age, now - *m_behind_since);
   }
 
-  /// Called when everything up to `end` was passed on.
-  void OnSent(const RelayPositions& end, TimePoint now) {
+  /// Called when everything up to `end` was passed on. `awaited`: the positions
+  /// that the subscriber will confirm; empty when it confirms nothing.
+  void OnSent(const RelayPositions& end,
+              const std::optional<RelayPositions>& awaited,
+              TimePoint now) {
     m_next = end;
     m_sent_at = now;
+    m_awaited = awaited;
+    m_behind_since =
+        m_awaited ? m_behind_since.value_or(now) : std::optional<TimePoint>();
+  }
+
+  /// Called when the subscriber states the positions that it has reached. What
+  /// it lacks of the last message is sent again.
+  void OnConfirmed(const RelayPositions& reached) {
+    if (m_awaited && !reached.Reaches(*m_awaited)) {
+      m_next = reached;
+    }
+    m_awaited.reset();
     m_behind_since.reset();
   }
 
  private:
   bool IsBehind(const RelayPositions& end) const {
-    return m_next.m_config < end.m_config || m_next.m_member < end.m_member;
+    return !m_next.Reaches(end);
   }
 
   RelayPositions m_next;
+  // Positions that the subscriber reaches with the message in transit; empty
+  // when there is none.
+  std::optional<RelayPositions> m_awaited;
   std::optional<TimePoint> m_sent_at;
-  // When Age() first found changes that have not been passed on.
+  // Since when the subscriber has lacked something, as far as this is known.
   std::optional<TimePoint> m_behind_since;
 };
 
--- a/libs/mesh/include/sequoiastage/mesh/store_reader.h
+++ b/libs/mesh/include/sequoiastage/mesh/store_reader.h
@@ -1,9 +1,11 @@
 #ifndef SEQUOIASTAGE_MESH_STORE_READER_H_
 #define SEQUOIASTAGE_MESH_STORE_READER_H_
 
+#include <algorithm>
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -129,6 +131,22 @@
     TopicState(topic).m_newest.erase(key);
   }
 
+  /// The newest configuration record before `next`, which a node that has
+  /// reached `next` has too; null when it is not known.
+  const StoreRecord* ConfigBefore(StorePosition next) const {
+    const auto is_before = [next](const StoreRecord& record) {
+      return NextPosition(record.m_position) == next;
+    };
+    for (const auto& [key, newest] : m_topics[0].m_newest) {
+      if (is_before(newest.m_record)) {
+        return &newest.m_record;
+      }
+    }
+    const auto found = std::find_if(m_earlier_configs.begin(),
+                                    m_earlier_configs.end(), is_before);
+    return found == m_earlier_configs.end() ? nullptr : &*found;
+  }
+
   /// Position of the newest record of `key`; empty when there is none.
   std::optional<StorePosition> PositionOf(StoreTopic topic,
                                           const std::string& key) const {
@@ -358,6 +376,12 @@
       next.m_record.m_value = found->second.m_record.m_value;
       next.m_replaces_rejected = true;
     }
+    if (!is_new && record.m_topic == StoreTopic::kConfig && IsReading()) {
+      m_earlier_configs.push_back(std::move(found->second.m_record));
+      if (m_earlier_configs.size() > kMaxEarlierConfigs) {
+        m_earlier_configs.pop_front();
+      }
+    }
     topic.m_newest[record.m_key] = std::move(next);
   }
 
@@ -365,6 +389,9 @@
   StoreReaderOptions m_options;
   Handlers m_handlers;
   std::array<Topic, 2> m_topics;
+  // Configurations that subscribers of a relay may still have, oldest first.
+  static constexpr size_t kMaxEarlierConfigs = 3;
+  std::deque<StoreRecord> m_earlier_configs;
   std::optional<StoreEra> m_era;
   ReadScope m_scope = ReadScope::kNone;
 };
--- a/libs/mesh/src/member_record.cc
+++ b/libs/mesh/src/member_record.cc
@@ -109,6 +109,9 @@
   if (record.m_is_leaving) {
     json["leaving"] = true;
   }
+  if (record.m_reads_deltas) {
+    json["deltas"] = true;
+  }
   if (!record.m_instance.empty()) {
     json["instance"] = record.m_instance;
     json["instance_start_ms"] = record.m_instance_start_ms;
@@ -147,6 +150,7 @@
         .m_domain = json.at("domain"),
         .m_region = json.at("region"),
         .m_is_leaving = json.value("leaving", false),
+        .m_reads_deltas = json.value("deltas", false),
         .m_era = StoreEra(
             static_cast<uint32_t>(ReadNumber(json, "era", UINT32_MAX)))};
     record.m_instance = json.value("instance", "");
--- a/libs/mesh/tests/relay_feed_test.cc
+++ b/libs/mesh/tests/relay_feed_test.cc
@@ -54,7 +54,7 @@
 TEST_F(RelayFeedTest, BatchesChangesThatFollowShortly) {
   EXPECT_FALSE(m_feed.IsDue(At(3, 7), m_now));
   EXPECT_TRUE(m_feed.IsDue(At(4, 7), m_now));
-  m_feed.OnSent(At(4, 7), m_now);
+  m_feed.OnSent(At(4, 7), std::nullopt, m_now);
   EXPECT_FALSE(m_feed.IsDue(At(4, 7), m_now + seconds(1)));
   EXPECT_FALSE(m_feed.IsDue(At(5, 7), m_now + RelayFeed::kMinSpacing));
   EXPECT_TRUE(
@@ -68,7 +68,7 @@
   for (uint64_t change = 4; change < 2000; ++change) {
     const RelayPositions end = At(change, 7);
     if (m_feed.IsDue(end, m_now)) {
-      m_feed.OnSent(end, m_now);
+      m_feed.OnSent(end, std::nullopt, m_now);
     }
     if (m_now >= next_heartbeat) {
       next_heartbeat = m_now + kHeartbeatInterval;
@@ -79,5 +79,25 @@
   EXPECT_LT(oldest + kHeartbeatInterval, RelayChoiceOptions{}.m_max_age);
 }
 
+// Guards against a relay that queues one large change behind another.
+TEST_F(RelayFeedTest, NextChangeWaitsUntilTheLastIsConfirmed) {
+  m_feed.OnSent(At(4, 7), At(4, 0), m_now);
+  m_now += seconds(5);
+  EXPECT_FALSE(m_feed.IsDue(At(9, 7), m_now));
+  EXPECT_GE(m_feed.Age(At(4, 7), kCopyAge, m_now), seconds(5));
+  m_feed.OnConfirmed(At(4, 6));
+  EXPECT_EQ(m_feed.Age(At(4, 7), kCopyAge, m_now), kCopyAge);
+  EXPECT_TRUE(m_feed.IsDue(At(9, 7), m_now));
+  EXPECT_EQ(m_feed.Next(), At(4, 7));
+}
+
+TEST_F(RelayFeedTest, WhatTheSubscriberLacksIsSentAgain) {
+  m_feed.OnSent(At(4, 7), At(4, 0), m_now);
+  m_feed.OnConfirmed(At(0, 0));
+  m_now += seconds(1);
+  EXPECT_TRUE(m_feed.IsDue(At(4, 7), m_now));
+  EXPECT_EQ(m_feed.Next(), At(0, 0));
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/wire/include/sequoiastage/wire/packed_records.h
+++ b/libs/wire/include/sequoiastage/wire/packed_records.h
@@ -1,6 +1,7 @@
 #ifndef SEQUOIASTAGE_WIRE_PACKED_RECORDS_H_
 #define SEQUOIASTAGE_WIRE_PACKED_RECORDS_H_
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -13,9 +14,22 @@
 /// long, repetitive texts that are sent to every node of a region.
 std::string PackRecords(const std::vector<StoreRecord>& records);
 
-/// Restores the records given to PackRecords(). Empty when the bytes are
-/// damaged or decompress to more than kMaxPayloadBytes.
-std::optional<std::vector<StoreRecord>> UnpackRecords(const std::string& bytes);
+/// The same for a receiver that has the configuration record `base`: what
+/// `records` have in common with it takes almost no bytes. Builds that do not
+/// state RelayFeatures::kDeltas can't read it.
+std::string PackRecordsAgainst(const std::vector<StoreRecord>& records,
+                               const StoreRecord& base);
+
+/// Returns the value of the configuration record at a position; null when the
+/// caller does not have it.
+using FindBase = std::function<const std::string*(StorePosition)>;
+
+/// Restores the records given to PackRecords() or PackRecordsAgainst(). Empty
+/// when the bytes are damaged, decompress to more than kMaxPayloadBytes, or
+/// need a base that is not available.
+std::optional<std::vector<StoreRecord>> UnpackRecords(
+    const std::string& bytes,
+    const FindBase& find_base = {});
 
 }  // namespace sequoiastage
 
