Nodes take turns to read a large configuration

Nodes now begin in the order of relays, at 4 MB/s together, so that most are served by those before them. A small configuration is read as before: FewNodesOfALargeRegionReadAtOnceWhileTheStoreIsAway is unchanged.

NodesTakeTurnsToReadALargeConfiguration fails without the turns: 16 nodes begin at once.

--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -112,6 +112,7 @@
   }
   m_config = std::make_shared<const TrafficConfig>(*std::move(config));
   m_config_applied_at = BootNow();
+  m_relay_choice.SetConfigBytes(record.m_value.size());
   // Before the limiter, which opens links.
   m_links.SetManagesLoad(m_config->ManagesLoad());
   m_limiter.SetConfig(m_config);
--- a/libs/mesh/include/sequoiastage/mesh/relay_choice.h
+++ b/libs/mesh/include/sequoiastage/mesh/relay_choice.h
@@ -24,6 +24,9 @@
   size_t m_first_readers = 16;
   /// Time for which the other nodes wait for one of them.
   Duration m_backup_delay = std::chrono::milliseconds(500);
+  /// Rate at which the nodes of a region together begin to read the
+  /// configuration, in bytes per millisecond (32 Mbit/s).
+  size_t m_max_read_rate = 4000;
 };
 
 /// Which topics of the store a node reads itself.
@@ -52,6 +55,11 @@
 /// failing calls grows with the fleet. Only the first nodes in the order of
 /// relays do so at once. The others wait for one of them, then read only the
 /// configuration.
+///
+/// Load pattern: the configuration is large, and the line that the nodes of a
+/// region share takes a second for a few copies of it. If all nodes read it as
+/// soon as their relay is out of date, none gets it in time. They begin one
+/// after the other, so that most are served by those before them.
 class RelayChoice {
  public:
   explicit RelayChoice(NodeId self, const RelayChoiceOptions& options = {})
@@ -60,6 +68,9 @@
   /// Sets the nodes of the region. The local node is added if it is missing.
   void SetRegion(std::vector<NodeId> nodes);
 
+  /// Sets the size of the configuration that a node would read.
+  void SetConfigBytes(size_t bytes) { m_config_bytes = bytes; }
+
   /// Called when a relay reports the age of its data.
   void OnRelayReport(NodeId relay, Duration age, TimePoint now);
 
@@ -88,6 +99,7 @@
   RelayChoiceOptions m_options;
   // Sorted by relay preference.
   std::vector<NodeId> m_nodes;
+  size_t m_config_bytes = 0;
   std::unordered_map<NodeId, TimePoint> m_avoid_until;
   std::optional<NodeId> m_relay;
   TimePoint m_chosen_at{};
--- a/libs/mesh/src/relay_choice.cc
+++ b/libs/mesh/src/relay_choice.cc
@@ -80,14 +80,16 @@
     return ReadScope::kNone;
   }
   m_outdated_since = m_outdated_since.value_or(now);
-  const auto rank = std::find(m_nodes.begin(), m_nodes.end(), m_self);
-  if (rank - m_nodes.begin() <
-      static_cast<std::ptrdiff_t>(m_options.m_first_readers)) {
-    return ReadScope::kAll;
+  const auto rank = static_cast<size_t>(
+      std::find(m_nodes.begin(), m_nodes.end(), m_self) - m_nodes.begin());
+  const bool is_first = rank < m_options.m_first_readers;
+  const Duration turn = std::chrono::milliseconds(rank * m_config_bytes /
+                                                  m_options.m_max_read_rate);
+  if (now - *m_outdated_since <
+      turn + (is_first ? Duration{} : m_options.m_backup_delay)) {
+    return ReadScope::kNone;
   }
-  return now - *m_outdated_since < m_options.m_backup_delay
-             ? ReadScope::kNone
-             : ReadScope::kBackup;
+  return is_first ? ReadScope::kAll : ReadScope::kBackup;
 }
 
 std::optional<Duration> RelayChoice::RelayAge(TimePoint now) const {
--- a/libs/mesh/tests/relay_choice_test.cc
+++ b/libs/mesh/tests/relay_choice_test.cc
@@ -114,6 +114,35 @@
   EXPECT_EQ(count(ReadScope::kBackup), 104);
 }
 
+// Guards against a region whose nodes all read a large configuration at once
+// when their relay falls behind: 60 Mbit/s take 7.5 MB in a second.
+TEST_F(RelayChoiceTest, NodesTakeTurnsToReadALargeConfiguration) {
+  constexpr size_t kConfigBytes = 600'000;
+  std::vector<NodeId> nodes;
+  std::vector<RelayChoice> choices;
+  for (uint32_t i = 1; i <= 41; ++i) {
+    nodes.push_back(Node(i));
+    choices.emplace_back(nodes.back());
+  }
+  for (RelayChoice& choice : choices) {
+    choice.SetRegion(nodes);
+    choice.SetConfigBytes(kConfigBytes);
+    choice.Relay(m_now);
+  }
+  // No relay reports, so that every node reads in the end.
+  size_t readers = 0;
+  for (milliseconds passed{}; readers < nodes.size() && passed < seconds(20);
+       passed += milliseconds(100)) {
+    readers = static_cast<size_t>(
+        std::count_if(choices.begin(), choices.end(), [&](RelayChoice& choice) {
+          return choice.Scope(m_now + passed) != ReadScope::kNone;
+        }));
+    EXPECT_LE(readers * kConfigBytes,
+              kConfigBytes + static_cast<size_t>(passed.count()) * 7500);
+  }
+  EXPECT_EQ(readers, nodes.size());
+}
+
 TEST_F(RelayChoiceTest, EveryNodeOfASmallRegionReadsAtOnce) {
   RelayChoice choice = MakeFollower();
   choice.OnRelayReport(PreferredRelay(), milliseconds(0), m_now);
