sequoiastaged: time a page of the log by its progress

A page has 15 s now, and 2 s without a byte.

Not changed: a node that waits for a peer's configuration asks another one after 2 s (ConfigRelay), while the first answer may still be on its way.

--- a/libs/http/include/sequoiastage/http/http_client.h
+++ b/libs/http/include/sequoiastage/http/http_client.h
@@ -20,6 +20,9 @@
   Endpoint m_server;
   /// Timeout of the whole call, connect included.
   Duration m_timeout = std::chrono::seconds(30);
+  /// Unless 0, this is the timeout of the whole call, and m_timeout, in whole
+  /// seconds and at least 2, that of a response of which nothing arrives.
+  Duration m_max_duration{};
   /// Timeout of the connect.
   Duration m_connect_timeout = std::chrono::seconds(1);
   /// A response with a larger body fails with kIncomplete.
--- a/libs/http/src/http_client.cc
+++ b/libs/http/src/http_client.cc
@@ -145,7 +145,21 @@
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, Millis(options.m_timeout));
+    if (options.m_max_duration > Duration{}) {
+      curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                       Millis(options.m_max_duration));
+      // libcurl measures the speed once in a second.
+      constexpr std::chrono::seconds kMinStall{2};
+      curl_easy_setopt(easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+      curl_easy_setopt(
+          easy, CURLOPT_LOW_SPEED_TIME,
+          static_cast<long>(
+              std::max(kMinStall, std::chrono::ceil<std::chrono::seconds>(
+                                      options.m_timeout))
+                  .count()));
+    } else {
+      curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, Millis(options.m_timeout));
+    }
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                      Millis(options.m_connect_timeout));
     if (!options.m_is_idempotent) {
--- a/libs/http/tests/http_test.cc
+++ b/libs/http/tests/http_test.cc
@@ -3,7 +3,9 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -69,6 +71,42 @@
   server.Stop();
 }
 
+// Guards against reads of a large response that end at the same timeout each
+// time, so that none is ever complete.
+TEST_F(HttpTest, ResponseThatArrivesSteadilyIsNotAbandoned) {
+  asio::ip::tcp::acceptor acceptor(
+      m_io, {asio::ip::address_v4(kLoopback), m_server_at.m_port});
+  asio::ip::tcp::socket socket(m_io);
+  asio::steady_timer timer(m_io);
+  int pieces = 0;
+  std::function<void()> send_piece = [&] {
+    timer.expires_after(std::chrono::milliseconds(250));
+    timer.async_wait([&](const asio::error_code&) {
+      asio::error_code ignored;
+      asio::write(socket, asio::buffer(std::string(1000, 'x')), ignored);
+      if (++pieces < 20) {
+        send_piece();
+      }
+    });
+  };
+  acceptor.async_accept(socket, [&](const asio::error_code&) {
+    asio::write(socket,
+                asio::buffer(std::string(
+                    "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n")));
+    send_piece();
+  });
+  std::optional<HttpCallResult> result;
+  m_client.Start({.m_server = m_server_at,
+                  .m_timeout = std::chrono::seconds(2),
+                  .m_max_duration = std::chrono::seconds(20)},
+                 {.m_method = "GET", .m_target = "/"},
+                 [&result](HttpCallResult got) { result = std::move(got); });
+  RunUntil(m_io, result);
+  ASSERT_TRUE(result);
+  EXPECT_EQ(result->m_error, HttpCallError::kNone) << result->m_reason;
+  EXPECT_EQ(result->m_response.m_body.size(), 20'000U);
+}
+
 TEST_F(HttpTest, RejectsRequestsAboveItsLimits) {
   HttpServer server(m_io,
                     {.m_listen = m_server_at,
--- a/libs/node/src/config_feed.cc
+++ b/libs/node/src/config_feed.cc
@@ -15,7 +15,9 @@
 constexpr std::chrono::seconds kFallbackPollInterval{60};
 // Limit of the records kept for replies to peers.
 constexpr size_t kMaxRecentBytes = size_t{4} << 20;
+// A page may be large and the line slow: the timeout is for its parts.
 constexpr std::chrono::seconds kReadTimeout{2};
+constexpr std::chrono::seconds kMaxReadTime{15};
 constexpr std::chrono::seconds kAppendTimeout{2};
 constexpr std::chrono::seconds kPublishTimeout{5};
 constexpr uint32_t kPageRecords = 256;
@@ -126,6 +128,7 @@
   m_is_polling = true;
   m_client.Start({.m_server = m_options.m_log,
                   .m_timeout = kReadTimeout,
+                  .m_max_duration = kMaxReadTime,
                   .m_is_idempotent = true},
                  MakeReadRequest(m_replay.NextOffset(), kPageRecords),
                  [this](const HttpCallResult& result) {
