Bound retained outcomes by bytes in every configuration, and let them expire

An egress keeps the outcomes of work that must not be repeated for 4 s, so that a node whose link broke can ask again.

They now take a quarter of the byte budget in every configuration, and go when their time is over. EgressBytesTest.RetainedOutcomesAreBoundedAndExpire.

--- a/libs/mesh/include/sequoiastage/mesh/egress.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress.h
@@ -348,6 +348,11 @@
   // Wakes up when the rate limit allows the next queued request.
   void ScheduleGateTick();
   void RetainOutcome(const Key& key, OutcomeMessage outcome);
+  // Drops retained outcomes once their time has passed.
+  void ExpireRetained();
+  // Drops the oldest retained outcomes.
+  template <class Predicate>
+  void DropRetainedWhile(Predicate should_drop);
   void RefusePending(AttemptReason reason);
   std::shared_ptr<ExchangeConnection> AcquireConnection(Work& work);
   RequestKind KindOf(const OfferMessage& offer) const;
@@ -398,6 +403,7 @@
   std::deque<std::pair<TimePoint, std::pair<Key, OutcomeMessage>>>
       m_retained_outcomes;
   BudgetShare m_retained_bytes;
+  asio::steady_timer m_retained_timer;
   // Connection to an instance that broke a response; null when there is none.
   std::shared_ptr<ExchangeConnection> m_probe;
   std::vector<BrokenWork> m_awaiting_probe;
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -37,8 +37,16 @@
       m_retry_budget(options.m_retry_budget),
       m_downstream(options.m_downstream),
       m_is_proven(!options.m_adopts_instance),
-      m_retained_bytes(options.m_budget, HeldKind::kInstanceResponses) {
+      m_retained_bytes(options.m_budget, HeldKind::kInstanceResponses),
+      m_retained_timer(io) {
   m_options.m_exchange.m_byte_budget = options.m_budget;
+  if (options.m_budget) {
+    // Leaves room for what the node holds besides.
+    BodyBudget bodies;
+    bodies.m_max_bytes =
+        std::min(bodies.m_max_bytes, options.m_budget->Limit() / 2);
+    m_options.m_exchange.m_budget = std::make_shared<BodyBudget>(bodies);
+  }
   if (options.m_adopts_instance) {
     m_retry_budget.OnRestart(BootNow());
   }
--- a/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_work_inl.h
@@ -411,19 +411,45 @@
   const TimePoint now = BootNow();
   // The outcome of an inquiry is unknown when it was dropped early.
   const size_t bytes = outcome.m_response.m_body.size();
-  while (!m_retained_outcomes.empty() &&
-         (m_retained_outcomes.front().first < now ||
-          m_retained_outcomes.size() >= m_options.m_max_retained_outcomes ||
-          (m_manages_load && m_options.m_budget &&
-           !m_options.m_budget->AdmitsNextStep(bytes)))) {
+  const ByteBudget* budget = m_options.m_budget.get();
+  DropRetainedWhile([&] {
+    return m_retained_outcomes.size() >= m_options.m_max_retained_outcomes ||
+           (budget != nullptr &&
+            (!budget->AdmitsNextStep(bytes) ||
+             m_retained_bytes.Get() + bytes > budget->Limit() / 4));
+  });
+  m_retained_bytes.Set(m_retained_bytes.Get() + bytes);
+  m_retained_outcomes.emplace_back(now + m_options.m_outcome_retention,
+                                   std::pair(key, std::move(outcome)));
+  if (m_retained_outcomes.size() == 1) {
+    ExpireRetained();
+  }
+}
+
+template <PlatformCodec Codec>
+void Egress<Codec>::ExpireRetained() {
+  m_retained_timer.expires_after(m_options.m_outcome_retention);
+  m_retained_timer.async_wait([this](const asio::error_code& error) {
+    if (error) {
+      return;
+    }
+    const TimePoint now = BootNow();
+    DropRetainedWhile([&] { return m_retained_outcomes.front().first <= now; });
+    if (!m_retained_outcomes.empty()) {
+      ExpireRetained();
+    }
+  });
+}
+
+template <PlatformCodec Codec>
+template <class Predicate>
+void Egress<Codec>::DropRetainedWhile(Predicate should_drop) {
+  while (!m_retained_outcomes.empty() && should_drop()) {
     m_retained_bytes.Set(
         m_retained_bytes.Get() -
         m_retained_outcomes.front().second.second.m_response.m_body.size());
     m_retained_outcomes.pop_front();
   }
-  m_retained_bytes.Set(m_retained_bytes.Get() + bytes);
-  m_retained_outcomes.emplace_back(now + m_options.m_outcome_retention,
-                                   std::pair(key, std::move(outcome)));
 }
 
 }  // namespace sequoiastage
--- a/libs/mesh/tests/egress_bytes_test.cc
+++ b/libs/mesh/tests/egress_bytes_test.cc
@@ -290,6 +290,25 @@
   EXPECT_EQ(m_budget->Held(), 0U);
 }
 
+// Guards against outcomes that are retained by number alone, 256 of any size,
+// and until the next one is.
+TEST_F(EgressBytesTest, RetainedOutcomesAreBoundedAndExpire) {
+  SetManagesLoad(false);
+  for (uint64_t number = 1; number <= 40; ++number) {
+    ASSERT_TRUE(Run(number, 10));
+    ASSERT_TRUE(WaitForHeld(1));
+    const auto [request, responder] = m_held.front();
+    m_held.clear();
+    responder(FakeInstance::BuildResponse(
+        {.m_fields = request.m_fields, .m_body = std::string(kUpload, 'r')}));
+    ASSERT_TRUE(WaitForOutcomes(number));
+    EXPECT_LE(m_budget->Held(HeldKind::kInstanceResponses),
+              m_budget->Limit() / 4);
+  }
+  EXPECT_GT(m_budget->Held(HeldKind::kInstanceResponses), 0U);
+  EXPECT_TRUE(RunUntil(m_io, [this] { return m_budget->Held() == 0; }));
+}
+
 TEST_F(EgressBytesTest, LargeResponseIsAnnounced) {
   ASSERT_TRUE(Run(1, 100));
   ASSERT_TRUE(WaitForHeld(1));
