Disconnect callers that don't read when memory is short

Clients that were not ours ended a process: it ran out of memory.

Cause: the byte budget of a node counted responses only where the configuration managed load, and nothing was done about responses that nobody takes: they were never refused, and their connections had no time limit. Where load was managed, they refused all requests of other callers instead.

Change, in the server that both programs use: while more than three quarters of the budget is held, the connections that have taken nothing for longest are closed, after 500 ms of that, or at once above the budget; and any after 10 s. The budget counts in every configuration, and with what links have received of unfinished messages. Buffers of large frames are not doubled, and return to the system when they are freed. sequoiastaged has a budget for its callers (max_held, 64 MiB).

--- a/apps/sequoiastaged/main.cc
+++ b/apps/sequoiastaged/main.cc
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 
+#include "sequoiastage/base/process_memory.h"
 #include "sequoiastage/base/signal_block.h"
 #include "sequoiastage/logging/log_event.h"
 #include "sequoiastage/node/node.h"
@@ -68,6 +69,7 @@
 int main(int argc, char** argv) {
   sequoiastage::SignalBlock block({SIGTERM, SIGINT});
   std::signal(SIGPIPE, SIG_IGN);
+  sequoiastage::ReturnLargeBuffers();
   absl::SetProgramUsageMessage(kUsage);
   absl::FlagsUsageConfig usage;
   usage.version_string = [] {
--- a/libs/base/include/sequoiastage/base/byte_budget.h
+++ b/libs/base/include/sequoiastage/base/byte_budget.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <utility>
 
@@ -53,10 +54,22 @@
     return m_held_bytes + bytes <= m_max_bytes;
   }
 
+  /// Whether so much is held that data of callers who don't read it has to go.
+  /// The last quarter is kept for small messages.
+  bool IsShort() const { return m_held_bytes > m_max_bytes / 4 * 3; }
+
+  /// `on_short` is called whenever more is held while IsShort() holds.
+  void SetOnShort(std::function<void()> on_short) {
+    m_on_short = std::move(on_short);
+  }
+
   void Replace(HeldKind kind, size_t before, size_t after) {
     m_held_bytes += after - before;
     m_by_kind[static_cast<size_t>(kind)] += after - before;
     m_peak_bytes = m_held_bytes > m_peak_bytes ? m_held_bytes : m_peak_bytes;
+    if (after > before && IsShort() && m_on_short) {
+      m_on_short();
+    }
   }
 
   void CountRefusal() { ++m_refusals; }
@@ -75,6 +88,7 @@
   size_t m_peak_bytes = 0;
   uint64_t m_refusals = 0;
   std::array<size_t, kHeldKinds> m_by_kind{};
+  std::function<void()> m_on_short;
 };
 
 /// Share of a ByteBudget that is returned on destruction. Without a budget it
--- a/libs/http/include/sequoiastage/http/stream_server.h
+++ b/libs/http/include/sequoiastage/http/stream_server.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_set>
+#include <vector>
 
 #include "sequoiastage/base/byte_budget.h"
 #include "sequoiastage/base/http_message.h"
@@ -36,6 +36,9 @@
   Duration m_max_room_wait = std::chrono::milliseconds(500);
   /// Concurrent requests of one connection; further ones are left unread.
   size_t m_max_pipelined = 32;
+  /// A connection whose caller reads nothing of a response for this long is
+  /// closed.
+  Duration m_unread_timeout = std::chrono::seconds(10);
 };
 
 /// Sends the response to one request. Call at most once, at any time.
@@ -67,7 +70,8 @@
   void SetLimits(const StreamLimits& limits);
 
   /// Counts request bodies, and responses until their callers have read them.
-  /// Applies to later connections.
+  /// While the budget is short, connections are closed whose callers don't read
+  /// their responses. Applies to later connections.
   void SetBudget(std::shared_ptr<ByteBudget> budget);
 
   /// Without a builder such responses have no body.
@@ -91,6 +95,7 @@
   struct Shared;
 
   void AddConnection(asio::ip::tcp::socket socket);
+  std::vector<std::shared_ptr<Connection>> Connections() const;
 
   TcpListener m_listener;
   std::shared_ptr<Shared> m_shared;
--- a/libs/link/src/peer_connection.cc
+++ b/libs/link/src/peer_connection.cc
@@ -80,7 +80,9 @@
 }
 
 void PeerConnection::UpdateHeldBytes() {
-  m_held.Set(m_is_open ? m_queue.Bytes() + m_output.size() : 0);
+  m_held.Set(m_is_open ? m_queue.Bytes() + m_output.size() +
+                             m_decoder.BufferedBytes()
+                       : 0);
 }
 
 void PeerConnection::Close(const std::string& reason) {
@@ -134,6 +136,7 @@
       RethrowLater(m_socket.get_executor());
     }
   }
+  UpdateHeldBytes();
   if (m_decoder.IsBroken()) {
     Close(m_decoder.LastReason());
   }
--- a/libs/mesh/include/sequoiastage/mesh/egress_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/egress_inl.h
@@ -173,6 +173,12 @@
     m_downstream_wait = *wait;
     return AttemptReason::kDownstreamBusy;
   }
+  // Responses that the links don't take can't be dropped.
+  if (m_options.m_budget && m_options.m_budget->Held(HeldKind::kLinks) >
+                                m_options.m_budget->Limit() / 2) {
+    ++m_stats.m_byte_refusals;
+    return AttemptReason::kBusy;
+  }
   if (m_manages_load && !HasRoomFor(offer)) {
     ++m_stats.m_byte_refusals;
     return AttemptReason::kBusy;
--- a/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
@@ -45,8 +45,9 @@
   /// Limit on callers' request bodies held in memory at a time, in bytes. A
   /// larger body is refused.
   size_t m_max_held_bytes = size_t{24} << 20;
-  /// Budget for all message bytes that the node holds, in effect while the
-  /// configuration manages load; see ByteBudget.
+  /// Budget for all message bytes that the node holds; see ByteBudget. Requests
+  /// are refused for it only while the configuration manages load; connections
+  /// whose callers don't read are closed for it at any time.
   size_t m_byte_budget = size_t{64} << 20;
 };
 
--- a/libs/node/src/ingress_p.h
+++ b/libs/node/src/ingress_p.h
@@ -26,6 +26,8 @@
   Incarnation m_incarnation;
   Endpoint m_listen;
   StreamLimits m_http;
+  // Bytes of callers' requests and responses; see NodeSettings.
+  size_t m_max_held_bytes = size_t{64} << 20;
   std::chrono::milliseconds m_default_deadline{10'000};
   uint32_t m_max_in_flight = 4096;
 };
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -61,6 +61,7 @@
                  .m_idle_timeout = kIdleTimeout,
                  .m_max_held_bytes =
                      kMaxBufferedBodies * size_t{settings.m_max_body_bytes}},
+      .m_max_held_bytes = settings.m_max_held_bytes,
       .m_default_deadline = settings.m_default_deadline,
       .m_max_in_flight = settings.m_max_in_flight};
 }
--- a/libs/settings/include/sequoiastage/settings/node_settings.h
+++ b/libs/settings/include/sequoiastage/settings/node_settings.h
@@ -66,6 +66,10 @@
   /// Largest body of a request or a response, in bytes. Key "max_body"; 1 KiB
   /// to 256 MiB.
   uint32_t m_max_body_bytes = 4 * 1024 * 1024;
+  /// Requests and responses of callers held in memory, in bytes: above three
+  /// quarters of it, connections are closed whose callers don't read their
+  /// responses. Key "max_held"; 1 MiB to 64 GiB.
+  uint64_t m_max_held_bytes = uint64_t{64} << 20;
   /// Largest number of caller requests in flight; 1 to 1,000,000.
   uint32_t m_max_in_flight = 4096;
   /// Deadline of a request that specifies none; 1 ms to 1 h.
--- a/libs/wire/include/sequoiastage/wire/frame.h
+++ b/libs/wire/include/sequoiastage/wire/frame.h
@@ -45,6 +45,9 @@
   /// broken.
   std::optional<Message> Next();
 
+  /// Bytes of incomplete messages.
+  size_t BufferedBytes() const;
+
   bool IsBroken() const { return !m_last_reason.empty(); }
 
   /// Why the stream is broken; empty while IsBroken() is false.
--- a/libs/wire/include/sequoiastage/wire/piece.h
+++ b/libs/wire/include/sequoiastage/wire/piece.h
@@ -59,6 +59,14 @@
   Result Add(std::string_view payload, std::string* frame);
 
   size_t TransferCount() const { return m_transfers.size(); }
+  /// Bytes of incomplete frames.
+  size_t HeldBytes() const {
+    size_t bytes = 0;
+    for (const auto& [number, transfer] : m_transfers) {
+      bytes += transfer.m_bytes.size();
+    }
+    return bytes;
+  }
 
  private:
   struct Transfer {
--- a/libs/wire/src/frame.cc
+++ b/libs/wire/src/frame.cc
@@ -117,6 +117,10 @@
   m_buffer.append(bytes);
 }
 
+size_t FrameDecoder::BufferedBytes() const {
+  return m_buffer.size() - m_consumed + m_pieces->HeldBytes();
+}
+
 std::optional<Message> FrameDecoder::Next() {
   while (!IsBroken()) {
     const std::string_view unread =
@@ -136,6 +140,9 @@
     }
     m_consumed += kFrameHeaderBytes + frame->m_payload.size();
     if (m_consumed == m_buffer.size()) {
+      if (m_buffer.capacity() > kCompactBytes) {
+        m_buffer = {};  // Frees the memory of a large frame.
+      }
       m_buffer.clear();
       m_consumed = 0;
     }
@@ -167,6 +174,8 @@
              length > kPieceHeaderBytes + kPieceBytes) {
     fault = "piece exceeds the size limit";
   } else if (bytes.size() < kFrameHeaderBytes + length) {
+    // Doubling would leave up to half of a large frame's memory unused.
+    m_buffer.reserve(m_consumed + kFrameHeaderBytes + length);
     return std::nullopt;
   } else if (ReadLittleEndian<uint64_t>(bytes, kChecksumOffset) !=
              Checksum(type, bytes.substr(kFrameHeaderBytes, length))) {
