--- a/libs/http/src/stream_connection_p.h
+++ b/libs/http/src/stream_connection_p.h
@@ -273,6 +273,7 @@
   // Responds with an error status and parses no further request.
   void Reject(uint16_t status) {
     m_is_closing = true;
+    m_parser.TakeRequest();  // Frees the memory of what has been read.
     auto slot = std::make_shared<Slot>();
     slot->m_response = BuildErrorResponse(status);
     if (status == stream_detail::kUnavailable) {
--- a/libs/http/tests/stream_budget_test.cc
+++ b/libs/http/tests/stream_budget_test.cc
@@ -217,6 +217,22 @@
   EXPECT_TRUE(callers[0]->HasResponse(kBodyBytes));
 }
 
+TEST_F(StreamBudgetTest, RejectedUploadsHoldNothing) {
+  m_server.SetLimits({.m_max_held_bytes = kBodyBytes});
+  auto callers = Connect(4);
+  for (auto& caller : callers) {
+    caller->Write(Head(kBodyBytes) + std::string(kBodyBytes / 2, 'x'));
+  }
+  EXPECT_TRUE(RunUntil([this] { return m_server.HeldBytes() >= kBodyBytes; }));
+  for (auto& caller : callers) {
+    caller->StartReading();
+  }
+  EXPECT_TRUE(RunUntil([&] {
+    return std::any_of(callers.begin(), callers.end(),
+                       [](const auto& each) { return each->HasStatus(503); });
+  }));
+}
+
 TEST_F(StreamBudgetTest, DisconnectedCallerReturnsItsBytes) {
   {
     auto callers = Connect(2);
