--- a/libs/http/include/sequoiastage/http/stream_server.h
+++ b/libs/http/include/sequoiastage/http/stream_server.h
@@ -39,6 +39,9 @@
   /// A connection whose caller reads nothing of a response for this long is
   /// closed.
   Duration m_unread_timeout = std::chrono::seconds(10);
+  /// Connections at a time; 0: not limited. At the limit, the one that has had
+  /// no request in progress for longest is closed.
+  size_t m_max_connections = 0;
 };
 
 /// Sends the response to one request. Call at most once, at any time.
--- a/libs/http/src/connection_ledger_p.h
+++ b/libs/http/src/connection_ledger_p.h
@@ -18,17 +18,29 @@
 /// Load pattern: many callers send requests and don't read the responses, so
 /// that these fill the memory. The connection whose caller has taken nothing
 /// for longest goes first; callers that read keep theirs.
+///
+/// Load pattern: callers open connections until the process has no descriptors
+/// left. The connection that has had no request in progress for longest goes
+/// first.
 class ConnectionLedger {
  public:
   /// Responses of up to this size on a connection are never the reason to close
   /// it.
   static constexpr size_t kMinUnreadBytes = size_t{16} << 10;
 
+  /// `now` counts as the last activity.
   void Add(ConnectionNumber connection, TimePoint now) {
-    m_entries[connection] = {.m_taken_at = now};
+    m_entries[connection] = {.m_active_at = now, .m_taken_at = now};
   }
   void Remove(ConnectionNumber connection) { m_entries.erase(connection); }
 
+  /// The caller has sent a request, or was sent the last pending response.
+  void SetBusy(ConnectionNumber connection, bool is_busy, TimePoint now) {
+    Entry& entry = m_entries[connection];
+    entry.m_is_busy = is_busy;
+    entry.m_active_at = now;
+  }
+
   /// Sets the bytes of responses that the caller has not read.
   void SetUnread(ConnectionNumber connection, size_t bytes, TimePoint now) {
     Entry& entry = m_entries[connection];
@@ -59,10 +71,18 @@
     return m_entries.at(connection).m_taken_at;
   }
 
+  /// Empty when all connections have a request in progress.
+  std::optional<ConnectionNumber> LongestWithoutRequest() const {
+    return Oldest([](const Entry& entry) { return !entry.m_is_busy; },
+                  &Entry::m_active_at);
+  }
+
  private:
   struct Entry {
+    TimePoint m_active_at{};
     TimePoint m_taken_at{};
     size_t m_unread_bytes = 0;
+    bool m_is_busy = false;
   };
 
   template <class Predicate>
--- a/libs/http/src/stream_connection_p.h
+++ b/libs/http/src/stream_connection_p.h
@@ -243,6 +243,7 @@
     m_reserved_bytes = 0;
     m_room_wait = {};
     m_slots.push_back(slot);
+    m_shared->m_ledger.SetBusy(m_number, true, BootNow());
     m_is_closing = !keeps_alive || m_shared->m_is_draining;
     m_has_received_request = true;
     SetTimer();
@@ -316,6 +317,9 @@
       const bool is_last = m_is_closing && m_slots.empty();
       AppendResponse(m_unsent, *slot->m_response, slot->m_is_head, is_last);
     }
+    if (m_slots.empty()) {
+      m_shared->m_ledger.SetBusy(m_number, false, BootNow());
+    }
     UpdateHeldBytes();
     Write();
     if (!m_input.empty() && !m_is_closing) {
--- a/libs/http/src/stream_server.cc
+++ b/libs/http/src/stream_server.cc
@@ -42,6 +42,19 @@
       });
 }
 
+bool StreamServer::Shared::MakeRoomForConnection() {
+  if (m_limits.m_max_connections == 0 ||
+      m_connections.size() < m_limits.m_max_connections) {
+    return true;
+  }
+  const auto idle = m_ledger.LongestWithoutRequest();
+  const auto closed = idle ? idle : m_ledger.StalestReader();
+  if (closed) {
+    m_connections.at(*closed)->Close();
+  }
+  return closed.has_value();
+}
+
 StreamServer::StreamServer(asio::io_context& io, Handler handler)
     : m_listener(io), m_shared(std::make_shared<Shared>(io)) {
   m_shared->m_handler = std::move(handler);
@@ -64,6 +77,9 @@
 }
 
 void StreamServer::AddConnection(asio::ip::tcp::socket socket) {
+  if (!m_shared->MakeRoomForConnection()) {
+    return;
+  }
   const ConnectionNumber number(++m_shared->m_last_connection);
   auto connection =
       std::make_shared<Connection>(std::move(socket), number, m_shared);
--- a/libs/http/src/stream_shared_p.h
+++ b/libs/http/src/stream_shared_p.h
@@ -35,6 +35,8 @@
   static void CloseUnread(const std::shared_ptr<Shared>& self);
   static void CloseUnreadAfter(const std::shared_ptr<Shared>& self,
                                Duration delay);
+  // Makes room for a new connection. Returns false when there is none.
+  bool MakeRoomForConnection();
 };
 
 }  // namespace sequoiastage
--- a/libs/http/tests/connection_ledger_test.cc
+++ b/libs/http/tests/connection_ledger_test.cc
@@ -42,5 +42,21 @@
   EXPECT_FALSE(m_ledger.StalestReader());
 }
 
+// A crowd that only connects, beside callers with requests in progress.
+TEST_F(ConnectionLedgerTest, ConnectionsWithARequestAreKept) {
+  for (uint64_t i = 0; i < 3; ++i) {
+    m_ledger.Add(Number(i), m_now + seconds(i));
+  }
+  m_ledger.SetBusy(Number(0), true, m_now + seconds(9));
+  EXPECT_EQ(m_ledger.LongestWithoutRequest(), Number(1));
+  m_ledger.SetBusy(Number(1), true, m_now + seconds(9));
+  m_ledger.SetBusy(Number(1), false, m_now + seconds(10));
+  EXPECT_EQ(m_ledger.LongestWithoutRequest(), Number(2));
+  m_ledger.Remove(Number(2));
+  EXPECT_EQ(m_ledger.LongestWithoutRequest(), Number(1));
+  m_ledger.Remove(Number(1));
+  EXPECT_FALSE(m_ledger.LongestWithoutRequest());
+}
+
 }  // namespace
 }  // namespace sequoiastage
--- a/libs/http/tests/stream_budget_test.cc
+++ b/libs/http/tests/stream_budget_test.cc
@@ -233,6 +233,19 @@
   }));
 }
 
+// Guards against callers that take all descriptors.
+TEST_F(StreamBudgetTest, IdleConnectionsMakeRoomForNewOnes) {
+  m_server.SetLimits({.m_max_connections = 3});
+  auto callers = Connect(2);
+  callers[0]->Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE(RunUntil([this] { return m_requests == 1; }));
+  const auto later = Connect(4);
+  EXPECT_TRUE(RunUntil([this] { return m_server.ConnectionCount() == 3; }));
+  callers[0]->StartReading();
+  RespondToFirst(kBodyBytes);
+  EXPECT_TRUE(RunUntil([&] { return callers[0]->HasResponse(kBodyBytes); }));
+}
+
 TEST_F(StreamBudgetTest, DisconnectedCallerReturnsItsBytes) {
   {
     auto callers = Connect(2);
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -127,7 +127,8 @@
        .m_header_timeout = limits.m_header_timeout,
        .m_idle_timeout = limits.m_idle_timeout,
        .m_max_held_bytes = m_settings.m_max_held_bytes,
-       .m_applies_budget = m_config->ManagesLoad()});
+       .m_applies_budget = m_config->ManagesLoad(),
+       .m_max_connections = m_settings.m_max_connections});
   for (const Finding& finding : m_config->m_omitted.m_findings) {
     LogEvent(LogLevel::kWarn, "config_finding")
         .Add("version", static_cast<int64_t>(m_config->m_version.Get()))
--- a/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_settings.h
@@ -49,6 +49,8 @@
   /// are refused for it only while the configuration manages load; connections
   /// whose callers don't read are closed for it at any time.
   size_t m_byte_budget = size_t{64} << 20;
+  /// Connections of callers at a time.
+  size_t m_max_connections = 4096;
 };
 
 }  // namespace sequoiastage
--- a/libs/node/src/node.cc
+++ b/libs/node/src/node.cc
@@ -1,4 +1,5 @@
 #include "sequoiastage/node/node.h"
+#include "sequoiastage/base/process_memory.h"
 
 #include <algorithm>
 #include <asio/executor_work_guard.hpp>
@@ -60,7 +61,10 @@
                  .m_header_timeout = kHeaderTimeout,
                  .m_idle_timeout = kIdleTimeout,
                  .m_max_held_bytes =
-                     kMaxBufferedBodies * size_t{settings.m_max_body_bytes}},
+                     kMaxBufferedBodies * size_t{settings.m_max_body_bytes},
+                 .m_max_connections = settings.m_max_connections > 0
+                                          ? settings.m_max_connections
+                                          : MaxDescriptors() / 2},
       .m_max_held_bytes = settings.m_max_held_bytes,
       .m_default_deadline = settings.m_default_deadline,
       .m_max_in_flight = settings.m_max_in_flight};
--- a/libs/settings/include/sequoiastage/settings/node_settings.h
+++ b/libs/settings/include/sequoiastage/settings/node_settings.h
@@ -70,6 +70,10 @@
   /// quarters of it, connections are closed whose callers don't read their
   /// responses. Key "max_held"; 1 MiB to 64 GiB.
   uint64_t m_max_held_bytes = uint64_t{64} << 20;
+  /// Largest number of connections of callers; 0: half of the descriptors that
+  /// the process may open. At the limit, the connection that has had no request
+  /// for longest is closed. Up to 1,000,000.
+  uint32_t m_max_connections = 0;
   /// Largest number of caller requests in flight; 1 to 1,000,000.
   uint32_t m_max_in_flight = 4096;
   /// Deadline of a request that specifies none; 1 ms to 1 h.
--- a/libs/settings/src/node_settings.cc
+++ b/libs/settings/src/node_settings.cc
@@ -20,6 +20,7 @@
 constexpr uint32_t kMaxBodyBytes = 256 * 1024 * 1024;
 constexpr uint64_t kMinHeldBytes = uint64_t{1} << 20;
 constexpr uint64_t kMaxHeldBytes = uint64_t{64} << 30;
+constexpr uint32_t kMaxConnections = 1'000'000;
 constexpr uint32_t kMaxInFlight = 1'000'000;
 constexpr Duration kMinTimeout = std::chrono::milliseconds(1);
 constexpr Duration kMaxTimeout = std::chrono::hours(1);
@@ -108,6 +109,8 @@
            settings.m_max_body_bytes);
   root.ReadBytes("max_held", settings.m_max_held_bytes,
                  {.m_min = kMinHeldBytes, .m_max = kMaxHeldBytes});
+  root.ReadInteger<uint32_t>("max_connections", settings.m_max_connections,
+                             {.m_min = 0, .m_max = kMaxConnections});
   root.ReadInteger<uint32_t>("max_in_flight", settings.m_max_in_flight,
                              {.m_min = 1, .m_max = kMaxInFlight});
   ReadTimeout(root, "default_deadline", settings.m_default_deadline);
