A node far behind goes to the newest configuration

The store's answer tells whether it has more. Then the node reads the newest one, and what it has does not count as current. NodeFarBehindGoesToTheNewestConfiguration fails without this.

--- a/libs/mesh/include/sequoiastage/mesh/platform.h
+++ b/libs/mesh/include/sequoiastage/mesh/platform.h
@@ -114,6 +114,8 @@
   std::vector<StoreRecord> m_records;
   /// Position to start the next read from; tells the store's current era.
   StorePosition m_next;
+  /// The store had further records when it sent the page.
+  bool m_has_more = false;
 };
 
 struct StoreResult {
--- a/libs/mesh/include/sequoiastage/mesh/store_reader.h
+++ b/libs/mesh/include/sequoiastage/mesh/store_reader.h
@@ -296,7 +296,10 @@
     }
     topic.m_failures = 0;
     topic.m_is_loaded = true;
-    topic.m_read_at = BootNow();
+    const bool has_more = result.m_page->m_has_more;
+    if (!has_more) {
+      topic.m_read_at = BootNow();
+    }
     const bool was_following = std::exchange(topic.m_has_snapshot, true);
     topic.m_was_compacted &= !was_following;
     topic.m_next = result.m_page->m_next;
@@ -318,7 +321,11 @@
     for (const StoreRecord& record : result.m_page->m_records) {
       bytes += record.m_value.size();
     }
-    if (!has_records) {
+    if (has_more && topic.m_topic == StoreTopic::kConfig && was_following) {
+      // Only the newest one counts.
+      topic.m_has_snapshot = false;
+      Read(topic);
+    } else if (!has_records) {
       Read(topic);
     } else if (topic.m_topic == StoreTopic::kMembers) {
       ReadAfter(topic, m_options.m_member_pause);
--- a/libs/mesh/tests/fake_platform.h
+++ b/libs/mesh/tests/fake_platform.h
@@ -237,6 +237,8 @@
 
   bool m_is_cut = false;
   int m_calls = 0;
+  // Largest number of records that Follow() returns.
+  size_t m_max_page_records = SIZE_MAX;
   // When a part of a response arrived that is not complete yet.
   std::optional<TimePoint> m_last_received_at;
 
@@ -278,6 +280,11 @@
         return;
       }
       StorePage page = PageFrom(topic, offset);
+      if (page.m_records.size() > m_max_page_records) {
+        page.m_records.resize(m_max_page_records);
+        page.m_next = NextPosition(page.m_records.back().m_position);
+        page.m_has_more = true;
+      }
       if (!page.m_records.empty() || std::chrono::steady_clock::now() > end) {
         handler({.m_page = std::move(page)});
         return;
--- a/libs/mesh/tests/store_reader_test.cc
+++ b/libs/mesh/tests/store_reader_test.cc
@@ -135,6 +135,28 @@
   EXPECT_GE(m_first.m_reader.ConfigReadAge(now + seconds(9)), seconds(8));
 }
 
+// Guards against a node that is far behind and reads one version after the
+// other, while its subscribers take it for up to date.
+TEST_F(StoreReaderTest, NodeFarBehindGoesToTheNewestConfiguration) {
+  m_first.m_store.m_max_page_records = 1;
+  WriteConfig(1);
+  m_first.m_reader.SetScope(ReadScope::kAll);
+  ASSERT_TRUE(WaitForVersion(m_first, 1));
+  m_first.m_reader.SetScope(ReadScope::kNone);
+  for (int version = 2; version <= 40; ++version) {
+    WriteConfig(version);
+  }
+  const TimePoint before = BootNow();
+  const int calls = m_first.m_store.m_calls;
+  m_first.m_reader.SetScope(ReadScope::kAll);
+  ASSERT_TRUE(RunUntil(m_io, [&] { return m_first.m_version > 1; }));
+  if (m_first.m_version < 40) {
+    EXPECT_GE(m_first.m_reader.ConfigReadAge(BootNow()), BootNow() - before);
+  }
+  ASSERT_TRUE(WaitForVersion(m_first, 40));
+  EXPECT_LE(m_first.m_store.m_calls, calls + 6);
+}
+
 TEST_F(StoreReaderTest, ReadsConfigurationAtAnOffsetThatIsAssignedAgain) {
   for (int version = 1; version <= 10; ++version) {
     WriteConfig(version);
