--- a/libs/link/src/peer_connection.cc
+++ b/libs/link/src/peer_connection.cc
@@ -80,9 +80,9 @@
 }
 
 void PeerConnection::UpdateHeldBytes() {
-  m_held.Set(m_is_open ? m_queue.Bytes() + m_output.size() +
-                             m_decoder.BufferedBytes()
-                       : 0);
+  m_held.Set(m_is_open
+                 ? m_queue.Bytes() + m_output.size() + m_decoder.BufferedBytes()
+                 : 0);
 }
 
 void PeerConnection::Close(const std::string& reason) {
--- a/libs/node/src/ingress.cc
+++ b/libs/node/src/ingress.cc
@@ -132,7 +132,6 @@
         return CancelHook();
       }) {
   m_server.SetLimits(m_options.m_http);
-  m_server.SetBudget(std::make_shared<ByteBudget>(m_options.m_max_held_bytes));
   m_server.SetErrorResponseBuilder(BuildParseErrorResponse);
 }
 
--- a/libs/node/src/ingress_p.h
+++ b/libs/node/src/ingress_p.h
@@ -52,7 +52,11 @@
           const IngressOptions& options,
           Transport::LocalSender local_egress);
 
-  bool Start() { return m_server.Start(m_options.m_listen); }
+  bool Start() {
+    m_server.SetBudget(
+        std::make_shared<ByteBudget>(m_options.m_max_held_bytes));
+    return m_server.Start(m_options.m_listen);
+  }
   void Stop();
   const std::string& LastReason() const { return m_server.LastReason(); }
 
