Send the first change after a subscription at once

The spacing of changes began with the answer to the subscription, also when that had none: a node that changed its relay got the next change up to 0.7 s later.

A confirmation is answered with the age of the data, as a subscription is.

--- a/libs/mesh/include/sequoiastage/mesh/mesh_node.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node.h
@@ -120,6 +120,8 @@
   RelayPositions EndOfCopy() const;
   // Sends what the subscriber lacks.
   void SendRelay(const PeerKey& peer, Subscriber& subscriber);
+  // Sends the age of what the subscriber has.
+  void SendAge(Subscriber& subscriber);
   void OnRelayRequest(const PeerKey& peer,
                       const RelayRequestMessage& request,
                       const MessageSink& sink);
--- a/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
+++ b/libs/mesh/include/sequoiastage/mesh/mesh_node_relay_inl.h
@@ -336,8 +336,7 @@
   subscriber.m_sink(
       RelayMessage{.m_age_ms = ToWireMs<uint32_t>(KnowledgeAge(now)),
                    .m_packed = packed.m_bytes});
-  subscriber.m_feed.OnSent(EndOfCopy(),
-                           reads_deltas ? packed.m_last : std::nullopt, now);
+  subscriber.m_feed.OnSent(EndOfCopy(), packed.m_last, reads_deltas, now);
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
@@ -350,9 +349,13 @@
   subscriber.m_sink = sink;
   if (subscriber.m_feed.IsAwaiting()) {
     subscriber.m_feed.OnConfirmed(reached);
-    return;
+    if (!subscriber.m_feed.IsDue(EndOfCopy(), BootNow())) {
+      SendAge(subscriber);
+      return;
+    }
+  } else {
+    subscriber.m_feed = RelayFeed(reached);
   }
-  subscriber.m_feed = RelayFeed(reached);
   SendRelay(peer, subscriber);
 }
 
@@ -472,14 +475,17 @@
 }
 
 template <PlatformCodec Codec, PlatformStore Store>
-void MeshNode<Codec, Store>::SendRelayHeartbeats() {
+void MeshNode<Codec, Store>::SendAge(Subscriber& subscriber) {
   const TimePoint now = BootNow();
-  const Duration copy_age = KnowledgeAge(now);
-  const RelayPositions end = EndOfCopy();
+  subscriber.m_sink(
+      RelayMessage{.m_age_ms = ToWireMs<uint32_t>(subscriber.m_feed.Age(
+                       EndOfCopy(), KnowledgeAge(now), now))});
+}
+
+template <PlatformCodec Codec, PlatformStore Store>
+void MeshNode<Codec, Store>::SendRelayHeartbeats() {
   for (auto& [peer, subscriber] : m_subscribers) {
-    subscriber.m_sink(RelayMessage{
-        .m_age_ms =
-            ToWireMs<uint32_t>(subscriber.m_feed.Age(end, copy_age, now))});
+    SendAge(subscriber);
   }
 }
 
--- a/libs/mesh/include/sequoiastage/mesh/relay_feed.h
+++ b/libs/mesh/include/sequoiastage/mesh/relay_feed.h
@@ -65,14 +65,16 @@
     return std::max(copy_age, now - *m_behind_since);
   }
 
-  /// Called when everything up to `end` was passed on. `awaited`: the positions
-  /// that the subscriber will confirm; empty when it confirms nothing.
+  /// Called when everything up to `end` was passed on. `last`: the positions
+  /// after the last records among that, empty when there were none. `confirms`:
+  /// the subscriber calls for OnConfirmed() when it has them.
   void OnSent(const RelayPositions& end,
-              const std::optional<RelayPositions>& awaited,
+              const std::optional<RelayPositions>& last,
+              bool confirms,
               TimePoint now) {
     m_next = end;
-    m_sent_at = now;
-    m_awaited = awaited;
+    m_sent_at = last ? now : m_sent_at;
+    m_awaited = confirms ? last : std::nullopt;
     m_behind_since =
         m_awaited ? m_behind_since.value_or(now) : std::optional<TimePoint>();
   }
--- a/libs/mesh/tests/relay_feed_test.cc
+++ b/libs/mesh/tests/relay_feed_test.cc
@@ -54,7 +54,7 @@
 TEST_F(RelayFeedTest, BatchesChangesThatFollowShortly) {
   EXPECT_FALSE(m_feed.IsDue(At(3, 7), m_now));
   EXPECT_TRUE(m_feed.IsDue(At(4, 7), m_now));
-  m_feed.OnSent(At(4, 7), std::nullopt, m_now);
+  m_feed.OnSent(At(4, 7), At(4, 0), false, m_now);
   EXPECT_FALSE(m_feed.IsDue(At(4, 7), m_now + seconds(1)));
   EXPECT_FALSE(m_feed.IsDue(At(5, 7), m_now + RelayFeed::kMinSpacing));
   EXPECT_TRUE(
@@ -68,7 +68,7 @@
   for (uint64_t change = 4; change < 2000; ++change) {
     const RelayPositions end = At(change, 7);
     if (m_feed.IsDue(end, m_now)) {
-      m_feed.OnSent(end, std::nullopt, m_now);
+      m_feed.OnSent(end, end, false, m_now);
     }
     if (m_now >= next_heartbeat) {
       next_heartbeat = m_now + kHeartbeatInterval;
@@ -81,7 +81,7 @@
 
 // Guards against a relay that queues one large change behind another.
 TEST_F(RelayFeedTest, NextChangeWaitsUntilTheLastIsConfirmed) {
-  m_feed.OnSent(At(4, 7), At(4, 0), m_now);
+  m_feed.OnSent(At(4, 7), At(4, 0), true, m_now);
   m_now += seconds(5);
   EXPECT_FALSE(m_feed.IsDue(At(9, 7), m_now));
   EXPECT_GE(m_feed.Age(At(4, 7), kCopyAge, m_now), seconds(5));
@@ -91,8 +91,15 @@
   EXPECT_EQ(m_feed.Next(), At(4, 7));
 }
 
+// Guards against a new subscriber that waits for the first change because it
+// was just told that there was none.
+TEST_F(RelayFeedTest, FirstChangeAfterTheSubscriptionIsSentAtOnce) {
+  m_feed.OnSent(At(3, 7), std::nullopt, true, m_now);
+  EXPECT_TRUE(m_feed.IsDue(At(4, 7), m_now));
+}
+
 TEST_F(RelayFeedTest, WhatTheSubscriberLacksIsSentAgain) {
-  m_feed.OnSent(At(4, 7), At(4, 0), m_now);
+  m_feed.OnSent(At(4, 7), At(4, 0), true, m_now);
   m_feed.OnConfirmed(At(0, 0));
   m_now += seconds(1);
   EXPECT_TRUE(m_feed.IsDue(At(4, 7), m_now));
