--- a/libs/wire/include/sequoiastage/wire/packed_records.h
+++ b/libs/wire/include/sequoiastage/wire/packed_records.h
@@ -15,8 +15,8 @@
 std::string PackRecords(const std::vector<StoreRecord>& records);
 
 /// The same for a receiver that has the configuration record `base`: what
-/// `records` have in common with it takes almost no bytes. Older builds can't read
-/// it; see MemberRecord::m_reads_deltas.
+/// `records` have in common with it takes almost no bytes. Older builds can't
+/// read it; see MemberRecord::m_reads_deltas.
 std::string PackRecordsAgainst(const std::vector<StoreRecord>& records,
                                const StoreRecord& base);
 
